Keep the expert map of a rank group with agents beside the engines

Change: an agent beside each engine; one leader a group, by a conditional write in the store whose revision is the fencing token; it follows the counters, plans a map and commits it: fetch everywhere, hold a step, arm all, release.

--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/Candidacy.java
@@ -0,0 +1,92 @@
+package io.pollenpath.coordination.group;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides when an agent tries to become the leader of its group: once no leader has been heard for
+ * a while, which is longer for higher ranks, so that they do not all try at once.
+ */
+public final class Candidacy {
+
+    /** How long a leader may be silent, in milliseconds. */
+    public static final long SILENCE_MS = 900;
+
+    private static final long STAGGER_MS = 120;
+    private static final int STAGGERED_RANKS = 8;
+    private static final long RETRY_MS = 600;
+
+    private long heardNanos;
+    private long nextTryNanos;
+    private long highestToken;
+
+    /**
+     * Creates the state of an agent that starts now.
+     *
+     * @param nowNanos the present time
+     */
+    public Candidacy(long nowNanos) {
+        heardNanos = nowNanos;
+        nextTryNanos = nowNanos;
+    }
+
+    /**
+     * Takes a call of a leader.
+     *
+     * @param token its fencing token
+     * @param nowNanos the present time
+     * @return false if a leader with a higher token has been heard before
+     */
+    public boolean onLeader(long token, long nowNanos) {
+        if (token < highestToken) {
+            return false;
+        }
+        highestToken = token;
+        heardNanos = nowNanos;
+        return true;
+    }
+
+    /**
+     * Takes word from another agent that it has heard a leader.
+     *
+     * @param nowNanos the present time
+     */
+    public void onHearsay(long nowNanos) {
+        heardNanos = nowNanos;
+    }
+
+    /**
+     * Decides whether to try now; each yes puts the next try off.
+     *
+     * @param rank the rank of the engine beside this agent
+     * @param nowNanos the present time
+     * @return true if this agent should claim the lease
+     */
+    public boolean shouldTry(int rank, long nowNanos) {
+        long patienceMs = SILENCE_MS + STAGGER_MS * (rank % STAGGERED_RANKS);
+        boolean silent = silentMs(nowNanos) >= patienceMs;
+        if (!silent || nowNanos - nextTryNanos < 0) {
+            return false;
+        }
+        nextTryNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(RETRY_MS);
+        return true;
+    }
+
+    /**
+     * Returns how long no leader was heard.
+     *
+     * @param nowNanos the present time
+     * @return the time, in milliseconds; since the start if none ever was
+     */
+    public long silentMs(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - heardNanos);
+    }
+
+    /**
+     * Returns the highest token heard.
+     *
+     * @return the token; 0 if no leader was heard
+     */
+    public long highestToken() {
+        return highestToken;
+    }
+}
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/platform/AgentDirectory.java
@@ -0,0 +1,89 @@
+package io.pollenpath.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pollenpath.transport.HttpAddress;
+import io.pollenpath.transport.group.AgentAddress;
+import io.pollenpath.util.Json;
+import io.pollenpath.util.LogLine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Announces the agent of this VM in the store and decodes the announcements of the others. */
+final class AgentDirectory {
+
+    /** The kind of the announcements. */
+    static final String KIND = "agents";
+
+    private static final Logger LOG = LoggerFactory.getLogger(AgentDirectory.class);
+    private static final String AGENT = "Agent";
+    private static final String ENGINE = "Engine";
+    private static final String SERVICE = "Service";
+    private static final long TIMEOUT_MS = 1_000;
+    private static final long RETRY_MS = 1_000;
+    private static final int STATUS_EXISTS = 409;
+
+    private final StoreClient store;
+    private final ScheduledExecutorService control;
+    private final String service;
+
+    AgentDirectory(StoreClient store, ScheduledExecutorService control, String service) {
+        this.store = store;
+        this.control = control;
+        this.service = service;
+    }
+
+    /** Announces an agent, again and again until the store has it. */
+    void announce(String node, AgentAddress address) {
+        ObjectNode spec =
+                Json.object()
+                        .put(AGENT, address.agent().toString())
+                        .put(ENGINE, address.engine().toString())
+                        .put(SERVICE, service);
+        store.create(KIND, node, spec, TIMEOUT_MS)
+                .whenCompleteAsync(
+                        (written, failure) -> {
+                            if (failure != null && !exists(failure)) {
+                                control.schedule(
+                                        () -> announce(node, address),
+                                        RETRY_MS,
+                                        TimeUnit.MILLISECONDS);
+                            }
+                        },
+                        control);
+    }
+
+    private static boolean exists(Throwable failure) {
+        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+        return cause instanceof StoreException refused && refused.status() == STATUS_EXISTS;
+    }
+
+    /** Decodes the announcements of agents beside engines of the same service. */
+    List<AgentAddress> decode(Map<String, StoredObject> objects) {
+        List<AgentAddress> addresses = new ArrayList<>();
+        for (StoredObject object : objects.values()) {
+            JsonNode spec = object.spec();
+            if (!spec.path(SERVICE).asText("").equals(service)) {
+                continue;
+            }
+            try {
+                addresses.add(
+                        new AgentAddress(
+                                HttpAddress.parse(spec.path(AGENT).asText("")),
+                                HttpAddress.parse(spec.path(ENGINE).asText(""))));
+            } catch (IllegalArgumentException e) {
+                LOG.warn(
+                        "{}",
+                        LogLine.event("agent_skipped")
+                                .with("agent", object.name())
+                                .with("cause", e.getMessage()));
+            }
+        }
+        return addresses;
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -17,6 +17,7 @@
 import io.pollenpath.transport.serving.Gateway;
 import io.pollenpath.transport.serving.GatewayServer;
 import io.pollenpath.transport.serving.GatewaySettings;
+import io.pollenpath.util.Json;
 import io.pollenpath.util.LogLine;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -114,7 +115,11 @@
     }
 
     private void announce() {
-        store.create(PlatformView.entriesKind(), settings.node(), STORE_CALL_TIMEOUT_MS)
+        store.create(
+                        PlatformView.entriesKind(),
+                        settings.node(),
+                        Json.object(),
+                        STORE_CALL_TIMEOUT_MS)
                 .whenComplete(
                         (object, failure) -> {
                             if (failure != null) {
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntryProvider.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntryProvider.java
@@ -3,7 +3,6 @@
 import io.pollenpath.cli.BaseSettings;
 import io.pollenpath.cli.Role;
 import io.pollenpath.cli.RoleProvider;
-import java.nio.file.Path;
 
 /** Adds the entry that runs on the platform to the command line. */
 public final class PlatformEntryProvider implements RoleProvider {
@@ -25,15 +24,12 @@
 
     @Override
     public String processName(BaseSettings settings) {
-        return read(settings).node();
+        return PlatformFlags.read(settings).node();
     }
 
     @Override
     public Role start(BaseSettings settings) {
-        return new PlatformEntry(read(settings));
+        return new PlatformEntry(PlatformFlags.read(settings));
     }
 
-    private static PlatformSettings read(BaseSettings settings) {
-        return SettingsFile.read(Path.of(((PlatformFlags) settings).settingsFile));
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformFlags.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformFlags.java
@@ -17,6 +17,11 @@
             required = true)
     String settingsFile = "";
 
+    /** Reads the settings file that filled flags name. */
+    static PlatformSettings read(BaseSettings settings) {
+        return SettingsFile.read(Path.of(((PlatformFlags) settings).settingsFile));
+    }
+
     @Override
     protected void check(Faults faults) {
         if (settingsFile.isEmpty()) {
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
@@ -46,17 +46,36 @@
         return call("GET", OBJECTS + kind + query, NO_BODY, timeoutMs);
     }
 
-    /** Creates an object with an empty specification; fails with status 409 if it exists. */
-    CompletableFuture<JsonNode> create(String kind, String name, long timeoutMs) {
+    /** Reads one object; fails with status 404 if it does not exist. */
+    CompletableFuture<JsonNode> read(String kind, String name, long timeoutMs) {
+        return call("GET", path(kind, name), NO_BODY, timeoutMs);
+    }
+
+    /** Creates an object; fails with status 409 if it exists. */
+    CompletableFuture<JsonNode> create(
+            String kind, String name, ObjectNode spec, long timeoutMs) {
         ObjectNode object = Json.object();
         object.putObject("Metadata").put("Name", name);
-        object.putObject("Spec");
+        object.set("Spec", spec);
         return call("POST", OBJECTS + kind, Json.bytes(object), timeoutMs);
     }
 
+    /** Replaces an object if it still has a revision; fails with status 409 otherwise. */
+    CompletableFuture<JsonNode> replace(
+            String kind, String name, ObjectNode spec, long revision, long timeoutMs) {
+        ObjectNode object = Json.object();
+        object.putObject("Metadata").put("Name", name).put("Revision", revision);
+        object.set("Spec", spec);
+        return call("PUT", path(kind, name), Json.bytes(object), timeoutMs);
+    }
+
     /** Removes an object. */
     CompletableFuture<JsonNode> delete(String kind, String name, long timeoutMs) {
-        return call("DELETE", OBJECTS + kind + "/" + encode(name), NO_BODY, timeoutMs);
+        return call("DELETE", path(kind, name), NO_BODY, timeoutMs);
+    }
+
+    private static String path(String kind, String name) {
+        return OBJECTS + kind + "/" + encode(name);
     }
 
     private static String encode(String name) {
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
@@ -0,0 +1,68 @@
+package io.pollenpath.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pollenpath.transport.group.LeaderLease;
+import io.pollenpath.util.Json;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/**
+ * Keeps the leader of each group in an object of the store. The revision of the write that took the
+ * lead is the fencing token, and each write is conditional on the revision read before.
+ */
+final class StoreLease implements LeaderLease {
+
+    private static final String KIND = "leases";
+    private static final String HOLDER = "Holder";
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final long TIMEOUT_MS = 600;
+
+    private final StoreClient store;
+
+    StoreLease(StoreClient store) {
+        this.store = store;
+    }
+
+    @Override
+    public CompletableFuture<Long> claim(String group, String holder) {
+        return store.read(KIND, group, TIMEOUT_MS)
+                .handle(
+                        (object, failure) -> {
+                            if (failure == null) {
+                                return take(group, holder, object);
+                            }
+                            return isMissing(failure)
+                                    ? store.create(KIND, group, spec(holder), TIMEOUT_MS)
+                                    : CompletableFuture.<JsonNode>failedFuture(failure);
+                        })
+                .thenCompose(written -> written)
+                .thenApply(StoreLease::revision);
+    }
+
+    private CompletableFuture<JsonNode> take(String group, String holder, JsonNode object) {
+        boolean own = object.path("Spec").path(HOLDER).asText("").equals(holder);
+        if (own) {
+            // An earlier claim of this process took effect although its answer was lost.
+            return CompletableFuture.completedFuture(object);
+        }
+        return store.replace(KIND, group, spec(holder), revision(object), TIMEOUT_MS);
+    }
+
+    private static boolean isMissing(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof StoreException refused && refused.status() == STATUS_NOT_FOUND;
+    }
+
+    private static ObjectNode spec(String holder) {
+        return Json.object().put(HOLDER, holder);
+    }
+
+    private static long revision(JsonNode object) {
+        long revision = object.path("Metadata").path("Revision").asLong(0);
+        if (revision <= 0) {
+            throw new IllegalStateException("the store answered a lease without a revision");
+        }
+        return revision;
+    }
+}
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -0,0 +1,187 @@
+package io.pollenpath.transport.group;
+
+import io.pollenpath.coordination.group.Candidacy;
+import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.state.serving.GroupShape;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.util.LogLine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the agent of one rank: watches over the lead of its group, and leads it when no other agent
+ * does. Everything happens on the control thread.
+ */
+public final class GroupAgent {
+
+    private static final Logger LOG = LoggerFactory.getLogger(GroupAgent.class);
+    private static final long TICK_MS = 30;
+    private static final long IDLE_TICKS = 4;
+
+    private final EngineControl engine;
+    private final Candidacy candidacy;
+    private final LeaderLease lease;
+    private final ScheduledExecutorService control;
+    private final HttpClient http;
+    private final Function<AgentAddress, Optional<EngineControl>> direct;
+    private final String holder;
+    private final Map<AgentAddress, RankPeer> peers = new HashMap<>();
+    private List<AgentAddress> addresses = List.of();
+    private Optional<GroupShape> shape = Optional.empty();
+    private Optional<GroupLeader> leader = Optional.empty();
+    private boolean claiming;
+    private long ticks;
+
+    /**
+     * Creates an agent; it does nothing before {@link #start}.
+     *
+     * @param engine the engine on this VM, not null
+     * @param candidacy remembers leaders, not null
+     * @param lease keeps who leads, not null
+     * @param control the control thread, not null
+     * @param http calls other agents, not null
+     * @param direct reaches the engine of another agent; empty where engines keep no fences
+     * @param holder names this start of this process, not null
+     */
+    public GroupAgent(
+            EngineControl engine,
+            Candidacy candidacy,
+            LeaderLease lease,
+            ScheduledExecutorService control,
+            HttpClient http,
+            Function<AgentAddress, Optional<EngineControl>> direct,
+            String holder) {
+        this.engine = engine;
+        this.candidacy = candidacy;
+        this.lease = lease;
+        this.control = control;
+        this.http = http;
+        this.direct = direct;
+        this.holder = holder;
+    }
+
+    /** Starts the timers. */
+    public void start() {
+        control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Replaces the known agents; called on the control thread.
+     *
+     * @param known the agents of all groups, this one among them, not null
+     */
+    public void setAgents(List<AgentAddress> known) {
+        addresses = List.copyOf(known);
+        peers.keySet().retainAll(addresses);
+        for (AgentAddress address : addresses) {
+            peers.computeIfAbsent(
+                    address, added -> new RankPeer(http, added, direct.apply(added)));
+        }
+    }
+
+    /**
+     * Replaces the shape of the group; called on the control thread.
+     *
+     * @param declared the shape; empty if the engine is no rank
+     */
+    public void setShape(Optional<GroupShape> declared) {
+        shape = declared;
+    }
+
+    private void tick() {
+        try {
+            ticks++;
+            long nowNanos = System.nanoTime();
+            if (leader.isPresent()) {
+                lead(leader.get(), nowNanos);
+            } else if (ticks % IDLE_TICKS == 0) {
+                considerClaim(nowNanos);
+            }
+        } catch (RuntimeException e) {
+            LOG.error("{}", LogLine.event("agent_tick_failed").with("cause", e), e);
+        }
+    }
+
+    private void lead(GroupLeader leading, long nowNanos) {
+        leading.tick(List.copyOf(peers.values()), nowNanos);
+        if (leading.isDeposed()) {
+            leader = Optional.empty();
+        }
+    }
+
+    private void considerClaim(long nowNanos) {
+        boolean silent = candidacy.silentMs(nowNanos) >= Candidacy.SILENCE_MS;
+        if (claiming || !silent || shape.isEmpty() || peers.isEmpty()) {
+            return;
+        }
+        claiming = true;
+        engine.status()
+                .whenCompleteAsync(
+                        (status, failure) -> {
+                            claiming = false;
+                            if (failure == null) {
+                                considerClaim(status, System.nanoTime());
+                            }
+                        },
+                        control);
+    }
+
+    private void considerClaim(RankStatus own, long nowNanos) {
+        if (!candidacy.shouldTry(own.rank(), nowNanos)) {
+            return;
+        }
+        claiming = true;
+        anyHeardLeader()
+                .thenCompose(
+                        heard ->
+                                heard
+                                        ? CompletableFuture.completedFuture(0L)
+                                        : lease.claim(own.group(), holder))
+                .whenCompleteAsync((token, failure) -> onClaim(own, token, failure), control);
+    }
+
+    /** Asks the other agents whether they hear a leader that this one does not. */
+    private CompletableFuture<Boolean> anyHeardLeader() {
+        List<CompletableFuture<Boolean>> answers = new ArrayList<>();
+        for (RankPeer peer : peers.values()) {
+            answers.add(
+                    peer.query(new RankQuestion(0, false, false))
+                            .handle(
+                                    (report, failure) ->
+                                            failure == null
+                                                    && report.leaderToken() > 0
+                                                    && report.leaderHeardMs()
+                                                            < Candidacy.SILENCE_MS));
+        }
+        return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .thenApply(done -> answers.stream().anyMatch(CompletableFuture::join));
+    }
+
+    private void onClaim(RankStatus own, Long token, Throwable failure) {
+        claiming = false;
+        long nowNanos = System.nanoTime();
+        if (failure != null) {
+            LOG.info(
+                    "{}",
+                    LogLine.event("lease_not_claimed")
+                            .with("group", own.group())
+                            .with("cause", failure));
+        } else if (token == 0) {
+            candidacy.onHearsay(nowNanos);
+        } else if (candidacy.onLeader(token, nowNanos) && shape.isPresent()) {
+            leader = Optional.of(new GroupLeader(token, own, shape.get(), control, nowNanos));
+            LOG.info(
+                    "{}",
+                    LogLine.event("lease_claimed").with("group", own.group()).with("token", token));
+        }
+    }
+}
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
@@ -0,0 +1,187 @@
+package io.pollenpath.transport.group;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.pollenpath.protocol.wire.ArmMap;
+import io.pollenpath.protocol.wire.CommandOutcome;
+import io.pollenpath.protocol.wire.DisarmMap;
+import io.pollenpath.protocol.wire.ExpertList;
+import io.pollenpath.protocol.wire.HoldStep;
+import io.pollenpath.protocol.wire.LayerExperts;
+import io.pollenpath.protocol.wire.PrepareMap;
+import io.pollenpath.protocol.wire.RankCommand;
+import io.pollenpath.protocol.wire.RankQuery;
+import io.pollenpath.protocol.wire.RankReply;
+import io.pollenpath.protocol.wire.RankState;
+import io.pollenpath.protocol.wire.ReleaseStep;
+import io.pollenpath.state.group.ArmedMap;
+import io.pollenpath.state.group.GroupMap;
+import io.pollenpath.state.group.OrderOutcome;
+import io.pollenpath.state.group.RankOrder;
+import io.pollenpath.state.group.RankStatus;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Turns the calls between agents into protobuf messages and back. */
+final class GroupMessages {
+
+    private GroupMessages() {}
+
+    static byte[] encode(RankQuestion question) {
+        return RankQuery.newBuilder()
+                .setToken(question.token())
+                .setWithCounts(question.withCounts())
+                .setWithExperts(question.withExperts())
+                .build()
+                .toByteArray();
+    }
+
+    static RankQuestion decodeQuestion(byte[] bytes) throws InvalidProtocolBufferException {
+        RankQuery query = RankQuery.parseFrom(bytes);
+        return new RankQuestion(query.getToken(), query.getWithCounts(), query.getWithExperts());
+    }
+
+    static byte[] encode(RankOrder order, long epoch, long token) {
+        RankCommand.Builder command = RankCommand.newBuilder().setToken(token).setEpoch(epoch);
+        if (order instanceof RankOrder.Prepare prepare) {
+            command.setPrepare(encodePrepare(prepare));
+        } else if (order instanceof RankOrder.Hold hold) {
+            command.setHold(HoldStep.newBuilder().setStep(hold.step()));
+        } else if (order instanceof RankOrder.Arm arm) {
+            command.setArm(ArmMap.newBuilder().setVersion(arm.version()).setStep(arm.step()));
+        } else if (order instanceof RankOrder.Release release) {
+            command.setRelease(ReleaseStep.newBuilder().setStep(release.step()));
+        } else if (order instanceof RankOrder.Disarm disarm) {
+            command.setDisarm(DisarmMap.newBuilder().setVersion(disarm.version()));
+        }
+        return command.build().toByteArray();
+    }
+
+    private static PrepareMap encodePrepare(RankOrder.Prepare prepare) {
+        PrepareMap.Builder map = PrepareMap.newBuilder().setVersion(prepare.version());
+        for (List<List<Integer>> ranks : prepare.map().layers()) {
+            LayerExperts.Builder layer = LayerExperts.newBuilder();
+            ranks.forEach(experts -> layer.addRanks(encodeList(experts)));
+            map.addLayers(layer);
+        }
+        return map.build();
+    }
+
+    private static ExpertList encodeList(List<Integer> experts) {
+        return ExpertList.newBuilder().addAllExperts(experts).build();
+    }
+
+    static RankCommand decodeCommand(byte[] bytes) throws InvalidProtocolBufferException {
+        return RankCommand.parseFrom(bytes);
+    }
+
+    /** Returns the order of a command; empty if this version does not know it. */
+    static Optional<RankOrder> orderOf(RankCommand command) {
+        return switch (command.getOrderCase()) {
+            case PREPARE -> Optional.of(decodePrepare(command.getPrepare()));
+            case HOLD -> Optional.of(new RankOrder.Hold(command.getHold().getStep()));
+            case ARM ->
+                    Optional.of(
+                            new RankOrder.Arm(
+                                    command.getArm().getVersion(), command.getArm().getStep()));
+            case RELEASE -> Optional.of(new RankOrder.Release(command.getRelease().getStep()));
+            case DISARM -> Optional.of(new RankOrder.Disarm(command.getDisarm().getVersion()));
+            case ORDER_NOT_SET -> Optional.empty();
+        };
+    }
+
+    private static RankOrder decodePrepare(PrepareMap prepare) {
+        List<List<List<Integer>>> layers = new ArrayList<>();
+        for (LayerExperts layer : prepare.getLayersList()) {
+            layers.add(layer.getRanksList().stream().map(ExpertList::getExpertsList).toList());
+        }
+        return new RankOrder.Prepare(prepare.getVersion(), new GroupMap(layers));
+    }
+
+    static byte[] encode(RankReport report) {
+        RankReply.Builder reply =
+                RankReply.newBuilder()
+                        .setLeaderToken(report.leaderToken())
+                        .setLeaderHeardMs(report.leaderHeardMs());
+        report.outcome().ifPresent(outcome -> reply.setOutcome(encodeOutcome(outcome)));
+        report.status().ifPresent(status -> reply.setState(encodeState(status)));
+        for (long count : report.counts()) {
+            reply.addCounts(count);
+        }
+        report.experts().forEach(list -> reply.addExperts(encodeList(list)));
+        return reply.build().toByteArray();
+    }
+
+    private static CommandOutcome encodeOutcome(OrderOutcome outcome) {
+        return switch (outcome) {
+            case ACCEPTED -> CommandOutcome.COMMAND_OUTCOME_ACCEPTED;
+            case REJECTED -> CommandOutcome.COMMAND_OUTCOME_REJECTED;
+            case FENCED -> CommandOutcome.COMMAND_OUTCOME_FENCED;
+            case UNKNOWN -> CommandOutcome.COMMAND_OUTCOME_UNKNOWN;
+        };
+    }
+
+    private static RankState encodeState(RankStatus status) {
+        RankState.Builder state =
+                RankState.newBuilder()
+                        .setGroup(status.group())
+                        .setEpoch(status.epoch())
+                        .setRank(status.rank())
+                        .setSize(status.size())
+                        .setOpen(status.open())
+                        .setStep(status.step())
+                        .setMapVersion(status.mapVersion())
+                        .setBusy(status.busy());
+        status.prepared().ifPresent(state::setPreparedVersion);
+        status.held().ifPresent(state::setHeldStep);
+        status.armed()
+                .ifPresent(
+                        armed ->
+                                state.setArmedVersion(armed.version())
+                                        .setArmedStep(armed.step()));
+        return state.build();
+    }
+
+    static RankReport decodeReport(byte[] bytes) throws InvalidProtocolBufferException {
+        RankReply reply = RankReply.parseFrom(bytes);
+        return new RankReport(
+                decodeOutcome(reply.getOutcome()),
+                reply.hasState() ? Optional.of(decodeState(reply.getState())) : Optional.empty(),
+                reply.getCountsList().stream().mapToLong(Long::longValue).toArray(),
+                reply.getExpertsList().stream().map(ExpertList::getExpertsList).toList(),
+                reply.getLeaderToken(),
+                reply.getLeaderHeardMs());
+    }
+
+    private static Optional<OrderOutcome> decodeOutcome(CommandOutcome outcome) {
+        return switch (outcome) {
+            case COMMAND_OUTCOME_ACCEPTED -> Optional.of(OrderOutcome.ACCEPTED);
+            case COMMAND_OUTCOME_REJECTED -> Optional.of(OrderOutcome.REJECTED);
+            case COMMAND_OUTCOME_FENCED -> Optional.of(OrderOutcome.FENCED);
+            case COMMAND_OUTCOME_UNKNOWN, UNRECOGNIZED -> Optional.of(OrderOutcome.UNKNOWN);
+            case COMMAND_OUTCOME_NONE -> Optional.empty();
+        };
+    }
+
+    private static RankStatus decodeState(RankState state) {
+        return new RankStatus(
+                state.getGroup(),
+                state.getEpoch(),
+                state.getRank(),
+                state.getSize(),
+                state.getOpen(),
+                state.getStep(),
+                state.getMapVersion(),
+                state.hasPreparedVersion()
+                        ? OptionalLong.of(state.getPreparedVersion())
+                        : OptionalLong.empty(),
+                state.hasArmedVersion()
+                        ? Optional.of(new ArmedMap(state.getArmedVersion(), state.getArmedStep()))
+                        : Optional.empty(),
+                state.hasHeldStep()
+                        ? OptionalLong.of(state.getHeldStep())
+                        : OptionalLong.empty(),
+                state.getBusy());
+    }
+}
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
@@ -0,0 +1,154 @@
+package io.pollenpath.transport.group;
+
+import io.pollenpath.coordination.group.Candidacy;
+import io.pollenpath.state.group.OrderOutcome;
+import io.pollenpath.state.group.RankOrder;
+import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.util.LogLine;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Answers for the engine on its own VM: asks it, and passes on orders of the leader with the highest
+ * fencing token that it has heard.
+ */
+public final class RankAgent {
+
+    private static final Logger LOG = LoggerFactory.getLogger(RankAgent.class);
+    private static final long[] NO_COUNTS = new long[0];
+
+    private final EngineControl engine;
+    private final Executor control;
+    private final Candidacy candidacy;
+
+    /**
+     * Creates an agent.
+     *
+     * @param engine the engine, not null
+     * @param control the thread that owns the candidacy, not null
+     * @param candidacy remembers leaders, not null
+     */
+    public RankAgent(EngineControl engine, Executor control, Candidacy candidacy) {
+        this.engine = engine;
+        this.control = control;
+        this.candidacy = candidacy;
+    }
+
+    /**
+     * Answers a question.
+     *
+     * @param question the question, not null
+     * @return the answer; never fails
+     */
+    public CompletableFuture<RankReport> query(RankQuestion question) {
+        return hear(question.token())
+                .thenCompose(
+                        heard ->
+                                heard
+                                        ? ask(question, Optional.empty())
+                                        : report(
+                                                Optional.of(OrderOutcome.FENCED),
+                                                Optional.empty(),
+                                                NO_COUNTS,
+                                                List.of()));
+    }
+
+    /**
+     * Carries out an order.
+     *
+     * @param order the order, not null
+     * @param epoch the epoch of the group that it is meant for
+     * @param token the fencing token of the leader
+     * @return what became of it and the state after it; never fails
+     */
+    public CompletableFuture<RankReport> command(RankOrder order, long epoch, long token) {
+        return hear(token)
+                .thenCompose(
+                        heard ->
+                                heard
+                                        ? engine.order(order, epoch, token)
+                                        : CompletableFuture.completedFuture(OrderOutcome.FENCED))
+                .thenCompose(
+                        outcome -> {
+                            logOrder(order, epoch, token, outcome);
+                            return ask(
+                                    new RankQuestion(token, false, false), Optional.of(outcome));
+                        });
+    }
+
+    private CompletableFuture<Boolean> hear(long token) {
+        return CompletableFuture.supplyAsync(
+                () -> token == 0 || candidacy.onLeader(token, System.nanoTime()), control);
+    }
+
+    private CompletableFuture<RankReport> ask(
+            RankQuestion question, Optional<OrderOutcome> outcome) {
+        CompletableFuture<Optional<RankStatus>> status = optional(engine.status());
+        CompletableFuture<Optional<long[]>> counts =
+                question.withCounts() ? optional(engine.counts()) : nothing();
+        CompletableFuture<Optional<List<List<Integer>>>> experts =
+                question.withExperts() ? optional(engine.experts()) : nothing();
+        return CompletableFuture.allOf(status, counts, experts)
+                .thenCompose(
+                        done ->
+                                report(
+                                        outcome,
+                                        status.join(),
+                                        counts.join().orElse(NO_COUNTS),
+                                        experts.join().orElse(List.of())));
+    }
+
+    private static <T> CompletableFuture<Optional<T>> nothing() {
+        return CompletableFuture.completedFuture(Optional.empty());
+    }
+
+    private static <T> CompletableFuture<Optional<T>> optional(CompletableFuture<T> answer) {
+        return answer.handle(
+                (value, failure) -> {
+                    if (failure != null) {
+                        LOG.debug(
+                                "{}",
+                                LogLine.event("engine_silent").with("cause", failure));
+                    }
+                    return Optional.ofNullable(value);
+                });
+    }
+
+    private CompletableFuture<RankReport> report(
+            Optional<OrderOutcome> outcome,
+            Optional<RankStatus> status,
+            long[] counts,
+            List<List<Integer>> experts) {
+        return CompletableFuture.supplyAsync(
+                () ->
+                        new RankReport(
+                                outcome,
+                                status,
+                                counts,
+                                experts,
+                                candidacy.highestToken(),
+                                candidacy.silentMs(System.nanoTime())),
+                control);
+    }
+
+    private static void logOrder(RankOrder order, long epoch, long token, OrderOutcome outcome) {
+        LOG.info(
+                "{}",
+                LogLine.event("engine_order")
+                        .with("order", describe(order))
+                        .with("epoch", epoch)
+                        .with("token", token)
+                        .with("outcome", outcome));
+    }
+
+    /** Names an order without the whole map. */
+    static String describe(RankOrder order) {
+        return order instanceof RankOrder.Prepare prepare
+                ? "Prepare[version=" + prepare.version() + "]"
+                : order.toString();
+    }
+}
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -0,0 +1,108 @@
+package io.pollenpath.transport.group;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.pollenpath.state.group.OrderOutcome;
+import io.pollenpath.state.group.RankOrder;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.HttpReply;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+/** Calls the agent of one rank, or its engine itself while the agent does not answer. */
+final class RankPeer {
+
+    private static final long QUERY_TIMEOUT_MS = 400;
+    private static final long COMMAND_TIMEOUT_MS = 250;
+    private static final long[] NO_COUNTS = new long[0];
+
+    private final HttpClient http;
+    private final AgentAddress address;
+    private final Optional<EngineControl> direct;
+    private boolean agentSilent;
+
+    /**
+     * Creates a peer.
+     *
+     * @param http sends the calls
+     * @param address the agent
+     * @param direct the engine; empty if engines do not refuse orders with an old token, since then
+     *     only the agent keeps them out
+     */
+    RankPeer(HttpClient http, AgentAddress address, Optional<EngineControl> direct) {
+        this.http = http;
+        this.address = address;
+        this.direct = direct;
+    }
+
+    AgentAddress address() {
+        return address;
+    }
+
+    /** Asks the agent; fails if it does not answer. */
+    CompletableFuture<RankReport> query(RankQuestion question) {
+        return call(AgentServer.QUERY_PATH, GroupMessages.encode(question), QUERY_TIMEOUT_MS)
+                .whenComplete((report, failure) -> agentSilent = failure != null);
+    }
+
+    /** Sends an order; never fails. */
+    CompletableFuture<RankReport> command(RankOrder order, long epoch, long token) {
+        if (agentSilent && direct.isPresent()) {
+            return direct.get().order(order, epoch, token).thenApply(RankPeer::withoutState);
+        }
+        byte[] body = GroupMessages.encode(order, epoch, token);
+        return call(AgentServer.COMMAND_PATH, body, COMMAND_TIMEOUT_MS)
+                .handle(
+                        (report, failure) -> {
+                            agentSilent = failure != null;
+                            return failure == null ? report : withoutState(OrderOutcome.UNKNOWN);
+                        });
+    }
+
+    /** Asks the engine itself, whose answer lags; fails if that is not possible. */
+    CompletableFuture<RankReport> queryEngine() {
+        if (direct.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new IllegalStateException("engines without fences are asked by agents only"));
+        }
+        return direct.get()
+                .status()
+                .thenApply(
+                        status ->
+                                new RankReport(
+                                        Optional.empty(),
+                                        Optional.of(status),
+                                        NO_COUNTS,
+                                        List.of(),
+                                        0,
+                                        0));
+    }
+
+    private static RankReport withoutState(OrderOutcome outcome) {
+        return new RankReport(
+                Optional.of(outcome), Optional.empty(), NO_COUNTS, List.of(), 0, 0);
+    }
+
+    private CompletableFuture<RankReport> call(String path, byte[] body, long timeoutMs) {
+        return http.send(
+                        new HttpClient.Request(
+                                address.agent(),
+                                "POST",
+                                path,
+                                Map.of("Content-Type", AgentServer.MEDIA_TYPE),
+                                body))
+                .orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
+                .thenApply(RankPeer::decode);
+    }
+
+    private static RankReport decode(HttpReply reply) {
+        try {
+            return GroupMessages.decodeReport(reply.body());
+        } catch (InvalidProtocolBufferException e) {
+            throw new CompletionException(e);
+        }
+    }
+}
