--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemand.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemand.java
@@ -9,11 +9,14 @@
  */
 public final class ExpertDemand {
 
-    private static final double STEADY_WEIGHT = 0.35;
-    private static final double SHIFT_WEIGHT = 0.75;
+    /** The weight of a sample while the demand is steady. */
+    private static final double STEADY_WEIGHT = 0.2;
+
+    /** The weight of a sample that shows a shift, and of the one after it. */
+    private static final double SHIFT_WEIGHT = 0.8;
 
     /** The distance between old and new shares, from 0 to 2, that counts as a shift. */
-    private static final double SHIFT_DISTANCE = 0.3;
+    private static final double SHIFT_DISTANCE = 0.25;
 
     /** Fewer choices than this in one set of layers say too little. */
     private static final double MIN_CHOICES = 200;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
@@ -14,8 +14,11 @@
     /** Large enough that the most loaded rank decides, small enough to see the next ones. */
     private static final int NORM = 12;
 
+    /** The load of the most loaded rank, as a multiple of the mean, that is left alone. */
+    private static final double EVEN_ENOUGH = 1.1;
+
     private static final int MAX_STEPS = 48;
-    private static final double MIN_IMPROVEMENT = 0.02;
+    private static final double MIN_IMPROVEMENT = 0.1;
     private static final int NONE = -1;
 
     private final int ranks;
@@ -66,7 +69,7 @@
 
     /** Improves the placement until nothing more is won. */
     List<List<Integer>> improve() {
-        for (int step = 0; step < MAX_STEPS; step++) {
+        for (int step = 0; step < MAX_STEPS && mostLoad() > EVEN_ENOUGH; step++) {
             Change best = bestChange();
             if (best == null) {
                 break;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -5,11 +5,14 @@
 import io.pollenpath.state.group.RankOrder;
 import io.pollenpath.state.group.RankStatus;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Takes one map from its plan to its first step on every rank.
@@ -25,7 +28,10 @@
 public final class MapCommit {
 
     /** Steps between the newest known step and the one that is held, so that arming costs none. */
-    static final int LEAD_STEPS = 4;
+    static final int LEAD_STEPS = 3;
+
+    /** How long after a rank took the order to fetch it is sent again. */
+    private static final long FETCH_REPEAT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** Where the commit stands. */
     public enum Phase {
@@ -51,6 +57,7 @@
     private final RankStatus[] statuses;
     private final Set<Integer> prepared = new HashSet<>();
     private final Set<Integer> armed = new HashSet<>();
+    private final Map<Integer, Long> fetchingSinceNanos = new HashMap<>();
     private Phase phase;
     private long step = -1;
     private boolean holdSeen;
@@ -143,11 +150,15 @@
      * @param rank the rank
      * @param order the order, not null
      * @param outcome what became of it, not null
+     * @param nowNanos the present time
      */
-    public void onOutcome(int rank, RankOrder order, OrderOutcome outcome) {
+    public void onOutcome(int rank, RankOrder order, OrderOutcome outcome, long nowNanos) {
         if (outcome != OrderOutcome.ACCEPTED) {
             return;
         }
+        if (order instanceof RankOrder.Prepare) {
+            fetchingSinceNanos.put(rank, nowNanos);
+        }
         if (order instanceof RankOrder.Arm arm && arm.step() == step) {
             armed.add(rank);
         }
@@ -176,7 +187,7 @@
         if (phase == Phase.RELEASING && holdIsGone()) {
             phase = Phase.DONE;
         }
-        return orders();
+        return orders(nowNanos);
     }
 
     private void stepPreparing(long nowNanos) {
@@ -217,12 +228,10 @@
         return status != null && (status.step() >= step || status.mapVersion() == version);
     }
 
-    private List<AddressedOrder> orders() {
+    private List<AddressedOrder> orders(long nowNanos) {
         List<AddressedOrder> orders = new ArrayList<>();
         switch (phase) {
-            case PREPARING ->
-                    addMissing(
-                            orders, prepared, new RankOrder.Prepare(version, map.orElseThrow()));
+            case PREPARING -> addPrepares(orders, nowNanos);
             case HOLDING -> orders.add(new AddressedOrder(holdRank, new RankOrder.Hold(step)));
             case ARMING -> addMissing(orders, armed, new RankOrder.Arm(version, step));
             case RELEASING ->
@@ -236,11 +245,18 @@
 
     private void addMissing(List<AddressedOrder> orders, Set<Integer> have, RankOrder order) {
         for (int rank = 0; rank < statuses.length; rank++) {
-            boolean fetching =
-                    order instanceof RankOrder.Prepare
-                            && statuses[rank] != null
-                            && statuses[rank].busy();
-            if (!have.contains(rank) && !fetching) {
+            if (!have.contains(rank)) {
+                orders.add(new AddressedOrder(rank, order));
+            }
+        }
+    }
+
+    private void addPrepares(List<AddressedOrder> orders, long nowNanos) {
+        RankOrder order = new RankOrder.Prepare(version, map.orElseThrow());
+        for (int rank = 0; rank < statuses.length; rank++) {
+            Long sinceNanos = fetchingSinceNanos.get(rank);
+            boolean fetching = sinceNanos != null && nowNanos - sinceNanos < FETCH_REPEAT_NANOS;
+            if (!prepared.contains(rank) && !fetching) {
                 orders.add(new AddressedOrder(rank, order));
             }
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -32,8 +32,7 @@
 final class GroupLeader {
 
     private static final Logger LOG = LoggerFactory.getLogger(GroupLeader.class);
-    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-    private static final long BUSY_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final long PREPARE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final long ENGINE_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -80,7 +79,8 @@
     void tick(List<RankPeer> known, long nowNanos) {
         if (nowNanos - nextPollNanos >= 0) {
             boolean busy = commit.isPresent() || !settled;
-            nextPollNanos = nowNanos + (busy ? BUSY_POLL_NANOS : POLL_NANOS);
+            nextPollNanos = nowNanos + POLL_NANOS;
+            demand.fold();
             known.forEach(peer -> poll(peer, busy));
         }
         advance(nowNanos);
@@ -91,7 +91,7 @@
             return;
         }
         boolean needExperts = settled && !busy && mapInUse().isEmpty();
-        RankQuestion question = new RankQuestion(token, !busy, needExperts);
+        RankQuestion question = new RankQuestion(token, settled, needExperts);
         peer.query(question)
                 .whenCompleteAsync(
                         (report, failure) -> {
@@ -269,7 +269,6 @@
 
     private void plan(long nowNanos) {
         Optional<GroupMap> current = mapInUse();
-        demand.fold();
         if (current.isEmpty() || !demand.isKnown()) {
             return;
         }
@@ -333,6 +332,6 @@
         OrderOutcome outcome = report.outcome().orElse(OrderOutcome.UNKNOWN);
         RankOrder order = sent.order();
         settlement.ifPresent(open -> open.onOutcome(sent.rank(), order, outcome, nowNanos));
-        commit.ifPresent(open -> open.onOutcome(sent.rank(), order, outcome));
+        commit.ifPresent(open -> open.onOutcome(sent.rank(), order, outcome, nowNanos));
     }
 }
