Judge a shift of demand by two samples that agree

Cause: a sample from the middle of a shift mixes both demands, and the map planned from it was replaced 0.6 s later. Traced distances of samples: 0.10 to 0.33 while steady, 0.57 to 0.84 after a shift.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemand.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemand.java
@@ -12,11 +12,8 @@
     /** The weight of a sample while the demand is steady. */
     private static final double STEADY_WEIGHT = 0.2;
 
-    /** The weight of a sample that shows a shift, and of the one after it. */
-    private static final double SHIFT_WEIGHT = 0.8;
-
-    /** The distance between old and new shares, from 0 to 2, that counts as a shift. */
-    private static final double SHIFT_DISTANCE = 0.25;
+    /** The distance between two sets of shares, from 0 to 2, that counts as a shift. */
+    private static final double SHIFT_DISTANCE = 0.42;
 
     /** Fewer choices than this in one set of layers say too little. */
     private static final double MIN_CHOICES = 200;
@@ -26,7 +23,10 @@
     private final Map<Integer, long[]> lastCounts = new HashMap<>();
     private final double[][] fresh;
     private final double[][] shares;
+    private double[][] last;
     private boolean known;
+    private boolean shifting;
+    private long shifts;
 
     /**
      * Creates an estimate without reports.
@@ -70,32 +70,68 @@
                 return;
             }
         }
+        double[][] sample = new double[layers][experts];
         for (int layer = 0; layer < layers; layer++) {
-            foldLayer(layer, totals[layer]);
+            for (int expert = 0; expert < experts; expert++) {
+                sample[layer][expert] = fresh[layer][expert] / totals[layer];
+                fresh[layer][expert] = 0;
+            }
+        }
+        take(sample);
+    }
+
+    /** A sample from the middle of a shift mixes both demands, so two that agree are waited for. */
+    private void take(double[][] sample) {
+        boolean agrees = known && distance(sample, shares) <= SHIFT_DISTANCE;
+        if (agrees) {
+            mix(sample, STEADY_WEIGHT);
+            shifting = false;
+        } else if (!known || (shifting && distance(sample, last) <= SHIFT_DISTANCE)) {
+            mix(sample, 1);
+            known = true;
+            shifting = false;
+            shifts++;
+        } else {
+            shifting = true;
         }
-        known = true;
+        last = sample;
     }
 
-    private void foldLayer(int layer, double total) {
-        double distance = 0;
-        for (int expert = 0; expert < experts; expert++) {
-            distance += Math.abs(fresh[layer][expert] / total - shares[layer][expert]);
+    private double distance(double[][] one, double[][] other) {
+        double sum = 0;
+        for (int layer = 0; layer < layers; layer++) {
+            for (int expert = 0; expert < experts; expert++) {
+                sum += Math.abs(one[layer][expert] - other[layer][expert]);
+            }
         }
-        double weight = !known ? 1 : distance > SHIFT_DISTANCE ? SHIFT_WEIGHT : STEADY_WEIGHT;
-        for (int expert = 0; expert < experts; expert++) {
-            double share = fresh[layer][expert] / total;
-            shares[layer][expert] += weight * (share - shares[layer][expert]);
-            fresh[layer][expert] = 0;
+        return sum / layers;
+    }
+
+    private void mix(double[][] sample, double weight) {
+        for (int layer = 0; layer < layers; layer++) {
+            for (int expert = 0; expert < experts; expert++) {
+                double change = sample[layer][expert] - shares[layer][expert];
+                shares[layer][expert] += weight * change;
+            }
         }
     }
 
     /**
-     * Tells whether enough was counted for an estimate.
+     * Tells whether the estimate may be planned with.
+     *
+     * @return false before enough was counted, and while the demand is shifting
+     */
+    public boolean isSteady() {
+        return known && !shifting;
+    }
+
+    /**
+     * Counts the shifts seen.
      *
-     * @return true once {@link #shares} means something
+     * @return the number; it rises when the estimate follows a shift
      */
-    public boolean isKnown() {
-        return known;
+    public long shifts() {
+        return shifts;
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -57,6 +57,7 @@
     private boolean settled;
     private boolean deposed;
     private long changes;
+    private long shiftsPlanned;
     private long nextPollNanos;
     private long epoch = -1;
 
@@ -233,6 +234,12 @@
     }
 
     private void advanceCommit(MapCommit open, long nowNanos) {
+        boolean fetching = open.phase() == MapCommit.Phase.PREPARING;
+        if (fetching && demand.shifts() > shiftsPlanned) {
+            logCommit("commit_superseded", open);
+            commit = Optional.empty();
+            return;
+        }
         send(open.next(nowNanos));
         if (!isOver(open)) {
             return;
@@ -269,7 +276,7 @@
 
     private void plan(long nowNanos) {
         Optional<GroupMap> current = mapInUse();
-        if (current.isEmpty() || !demand.isKnown()) {
+        if (current.isEmpty() || !demand.isSteady()) {
             return;
         }
         MapPlanner.Plan plan = planner.plan(current.get(), demand.shares());
@@ -277,6 +284,7 @@
             return;
         }
         changes++;
+        shiftsPlanned = demand.shifts();
         long version = (token << VERSION_BITS) + changes;
         MapCommit started =
                 new MapCommit(
