Limit streams by the room that the pass time leaves

Cause: the limit fell by a tenth each 200 ms, too slow for a shift of demand, and requests that could no longer be on time went ahead of those that could. Change: each entry scales its streams by the room to the longest on-time pause; late requests go behind; a queue that is too long refuses at once.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/PassTimeLimit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/PassTimeLimit.java
@@ -1,38 +1,36 @@
 package io.pollenpath.coordination.serving;
 
-import java.util.concurrent.TimeUnit;
-
 /**
  * Limits the streams that one entry has on a service from the pauses between their events.
  *
- * <p>All engines of a rank group step together, so every entry sees the same pass time. Each entry
- * lowers its limit by a part when the pass time nears the longest pause that is on time, and raises
- * it by one stream when there is room; with a common signal the entries settle without exchange.
+ * <p>All engines of a rank group step together, so every entry sees the same pass time, and what is
+ * above the time of an empty pass grows with the streams of all entries. Each entry therefore
+ * scales its own streams by the room that is left to the longest pause that is on time. With a
+ * common signal the entries settle without exchange; a floor lets one that has few streams grow.
  */
 public final class PassTimeLimit {
 
-    /** The part of the longest on-time pause at which the limit falls. */
-    static final double HIGH_WATER = 0.85;
+    /** The part of the longest on-time pause that the mean pause is held to. */
+    static final double TARGET_PART = 0.8;
 
-    /** The part of the longest on-time pause below which the limit rises. */
-    static final double LOW_WATER = 0.7;
+    /** The part of an equal share of all slots that an entry may always use. */
+    static final double FLOOR_PART = 0.25;
 
-    private static final double DECREASE = 0.9;
-    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-    private static final double GAP_WEIGHT = 0.1;
-    private static final double MIN_LIMIT = 2;
+    private static final double GAP_WEIGHT = 0.08;
+    private static final double MAX_GAP_OBJECTIVES = 3;
+    private static final double MIN_ROOM_MS = 1;
 
-    private double limit;
+    private final double emptyPassMs;
     private double meanGapMs;
-    private long nextChangeNanos = Long.MIN_VALUE;
+    private double limit = Double.POSITIVE_INFINITY;
 
     /**
-     * Creates a limit.
+     * Creates a limit that admits all streams until the first pause is seen.
      *
-     * @param firstLimit the streams allowed before any event was seen
+     * @param emptyPassMs the time of a pass without streams, in milliseconds
      */
-    public PassTimeLimit(double firstLimit) {
-        limit = Math.max(MIN_LIMIT, firstLimit);
+    public PassTimeLimit(double emptyPassMs) {
+        this.emptyPassMs = emptyPassMs;
     }
 
     /**
@@ -41,45 +39,27 @@
      * @param gapMs the pause, in milliseconds
      * @param objectiveMs the longest pause that is on time, in milliseconds; 0 for none
      * @param inFlight the streams of this entry on the service
-     * @param mostUseful the streams beyond which more would only wait in the servers' queues
-     * @param nowNanos the present time
      */
-    public void onGap(
-            double gapMs, double objectiveMs, int inFlight, double mostUseful, long nowNanos) {
+    public void onGap(double gapMs, double objectiveMs, int inFlight) {
         if (objectiveMs <= 0) {
             return;
         }
-        double capped = Math.min(gapMs, 2 * objectiveMs);
+        double capped = Math.min(gapMs, MAX_GAP_OBJECTIVES * objectiveMs);
         meanGapMs = meanGapMs == 0 ? capped : meanGapMs + GAP_WEIGHT * (capped - meanGapMs);
-        if (nowNanos < nextChangeNanos) {
-            return;
-        }
-        if (meanGapMs > HIGH_WATER * objectiveMs) {
-            limit = Math.max(MIN_LIMIT, Math.min(limit, inFlight) * DECREASE);
-            nextChangeNanos = nowNanos + PERIOD_NANOS;
-        } else if (meanGapMs < LOW_WATER * objectiveMs && inFlight >= limit - 1) {
-            limit = Math.min(mostUseful, limit + 1);
-            nextChangeNanos = nowNanos + PERIOD_NANOS;
-        }
+        double room = Math.max(MIN_ROOM_MS, TARGET_PART * objectiveMs - emptyPassMs);
+        double used = Math.max(MIN_ROOM_MS, meanGapMs - emptyPassMs);
+        limit = inFlight * room / used;
     }
 
     /**
      * Tells whether one more stream may be sent.
      *
      * @param inFlight the streams of this entry on the service
-     * @return true below the limit
-     */
-    public boolean admits(int inFlight) {
-        return inFlight < limit;
-    }
-
-    /**
-     * Returns the limit.
-     *
-     * @return the streams allowed at the same time
+     * @param equalShare an equal share of all slots among the entries
+     * @return true below the limit, and always below the floor
      */
-    public double limit() {
-        return limit;
+    public boolean admits(int inFlight, double equalShare) {
+        return inFlight < Math.max(limit, FLOOR_PART * equalShare);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/Patience.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/Patience.java
@@ -9,7 +9,10 @@
 public final class Patience {
 
     /** The part of the objective that may pass in the queue; the rest is for the server. */
-    static final double QUEUE_PART = 0.4;
+    static final double ON_TIME_PART = 0.4;
+
+    /** The part of the time left that may pass in the queue once the answer will be late. */
+    static final double LATE_PART = 0.2;
 
     /** The part of the time left that callers wait at most before they return. */
     static final double RETURN_PART = 1.0 / 3;
@@ -19,15 +22,23 @@
     private Patience() {}
 
     /**
-     * Returns how long a request may wait before it is refused.
+     * Returns how long a request may wait and still be answered on time.
      *
      * @param route the route, not null
+     * @return the time, in milliseconds
+     */
+    public static long onTimeWaitMs(Route route) {
+        return (long) (ON_TIME_PART * route.objectiveMs());
+    }
+
+    /**
+     * Returns how long a request may wait before it is refused.
+     *
      * @param timeLeftMs the time until the caller gives up, in milliseconds
      * @return the time, in milliseconds
      */
-    public static long maxWaitMs(Route route, long timeLeftMs) {
-        long part = (long) (QUEUE_PART * route.objectiveMs());
-        return Math.max(0, Math.min(part, timeLeftMs / 2));
+    public static long maxWaitMs(long timeLeftMs) {
+        return Math.max(0, (long) (LATE_PART * timeLeftMs));
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
@@ -2,14 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeSet;
 
 /**
  * Orders the requests that wait for a server of one service: by rank, then callers that were
- * refused before, then by arrival.
+ * refused before, then those that can still be answered on time, then by arrival.
  *
  * @param <T> the kind of request
  */
@@ -18,9 +20,11 @@
     private static final Comparator<Ticket<?>> ORDER =
             Comparator.<Ticket<?>>comparingInt(Ticket::rank)
                     .thenComparing(ticket -> !ticket.returning())
+                    .thenComparing(Ticket::late)
                     .thenComparingLong(Ticket::number);
 
     private final TreeSet<Ticket<T>> tickets = new TreeSet<>(ORDER);
+    private final Map<T, Ticket<T>> places = new HashMap<>();
     private long nextNumber;
 
     /**
@@ -28,17 +32,29 @@
      *
      * @param rank the rank; 0 goes first
      * @param returning whether the caller was refused before
+     * @param late whether the answer can no longer be on time
      * @param number the order of arrival
+     * @param lateNanos when the answer can no longer be on time
      * @param giveUpNanos when the request is refused if it still waits
      * @param request the request, not null
      * @param <T> the kind of request
      */
-    public record Ticket<T>(int rank, boolean returning, long number, long giveUpNanos, T request) {
+    public record Ticket<T>(int rank,
+            boolean returning,
+            boolean late,
+            long number,
+            long lateNanos,
+            long giveUpNanos,
+            T request) {
 
         /** Checks the components. */
         public Ticket {
             Objects.requireNonNull(request, "request");
         }
+
+        private Ticket<T> asLate() {
+            return new Ticket<>(rank, returning, true, number, lateNanos, giveUpNanos, request);
+        }
     }
 
     /**
@@ -46,24 +62,44 @@
      *
      * @param rank the rank; 0 goes first
      * @param returning whether the caller was refused before
+     * @param lateNanos when the answer can no longer be on time
      * @param giveUpNanos when the request is refused if it still waits
      * @param request the request, not null
-     * @return its place, to remove it
      */
-    public Ticket<T> add(int rank, boolean returning, long giveUpNanos, T request) {
-        Ticket<T> ticket = new Ticket<>(rank, returning, nextNumber++, giveUpNanos, request);
+    public void add(
+            int rank, boolean returning, long lateNanos, long giveUpNanos, T request) {
+        Ticket<T> ticket =
+                new Ticket<>(
+                        rank, returning, false, nextNumber++, lateNanos, giveUpNanos, request);
         tickets.add(ticket);
-        return ticket;
+        places.put(request, ticket);
     }
 
     /**
      * Removes a request.
      *
-     * @param ticket its place, not null
-     * @return false if it no longer waited
+     * @param request the request, not null
+     * @return false if it did not wait
      */
-    public boolean remove(Ticket<T> ticket) {
-        return tickets.remove(ticket);
+    public boolean remove(T request) {
+        Ticket<T> place = places.remove(request);
+        return place != null && tickets.remove(place);
+    }
+
+    /**
+     * Puts requests behind that can no longer be answered on time.
+     *
+     * @param nowNanos the present time
+     */
+    public void demoteLate(long nowNanos) {
+        for (Ticket<T> ticket : List.copyOf(tickets)) {
+            if (!ticket.late() && nowNanos - ticket.lateNanos() >= 0) {
+                tickets.remove(ticket);
+                Ticket<T> late = ticket.asLate();
+                tickets.add(late);
+                places.put(late.request(), late);
+            }
+        }
     }
 
     /**
@@ -88,7 +124,7 @@
                 expired.add(ticket);
             }
         }
-        expired.forEach(tickets::remove);
+        expired.forEach(ticket -> remove(ticket.request()));
         return expired;
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -1,6 +1,5 @@
 package io.pollenpath.transport.serving;
 
-import io.pollenpath.coordination.serving.PassTimeLimit;
 import io.pollenpath.coordination.serving.Patience;
 import io.pollenpath.coordination.serving.Placement;
 import io.pollenpath.coordination.serving.ResendPolicy;
@@ -9,8 +8,9 @@
 import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.WaitingRequests.Ticket;
 import io.pollenpath.protocol.Problem;
+import io.pollenpath.state.serving.EnginePace;
 import io.pollenpath.state.serving.ServerInstance;
-import io.pollenpath.state.serving.ServingConfig;
+import io.pollenpath.state.serving.ServiceSpec;
 import io.pollenpath.state.serving.ServingView;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -41,7 +41,6 @@
     private final Placement placement;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Map<String, ServerTrackRecord> records = new HashMap<>();
-    private final Map<ForwardedRequest, Ticket<ForwardedRequest>> tickets = new HashMap<>();
     private final Set<ForwardedRequest> sent = new HashSet<>();
 
     Dispatcher(
@@ -62,7 +61,11 @@
     void submit(ForwardedRequest request, boolean returning, long nowNanos) {
         ServiceTraffic service = traffic(request.context().service());
         service.budget().onRequest(nowNanos);
-        long waitMs = Patience.maxWaitMs(request.route(), request.timeLeftMs(nowNanos));
+        long waitMs = Patience.maxWaitMs(request.timeLeftMs(nowNanos));
+        if (service.expectedWaitMs() > waitMs) {
+            giveUp(request, "queue_too_long", nowNanos);
+            return;
+        }
         enqueue(service, request, request.context().priority(), returning, waitMs, nowNanos);
         drain(request.context().service(), nowNanos);
     }
@@ -75,7 +78,10 @@
             long waitMs,
             long nowNanos) {
         long giveUpNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
-        tickets.put(request, service.waiting().add(rank, returning, giveUpNanos, request));
+        long lateNanos =
+                request.context().arrivedNanos()
+                        + TimeUnit.MILLISECONDS.toNanos(Patience.onTimeWaitMs(request.route()));
+        service.waiting().add(rank, returning, lateNanos, giveUpNanos, request);
     }
 
     private ServiceTraffic traffic(String service) {
@@ -116,8 +122,7 @@
         if (server.isEmpty()) {
             return false;
         }
-        service.waiting().remove(ticket);
-        tickets.remove(request);
+        service.waiting().remove(request);
         service.onSent();
         sent.add(request);
         record(server.get().id()).onSent();
@@ -127,33 +132,25 @@
 
     private boolean admits(
             String name, ServiceTraffic service, List<ServerInstance> servers, ServingView now) {
-        boolean paced =
-                now.config().flatMap(config -> config.service(name)).isPresent()
-                        && isPaced(now.config().get(), name);
-        return !paced
-                || servers.isEmpty()
-                || service.limit(servers, now.liveEntries()).admits(service.inFlight());
+        Optional<EnginePace> pace = pace(now, name);
+        double equalShare = (double) ServiceTraffic.totalSlots(servers) / now.liveEntries();
+        return pace.isEmpty()
+                || service.limit(pace.get()).admits(service.inFlight(), equalShare);
     }
 
-    private static boolean isPaced(ServingConfig config, String name) {
-        return config.service(name).flatMap(spec -> spec.pace()).isPresent();
+    private static Optional<EnginePace> pace(ServingView now, String name) {
+        return now.config().flatMap(config -> config.service(name)).flatMap(ServiceSpec::pace);
     }
 
     /** Takes the pause between two events of a stream. */
-    void onEventGap(ForwardedRequest request, long gapNanos, long nowNanos) {
+    void onEventGap(ForwardedRequest request, long gapNanos) {
         String name = request.context().service();
         ServiceTraffic service = traffic(name);
-        List<ServerInstance> servers = view.get().serversOf(name);
-        if (servers.isEmpty()) {
-            return;
+        Optional<EnginePace> pace = pace(view.get(), name);
+        if (pace.isPresent()) {
+            double objectiveMs = (double) request.route().gapObjectiveMs();
+            service.limit(pace.get()).onGap(gapNanos / 1e6, objectiveMs, service.inFlight());
         }
-        PassTimeLimit limit = service.limit(servers, view.get().liveEntries());
-        limit.onGap(
-                gapNanos / 1e6,
-                (double) request.route().gapObjectiveMs(),
-                service.inFlight(),
-                ServiceTraffic.totalSlots(servers),
-                nowNanos);
     }
 
     /** Decides what follows after a send has failed. */
@@ -233,11 +230,8 @@
 
     /** Forgets a request that has its final answer or whose caller is gone. */
     void onDone(ForwardedRequest request, boolean answered, long nowNanos) {
-        Ticket<ForwardedRequest> ticket = tickets.remove(request);
         String name = request.context().service();
-        if (ticket != null) {
-            traffic(name).waiting().remove(ticket);
-        }
+        traffic(name).waiting().remove(request);
         ServerInstance server = request.server();
         if (server != null) {
             if (answered) {
@@ -251,9 +245,9 @@
     /** Refuses what has waited too long, ends what is past its time, and fills free places. */
     void tick(long nowNanos) {
         for (Map.Entry<String, ServiceTraffic> entry : Map.copyOf(traffic).entrySet()) {
+            entry.getValue().waiting().demoteLate(nowNanos);
             for (Ticket<ForwardedRequest> late :
                     entry.getValue().waiting().removeExpired(nowNanos)) {
-                tickets.remove(late.request());
                 giveUp(late.request(), "no_free_server", nowNanos);
             }
             drain(entry.getKey(), nowNanos);
@@ -301,6 +295,10 @@
 
     /** Counts the requests that wait or run. */
     int open() {
-        return tickets.size() + sent.size();
+        int waiting = 0;
+        for (ServiceTraffic service : traffic.values()) {
+            waiting += service.waiting().size();
+        }
+        return waiting + sent.size();
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -237,7 +237,7 @@
 
     private void noteGap() {
         if (lastEventNanos != 0) {
-            gateway.onEventGap(this, progressNanos - lastEventNanos, progressNanos);
+            gateway.onEventGap(this, progressNanos - lastEventNanos);
         }
         lastEventNanos = progressNanos;
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -3,6 +3,7 @@
 import io.pollenpath.coordination.serving.PassTimeLimit;
 import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.WaitingRequests;
+import io.pollenpath.state.serving.EnginePace;
 import io.pollenpath.state.serving.ServerInstance;
 import java.util.List;
 
@@ -50,13 +51,13 @@
 
     /** Estimates when a request that joins the queue now would be sent. */
     double expectedWaitMs() {
-        return intervalMs * (waiting.size() + 1);
+        return intervalMs * waiting.size();
     }
 
-    /** Returns the limit of streams, created from the servers that are known first. */
-    PassTimeLimit limit(List<ServerInstance> servers, int liveEntries) {
+    /** Returns the limit of streams, created with the pace that is known first. */
+    PassTimeLimit limit(EnginePace pace) {
         if (limit == null) {
-            limit = new PassTimeLimit((double) totalSlots(servers) / liveEntries);
+            limit = new PassTimeLimit(pace.passMs(0));
         }
         return limit;
     }
