--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -234,8 +234,7 @@
             case PREPARING -> addPrepares(orders, nowNanos);
             case HOLDING -> orders.add(new AddressedOrder(holdRank, new RankOrder.Hold(step)));
             case ARMING -> addMissing(orders, armed, new RankOrder.Arm(version, step));
-            case RELEASING ->
-                    orders.add(new AddressedOrder(holdRank, new RankOrder.Release(step)));
+            case RELEASING -> orders.add(new AddressedOrder(holdRank, new RankOrder.Release(step)));
             case DONE, ABANDONED -> {
                 // Nothing is left to order.
             }
@@ -271,6 +270,15 @@
         return phase;
     }
 
+    /**
+     * Tells whether nothing more is ordered.
+     *
+     * @return true once done or abandoned
+     */
+    public boolean isOver() {
+        return phase == Phase.DONE || phase == Phase.ABANDONED;
+    }
+
     /**
      * Returns the version of the map.
      *
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
@@ -73,7 +73,6 @@
             then += balancer.mostLoad();
         }
         GroupMap map = new GroupMap(layers);
-        return new Plan(
-                map, now / shares.length, then / shares.length, map.fetchesFrom(current));
+        return new Plan(map, now / shares.length, then / shares.length, map.fetchesFrom(current));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
@@ -39,7 +39,8 @@
      * @param request the request, not null
      * @param <T> the kind of request
      */
-    public record Ticket<T>(int rank,
+    public record Ticket<T>(
+            int rank,
             boolean returning,
             boolean late,
             long number,
@@ -66,11 +67,9 @@
      * @param giveUpNanos when the request is refused if it still waits
      * @param request the request, not null
      */
-    public void add(
-            int rank, boolean returning, long lateNanos, long giveUpNanos, T request) {
+    public void add(int rank, boolean returning, long lateNanos, long giveUpNanos, T request) {
         Ticket<T> ticket =
-                new Ticket<>(
-                        rank, returning, false, nextNumber++, lateNanos, giveUpNanos, request);
+                new Ticket<>(rank, returning, false, nextNumber++, lateNanos, giveUpNanos, request);
         tickets.add(ticket);
         places.put(request, ticket);
     }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntryProvider.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntryProvider.java
@@ -31,5 +31,4 @@
     public Role start(BaseSettings settings) {
         return new PlatformEntry(PlatformFlags.read(settings));
     }
-
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -75,8 +75,7 @@
                         this::engineOf,
                         settings.node() + "/" + UUID.randomUUID());
         int port = settings.firstInternalPort() + 1;
-        new AgentServer(
-                loops, settings.ip(), port, new RankAgent(engine, control, candidacy));
+        new AgentServer(loops, settings.ip(), port, new RankAgent(engine, control, candidacy));
         MetricRegistry metrics = new MetricRegistry();
         ProcessMetrics.register(metrics);
         new AdminServer(loops, settings.ip(), settings.firstInternalPort(), () -> true, metrics);
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
@@ -52,8 +52,7 @@
     }
 
     /** Creates an object; fails with status 409 if it exists. */
-    CompletableFuture<JsonNode> create(
-            String kind, String name, ObjectNode spec, long timeoutMs) {
+    CompletableFuture<JsonNode> create(String kind, String name, ObjectNode spec, long timeoutMs) {
         ObjectNode object = Json.object();
         object.putObject("Metadata").put("Name", name);
         object.set("Spec", spec);
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -83,8 +83,7 @@
         addresses = List.copyOf(known);
         peers.keySet().retainAll(addresses);
         for (AgentAddress address : addresses) {
-            peers.computeIfAbsent(
-                    address, added -> new RankPeer(http, added, direct.apply(added)));
+            peers.computeIfAbsent(address, added -> new RankPeer(http, added, direct.apply(added)));
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
@@ -137,9 +137,7 @@
         status.held().ifPresent(state::setHeldStep);
         status.armed()
                 .ifPresent(
-                        armed ->
-                                state.setArmedVersion(armed.version())
-                                        .setArmedStep(armed.step()));
+                        armed -> state.setArmedVersion(armed.version()).setArmedStep(armed.step()));
         return state.build();
     }
 
@@ -179,9 +177,7 @@
                 state.hasArmedVersion()
                         ? Optional.of(new ArmedMap(state.getArmedVersion(), state.getArmedStep()))
                         : Optional.empty(),
-                state.hasHeldStep()
-                        ? OptionalLong.of(state.getHeldStep())
-                        : OptionalLong.empty(),
+                state.hasHeldStep() ? OptionalLong.of(state.getHeldStep()) : OptionalLong.empty(),
                 state.getBusy());
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
@@ -13,8 +13,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Answers for the engine on its own VM: asks it, and passes on orders of the leader with the highest
- * fencing token that it has heard.
+ * Answers for the engine on its own VM: asks it, and passes on orders of the leader with the
+ * highest fencing token that it has heard.
  */
 public final class RankAgent {
 
@@ -75,8 +75,7 @@
                 .thenCompose(
                         outcome -> {
                             logOrder(order, epoch, token, outcome);
-                            return ask(
-                                    new RankQuestion(token, false, false), Optional.of(outcome));
+                            return ask(new RankQuestion(token, false, false), Optional.of(outcome));
                         });
     }
 
@@ -110,9 +109,7 @@
         return answer.handle(
                 (value, failure) -> {
                     if (failure != null) {
-                        LOG.debug(
-                                "{}",
-                                LogLine.event("engine_silent").with("cause", failure));
+                        LOG.debug("{}", LogLine.event("engine_silent").with("cause", failure));
                     }
                     return Optional.ofNullable(value);
                 });
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -82,8 +82,7 @@
     }
 
     private static RankReport withoutState(OrderOutcome outcome) {
-        return new RankReport(
-                Optional.of(outcome), Optional.empty(), NO_COUNTS, List.of(), 0, 0);
+        return new RankReport(Optional.of(outcome), Optional.empty(), NO_COUNTS, List.of(), 0, 0);
     }
 
     private CompletableFuture<RankReport> call(String path, byte[] body, long timeoutMs) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
@@ -39,7 +39,6 @@
      * @return true if that leader must stop
      */
     public boolean deposes(long token) {
-        return leaderToken > token
-                || (outcome.isPresent() && outcome.get() == OrderOutcome.FENCED);
+        return leaderToken > token || (outcome.isPresent() && outcome.get() == OrderOutcome.FENCED);
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -134,8 +134,7 @@
             String name, ServiceTraffic service, List<ServerInstance> servers, ServingView now) {
         Optional<EnginePace> pace = pace(now, name);
         double equalShare = (double) ServiceTraffic.totalSlots(servers) / now.liveEntries();
-        return pace.isEmpty()
-                || service.limit(pace.get()).admits(service.inFlight(), equalShare);
+        return pace.isEmpty() || service.limit(pace.get()).admits(service.inFlight(), equalShare);
     }
 
     private static Optional<EnginePace> pace(ServingView now, String name) {
--- a/pollenpath/src/test/java/io/pollenpath/LayersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/LayersTest.java
@@ -19,7 +19,9 @@
     private static LayeredArchitecture layers() {
         LayeredArchitecture layers = layeredArchitecture().consideringOnlyDependenciesInLayers();
         for (String name :
-                new String[] {"cli", "transport", "protocol", "coordination", "state", "util"}) {
+                new String[] {
+                    "platform", "cli", "transport", "protocol", "coordination", "state", "util"
+                }) {
             layers = layers.layer(name).definedBy("io.pollenpath." + name + "..");
         }
         return layers;
@@ -27,18 +29,22 @@
 
     @Test
     void layersUseOnlyThoseBelow() {
-        layers().whereLayer("cli")
+        layers().whereLayer("platform")
                 .mayNotBeAccessedByAnyLayer()
+                .whereLayer("cli")
+                .mayOnlyBeAccessedByLayers("platform")
                 .whereLayer("transport")
-                .mayOnlyBeAccessedByLayers("cli")
+                .mayOnlyBeAccessedByLayers("platform", "cli")
                 .whereLayer("protocol")
-                .mayOnlyBeAccessedByLayers("cli", "transport")
+                .mayOnlyBeAccessedByLayers("platform", "cli", "transport")
                 .whereLayer("coordination")
-                .mayOnlyBeAccessedByLayers("cli", "transport", "protocol")
+                .mayOnlyBeAccessedByLayers("platform", "cli", "transport", "protocol")
                 .whereLayer("state")
-                .mayOnlyBeAccessedByLayers("cli", "transport", "protocol", "coordination")
+                .mayOnlyBeAccessedByLayers(
+                        "platform", "cli", "transport", "protocol", "coordination")
                 .whereLayer("util")
-                .mayOnlyBeAccessedByLayers("cli", "transport", "protocol", "coordination", "state")
+                .mayOnlyBeAccessedByLayers(
+                        "platform", "cli", "transport", "protocol", "coordination", "state")
                 .check(CLASSES);
     }
 
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/SimulatedGroup.java
@@ -0,0 +1,190 @@
+package io.pollenpath.coordination.group;
+
+import io.pollenpath.state.group.ArmedMap;
+import io.pollenpath.state.group.GroupMap;
+import io.pollenpath.state.group.OrderOutcome;
+import io.pollenpath.state.group.RankOrder;
+import io.pollenpath.state.group.RankStatus;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Plays the engines of a rank group as the platform's pages describe them. */
+final class SimulatedGroup {
+
+    static final String NAME = "group";
+
+    private final List<Engine> engines = new ArrayList<>();
+    private final boolean fenced;
+    private final GroupMap firstMap;
+    private long epoch = 1;
+    private long step;
+    private int changes;
+
+    private static final class Engine {
+        private long fence;
+        private long highestVersion;
+        private long mapVersion;
+        private OptionalLong prepared = OptionalLong.empty();
+        private Optional<ArmedMap> armed = Optional.empty();
+        private OptionalLong held = OptionalLong.empty();
+        private final Map<Long, GroupMap> maps = new HashMap<>();
+    }
+
+    SimulatedGroup(int ranks, boolean fenced, GroupMap firstMap) {
+        this.fenced = fenced;
+        this.firstMap = firstMap;
+        for (int rank = 0; rank < ranks; rank++) {
+            engines.add(new Engine());
+        }
+    }
+
+    int ranks() {
+        return engines.size();
+    }
+
+    long step() {
+        return step;
+    }
+
+    int changes() {
+        return changes;
+    }
+
+    RankStatus status(int rank) {
+        Engine engine = engines.get(rank);
+        return new RankStatus(
+                NAME,
+                epoch,
+                rank,
+                engines.size(),
+                true,
+                step,
+                engine.mapVersion,
+                engine.prepared,
+                engine.armed,
+                engine.held,
+                false);
+    }
+
+    List<List<Integer>> experts(int rank) {
+        Engine engine = engines.get(rank);
+        GroupMap map = engine.maps.getOrDefault(engine.mapVersion, firstMap);
+        List<List<Integer>> held = new ArrayList<>();
+        map.layers().forEach(layer -> held.add(layer.get(rank)));
+        return held;
+    }
+
+    /** Begins the next pass unless it is held; returns false if ranks use different maps in it. */
+    boolean pass() {
+        long next = step + 1;
+        for (Engine engine : engines) {
+            if (engine.held.isPresent() && engine.held.getAsLong() == next) {
+                return true;
+            }
+        }
+        step = next;
+        for (Engine engine : engines) {
+            if (engine.armed.isPresent() && engine.armed.get().step() == next) {
+                engine.mapVersion = engine.armed.get().version();
+                engine.armed = Optional.empty();
+                engine.prepared = OptionalLong.empty();
+                changes++;
+            }
+        }
+        return sameMaps();
+    }
+
+    private boolean sameMaps() {
+        Engine first = engines.get(0);
+        GroupMap map = first.maps.getOrDefault(first.mapVersion, firstMap);
+        for (Engine engine : engines) {
+            GroupMap other = engine.maps.getOrDefault(engine.mapVersion, firstMap);
+            if (engine.mapVersion != first.mapVersion || !other.equals(map)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean isHeld() {
+        return engines.stream().anyMatch(engine -> engine.held.isPresent());
+    }
+
+    /** Loses a rank and forms the group anew. */
+    void crash(int rank) {
+        epoch++;
+        for (Engine engine : engines) {
+            engine.mapVersion = 0;
+            engine.prepared = OptionalLong.empty();
+            engine.armed = Optional.empty();
+            engine.held = OptionalLong.empty();
+        }
+        engines.get(rank).fence = 0;
+        engines.get(rank).highestVersion = 0;
+    }
+
+    OrderOutcome carryOut(int rank, RankOrder order, long orderEpoch, long token) {
+        Engine engine = engines.get(rank);
+        if (orderEpoch != epoch) {
+            return OrderOutcome.REJECTED;
+        }
+        if (fenced && token < engine.fence) {
+            return OrderOutcome.FENCED;
+        }
+        OrderOutcome outcome = change(engine, order);
+        if (outcome == OrderOutcome.ACCEPTED) {
+            engine.fence = Math.max(engine.fence, token);
+        }
+        return outcome;
+    }
+
+    private OrderOutcome change(Engine engine, RankOrder order) {
+        if (order instanceof RankOrder.Prepare prepare) {
+            if (engine.armed.isPresent() || prepare.version() <= engine.highestVersion) {
+                return OrderOutcome.REJECTED;
+            }
+            engine.highestVersion = prepare.version();
+            engine.prepared = OptionalLong.of(prepare.version());
+            engine.maps.put(prepare.version(), prepare.map());
+        } else if (order instanceof RankOrder.Hold hold) {
+            if (engine.held.isPresent() && engine.held.getAsLong() == hold.step()) {
+                return OrderOutcome.ACCEPTED;
+            }
+            if (engine.held.isPresent() || hold.step() <= step) {
+                return OrderOutcome.REJECTED;
+            }
+            engine.held = OptionalLong.of(hold.step());
+        } else if (order instanceof RankOrder.Arm arm) {
+            return arm(engine, arm);
+        } else if (order instanceof RankOrder.Release release) {
+            if (engine.held.isPresent() && engine.held.getAsLong() == release.step()) {
+                engine.held = OptionalLong.empty();
+            }
+        } else if (order instanceof RankOrder.Disarm disarm) {
+            if (engine.mapVersion == disarm.version()) {
+                return OrderOutcome.REJECTED;
+            }
+            boolean same =
+                    engine.armed.isPresent() && engine.armed.get().version() == disarm.version();
+            engine.armed = same ? Optional.empty() : engine.armed;
+        }
+        return OrderOutcome.ACCEPTED;
+    }
+
+    private OrderOutcome arm(Engine engine, RankOrder.Arm arm) {
+        ArmedMap wanted = new ArmedMap(arm.version(), arm.step());
+        if (engine.armed.equals(Optional.of(wanted))) {
+            return OrderOutcome.ACCEPTED;
+        }
+        boolean ready = engine.prepared.isPresent() && engine.prepared.getAsLong() == arm.version();
+        if (!ready || arm.step() <= step) {
+            return OrderOutcome.REJECTED;
+        }
+        engine.armed = Optional.of(wanted);
+        return OrderOutcome.ACCEPTED;
+    }
+}
--- a/pollenpath/src/test/java/io/pollenpath/transport/entry/BadInputTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/entry/BadInputTest.java
@@ -275,9 +275,18 @@
             for (Socket socket : open) {
                 socket.close();
             }
+            awaitRoom();
         }
     }
 
+    /** Waits until the server has noticed that the connections are closed. */
+    private void awaitRoom() throws IOException {
+        String answer;
+        do {
+            answer = exchange(authorized(GOOD_BODY), false);
+        } while (answer.contains("too_many_connections"));
+    }
+
     private static String keptAlive() {
         return authorized(GOOD_BODY).replace("Connection: close\r\n", "");
     }
