--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
@@ -7,8 +7,8 @@
  * ratio of the requests plus a fixed allowance in every window.
  *
  * <p>Requests are independent between entries, so the ratio needs no exchange; the allowance is
- * divided equally among the entries. Counts are kept in slices of a tenth of the window, and a
- * partly passed slice counts whole.
+ * divided equally among the entries. Counts are kept in slices of a tenth of the window. A slice
+ * that the window covers in part counts whole for repeats, and not at all for requests.
  */
 public final class SharedRetryBudget {
 
@@ -57,7 +57,7 @@
      */
     public boolean tryRepeat(int liveEntries, long nowNanos) {
         advance(nowNanos);
-        double allowed = ratio * sum(requests) + allowance / Math.max(1, liveEntries);
+        double allowed = ratio * requestsInWindow() + allowance / Math.max(1, liveEntries);
         if (sum(repeats) + 1 > allowed) {
             return false;
         }
@@ -83,6 +83,10 @@
         return (int) Math.floorMod(slice, (long) requests.length);
     }
 
+    private int requestsInWindow() {
+        return sum(requests) - requests[index(currentSlice + 1)];
+    }
+
     private static int sum(int[] counts) {
         int sum = 0;
         for (int count : counts) {
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/MapPlannerTest.java
@@ -0,0 +1,94 @@
+package io.pollenpath.coordination.group;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.pollenpath.state.group.GroupMap;
+import io.pollenpath.state.serving.GroupShape;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class MapPlannerTest {
+
+    private static GroupMap dealt(int layers, int ranks, int experts) {
+        List<List<List<Integer>>> all = new ArrayList<>();
+        for (int layer = 0; layer < layers; layer++) {
+            List<List<Integer>> held = new ArrayList<>();
+            for (int rank = 0; rank < ranks; rank++) {
+                List<Integer> own = new ArrayList<>();
+                for (int expert = rank; expert < experts; expert += ranks) {
+                    own.add(expert);
+                }
+                held.add(own);
+            }
+            all.add(held);
+        }
+        return new GroupMap(all);
+    }
+
+    private static double[][] zipf(int layers, int experts, Random random) {
+        double[][] shares = new double[layers][experts];
+        for (double[] layer : shares) {
+            double sum = 0;
+            for (int expert = 0; expert < experts; expert++) {
+                layer[expert] = 1 / (1 + experts * random.nextDouble());
+                sum += layer[expert];
+            }
+            for (int expert = 0; expert < experts; expert++) {
+                layer[expert] /= sum;
+            }
+        }
+        return shares;
+    }
+
+    @Property(tries = 100)
+    void everyPlanCanBeFetchedInOneChange(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 12) int ranks,
+            @ForAll @IntRange(min = 1, max = 3) int maxNew) {
+        int experts = ranks * 4;
+        GroupShape shape = new GroupShape(2, experts, 5, maxNew, 0.85);
+        GroupMap map = dealt(2, ranks, experts);
+        Random random = new Random(seed);
+        for (int round = 0; round < 3; round++) {
+            MapPlanner.Plan plan = new MapPlanner(shape).plan(map, zipf(2, experts, random));
+            assertWithMessage("seed %s", seed)
+                    .that(plan.excessThen())
+                    .isAtMost(plan.excessNow() + 1e-9);
+            check(map, plan.map(), shape);
+            map = plan.map();
+        }
+    }
+
+    private static void check(GroupMap before, GroupMap after, GroupShape shape) {
+        for (int layer = 0; layer < shape.layers(); layer++) {
+            List<Integer> placed = new ArrayList<>();
+            for (int rank = 0; rank < after.ranks(); rank++) {
+                List<Integer> held = after.layers().get(layer).get(rank);
+                List<Integer> old = before.layers().get(layer).get(rank);
+                assertThat(held).containsNoDuplicates();
+                assertThat(held.size()).isAtMost(shape.slotsPerRank());
+                long fresh = held.stream().filter(expert -> !old.contains(expert)).count();
+                assertThat(fresh).isAtMost((long) shape.maxNewPerChange());
+                placed.addAll(held);
+            }
+            for (int expert = 0; expert < shape.experts(); expert++) {
+                assertThat(placed).contains(expert);
+            }
+        }
+    }
+
+    @Property(tries = 20)
+    void twoChangesBringASkewedGroupNearTheMean(@ForAll long seed) {
+        GroupShape shape = new GroupShape(1, 64, 5, 2, 0.85);
+        double[][] shares = zipf(1, 64, new Random(seed));
+        MapPlanner planner = new MapPlanner(shape);
+        MapPlanner.Plan first = planner.plan(dealt(1, 16, 64), shares);
+        MapPlanner.Plan second = planner.plan(first.map(), shares);
+        assertWithMessage("seed %s", seed).that(second.excessThen()).isAtMost(1.35);
+    }
+}
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServingFixtures.java
@@ -0,0 +1,57 @@
+package io.pollenpath.coordination.serving;
+
+import io.pollenpath.state.serving.Repeatability;
+import io.pollenpath.state.serving.Route;
+import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.state.serving.WeightedService;
+import java.util.List;
+
+/** Builds routes and servers for tests. */
+public final class ServingFixtures {
+
+    /** The service of all routes and servers. */
+    public static final String SERVICE = "service";
+
+    private ServingFixtures() {}
+
+    /** Returns a plain route with an objective of 100 ms and a timeout of 1 s. */
+    public static Route plain(Repeatability repeatability, int attempts) {
+        return new Route(
+                "plain",
+                "host",
+                "/plain/",
+                repeatability,
+                false,
+                false,
+                attempts,
+                1_000,
+                100,
+                0,
+                1,
+                false,
+                List.of(new WeightedService(SERVICE, 1)));
+    }
+
+    /** Returns a streaming route with an objective of 500 ms, pauses of 120 ms, timeout of 8 s. */
+    public static Route stream(boolean resumable, int attempts) {
+        return new Route(
+                "stream",
+                "host",
+                "/stream/",
+                Repeatability.NON_IDEMPOTENT,
+                true,
+                resumable,
+                attempts,
+                8_000,
+                500,
+                120,
+                1,
+                false,
+                List.of(new WeightedService(SERVICE, 1)));
+    }
+
+    /** Returns a server of two slots. */
+    public static ServerInstance server(String id, String zone) {
+        return new ServerInstance(id, 0, SERVICE, "127.0.0.1", 1, zone, 2, false);
+    }
+}
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SharedRetryBudgetTest.java
@@ -0,0 +1,91 @@
+package io.pollenpath.coordination.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class SharedRetryBudgetTest {
+
+    private static final double RATIO = 0.2;
+    private static final double ALLOWANCE = 40;
+    private static final long WINDOW_MS = 10_000;
+
+    private static int taken(SharedRetryBudget budget, int tries, int entries, long nowNanos) {
+        int taken = 0;
+        for (int i = 0; i < tries; i++) {
+            taken += budget.tryRepeat(entries, nowNanos) ? 1 : 0;
+        }
+        return taken;
+    }
+
+    @Test
+    void dividesTheAllowanceAmongEntries() {
+        SharedRetryBudget budget = new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW_MS);
+        assertThat(taken(budget, 100, 4, 0)).isEqualTo(10);
+    }
+
+    @Test
+    void growsWithRequests() {
+        SharedRetryBudget budget = new SharedRetryBudget(RATIO, 0, WINDOW_MS);
+        for (int i = 0; i < 50; i++) {
+            budget.onRequest(0);
+        }
+        assertThat(taken(budget, 100, 4, 0)).isEqualTo(10);
+    }
+
+    @Test
+    void isThereAgainAfterAWindow() {
+        SharedRetryBudget budget = new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW_MS);
+        assertThat(taken(budget, 100, 1, 0)).isEqualTo(40);
+        long later = TimeUnit.MILLISECONDS.toNanos(WINDOW_MS * 12 / 10);
+        assertThat(taken(budget, 100, 1, later)).isEqualTo(40);
+    }
+
+    /** Plays several entries and counts what one service gets in each sliding window. */
+    @Property(tries = 200)
+    void allEntriesTogetherKeepWithinEveryWindow(@ForAll long seed) {
+        Random random = new Random(seed);
+        int entries = 1 + random.nextInt(6);
+        List<SharedRetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            budgets.add(new SharedRetryBudget(RATIO, ALLOWANCE, WINDOW_MS));
+        }
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        long nowMs = 0;
+        for (int i = 0; i < 3_000; i++) {
+            nowMs += random.nextInt(20);
+            long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
+            SharedRetryBudget budget = budgets.get(random.nextInt(entries));
+            if (random.nextInt(3) > 0) {
+                budget.onRequest(nowNanos);
+                requests.add(nowMs);
+            } else if (budget.tryRepeat(entries, nowNanos)) {
+                repeats.add(nowMs);
+            }
+        }
+        for (long end : repeats) {
+            long inWindow =
+                    repeats.stream().filter(at -> at > end - WINDOW_MS && at <= end).count();
+            // The platform counts the requests of this window or an earlier one, if that has more.
+            long most =
+                    Math.max(
+                            count(requests, end - WINDOW_MS, end),
+                            count(requests, end - 3 * WINDOW_MS / 2, end - WINDOW_MS / 2));
+            assertWithMessage("seed %s, window to %s ms", seed, end)
+                    .that((double) inWindow)
+                    .isAtMost(RATIO * most + ALLOWANCE + entries);
+        }
+    }
+
+    private static long count(List<Long> times, long after, long until) {
+        return times.stream().filter(at -> at > after && at <= until).count();
+    }
+}
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EventSplitterTest.java
@@ -0,0 +1,53 @@
+package io.pollenpath.transport.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+
+    private static final String STREAM =
+            "weight-versions: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: x\ndata: c\n\ndata: d\n\n";
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Property(tries = 200)
+    void cutsTheSameEventsHoweverTheBytesArrive(@ForAll long seed) {
+        Random random = new Random(seed);
+        byte[] all = bytes(STREAM);
+        EventSplitter splitter = new EventSplitter();
+        List<EventSplitter.Event> events = new ArrayList<>();
+        int from = 0;
+        while (from < all.length) {
+            int to = Math.min(all.length, from + 1 + random.nextInt(9));
+            events.addAll(splitter.add(Arrays.copyOfRange(all, from, to)));
+            from = to;
+        }
+        StringBuilder joined = new StringBuilder();
+        events.forEach(e -> joined.append(new String(e.bytes(), StandardCharsets.UTF_8)));
+        assertThat(joined.toString()).isEqualTo(STREAM);
+        assertThat(events).hasSize(4);
+        assertThat(events.get(0).id().getAsLong()).isEqualTo(1);
+        assertThat(events.get(1).id().getAsLong()).isEqualTo(2);
+        assertThat(events.get(2).id().isPresent()).isFalse();
+        assertThat(splitter.hasPartialEvent()).isFalse();
+    }
+
+    @Test
+    void keepsWhatIsNotWhole() {
+        EventSplitter splitter = new EventSplitter();
+        assertThat(splitter.add(bytes("id: 1\ndata"))).isEmpty();
+        assertThat(splitter.hasPartialEvent()).isTrue();
+        splitter.dropPartialEvent();
+        assertThat(splitter.add(bytes("id: 2\ndata: b\n\n"))).hasSize(1);
+    }
+}
