Prove the adapter and the gateway against stand-ins of the platform

Change: stand-ins of the store and of an engine in the platform's protocol, with their faults; 33 rows of engine faults against four kinds of route, 28 rows of decoders, watches through outages, lost history and silence, leases with lost answers.

--- /dev/null
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -0,0 +1,282 @@
+package io.pollenpath.standin.platform;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/**
+ * Plays an engine of the platform byte by byte over plain sockets, so that it can also break the
+ * protocol. Paths that begin with {@code /stream} get a stream of events, others a short answer.
+ */
+public final class PlatformEngineStandin implements AutoCloseable {
+
+    /** The events of a whole stream. */
+    public static final int EVENTS = 6;
+
+    private static final int BACKLOG = 64;
+    private static final String SIGNATURE = "Upstream-Signature: proof\r\n";
+
+    private final String id;
+    private final ServerSocket listener;
+    private final Queue<EngineFault> faults;
+    private final Queue<Received> received = new ConcurrentLinkedQueue<>();
+    private final Queue<Socket> open = new ConcurrentLinkedQueue<>();
+
+    /**
+     * Holds a request that arrived.
+     *
+     * @param method the method
+     * @param path the path with its query
+     * @param headers the headers, with names in lower case
+     * @param body the body
+     */
+    public record Received(String method, String path, Map<String, String> headers, String body) {
+
+        /**
+         * Returns a header.
+         *
+         * @param name the name in lower case, not null
+         * @return the value, or an empty text
+         */
+        public String header(String name) {
+            return headers.getOrDefault(name, "");
+        }
+    }
+
+    /**
+     * Starts listening on the loopback address.
+     *
+     * @param id the identity, not null
+     * @param faults what goes wrong with the next requests, one fault each; several engines may
+     *     share the queue; not null
+     * @throws IOException if no port is free
+     */
+    public PlatformEngineStandin(String id, Queue<EngineFault> faults) throws IOException {
+        this.id = id;
+        this.faults = faults;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        start(this::acceptAll);
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "engine-standin");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return listener.getLocalPort();
+    }
+
+    /**
+     * Returns the requests that arrived.
+     *
+     * @return the live queue, oldest first
+     */
+    public Queue<Received> received() {
+        return received;
+    }
+
+    private void acceptAll() {
+        try {
+            while (!listener.isClosed()) {
+                Socket socket = listener.accept();
+                open.add(socket);
+                start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The listener was closed.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            boolean more = true;
+            while (more) {
+                Received request = read(in);
+                received.add(request);
+                EngineFault fault = faults.poll();
+                more = answer(socket, request, fault == null ? EngineFault.NONE : fault);
+            }
+        } catch (IOException e) {
+            // The caller has gone.
+        }
+    }
+
+    private static Received read(InputStream in) throws IOException {
+        String[] line = readLine(in).split(" ", 3);
+        Map<String, String> headers = new TreeMap<>();
+        String header = readLine(in);
+        while (!header.isEmpty()) {
+            int colon = header.indexOf(':');
+            String name = header.substring(0, colon).toLowerCase(Locale.ROOT);
+            headers.put(name, header.substring(colon + 1).trim());
+            header = readLine(in);
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+        return new Received(line[0], line[1], headers, body);
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int next = in.read();
+        while (next != '\n') {
+            if (next < 0) {
+                throw new IOException("the caller closed the connection");
+            }
+            if (next != '\r') {
+                line.write(next);
+            }
+            next = in.read();
+        }
+        return line.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Answers a request; returns whether the connection serves another one. */
+    private boolean answer(Socket socket, Received request, EngineFault fault) throws IOException {
+        String requestId = request.header("request-id");
+        switch (fault) {
+            case NOT_RUN -> write(socket, head(503, requestId, "Not-Executed: 1\r\n", 0));
+            case OTHER_SERVER -> write(socket, head(421, requestId, "", 0));
+            case FAILS -> write(socket, head(500, requestId, SIGNATURE, 4) + "oops");
+            case UNCLEAR_REFUSAL -> write(socket, head(503, requestId, "", 0));
+            case GARBAGE -> {
+                write(socket, "\u0016nonsense\r\n\r\n");
+                return false;
+            }
+            case ANSWER_LOST -> {
+                return false;
+            }
+            case SILENT -> sleepForever();
+            case FOREIGN_ANSWER_FIRST -> {
+                write(socket, head(200, "foreign", SIGNATURE, 7) + "foreign");
+                whole(socket, request);
+            }
+            case EXTRA_ANSWER -> {
+                whole(socket, request);
+                write(socket, head(200, requestId, SIGNATURE, 5) + "extra");
+            }
+            case CUT_SHORT -> {
+                cutShort(socket, request);
+                return false;
+            }
+            case NO_LENGTH -> {
+                String type = isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
+                write(socket, bare(200, requestId, SIGNATURE + type + "Connection: close\r\n"));
+                write(socket, isStream(request) ? events(request, EVENTS) : body(request));
+                return false;
+            }
+            case NONE -> whole(socket, request);
+        }
+        return true;
+    }
+
+    private static boolean isStream(Received request) {
+        return request.path().startsWith("/stream");
+    }
+
+    private String body(Received request) {
+        return id + " " + request.path();
+    }
+
+    private void whole(Socket socket, Received request) throws IOException {
+        if (isStream(request)) {
+            streamHead(socket, request);
+            chunk(socket, events(request, EVENTS));
+            write(socket, "0\r\n\r\n");
+            return;
+        }
+        String body = body(request);
+        write(socket, head(200, request.header("request-id"), SIGNATURE, body.length()) + body);
+    }
+
+    private void cutShort(Socket socket, Received request) throws IOException {
+        if (isStream(request)) {
+            streamHead(socket, request);
+            // The last event breaks off in its middle.
+            String events = events(request, EVENTS / 2);
+            chunk(socket, events.substring(0, events.length() - 3));
+            return;
+        }
+        write(socket, head(200, request.header("request-id"), SIGNATURE, 99) + "part");
+    }
+
+    private static void streamHead(Socket socket, Received request) throws IOException {
+        write(
+                socket,
+                bare(
+                        200,
+                        request.header("request-id"),
+                        SIGNATURE
+                                + "Content-Type: text/event-stream\r\n"
+                                + "Transfer-Encoding: chunked\r\n"));
+    }
+
+    private static void chunk(Socket socket, String text) throws IOException {
+        write(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    /** Returns the events after the one that the request names, up to a number. */
+    private static String events(Received request, int last) {
+        String after = request.header("last-event-id");
+        StringBuilder events = new StringBuilder();
+        for (int i = after.isEmpty() ? 1 : Integer.parseInt(after) + 1; i <= last; i++) {
+            events.append("id: ").append(i).append("\ndata: piece-").append(i).append("\n\n");
+        }
+        return events.toString();
+    }
+
+    private static String head(int status, String requestId, String headers, int length) {
+        return bare(status, requestId, headers + "Content-Length: " + length + "\r\n");
+    }
+
+    private static String bare(int status, String requestId, String headers) {
+        return "HTTP/1.1 "
+                + status
+                + " Status\r\nRequest-Id: "
+                + requestId
+                + "\r\nKeep-Alive: timeout=30\r\n"
+                + headers
+                + "\r\n";
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    private static void sleepForever() {
+        try {
+            Thread.sleep(Long.MAX_VALUE);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
@@ -0,0 +1,80 @@
+package io.pollenpath.standin.platform;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pollenpath.util.Json;
+
+/** Writes what engines and operators write to the store. */
+public final class PlatformFixtures {
+
+    /** The host of all routes. */
+    public static final String HOST = "letters.example";
+
+    /** The key of the only account. */
+    public static final String KEY = "key-1";
+
+    /** The name of the only account. */
+    public static final String ACCOUNT = "clerks";
+
+    private PlatformFixtures() {}
+
+    /**
+     * Writes the entry of an engine.
+     *
+     * @param service the service, not null
+     * @param port the port on the loopback address
+     * @return the entry
+     */
+    public static ObjectNode server(String service, int port) {
+        return Json.object()
+                .put("Service", service)
+                .put("Address", "127.0.0.1:" + port)
+                .put("Zone", "zone-a")
+                .put("Version", "v1")
+                .put("Slots", 8)
+                .put("State", "ready")
+                .put("ColdRemainingMs", 0)
+                .put("Seq", 1);
+    }
+
+    /**
+     * Writes a manifest with a plain, a non-idempotent, a streaming and a public route.
+     *
+     * @param version the version
+     * @param service the service of all routes, not null
+     * @return the manifest
+     */
+    public static ObjectNode manifest(long version, String service) {
+        ObjectNode manifest = Json.object().put("Version", version);
+        ArrayNode routes = manifest.putArray("Routes");
+        routes.add(route("plain", "idempotent", service));
+        routes.add(route("once", "non_idempotent", service));
+        routes.add(route("stream", "streaming", service).put("Resumable", true));
+        routes.add(route("stream-final", "streaming", service));
+        routes.add(route("open", "idempotent", service).put("Public", true));
+        manifest.putArray("Services").addObject().put("Name", service).put("MaxConns", 100);
+        manifest.putObject("Limits")
+                .put("MaxHeaderBytes", 8_192)
+                .put("MaxBodyBytes", 65_536)
+                .put("HeaderTimeoutMs", 2_000)
+                .put("IdleTimeoutMs", 5_000);
+        ObjectNode tenant = manifest.putArray("Tenants").addObject().put("Name", ACCOUNT);
+        tenant.putArray("ApiKeys").add(KEY);
+        return manifest;
+    }
+
+    private static ObjectNode route(String name, String kind, String service) {
+        return Json.object()
+                .put("Name", name)
+                .put("Host", HOST)
+                .put("PathPrefix", "/" + name + "/")
+                .put("Kind", kind)
+                .put("TimeoutMs", 2_000)
+                .put("SloMs", 300)
+                .put("Priority", 1)
+                .put("Attempts", 2)
+                .put("Public", false)
+                .put("GapTargetMs", 120)
+                .put("Service", service);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformStore.java
@@ -0,0 +1,135 @@
+package io.pollenpath.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pollenpath.util.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Holds the objects of the platform's store and the history of their changes. */
+final class PlatformStore {
+
+    private static final long FIRST_REVISION = 5;
+
+    private final Map<String, Map<String, ObjectNode>> kinds = new TreeMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final int pageSize;
+    private long revision = FIRST_REVISION;
+    private long forgottenUntil;
+
+    /**
+     * Holds a change.
+     *
+     * @param kind the kind of the object
+     * @param revision the revision of the change
+     * @param event the event that watches get
+     */
+    private record Change(String kind, long revision, ObjectNode event) {}
+
+    PlatformStore(int pageSize) {
+        this.pageSize = pageSize;
+    }
+
+    synchronized ObjectNode list(String kind, String afterName) {
+        ObjectNode page = Json.object();
+        ArrayNode items = page.putArray("Items");
+        boolean more = false;
+        for (Map.Entry<String, ObjectNode> entry : objects(kind).entrySet()) {
+            if (entry.getKey().compareTo(afterName) <= 0) {
+                continue;
+            }
+            if (items.size() == pageSize) {
+                more = true;
+                break;
+            }
+            items.add(entry.getValue().deepCopy());
+        }
+        return page.put("HasMore", more).put("CurrentRev", revision);
+    }
+
+    private Map<String, ObjectNode> objects(String kind) {
+        return kinds.computeIfAbsent(kind, name -> new TreeMap<>());
+    }
+
+    /** Returns the changes after a revision; empty if that history is gone. */
+    synchronized Optional<ObjectNode> changes(String kind, long after) {
+        if (after < forgottenUntil) {
+            return Optional.empty();
+        }
+        ObjectNode answer = Json.object();
+        ArrayNode events = answer.putArray("events");
+        for (Change change : history) {
+            if (change.kind().equals(kind) && change.revision() > after) {
+                events.add(change.event().deepCopy());
+            }
+        }
+        answer.put("CurrentRev", revision);
+        return Optional.of(answer);
+    }
+
+    synchronized Optional<ObjectNode> read(String kind, String name) {
+        return Optional.ofNullable(objects(kind).get(name)).map(ObjectNode::deepCopy);
+    }
+
+    /** Creates an object; empty if it exists. */
+    synchronized Optional<ObjectNode> create(String kind, String name, JsonNode spec) {
+        if (objects(kind).containsKey(name)) {
+            return Optional.empty();
+        }
+        return Optional.of(put(kind, name, spec));
+    }
+
+    /** Replaces an object; empty if it is missing or has another revision. */
+    synchronized Optional<ObjectNode> replace(
+            String kind, String name, JsonNode spec, long expectedRevision) {
+        ObjectNode present = objects(kind).get(name);
+        if (present == null) {
+            return Optional.empty();
+        }
+        long has = present.path("Metadata").path("Revision").asLong();
+        if (expectedRevision != 0 && has != expectedRevision) {
+            return Optional.empty();
+        }
+        return Optional.of(put(kind, name, spec));
+    }
+
+    /** Creates or replaces an object, as its owner does. */
+    synchronized ObjectNode put(String kind, String name, JsonNode spec) {
+        revision++;
+        ObjectNode object = Json.object();
+        object.putObject("Metadata").put("Name", name).put("Revision", revision);
+        object.set("Spec", spec);
+        objects(kind).put(name, object);
+        record(kind, object, false);
+        return object.deepCopy();
+    }
+
+    synchronized boolean delete(String kind, String name) {
+        ObjectNode gone = objects(kind).remove(name);
+        if (gone == null) {
+            return false;
+        }
+        revision++;
+        ObjectNode last = gone.deepCopy();
+        ((ObjectNode) last.get("Metadata")).put("Revision", revision);
+        record(kind, last, true);
+        return true;
+    }
+
+    private void record(String kind, ObjectNode object, boolean deleted) {
+        ObjectNode event = Json.object().put("Deleted", deleted);
+        event.set("Object", object.deepCopy());
+        history.add(new Change(kind, revision, event));
+    }
+
+    /** Forgets all changes so far; watches from before get no answer but that they are gone. */
+    synchronized void forgetHistory() {
+        revision++;
+        forgottenUntil = revision;
+        history.clear();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformStoreStandin.java
@@ -0,0 +1,199 @@
+package io.pollenpath.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pollenpath.transport.HttpCall;
+import io.pollenpath.transport.HttpExchange;
+import io.pollenpath.transport.HttpLimits;
+import io.pollenpath.transport.HttpServer;
+import io.pollenpath.transport.NettyLoops;
+import io.pollenpath.util.Json;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Serves the platform's store over HTTP, with faults that tests switch on. */
+public final class PlatformStoreStandin implements AutoCloseable {
+
+    private static final String PREFIX = "/api/objects/";
+    private static final long WATCH_CHECK_MS = 10;
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_CONFLICT = 409;
+    private static final int STATUS_GONE = 410;
+    private static final int STATUS_TOO_MANY = 429;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final int MAX_BODY_BYTES = 1_048_576;
+
+    private final NettyLoops loops = new NettyLoops(1);
+    private final PlatformStore store;
+    private final HttpServer server;
+    private final AtomicLong calls = new AtomicLong();
+    private volatile StoreFault fault = StoreFault.NONE;
+
+    /**
+     * Starts listening on the loopback address.
+     *
+     * @param pageSize the most objects in one page of a list
+     */
+    public PlatformStoreStandin(int pageSize) {
+        store = new PlatformStore(pageSize);
+        HttpLimits usual = HttpLimits.DEFAULT;
+        HttpLimits limits =
+                new HttpLimits(
+                        usual.maxHeaderBytes(),
+                        MAX_BODY_BYTES,
+                        usual.maxConnections(),
+                        usual.idleTimeoutMs(),
+                        usual.requestTimeoutMs(),
+                        usual.maxPipelined(),
+                        false);
+        server = new HttpServer(loops, "127.0.0.1", 0, limits, this::handle);
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * Counts the calls so far.
+     *
+     * @return the number, refused ones too
+     */
+    public long calls() {
+        return calls.get();
+    }
+
+    /**
+     * Switches a fault on; {@link StoreFault#NONE} ends it.
+     *
+     * @param next the fault, not null
+     */
+    public void setFault(StoreFault next) {
+        fault = next;
+    }
+
+    /** Forgets the history, so that watches find it gone. */
+    public void forgetHistory() {
+        store.forgetHistory();
+    }
+
+    /**
+     * Writes an object as its owner does.
+     *
+     * @param kind the kind, not null
+     * @param name the name, not null
+     * @param spec what to write, not null
+     */
+    public void put(String kind, String name, JsonNode spec) {
+        store.put(kind, name, spec);
+    }
+
+    /**
+     * Removes an object.
+     *
+     * @param kind the kind, not null
+     * @param name the name, not null
+     */
+    public void delete(String kind, String name) {
+        store.delete(kind, name);
+    }
+
+    /**
+     * Reads an object.
+     *
+     * @param kind the kind, not null
+     * @param name the name, not null
+     * @return the object; empty if there is none
+     */
+    public Optional<ObjectNode> read(String kind, String name) {
+        return store.read(kind, name);
+    }
+
+    private void handle(HttpCall call, HttpExchange exchange) {
+        calls.incrementAndGet();
+        switch (fault) {
+            case SILENT -> {
+                // The caller waits until it gives up.
+            }
+            case UNAVAILABLE -> respond(exchange, STATUS_UNAVAILABLE, Json.object());
+            case TOO_MANY_CALLS -> respond(exchange, STATUS_TOO_MANY, Json.object());
+            default -> serve(call, exchange);
+        }
+    }
+
+    private void serve(HttpCall call, HttpExchange exchange) {
+        String[] parts = call.path().substring(PREFIX.length()).split("/", 2);
+        String kind = parts[0];
+        String name = parts.length > 1 ? parts[1] : "";
+        boolean reads = call.method().equals("GET");
+        if (reads && !call.parameter("Watch").isEmpty()) {
+            long waitMs = Long.parseLong(call.parameter("WaitMs"));
+            watch(exchange, kind, Long.parseLong(call.parameter("Watch")), waitMs);
+        } else if (reads && name.isEmpty()) {
+            respond(exchange, STATUS_OK, store.list(kind, call.parameter("SinceRev")));
+        } else if (reads) {
+            answer(exchange, store.read(kind, name), STATUS_NOT_FOUND);
+        } else {
+            write(call, exchange, kind, name);
+        }
+    }
+
+    private void watch(HttpExchange exchange, String kind, long after, long leftMs) {
+        Optional<ObjectNode> changes = store.changes(kind, after);
+        if (changes.isEmpty()) {
+            respond(exchange, STATUS_GONE, Json.object());
+        } else if (!changes.get().path("events").isEmpty() || leftMs <= 0) {
+            respond(exchange, STATUS_OK, changes.get());
+        } else {
+            exchange.loop()
+                    .schedule(
+                            () -> watch(exchange, kind, after, leftMs - WATCH_CHECK_MS),
+                            WATCH_CHECK_MS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void write(HttpCall call, HttpExchange exchange, String kind, String name) {
+        Optional<ObjectNode> written;
+        if (call.method().equals("DELETE")) {
+            written = store.delete(kind, name) ? Optional.of(Json.object()) : Optional.empty();
+        } else {
+            JsonNode object = Json.parse(call.body());
+            JsonNode metadata = object.path("Metadata");
+            written =
+                    call.method().equals("POST")
+                            ? store.create(
+                                    kind, metadata.path("Name").asText(), object.path("Spec"))
+                            : store.replace(
+                                    kind,
+                                    name,
+                                    object.path("Spec"),
+                                    metadata.path("Revision").asLong(0));
+        }
+        if (fault != StoreFault.ANSWERS_LOST) {
+            answer(exchange, written, STATUS_CONFLICT);
+        }
+    }
+
+    private static void answer(HttpExchange exchange, Optional<ObjectNode> object, int missing) {
+        int status = object.isPresent() ? STATUS_OK : missing;
+        respond(exchange, status, object.orElseGet(Json::object));
+    }
+
+    private static void respond(HttpExchange exchange, int status, JsonNode body) {
+        exchange.respond(status, "application/json", Map.of(), Json.bytes(body));
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        loops.close();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
@@ -0,0 +1,194 @@
+package io.pollenpath.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.pollenpath.standin.platform.PlatformFixtures;
+import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.state.serving.Repeatability;
+import io.pollenpath.state.serving.Route;
+import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.state.serving.ServingConfig;
+import io.pollenpath.transport.serving.WireDialect.ReplyKind;
+import io.pollenpath.util.Json;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Decodes what the platform writes, whole and broken. */
+class DecodersTest {
+
+    private static JsonNode json(String text) {
+        return Json.parse(text.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static List<ServerInstance> decode(JsonNode... entries) {
+        Map<String, StoredObject> objects = new HashMap<>();
+        for (int i = 0; i < entries.length; i++) {
+            objects.put("i-" + i, new StoredObject("i-" + i, 1, entries[i]));
+        }
+        return new ServerEntries().decode(objects);
+    }
+
+    @Test
+    void anEntryNamesItsServer() {
+        ObjectNode entry = PlatformFixtures.server("drafts", 8080).put("born", 17);
+        ServerInstance server = decode(entry).get(0);
+        assertThat(server.id()).isEqualTo("i-0");
+        assertThat(server.service()).isEqualTo("drafts");
+        assertThat(server.port()).isEqualTo(8080);
+        assertThat(server.incarnation()).isEqualTo(17);
+        assertThat(server.draining()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{}",
+                "null",
+                "'text'",
+                "[1]",
+                "{'Service':'s','Address':'1.2.3.4:80','Zone':'z','Slots':'8','State':'ready'}",
+                "{'Service':'s','Address':'1.2.3.4:80','Zone':'z','Slots':8,'State':'asleep'}",
+                "{'Service':'s','Address':'1.2.3.4','Zone':'z','Slots':8,'State':'ready'}",
+                "{'Service':'s','Address':'1.2.3.4:99999','Zone':'z','Slots':8,'State':'ready'}",
+                "{'Service':7,'Address':'1.2.3.4:80','Zone':'z','Slots':8,'State':'ready'}",
+                "{'Service':'s','Address':'1.2.3.4:80','Zone':'z','Slots':0,'State':'ready'}"
+            })
+    void anEntryOfAnotherWriterNamesNoServerAndTheOthersHold(String broken) {
+        List<ServerInstance> servers =
+                decode(json(broken), PlatformFixtures.server("drafts", 8080));
+        assertThat(servers).hasSize(1);
+        assertThat(servers.get(0).service()).isEqualTo("drafts");
+    }
+
+    @Test
+    void aManifestBecomesRoutesAndAccounts() {
+        ServingConfig config = Manifest.decode(PlatformFixtures.manifest(3, "drafts"));
+        Route route = config.route(PlatformFixtures.HOST, "/stream/a/b").orElseThrow();
+        assertThat(route.streaming()).isTrue();
+        assertThat(route.mayRunAgain()).isTrue();
+        Route last = config.route(PlatformFixtures.HOST, "/stream-final/a").orElseThrow();
+        assertThat(last.mayRunAgain()).isFalse();
+        Route once = config.route(PlatformFixtures.HOST, "/once/").orElseThrow();
+        assertThat(once.repeatability()).isEqualTo(Repeatability.NON_IDEMPOTENT);
+        assertThat(config.route(PlatformFixtures.HOST, "/streamer/")).isEmpty();
+        assertThat(config.account(PlatformFixtures.KEY).orElseThrow().name())
+                .isEqualTo(PlatformFixtures.ACCOUNT);
+        assertThat(config.needsKey(route)).isTrue();
+        assertThat(config.limits().idleTimeoutMs()).isEqualTo(5_000);
+    }
+
+    @Test
+    void theLongestPrefixWins() {
+        ObjectNode manifest = PlatformFixtures.manifest(3, "drafts");
+        ObjectNode longer = manifest.withArray("Routes").get(0).deepCopy();
+        longer.put("Name", "longer").put("PathPrefix", "/plain/deep/");
+        manifest.withArray("Routes").add(longer);
+        ServingConfig config = Manifest.decode(manifest);
+        assertThat(config.route(PlatformFixtures.HOST, "/plain/deep/x").orElseThrow().name())
+                .isEqualTo("longer");
+        assertThat(config.route(PlatformFixtures.HOST, "/plain/x").orElseThrow().name())
+                .isEqualTo("plain");
+    }
+
+    @Test
+    void aSplitSharesRequestsByWeight() {
+        ObjectNode manifest = PlatformFixtures.manifest(3, "drafts");
+        ObjectNode route = (ObjectNode) manifest.withArray("Routes").get(0);
+        route.remove("Service");
+        route.withArray("TrafficSplit").addObject().put("Service", "a").put("Weight", 90);
+        route.withArray("TrafficSplit").addObject().put("Service", "b").put("Weight", 10);
+        Route split =
+                Manifest.decode(manifest).route(PlatformFixtures.HOST, "/plain/").orElseThrow();
+        assertThat(split.serviceFor(0.89)).isEqualTo("a");
+        assertThat(split.serviceFor(0.91)).isEqualTo("b");
+    }
+
+    @Test
+    void aManifestWithoutAVersionIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> Manifest.decode(json("{}")));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "200, Upstream-Signature, ANSWER",
+        "200, X, UNPROVEN",
+        "404, X, ANSWER",
+        "500, Upstream-Signature, ANSWER",
+        "503, Not-Executed, NOT_RUN",
+        "400, Not-Executed, NOT_RUN",
+        "421, X, OTHER_SERVER",
+        "503, X, UNPROVEN",
+        "429, X, UNPROVEN",
+        "408, X, UNPROVEN"
+    })
+    void classifiesAnswers(int status, String header, ReplyKind kind) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(header, "1");
+        assertThat(new HeaderDialect().classify(status, headers)).isEqualTo(kind);
+    }
+
+    @Test
+    void aReportOfARankIsDecoded() {
+        RankStatus status =
+                EngineApi.decodeStatus(
+                        json(
+                                "{'group':{'Name':'g','epoch':2,'rank':1,'State':'open'},'size':4,"
+                                        + "'Busy':false,'step':9,'Map':3,'Prepared':5,"
+                                        + "'Armed':{'Version':5,'step':12},'held':null}"));
+        assertThat(status.epoch()).isEqualTo(2);
+        assertThat(status.hasPrepared(5)).isTrue();
+        assertThat(status.armed().orElseThrow().step()).isEqualTo(12);
+        assertThat(status.held().isPresent()).isFalse();
+        assertThat(status.isQuiet()).isFalse();
+    }
+
+    @Test
+    void aReportWithoutAGroupIsNoRank() {
+        assertThrows(
+                IllegalArgumentException.class, () -> EngineApi.decodeStatus(json("{'step':1}")));
+    }
+
+    @Test
+    void aSettingsFileIsReadAndItsFaultsNameTheRemedy(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("node.yaml");
+        Files.writeString(
+                file,
+                """
+                Node: "edge-1"
+                Zone: "zone-a"
+                Ip: "127.0.0.1"
+                Listen:
+                  Front: "127.0.0.1:8227"
+                  Ready: "127.0.0.1:8220"
+                InternalPortRange: [7340, 7355]
+                Bounds:
+                  GraceS: 8
+                  RetryBudgetRatio: 0.2
+                Platform:
+                  Address: "127.0.0.1:8223"
+                Unknown: true
+                """);
+        PlatformSettings settings = SettingsFile.read(file);
+        assertThat(settings.bounds().graceMs()).isEqualTo(8_000);
+        assertThat(settings.callerAddress().orElseThrow().port()).isEqualTo(8227);
+        assertThat(settings.engineAddress()).isEmpty();
+        Files.writeString(file, "Zone: \"zone-a\"\n");
+        IllegalArgumentException fault =
+                assertThrows(IllegalArgumentException.class, () -> SettingsFile.read(file));
+        assertThat(fault).hasMessageThat().contains("Node");
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -0,0 +1,303 @@
+package io.pollenpath.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.pollenpath.standin.platform.EngineFault;
+import io.pollenpath.standin.platform.PlatformEngineStandin;
+import io.pollenpath.standin.platform.PlatformFixtures;
+import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.state.serving.ServingView;
+import io.pollenpath.transport.HttpAddress;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.HttpReply;
+import io.pollenpath.transport.NettyLoops;
+import io.pollenpath.transport.serving.Gateway;
+import io.pollenpath.transport.serving.GatewayServer;
+import io.pollenpath.transport.serving.GatewaySettings;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Sends requests through a gateway to engines that show one fault, and checks what callers get. */
+class GatewayFaultsTest {
+
+    private static final String SERVICE = "drafts";
+    private static final String HOST = "127.0.0.1";
+    private static final int TIMEOUT_S = 10;
+    private static final String WHOLE_STREAM = events(1, PlatformEngineStandin.EVENTS);
+
+    private final NettyLoops loops = new NettyLoops(1);
+    private final HttpClient client = new HttpClient(loops);
+    private final Queue<EngineFault> faults = new ConcurrentLinkedQueue<>();
+    private PlatformEngineStandin first;
+    private PlatformEngineStandin second;
+    private Gateway gateway;
+    private GatewayServer server;
+    private int port;
+
+    /**
+     * One row.
+     *
+     * @param route the route that is asked
+     * @param fault what the first engine that gets the request does
+     * @param status the status that the caller gets; 0 for a connection that is closed
+     * @param runs how often engines get the request
+     */
+    record Row(String route, EngineFault fault, int status, int runs) {}
+
+    static List<Row> rows() {
+        return List.of(
+                new Row("plain", EngineFault.NONE, 200, 1),
+                new Row("plain", EngineFault.NOT_RUN, 200, 2),
+                new Row("plain", EngineFault.OTHER_SERVER, 200, 2),
+                new Row("plain", EngineFault.ANSWER_LOST, 200, 2),
+                new Row("plain", EngineFault.FAILS, 200, 2),
+                new Row("plain", EngineFault.UNCLEAR_REFUSAL, 200, 2),
+                new Row("plain", EngineFault.GARBAGE, 200, 2),
+                new Row("plain", EngineFault.CUT_SHORT, 200, 2),
+                new Row("plain", EngineFault.FOREIGN_ANSWER_FIRST, 200, 1),
+                new Row("plain", EngineFault.EXTRA_ANSWER, 200, 1),
+                new Row("plain", EngineFault.NO_LENGTH, 200, 1),
+                new Row("plain", EngineFault.SILENT, 200, 2),
+                new Row("once", EngineFault.NONE, 200, 1),
+                new Row("once", EngineFault.NOT_RUN, 200, 2),
+                new Row("once", EngineFault.OTHER_SERVER, 200, 2),
+                new Row("once", EngineFault.ANSWER_LOST, 502, 1),
+                new Row("once", EngineFault.FAILS, 500, 1),
+                new Row("once", EngineFault.UNCLEAR_REFUSAL, 502, 1),
+                new Row("once", EngineFault.GARBAGE, 502, 1),
+                new Row("once", EngineFault.CUT_SHORT, 502, 1),
+                new Row("once", EngineFault.FOREIGN_ANSWER_FIRST, 200, 1),
+                new Row("once", EngineFault.EXTRA_ANSWER, 200, 1),
+                new Row("once", EngineFault.NO_LENGTH, 200, 1),
+                new Row("once", EngineFault.SILENT, 504, 1),
+                new Row("stream", EngineFault.NONE, 200, 1),
+                new Row("stream", EngineFault.NOT_RUN, 200, 2),
+                new Row("stream", EngineFault.ANSWER_LOST, 200, 2),
+                new Row("stream", EngineFault.CUT_SHORT, 200, 2),
+                new Row("stream", EngineFault.NO_LENGTH, 200, 1),
+                new Row("stream", EngineFault.EXTRA_ANSWER, 200, 1),
+                new Row("stream-final", EngineFault.NONE, 200, 1),
+                new Row("stream-final", EngineFault.ANSWER_LOST, 502, 1),
+                new Row("stream-final", EngineFault.CUT_SHORT, 0, 1));
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        first = new PlatformEngineStandin("engine-1", faults);
+        second = new PlatformEngineStandin("engine-2", faults);
+        EventLoop loop = loops.group().next();
+        GatewaySettings settings = new GatewaySettings("zone-a", 0.2, 90, 10_000, 1_000);
+        gateway =
+                new Gateway(
+                        loop,
+                        settings,
+                        new HeaderDialect(),
+                        new MetricRegistry(),
+                        new SplittableRandom(1));
+        port = freePort();
+        server = new GatewayServer(loop, HOST, port, gateway);
+        gateway.update(
+                ServingView.EMPTY
+                        .withConfig(Manifest.decode(PlatformFixtures.manifest(1, SERVICE)))
+                        .withServers(List.of(instance("engine-1", first))));
+    }
+
+    private static ServerInstance instance(String id, PlatformEngineStandin engine) {
+        return new ServerInstance(id, 0, SERVICE, HOST, engine.port(), "zone-a", 8, false);
+    }
+
+    private void addSecondEngine() {
+        gateway.update(
+                gateway.view()
+                        .withServers(
+                                List.of(
+                                        instance("engine-1", first),
+                                        instance("engine-2", second))));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+        client.close();
+        first.close();
+        second.close();
+        loops.close();
+    }
+
+    private HttpClient.Request request(String route, Map<String, String> more) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Host", PlatformFixtures.HOST);
+        headers.put("Request-Id", "request-1");
+        headers.put("Authorization", "Bearer " + PlatformFixtures.KEY);
+        headers.put("Deadline-Ms", "1500");
+        headers.putAll(more);
+        byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
+        return new HttpClient.Request(
+                new HttpAddress(HOST, port), "POST", "/" + route + "/x?q=1", headers, body);
+    }
+
+    private HttpReply send(String route, Map<String, String> more) throws Exception {
+        return client.send(request(route, more)).get(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private int runs() {
+        return first.received().size() + second.received().size();
+    }
+
+    private static String text(HttpReply reply) {
+        return new String(reply.body(), StandardCharsets.UTF_8);
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder events = new StringBuilder();
+        for (int i = from; i <= to; i++) {
+            events.append("id: ").append(i).append("\ndata: piece-").append(i).append("\n\n");
+        }
+        return events.toString();
+    }
+
+    @ParameterizedTest
+    @MethodSource("rows")
+    void callersGetTheWholeAnswerOrATrueFailure(Row row) throws Exception {
+        faults.add(row.fault());
+        addSecondEngine();
+        int status;
+        String body = "";
+        try {
+            HttpReply reply = send(row.route(), Map.of());
+            status = reply.status();
+            body = text(reply);
+            boolean signed = reply.headers().contains("Upstream-Signature");
+            boolean fromEngine = status == 200 || status == 500;
+            assertWithMessage("signature").that(signed).isEqualTo(fromEngine);
+        } catch (ExecutionException e) {
+            status = 0;
+        }
+        assertThat(status).isEqualTo(row.status());
+        assertThat(runs()).isEqualTo(row.runs());
+        if (status == 200 && row.route().startsWith("stream")) {
+            assertThat(body).isEqualTo(WHOLE_STREAM);
+        } else if (status == 200) {
+            assertThat(body).endsWith(" /" + row.route() + "/x?q=1");
+        }
+    }
+
+    @Test
+    void enginesGetWhatTheyNeedAndNoKey() throws Exception {
+        send("plain", Map.of("Tenant-Id", "forged", "Connection", "X-Hop", "X-Hop", "1"));
+        PlatformEngineStandin.Received got = first.received().peek();
+        assertThat(got.method()).isEqualTo("POST");
+        assertThat(got.path()).isEqualTo("/plain/x?q=1");
+        assertThat(got.body()).isEqualTo("{}");
+        assertThat(got.header("host")).isEqualTo(PlatformFixtures.HOST);
+        assertThat(got.header("request-id")).isEqualTo("request-1");
+        assertThat(got.header("tenant-id")).isEqualTo(PlatformFixtures.ACCOUNT);
+        assertThat(got.header("expect-instance")).isEqualTo("engine-1");
+        assertThat(got.headers()).doesNotContainKey("authorization");
+        assertThat(got.headers()).doesNotContainKey("x-hop");
+        assertThat(Integer.parseInt(got.header("deadline-ms"))).isAtMost(1_500);
+    }
+
+    @Test
+    void unknownKeysAndRoutesAreRejectedAndPublicRoutesNeedNoKey() throws Exception {
+        assertThat(send("plain", Map.of("Authorization", "Bearer x")).status()).isEqualTo(401);
+        assertThat(send("nowhere", Map.of()).status()).isEqualTo(404);
+        assertThat(send("open", Map.of("Authorization", "Bearer x")).status()).isEqualTo(200);
+        assertThat(runs()).isEqualTo(1);
+    }
+
+    @Test
+    void anEntryWithoutAConfigurationRefusesWithATimeToComeBack() throws Exception {
+        gateway.update(ServingView.EMPTY);
+        HttpReply reply = send("plain", Map.of());
+        assertThat(reply.status()).isEqualTo(503);
+        assertThat(Double.parseDouble(reply.headers().get("Retry-After"))).isGreaterThan(0);
+        assertThat(text(reply)).contains("\"executed\":\"no\"");
+    }
+
+    @Test
+    void requestsWithoutAServerAreRefusedBeforeHalfTheirTimeIsGone() throws Exception {
+        gateway.update(gateway.view().withServers(List.of()));
+        long startNanos = System.nanoTime();
+        HttpReply reply = send("plain", Map.of());
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(reply.status()).isEqualTo(503);
+        assertThat(tookMs).isLessThan(750);
+        assertThat(Double.parseDouble(reply.headers().get("Retry-After"))).isAtMost(0.5);
+    }
+
+    @Test
+    void aStreamIsResumedAfterTheEventThatTheCallerNames() throws Exception {
+        HttpReply reply = send("stream", Map.of("Last-Event-Id", "2"));
+        assertThat(text(reply)).isEqualTo(events(3, PlatformEngineStandin.EVENTS));
+    }
+
+    @Test
+    void aCallerThatLeavesIsCancelledAtTheEngine() throws Exception {
+        faults.add(EngineFault.SILENT);
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            String head =
+                    "POST /once/x HTTP/1.1\r\nHost: "
+                            + PlatformFixtures.HOST
+                            + "\r\nRequest-Id: r\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer "
+                            + PlatformFixtures.KEY
+                            + "\r\nContent-Length: 0\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            await(() -> gateway.open() == 1);
+        }
+        await(() -> gateway.open() == 0);
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(500);
+        while (!condition.getAsBoolean() && System.nanoTime() < endNanos) {
+            Thread.sleep(5);
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+
+    @Test
+    void callersAreToldToLeaveAnEntryThatStops() throws Exception {
+        gateway.stopAfterAnswers();
+        assertThat(send("plain", Map.of()).headers().get("connection")).isEqualTo("close");
+        gateway.refuseNew();
+        HttpReply refused = send("plain", Map.of());
+        assertThat(refused.status()).isEqualTo(503);
+        assertThat(runs()).isEqualTo(1);
+    }
+
+    @Test
+    void noConfigurationGoesBack() {
+        ServingView newer =
+                gateway.view().withConfig(Manifest.decode(PlatformFixtures.manifest(5, SERVICE)));
+        ServingView older =
+                newer.withConfig(Manifest.decode(PlatformFixtures.manifest(4, SERVICE)));
+        assertThat(older.config().orElseThrow().version()).isEqualTo(5);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/io/pollenpath/platform/StoreLeaseTest.java
@@ -0,0 +1,64 @@
+package io.pollenpath.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.pollenpath.standin.platform.PlatformStoreStandin;
+import io.pollenpath.standin.platform.StoreFault;
+import io.pollenpath.transport.HttpAddress;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.NettyLoops;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class StoreLeaseTest {
+
+    private static final String GROUP = "g0";
+
+    private final PlatformStoreStandin store = new PlatformStoreStandin(100);
+    private final NettyLoops loops = new NettyLoops(1);
+    private final HttpClient http = new HttpClient(loops);
+    private final StoreLease lease =
+            new StoreLease(new StoreClient(http, new HttpAddress("127.0.0.1", store.port())));
+
+    @AfterEach
+    void stop() {
+        http.close();
+        loops.close();
+        store.close();
+    }
+
+    private long claim(String holder) throws Exception {
+        return lease.claim(GROUP, holder).get(5, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void eachClaimRaisesTheToken() throws Exception {
+        long first = claim("a");
+        long second = claim("b");
+        assertThat(second).isGreaterThan(first);
+    }
+
+    @Test
+    void aClaimWhoseAnswerWasLostIsFoundLater() throws Exception {
+        store.setFault(StoreFault.ANSWERS_LOST);
+        assertThrows(ExecutionException.class, () -> claim("a"));
+        store.setFault(StoreFault.NONE);
+        long token = claim("a");
+        assertThat(token)
+                .isEqualTo(
+                        store.read("leases", GROUP)
+                                .orElseThrow()
+                                .path("Metadata")
+                                .path("Revision")
+                                .asLong());
+    }
+
+    @Test
+    void noClaimSucceedsWhileTheStoreIsDown() {
+        store.setFault(StoreFault.UNAVAILABLE);
+        assertThrows(ExecutionException.class, () -> claim("a"));
+    }
+}
