--- a/bench/src/main/java/io/pollenpath/bench/BenchMain.java
+++ b/bench/src/main/java/io/pollenpath/bench/BenchMain.java
@@ -6,6 +6,7 @@
 import io.pollenpath.bench.prove.ProofCase;
 import io.pollenpath.bench.prove.ProofCases;
 import io.pollenpath.bench.prove.Prover;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 
@@ -41,13 +42,18 @@
             case "quickstart" -> new Quickstart(System.out).run();
             case "prove" -> prove(options);
             case "measure" -> measure(options);
+            case "archive" -> new ClassArchive(System.out, root()).run();
             default -> {
-                System.err.println("error: use quickstart, prove or measure");
+                System.err.println("error: use quickstart, prove, measure or archive");
                 yield EXIT_USAGE;
             }
         };
     }
 
+    private static Path root() {
+        return Path.of(System.getProperty("pollenpath.root", "."));
+    }
+
     private static int prove(BenchOptions options) throws Exception {
         List<ProofCase> cases = ProofCases.all();
         if (!options.names.isEmpty()) {
--- /dev/null
+++ b/bench/src/main/java/io/pollenpath/bench/ClassArchive.java
@@ -0,0 +1,160 @@
+package io.pollenpath.bench;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pollenpath.standin.platform.PlatformEngineStandin;
+import io.pollenpath.standin.platform.PlatformFixtures;
+import io.pollenpath.standin.platform.PlatformStoreStandin;
+import io.pollenpath.transport.HttpAddress;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.HttpReply;
+import io.pollenpath.transport.NettyLoops;
+import io.pollenpath.util.Json;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * Writes the class-data archives of the roles that run on the platform, by running each role for a
+ * moment against stand-ins. A process that starts with its archive loads its classes from there.
+ */
+final class ClassArchive {
+
+    private static final String HOST = "127.0.0.1";
+    private static final String SERVICE = "drafts";
+    private static final int REQUESTS = 20;
+    private static final long RUN_MS = 3_000;
+    private static final long END_TIMEOUT_S = 30;
+    private static final long CALL_TIMEOUT_S = 5;
+    private static final int PAGE = 100;
+
+    private final PrintStream out;
+    private final Path target;
+
+    ClassArchive(PrintStream out, Path root) {
+        this.out = out;
+        target = root.resolve("target");
+    }
+
+    int run() throws IOException {
+        try (PlatformStoreStandin store = new PlatformStoreStandin(PAGE);
+                PlatformEngineStandin engine =
+                        new PlatformEngineStandin("engine-1", new ConcurrentLinkedQueue<>())) {
+            store.put("config", "main", PlatformFixtures.manifest(1, SERVICE));
+            store.put("servers", "engine-1", PlatformFixtures.server(SERVICE, engine.port()));
+            int callerPort = freePort();
+            ObjectNode settings = settings(store.port(), engine.port(), callerPort);
+            boolean entry = train("entry", settings, callerPort);
+            boolean side = train("side", settings, 0);
+            return entry && side ? 0 : 1;
+        }
+    }
+
+    private static ObjectNode settings(int storePort, int enginePort, int callerPort)
+            throws IOException {
+        ObjectNode settings = Json.object();
+        settings.put("Node", "trainer").put("Zone", "zone-a").put("Ip", HOST);
+        settings.putObject("Listen")
+                .put("Front", HOST + ":" + callerPort)
+                .put("Ready", HOST + ":" + freePort());
+        int firstPort = freePort();
+        settings.putArray("InternalPortRange").add(firstPort).add(firstPort + 1);
+        settings.putObject("Platform").put("Address", HOST + ":" + storePort);
+        settings.putObject("Bounds").put("RequireFencing", true);
+        return settings.put("app", HOST + ":" + enginePort).put("Service", SERVICE);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private boolean train(String role, ObjectNode settings, int callerPort) throws IOException {
+        Path file = Files.createTempFile("pollenpath", ".yaml");
+        Path archive = target.resolve(role + ".jsa");
+        Files.write(file, Json.bytes(settings));
+        Files.deleteIfExists(archive);
+        Process process = start(role, archive, file);
+        try {
+            sleep(RUN_MS);
+            boolean served = callerPort == 0 || serve(callerPort);
+            process.destroy();
+            boolean ended = process.waitFor(END_TIMEOUT_S, TimeUnit.SECONDS);
+            boolean written = ended && served && Files.exists(archive);
+            out.println("archive=" + archive.getFileName() + " written=" + written);
+            return written;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } finally {
+            process.destroyForcibly();
+            Files.deleteIfExists(file);
+        }
+    }
+
+    /** Runs a role with the flags that decide whether an archive fits. */
+    private Process start(String role, Path archive, Path settings) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-XX:ArchiveClassesAtExit=" + archive.toAbsolutePath());
+        command.addAll(List.of("-Xshare:auto", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of("-jar", "target/pollenpath.jar", "platform-" + role));
+        command.addAll(List.of("--boot", settings.toString()));
+        return new ProcessBuilder(command)
+                .directory(target.toAbsolutePath().getParent().toFile())
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+    }
+
+    private static boolean serve(int port) {
+        try (NettyLoops loops = new NettyLoops(1);
+                HttpClient client = new HttpClient(loops)) {
+            for (int i = 0; i < REQUESTS; i++) {
+                String path = i % 2 == 0 ? "/plain/x" : "/stream/x";
+                if (send(client, port, path).status() != 200) {
+                    return false;
+                }
+            }
+            send(client, port, "/nowhere/");
+            return true;
+        } catch (ExecutionException | TimeoutException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private static HttpReply send(HttpClient client, int port, String path)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        Map<String, String> headers =
+                Map.of(
+                        "Host",
+                        PlatformFixtures.HOST,
+                        "Request-Id",
+                        "request",
+                        "Authorization",
+                        "Bearer " + PlatformFixtures.KEY,
+                        "Deadline-Ms",
+                        "2000");
+        HttpClient.Request request =
+                new HttpClient.Request(
+                        new HttpAddress(HOST, port), "POST", path, headers, new byte[] {'x'});
+        return client.send(request).get(CALL_TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private static void sleep(long ms) throws InterruptedException {
+        Thread.sleep(ms);
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/Candidacy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/Candidacy.java
@@ -9,11 +9,11 @@
 public final class Candidacy {
 
     /** How long a leader may be silent, in milliseconds. */
-    public static final long SILENCE_MS = 900;
+    public static final long SILENCE_MS = 500;
 
-    private static final long STAGGER_MS = 120;
+    private static final long STAGGER_MS = 80;
     private static final int STAGGERED_RANKS = 8;
-    private static final long RETRY_MS = 600;
+    private static final long RETRY_MS = 400;
 
     private long heardNanos;
     private long nextTryNanos;
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -17,13 +17,15 @@
 
 /**
  * Plays an engine of the platform byte by byte over plain sockets, so that it can also break the
- * protocol. Paths that begin with {@code /stream} get a stream of events, others a short answer.
+ * protocol. Paths that begin with {@code /stream} get a stream of events, others a short answer;
+ * questions and orders to a rank are answered as the only rank of a group would.
  */
 public final class PlatformEngineStandin implements AutoCloseable {
 
     /** The events of a whole stream. */
     public static final int EVENTS = 6;
 
+    private static final String CONTROL_PREFIX = "/api/";
     private static final int BACKLOG = 64;
     private static final String SIGNATURE = "Upstream-Signature: proof\r\n";
 
@@ -153,6 +155,11 @@
     /** Answers a request; returns whether the connection serves another one. */
     private boolean answer(Socket socket, Received request, EngineFault fault) throws IOException {
         String requestId = request.header("request-id");
+        if (request.path().startsWith(CONTROL_PREFIX)) {
+            String json = control(request.path());
+            write(socket, bare(200, "", "Content-Length: " + json.length() + "\r\n") + json);
+            return true;
+        }
         switch (fault) {
             case NOT_RUN -> write(socket, head(503, requestId, "Not-Executed: 1\r\n", 0));
             case OTHER_SERVER -> write(socket, head(421, requestId, "", 0));
@@ -189,6 +196,17 @@
         return true;
     }
 
+    /** Answers as the only rank of a group at rest. */
+    private static String control(String path) {
+        if (path.startsWith(CONTROL_PREFIX + "report")) {
+            return "{\"group\":{\"Name\":\"g0\",\"epoch\":1,\"rank\":0,\"State\":\"open\"},"
+                    + "\"size\":1,\"Busy\":false,\"step\":3,\"Map\":0}";
+        }
+        return path.contains("Lists")
+                ? "{\"epoch\":1,\"Map\":{\"Version\":0,\"Experts\":[[0,1]]}}"
+                : "{\"step\":3,\"epoch\":1,\"Counts\":[700,300]}";
+    }
+
     private static boolean isStream(Received request) {
         return request.path().startsWith("/stream");
     }
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
@@ -52,7 +52,8 @@
         routes.add(route("stream", "streaming", service).put("Resumable", true));
         routes.add(route("stream-final", "streaming", service));
         routes.add(route("open", "idempotent", service).put("Public", true));
-        manifest.putArray("Services").addObject().put("Name", service).put("MaxConns", 100);
+        ObjectNode declared = manifest.putArray("Services").addObject();
+        declared.put("Name", service).put("MaxConns", 100).set("Engine", engine());
         manifest.putObject("Limits")
                 .put("MaxHeaderBytes", 8_192)
                 .put("MaxBodyBytes", 65_536)
@@ -63,6 +64,21 @@
         return manifest;
     }
 
+    private static ObjectNode engine() {
+        return Json.object()
+                .put("Slots", 8)
+                .put("step_ms", 4.5)
+                .put("per_seq_ms", 1.3)
+                .put("read_per_s", 60_000)
+                .put("chunk", 512)
+                .put("Stride", 4)
+                .put("Sets", 1)
+                .put("Experts", 2)
+                .put("Placements", 2)
+                .put("Spare", 1)
+                .put("ExpertShare", 0.85);
+    }
+
     private static ObjectNode route(String name, String kind, String service) {
         return Json.object()
                 .put("Name", name)
