--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/Candidacy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/Candidacy.java
@@ -11,6 +11,9 @@
     /** How long a leader may be silent, in milliseconds. */
     public static final long SILENCE_MS = 500;
 
+    /** How long an agent that starts listens for a leader, in milliseconds. */
+    private static final long START_SILENCE_MS = 300;
+
     private static final long STAGGER_MS = 80;
     private static final int STAGGERED_RANKS = 8;
     private static final long RETRY_MS = 400;
@@ -25,7 +28,7 @@
      * @param nowNanos the present time
      */
     public Candidacy(long nowNanos) {
-        heardNanos = nowNanos;
+        heardNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(SILENCE_MS - START_SILENCE_MS);
         nextTryNanos = nowNanos;
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -28,7 +28,7 @@
 public final class MapCommit {
 
     /** Steps between the newest known step and the one that is held, so that arming costs none. */
-    static final int LEAD_STEPS = 3;
+    static final int LEAD_STEPS = 2;
 
     /** How long after a rank took the order to fetch it is sent again. */
     private static final long FETCH_REPEAT_NANOS = TimeUnit.SECONDS.toNanos(1);
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -19,6 +19,7 @@
 import io.pollenpath.transport.serving.GatewaySettings;
 import io.pollenpath.util.Json;
 import io.pollenpath.util.LogLine;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
@@ -58,10 +59,11 @@
     /**
      * Starts the entry.
      *
+     * @param file the settings file, which is read again when it changes
      * @param settings the settings of the process
      * @throws IllegalStateException if an address can't be bound
      */
-    PlatformEntry(PlatformSettings settings) {
+    PlatformEntry(Path file, PlatformSettings settings) {
         this.settings = settings;
         MetricRegistry metrics = new MetricRegistry();
         ProcessMetrics.register(metrics);
@@ -83,6 +85,7 @@
         new AdminServer(loops, settings.ip(), settings.firstInternalPort(), this::isReady, metrics);
         view.start();
         announce();
+        new SettingsReload(file, settings, changed -> store.moveTo(changed.store())).start(control);
         LOG.info(
                 "{}",
                 LogLine.event("started")
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntryProvider.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntryProvider.java
@@ -29,6 +29,6 @@
 
     @Override
     public Role start(BaseSettings settings) {
-        return new PlatformEntry(PlatformFlags.read(settings));
+        return new PlatformEntry(PlatformFlags.fileOf(settings), PlatformFlags.read(settings));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformFlags.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformFlags.java
@@ -19,7 +19,12 @@
 
     /** Reads the settings file that filled flags name. */
     static PlatformSettings read(BaseSettings settings) {
-        return SettingsFile.read(Path.of(((PlatformFlags) settings).settingsFile));
+        return SettingsFile.read(fileOf(settings));
+    }
+
+    /** Returns the settings file that filled flags name. */
+    static Path fileOf(BaseSettings settings) {
+        return Path.of(((PlatformFlags) settings).settingsFile);
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -15,11 +15,13 @@
 import io.pollenpath.transport.group.GroupAgent;
 import io.pollenpath.transport.group.RankAgent;
 import io.pollenpath.util.LogLine;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,6 +30,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PlatformSide.class);
     private static final long WATCH_WAIT_MS = 20_000;
+    private static final long STORE_TIMEOUT_MS = 1_000;
+    private static final long SHAPE_PERIOD_MS = 60_000;
+    private static final long SHAPE_RETRY_MS = 500;
     private static final String CONFIG = "config";
     private static final String NEWEST_CONFIG = "main";
 
@@ -48,11 +53,12 @@
     /**
      * Starts the agent.
      *
+     * @param file the settings file, which is read again when it changes
      * @param settings the settings of the process
      * @throws IllegalArgumentException if the VM has no engine
      * @throws IllegalStateException if an address can't be bound
      */
-    PlatformSide(PlatformSettings settings) {
+    PlatformSide(Path file, PlatformSettings settings) {
         this.settings = settings;
         HttpAddress engineAddress =
                 settings.engineAddress()
@@ -83,6 +89,7 @@
                 settings.node(),
                 new AgentAddress(new HttpAddress(settings.ip(), port), engineAddress));
         follow(store);
+        new SettingsReload(file, settings, changed -> store.moveTo(changed.store())).start(control);
         agent.start();
         LOG.info(
                 "{}",
@@ -99,7 +106,7 @@
     }
 
     private void follow(StoreClient store) {
-        new KindWatch(store, CONFIG, WATCH_WAIT_MS, control, this::onConfig).start();
+        readShape(store);
         new KindWatch(store, AgentDirectory.KIND, WATCH_WAIT_MS, control, this::onAgents).start();
     }
 
@@ -107,21 +114,26 @@
         agent.setAgents(directory.decode(objects));
     }
 
-    private void onConfig(Map<String, StoredObject> objects, long awayMs) {
-        StoredObject newest = objects.get(NEWEST_CONFIG);
-        if (newest == null) {
-            return;
-        }
-        try {
-            Optional<ServiceSpec> spec = Manifest.decode(newest.spec()).service(service);
-            agent.setShape(spec.flatMap(ServiceSpec::group));
-        } catch (IllegalArgumentException e) {
-            LOG.error(
-                    "{}",
-                    LogLine.event("config_skipped")
-                            .with("revision", newest.revision())
-                            .with("cause", e.getMessage()));
-        }
+    /** Reads the shape of the group now and then; it changes with the engines, not with routes. */
+    private void readShape(StoreClient store) {
+        store.read(CONFIG, NEWEST_CONFIG, STORE_TIMEOUT_MS)
+                .thenApply(object -> Manifest.decode(object.path("Spec")).service(service))
+                .whenCompleteAsync(
+                        (spec, failure) -> {
+                            if (failure == null) {
+                                agent.setShape(spec.flatMap(ServiceSpec::group));
+                            } else {
+                                LOG.info(
+                                        "{}",
+                                        LogLine.event("shape_not_read").with("cause", failure));
+                            }
+                            boolean known = failure == null && spec.isPresent();
+                            control.schedule(
+                                    () -> readShape(store),
+                                    known ? SHAPE_PERIOD_MS : SHAPE_RETRY_MS,
+                                    TimeUnit.MILLISECONDS);
+                        },
+                        control);
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSideProvider.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSideProvider.java
@@ -29,6 +29,6 @@
 
     @Override
     public Role start(BaseSettings settings) {
-        return new PlatformSide(PlatformFlags.read(settings));
+        return new PlatformSide(PlatformFlags.fileOf(settings), PlatformFlags.read(settings));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformView.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformView.java
@@ -1,5 +1,6 @@
 package io.pollenpath.platform;
 
+import io.pollenpath.coordination.serving.ServerRoster;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingConfig;
 import io.pollenpath.state.serving.ServingView;
@@ -7,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,10 +22,13 @@
     private static final String NEWEST_CONFIG = "main";
     private static final String ENTRIES = "entries";
     private static final long MAX_WAIT_MS = 1_500;
+    private static final long GRACE_CHECK_MS = 2_100;
     private static final long SLOW_WAIT_MS = 20_000;
 
     private final Consumer<ServingView> publish;
     private final ServerEntries entries = new ServerEntries();
+    private final ServerRoster roster = new ServerRoster();
+    private final ScheduledExecutorService control;
     private final List<KindWatch> watches;
     private ServingView view = ServingView.EMPTY;
 
@@ -33,6 +38,7 @@
             ScheduledExecutorService control,
             Consumer<ServingView> publish) {
         this.publish = publish;
+        this.control = control;
         // A watch that went silent is noticed before the bounds bind this VM again.
         long waitMs = Math.min(MAX_WAIT_MS, bounds.stableWindowMs() / 2);
         watches =
@@ -73,8 +79,11 @@
     }
 
     private void onServers(Map<String, StoredObject> objects, long awayMs) {
-        List<ServerInstance> servers = entries.decode(objects);
-        publish(view.withServers(servers));
+        long nowNanos = System.nanoTime();
+        publish(view.withServers(roster.update(entries.decode(objects), awayMs, nowNanos)));
+        if (roster.isInGrace()) {
+            control.schedule(this::endGrace, GRACE_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
         LOG.info(
                 "{}",
                 LogLine.event("servers_changed")
@@ -82,6 +91,14 @@
                         .with("in_use", view.serverIds().size()));
     }
 
+    private void endGrace() {
+        boolean wasInGrace = roster.isInGrace();
+        List<ServerInstance> servers = roster.current(System.nanoTime());
+        if (wasInGrace && !roster.isInGrace()) {
+            publish(view.withServers(servers));
+        }
+    }
+
     private void onEntries(Map<String, StoredObject> objects, long awayMs) {
         publish(view.withLiveEntries(Math.max(1, objects.size())));
     }
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
@@ -21,7 +21,7 @@
     private static final int FIRST_NOT_SUCCESS = 300;
 
     private final HttpClient http;
-    private final HttpAddress address;
+    private volatile HttpAddress address;
 
     /**
      * Creates a client.
@@ -34,6 +34,11 @@
         this.address = address;
     }
 
+    /** Sends further calls to another address. */
+    void moveTo(HttpAddress next) {
+        address = next;
+    }
+
     /** Reads one page of a kind that follows a name; an empty name reads the first page. */
     CompletableFuture<JsonNode> list(String kind, String afterName, long timeoutMs) {
         String query = afterName.isEmpty() ? "" : "?SinceRev=" + encode(afterName);
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/CandidacyTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/CandidacyTest.java
@@ -14,6 +14,7 @@
     @Test
     void lowRanksTryFirst() {
         Candidacy candidacy = new Candidacy(0);
+        candidacy.onLeader(1, 0);
         assertThat(candidacy.shouldTry(3, ms(Candidacy.SILENCE_MS))).isFalse();
         assertThat(candidacy.shouldTry(0, ms(Candidacy.SILENCE_MS))).isTrue();
     }
