Hold the mean pause of streams to 0.7 of the longest on time

Cause: at 0.8 about a hundred streams were in flight in the heaviest seconds, passes took 90 to 100 ms and the first events came after 0.55 s, while the events made a second were no more than with sixty.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/PassTimeLimit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/PassTimeLimit.java
@@ -11,7 +11,7 @@
 public final class PassTimeLimit {
 
     /** The part of the longest on-time pause that the mean pause is held to. */
-    static final double TARGET_PART = 0.8;
+    static final double TARGET_PART = 0.7;
 
     /** The part of an equal share of all slots that an entry may always use. */
     static final double FLOOR_PART = 0.25;
