Write logs without blocking, and give up the lead of a group before a stop

Change: lines go through a bounded queue; what finds it full is dropped and counted in a line of its own. A side process that stops finishes a change that holds a step. An entry that stops withdraws its announcement, so that the others share the retry allowance.

--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/cli/BoundedAsyncAppender.java
@@ -0,0 +1,42 @@
+package io.pollenpath.cli;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.LoggingEvent;
+import io.pollenpath.util.LogLine;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes log lines in a thread of its own and never lets the caller wait. Lines that find the queue
+ * full are dropped, and the next line that finds room is followed by one that counts them.
+ */
+public final class BoundedAsyncAppender extends AsyncAppender {
+
+    private final AtomicLong dropped = new AtomicLong();
+
+    @Override
+    protected void append(ILoggingEvent event) {
+        if (getRemainingCapacity() <= 1) {
+            dropped.incrementAndGet();
+            return;
+        }
+        super.append(event);
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+            super.append(lostLines(lost));
+        }
+    }
+
+    private ILoggingEvent lostLines(long lost) {
+        LoggingEvent event = new LoggingEvent();
+        event.setLoggerContext((LoggerContext) getContext());
+        event.setLoggerName(BoundedAsyncAppender.class.getName());
+        event.setThreadName(Thread.currentThread().getName());
+        event.setLevel(Level.WARN);
+        event.setTimeStamp(System.currentTimeMillis());
+        event.setMessage(LogLine.event("log_lines_dropped").with("lines", lost).toString());
+        return event;
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/cli/LogSetup.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/LogSetup.java
@@ -1,5 +1,6 @@
 package io.pollenpath.cli;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
@@ -11,6 +12,7 @@
 /** Sets what the log of a process shows. */
 final class LogSetup {
 
+    private static final String QUEUE = "async";
     private static final String APPENDER = "stdout";
 
     private LogSetup() {}
@@ -31,10 +33,19 @@
         restartEncoder(context, "System.err");
     }
 
+    /** Writes the lines that still wait; later ones are lost. */
+    static void flush() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
     // The pattern reads the context's properties when its encoder starts.
     private static void restartEncoder(LoggerContext context, String target) {
-        Appender<ILoggingEvent> found =
-                context.getLogger(Logger.ROOT_LOGGER_NAME).getAppender(APPENDER);
+        Appender<ILoggingEvent> outer =
+                context.getLogger(Logger.ROOT_LOGGER_NAME).getAppender(QUEUE);
+        if (!(outer instanceof AsyncAppender queue)) {
+            return;
+        }
+        Appender<ILoggingEvent> found = queue.getAppender(APPENDER);
         if (found instanceof ConsoleAppender<ILoggingEvent> console) {
             console.stop();
             console.setTarget(target);
--- a/pollenpath/src/main/java/io/pollenpath/cli/Roles.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/Roles.java
@@ -64,6 +64,7 @@
         LOG.info("{}", LogLine.event("stopping"));
         boolean whole = role.stop();
         LOG.info("{}", LogLine.event("stopped").with("all_work_done", whole));
+        LogSetup.flush();
         // Halt, because a process that ends by a signal would report 143 after a clean stop.
         Runtime.getRuntime().halt(whole ? ExitCodes.OK : ExitCodes.GRACE_EXCEEDED);
     }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -137,6 +137,13 @@
     public boolean stop() {
         stopping = true;
         gateway.stopAfterAnswers();
+        store.delete(PlatformView.entriesKind(), settings.node(), STORE_CALL_TIMEOUT_MS)
+                .whenComplete(
+                        (gone, failure) ->
+                                LOG.info(
+                                        "{}",
+                                        LogLine.event("announcement_withdrawn")
+                                                .with("failure", failure)));
         long startNanos = System.nanoTime();
         sleepUntil(startNanos, LEAVE_BALANCER_MS);
         gateway.refuseNew();
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -30,6 +30,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PlatformSide.class);
     private static final long WATCH_WAIT_MS = 20_000;
+    private static final long LEAD_END_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final long STOP_CHECK_MS = 20;
     private static final long STORE_TIMEOUT_MS = 1_000;
     private static final long SHAPE_PERIOD_MS = 60_000;
     private static final long SHAPE_RETRY_MS = 500;
@@ -136,9 +138,23 @@
                         control);
     }
 
+    private static void sleep() {
+        try {
+            Thread.sleep(STOP_CHECK_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public boolean stop() {
+        agent.stop();
+        long startNanos = System.nanoTime();
+        while (agent.isLeading() && System.nanoTime() - startNanos < LEAD_END_NANOS) {
+            sleep();
+        }
+        boolean quiet = !agent.isLeading();
         control.shutdownNow();
-        return true;
+        return quiet;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -40,6 +40,8 @@
     private Optional<GroupLeader> leader = Optional.empty();
     private boolean claiming;
     private long ticks;
+    private volatile boolean stopping;
+    private volatile boolean leading;
 
     /**
      * Creates an agent; it does nothing before {@link #start}.
@@ -74,6 +76,20 @@
         control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Gives up the lead as soon as no step can be held because of it, and claims none. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /**
+     * Tells whether this agent leads its group.
+     *
+     * @return true from a claim until the lead is lost or given up
+     */
+    public boolean isLeading() {
+        return leading;
+    }
+
     /**
      * Replaces the known agents; called on the control thread.
      *
@@ -102,17 +118,18 @@
             long nowNanos = System.nanoTime();
             if (leader.isPresent()) {
                 lead(leader.get(), nowNanos);
-            } else if (ticks % IDLE_TICKS == 0) {
+            } else if (!stopping && ticks % IDLE_TICKS == 0) {
                 considerClaim(nowNanos);
             }
+            leading = leader.isPresent();
         } catch (RuntimeException e) {
             LOG.error("{}", LogLine.event("agent_tick_failed").with("cause", e), e);
         }
     }
 
-    private void lead(GroupLeader leading, long nowNanos) {
-        leading.tick(List.copyOf(peers.values()), nowNanos);
-        if (leading.isDeposed()) {
+    private void lead(GroupLeader own, long nowNanos) {
+        own.tick(List.copyOf(peers.values()), nowNanos);
+        if (own.isDeposed() || (stopping && !own.mayHold())) {
             leader = Optional.empty();
         }
     }
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/cli/BoundedAsyncAppenderTest.java
@@ -0,0 +1,79 @@
+package io.pollenpath.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.AppenderBase;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class BoundedAsyncAppenderTest {
+
+    private static final int QUEUE = 8;
+    private static final int LINES = 1_000;
+
+    /** Takes no line before it is let. */
+    private static final class StuckAppender extends AppenderBase<ILoggingEvent> {
+        private final CountDownLatch let = new CountDownLatch(1);
+        private final List<String> lines = new CopyOnWriteArrayList<>();
+
+        @Override
+        protected void append(ILoggingEvent event) {
+            try {
+                let.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            lines.add(event.getFormattedMessage());
+        }
+    }
+
+    @Test
+    void neverBlocksAndCountsWhatItDropped() throws InterruptedException {
+        LoggerContext context = new LoggerContext();
+        context.setMDCAdapter(new LogbackMDCAdapter());
+        StuckAppender stuck = new StuckAppender();
+        stuck.setContext(context);
+        stuck.start();
+        BoundedAsyncAppender appender = new BoundedAsyncAppender();
+        appender.setContext(context);
+        appender.setQueueSize(QUEUE);
+        appender.setDiscardingThreshold(0);
+        appender.setNeverBlock(true);
+        appender.addAppender(stuck);
+        appender.start();
+        ch.qos.logback.classic.Logger logger = context.getLogger("test");
+        logger.addAppender(appender);
+        long startNanos = System.nanoTime();
+        for (int i = 0; i < LINES; i++) {
+            logger.info("line {}", i);
+        }
+        assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(2));
+        System.out.println(
+                "Q "
+                        + appender.getNumberOfElementsInQueue()
+                        + " cap "
+                        + appender.getRemainingCapacity()
+                        + " started "
+                        + appender.isStarted()
+                        + " "
+                        + stuck.isStarted()
+                        + " level "
+                        + logger.getEffectiveLevel()
+                        + " "
+                        + appender.isNeverBlock());
+        stuck.let.countDown();
+        while (appender.getNumberOfElementsInQueue() > 0) {
+            Thread.sleep(1);
+        }
+        logger.info("after");
+        appender.stop();
+        assertThat(stuck.lines).contains("after");
+        assertThat(stuck.lines.get(stuck.lines.size() - 1)).startsWith("event=log_lines_dropped");
+    }
+}
