--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/GroupLead.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/GroupLead.java
@@ -37,6 +37,7 @@
     private Optional<MapCommit> commit = Optional.empty();
     private boolean settled;
     private long epoch = -1;
+    private long lastReleasedStep = -1;
     private long changes;
     private long shiftsPlanned;
 
@@ -80,6 +81,7 @@
             listener.onEpoch(newEpoch, epoch);
         }
         epoch = newEpoch;
+        lastReleasedStep = -1;
         settled = false;
         settlement = Optional.empty();
         commit = Optional.empty();
@@ -176,12 +178,19 @@
             return commit.get().next(nowNanos);
         }
         List<AddressedOrder> orders = open.orders();
+        orders.forEach(this::noteRelease);
         if (open.isRead()) {
             open.readAgain();
         }
         return orders;
     }
 
+    private void noteRelease(AddressedOrder sent) {
+        if (sent.order() instanceof RankOrder.Release release) {
+            lastReleasedStep = Math.max(lastReleasedStep, release.step());
+        }
+    }
+
     private List<AddressedOrder> advance(MapCommit open, long nowNanos) {
         boolean fetching = open.phase() == MapCommit.Phase.PREPARING;
         if (fetching && demand.shifts() > shiftsPlanned) {
@@ -231,7 +240,9 @@
         shiftsPlanned = demand.shifts();
         long version = (token << VERSION_BITS) + changes;
         long deadlineNanos = nowNanos + PREPARE_TIMEOUT_NANOS;
-        MapCommit started = new MapCommit(version, plan.map(), epoch, ownRank, deadlineNanos);
+        MapCommit started =
+                new MapCommit(
+                        version, plan.map(), epoch, ownRank, lastReleasedStep + 1, deadlineNanos);
         statuses.values().forEach(started::onStatus);
         commit = Optional.of(started);
         listener.onStarted(started, plan);
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -59,6 +59,7 @@
     private final Set<Integer> armed = new HashSet<>();
     private final Map<Integer, Long> fetchingSinceNanos = new HashMap<>();
     private Phase phase;
+    private long firstStep;
     private long step = -1;
     private boolean holdSeen;
 
@@ -69,11 +70,19 @@
      * @param map the map, not null
      * @param epoch the epoch of the group that it is for
      * @param holdRank the rank at which the step is held
+     * @param firstStep the first step that may be held: a late order of this leader may still
+     *     release an earlier one
      * @param prepareDeadlineNanos when fetching is given up
      */
     public MapCommit(
-            long version, GroupMap map, long epoch, int holdRank, long prepareDeadlineNanos) {
+            long version,
+            GroupMap map,
+            long epoch,
+            int holdRank,
+            long firstStep,
+            long prepareDeadlineNanos) {
         this(version, Optional.of(map), map.ranks(), epoch, holdRank, prepareDeadlineNanos);
+        this.firstStep = firstStep;
     }
 
     private MapCommit(
@@ -211,7 +220,7 @@
             holdSeen = true;
             phase = Phase.ARMING;
         } else if (step < 0 || newest >= step) {
-            step = newest + LEAD_STEPS;
+            step = Math.max(newest + LEAD_STEPS, firstStep);
         }
     }
 
