--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -29,7 +29,7 @@
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** How old the state may be that an engine tells others than its own agent. */
-    private static final long ENGINE_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+    private static final long ENGINE_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final long token;
     private final String group;
@@ -69,6 +69,9 @@
     }
 
     private void poll(RankPeer peer) {
+        if (lead.isBusy() && peer.asksEngine()) {
+            pollEngine(peer);
+        }
         if (!asking.add(peer)) {
             return;
         }
@@ -80,8 +83,6 @@
                             asking.remove(peer);
                             if (failure == null) {
                                 onReport(peer, report, askedNanos);
-                            } else if (lead.isBusy()) {
-                                pollEngine(peer);
                             }
                         },
                         control);
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -15,14 +15,14 @@
 /** Calls the agent of one rank, or its engine itself while the agent does not answer. */
 final class RankPeer {
 
-    private static final long QUERY_TIMEOUT_MS = 400;
-    private static final long COMMAND_TIMEOUT_MS = 250;
+    private static final long QUERY_TIMEOUT_MS = 250;
+    private static final long COMMAND_TIMEOUT_MS = 200;
     private static final long[] NO_COUNTS = new long[0];
 
     private final HttpClient http;
     private final AgentAddress address;
     private final Optional<EngineControl> direct;
-    private boolean agentSilent;
+    private volatile boolean agentSilent;
 
     /**
      * Creates a peer.
@@ -38,8 +38,9 @@
         this.direct = direct;
     }
 
-    AgentAddress address() {
-        return address;
+    /** Tells whether the agent left the last call unanswered and its engine may be asked. */
+    boolean asksEngine() {
+        return agentSilent && direct.isPresent();
     }
 
     /** Asks the agent; fails if it does not answer. */
@@ -50,8 +51,10 @@
 
     /** Sends an order; never fails. */
     CompletableFuture<RankReport> command(RankOrder order, long epoch, long token) {
-        if (agentSilent && direct.isPresent()) {
-            return direct.get().order(order, epoch, token).thenApply(RankPeer::withoutState);
+        if (asksEngine()) {
+            return direct.orElseThrow()
+                    .order(order, epoch, token)
+                    .thenApply(RankPeer::withoutState);
         }
         byte[] body = GroupMessages.encode(order, epoch, token);
         return call(AgentServer.COMMAND_PATH, body, COMMAND_TIMEOUT_MS)
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -98,9 +99,14 @@
         close();
     }
 
-    /** Ends the connection, so that the server stops its work; the listener hears no more. */
+    /**
+     * Resets the connection, so that the server stops its work; the listener hears no more. An
+     * ordinary close would still deliver bytes that a broken path holds back, and so send on a
+     * request that was given up long before.
+     */
     void cancel() {
         listener = null;
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
         close();
     }
 
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -14,6 +14,7 @@
 import java.util.Queue;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Plays an engine of the platform byte by byte over plain sockets, so that it can also break the
@@ -33,6 +34,7 @@
     private final ServerSocket listener;
     private final Queue<EngineFault> faults;
     private final Queue<Received> received = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger resets = new AtomicInteger();
     private final Queue<Socket> open = new ConcurrentLinkedQueue<>();
 
     /**
@@ -95,6 +97,15 @@
         return received;
     }
 
+    /**
+     * Counts the connections that callers reset while the engine was silent.
+     *
+     * @return the number
+     */
+    public int resets() {
+        return resets.get();
+    }
+
     private void acceptAll() {
         try {
             while (!listener.isClosed()) {
@@ -172,7 +183,10 @@
             case ANSWER_LOST -> {
                 return false;
             }
-            case SILENT -> sleepForever();
+            case SILENT -> {
+                awaitEnd(socket);
+                return false;
+            }
             case FOREIGN_ANSWER_FIRST -> {
                 write(socket, head(200, "foreign", SIGNATURE, 7) + "foreign");
                 whole(socket, request);
@@ -282,11 +296,15 @@
         out.flush();
     }
 
-    private static void sleepForever() {
+    /** Waits for the end of a connection and notes whether it was reset. */
+    private void awaitEnd(Socket socket) {
         try {
-            Thread.sleep(Long.MAX_VALUE);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            int next = socket.getInputStream().read();
+            while (next >= 0) {
+                next = socket.getInputStream().read();
+            }
+        } catch (IOException e) {
+            resets.incrementAndGet();
         }
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -272,6 +272,16 @@
             await(() -> gateway.open() == 1);
         }
         await(() -> gateway.open() == 0);
+        // An ordinary close would deliver bytes that the path holds back, after the caller left.
+        await(() -> first.resets() == 1);
+    }
+
+    @Test
+    void aServerThatIsGivenUpForAnotherIsReset() throws Exception {
+        faults.add(EngineFault.SILENT);
+        addSecondEngine();
+        assertThat(send("plain", Map.of()).status()).isEqualTo(200);
+        await(() -> first.resets() + second.resets() == 1);
     }
 
     private static void await(BooleanSupplier condition) throws InterruptedException {
