--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -38,6 +38,7 @@
     private final Map<Integer, RankPeer> peers = new HashMap<>();
     private final Set<Integer> ordering = new HashSet<>();
     private final Set<RankPeer> asking = new HashSet<>();
+    private final Set<RankPeer> unreached = new HashSet<>();
     private boolean deposed;
     private long nextPollNanos;
 
@@ -94,7 +95,14 @@
                 .whenCompleteAsync(
                         (report, failure) -> {
                             if (failure == null) {
+                                unreached.remove(peer);
                                 onReport(peer, report, askedNanos - ENGINE_LAG_NANOS);
+                            } else if (unreached.add(peer)) {
+                                LOG.info(
+                                        "{}",
+                                        LogLine.event("engine_not_reached")
+                                                .with("engine", peer.engine())
+                                                .with("cause", failure));
                             }
                         },
                         control);
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.pollenpath.state.group.OrderOutcome;
 import io.pollenpath.state.group.RankOrder;
+import io.pollenpath.transport.HttpAddress;
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.HttpReply;
 import java.util.List;
@@ -38,6 +39,11 @@
         this.direct = direct;
     }
 
+    /** Returns where the engine takes orders. */
+    HttpAddress engine() {
+        return address.engine();
+    }
+
     /** Tells whether the agent left the last call unanswered and its engine may be asked. */
     boolean asksEngine() {
         return agentSilent && direct.isPresent();
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ArmMap.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ArmMap.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Use a prepared map from a step on.
  * </pre>
@@ -13,496 +15,521 @@
  * Protobuf type {@code pollenpath.group.ArmMap}
  */
 @com.google.protobuf.Generated
-public final class ArmMap extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.ArmMap)
-    ArmMapOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      ArmMap.class.getName());
-  }
-  // Use ArmMap.newBuilder() to construct.
-  private ArmMap(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private ArmMap() {
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ArmMap_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ArmMap_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.ArmMap.class, io.pollenpath.protocol.wire.ArmMap.Builder.class);
-  }
-
-  public static final int VERSION_FIELD_NUMBER = 1;
-  private long version_ = 0L;
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  @java.lang.Override
-  public long getVersion() {
-    return version_;
-  }
-
-  public static final int STEP_FIELD_NUMBER = 2;
-  private long step_ = 0L;
-  /**
-   * <code>int64 step = 2;</code>
-   * @return The step.
-   */
-  @java.lang.Override
-  public long getStep() {
-    return step_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (version_ != 0L) {
-      output.writeInt64(1, version_);
-    }
-    if (step_ != 0L) {
-      output.writeInt64(2, step_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (version_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, version_);
-    }
-    if (step_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, step_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.ArmMap)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.ArmMap other = (io.pollenpath.protocol.wire.ArmMap) obj;
-
-    if (getVersion()
-        != other.getVersion()) return false;
-    if (getStep()
-        != other.getStep()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + VERSION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getVersion());
-    hash = (37 * hash) + STEP_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getStep());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.ArmMap parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.ArmMap parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ArmMap parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.ArmMap prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Use a prepared map from a step on.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.ArmMap}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.ArmMap)
-      io.pollenpath.protocol.wire.ArmMapOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ArmMap_descriptor;
+public final class ArmMap extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.ArmMap)
+        ArmMapOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                ArmMap.class.getName());
+    }
+
+    // Use ArmMap.newBuilder() to construct.
+    private ArmMap(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private ArmMap() {}
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_ArmMap_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ArmMap_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.ArmMap.class, io.pollenpath.protocol.wire.ArmMap.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_ArmMap_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.ArmMap.class,
+                        io.pollenpath.protocol.wire.ArmMap.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.ArmMap.newBuilder()
-    private Builder() {
+    public static final int VERSION_FIELD_NUMBER = 1;
+    private long version_ = 0L;
 
+    /**
+     * <code>int64 version = 1;</code>
+     *
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+        return version_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    public static final int STEP_FIELD_NUMBER = 2;
+    private long step_ = 0L;
 
+    /**
+     * <code>int64 step = 2;</code>
+     *
+     * @return The step.
+     */
+    @java.lang.Override
+    public long getStep() {
+        return step_;
     }
+
+    private byte memoizedIsInitialized = -1;
+
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      version_ = 0L;
-      step_ = 0L;
-      return this;
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ArmMap_descriptor;
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (version_ != 0L) {
+            output.writeInt64(1, version_);
+        }
+        if (step_ != 0L) {
+            output.writeInt64(2, step_);
+        }
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ArmMap getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (version_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, version_);
+        }
+        if (step_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(2, step_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ArmMap build() {
-      io.pollenpath.protocol.wire.ArmMap result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.ArmMap)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.ArmMap other = (io.pollenpath.protocol.wire.ArmMap) obj;
+
+        if (getVersion() != other.getVersion()) return false;
+        if (getStep() != other.getStep()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ArmMap buildPartial() {
-      io.pollenpath.protocol.wire.ArmMap result = new io.pollenpath.protocol.wire.ArmMap(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + VERSION_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getVersion());
+        hash = (37 * hash) + STEP_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getStep());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.ArmMap result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.version_ = version_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.step_ = step_;
-      }
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.ArmMap) {
-        return mergeFrom((io.pollenpath.protocol.wire.ArmMap)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.ArmMap other) {
-      if (other == io.pollenpath.protocol.wire.ArmMap.getDefaultInstance()) return this;
-      if (other.getVersion() != 0L) {
-        setVersion(other.getVersion());
-      }
-      if (other.getStep() != 0L) {
-        setStep(other.getStep());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseDelimitedFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ArmMap parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
 
     @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              version_ = input.readInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              step_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private long version_ ;
-    /**
-     * <code>int64 version = 1;</code>
-     * @return The version.
-     */
-    @java.lang.Override
-    public long getVersion() {
-      return version_;
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
-    /**
-     * <code>int64 version = 1;</code>
-     * @param value The version to set.
-     * @return This builder for chaining.
-     */
-    public Builder setVersion(long value) {
 
-      version_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <code>int64 version = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearVersion() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      version_ = 0L;
-      onChanged();
-      return this;
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.ArmMap prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
 
-    private long step_ ;
-    /**
-     * <code>int64 step = 2;</code>
-     * @return The step.
-     */
     @java.lang.Override
-    public long getStep() {
-      return step_;
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <code>int64 step = 2;</code>
-     * @param value The step to set.
-     * @return This builder for chaining.
-     */
-    public Builder setStep(long value) {
 
-      step_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <code>int64 step = 2;</code>
-     * @return This builder for chaining.
+     *
+     *
+     * <pre>
+     * Use a prepared map from a step on.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.ArmMap}
      */
-    public Builder clearStep() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      step_ = 0L;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.ArmMap)
+            io.pollenpath.protocol.wire.ArmMapOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ArmMap_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ArmMap_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.ArmMap.class,
+                            io.pollenpath.protocol.wire.ArmMap.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.ArmMap.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            version_ = 0L;
+            step_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ArmMap_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ArmMap getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ArmMap build() {
+            io.pollenpath.protocol.wire.ArmMap result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ArmMap buildPartial() {
+            io.pollenpath.protocol.wire.ArmMap result =
+                    new io.pollenpath.protocol.wire.ArmMap(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.ArmMap result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.version_ = version_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.step_ = step_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.ArmMap) {
+                return mergeFrom((io.pollenpath.protocol.wire.ArmMap) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.ArmMap other) {
+            if (other == io.pollenpath.protocol.wire.ArmMap.getDefaultInstance()) return this;
+            if (other.getVersion() != 0L) {
+                setVersion(other.getVersion());
+            }
+            if (other.getStep() != 0L) {
+                setStep(other.getStep());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                version_ = input.readInt64();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        case 16:
+                            {
+                                step_ = input.readInt64();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 16
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private long version_;
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @return The version.
+         */
+        @java.lang.Override
+        public long getVersion() {
+            return version_;
+        }
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @param value The version to set.
+         * @return This builder for chaining.
+         */
+        public Builder setVersion(long value) {
+
+            version_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearVersion() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            version_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long step_;
+
+        /**
+         * <code>int64 step = 2;</code>
+         *
+         * @return The step.
+         */
+        @java.lang.Override
+        public long getStep() {
+            return step_;
+        }
+
+        /**
+         * <code>int64 step = 2;</code>
+         *
+         * @param value The step to set.
+         * @return This builder for chaining.
+         */
+        public Builder setStep(long value) {
+
+            step_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 step = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearStep() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            step_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.ArmMap)
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.ArmMap)
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.group.ArmMap)
+    private static final io.pollenpath.protocol.wire.ArmMap DEFAULT_INSTANCE;
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.ArmMap)
-  private static final io.pollenpath.protocol.wire.ArmMap DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ArmMap();
-  }
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ArmMap();
+    }
 
-  public static io.pollenpath.protocol.wire.ArmMap getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    public static io.pollenpath.protocol.wire.ArmMap getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ArmMap> PARSER =
+            new com.google.protobuf.AbstractParser<ArmMap>() {
+                @java.lang.Override
+                public ArmMap parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<ArmMap> parser() {
+        return PARSER;
+    }
 
-  private static final com.google.protobuf.Parser<ArmMap>
-      PARSER = new com.google.protobuf.AbstractParser<ArmMap>() {
     @java.lang.Override
-    public ArmMap parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<ArmMap> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<ArmMap> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ArmMap getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<ArmMap> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ArmMap getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ArmMapOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ArmMapOrBuilder.java
@@ -6,19 +6,22 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ArmMapOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.ArmMap)
-    com.google.protobuf.MessageOrBuilder {
+public interface ArmMapOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.ArmMap)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  long getVersion();
+    /**
+     * <code>int64 version = 1;</code>
+     *
+     * @return The version.
+     */
+    long getVersion();
 
-  /**
-   * <code>int64 step = 2;</code>
-   * @return The step.
-   */
-  long getStep();
+    /**
+     * <code>int64 step = 2;</code>
+     *
+     * @return The step.
+     */
+    long getStep();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/CommandOutcome.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/CommandOutcome.java
@@ -5,148 +5,131 @@
 
 package io.pollenpath.protocol.wire;
 
-/**
- * Protobuf enum {@code pollenpath.group.CommandOutcome}
- */
+/** Protobuf enum {@code pollenpath.group.CommandOutcome} */
 @com.google.protobuf.Generated
-public enum CommandOutcome
-    implements com.google.protobuf.ProtocolMessageEnum {
-  /**
-   * <code>COMMAND_OUTCOME_NONE = 0;</code>
-   */
-  COMMAND_OUTCOME_NONE(0),
-  /**
-   * <code>COMMAND_OUTCOME_ACCEPTED = 1;</code>
-   */
-  COMMAND_OUTCOME_ACCEPTED(1),
-  /**
-   * <code>COMMAND_OUTCOME_REJECTED = 2;</code>
-   */
-  COMMAND_OUTCOME_REJECTED(2),
-  /**
-   * <code>COMMAND_OUTCOME_FENCED = 3;</code>
-   */
-  COMMAND_OUTCOME_FENCED(3),
-  /**
-   * <code>COMMAND_OUTCOME_UNKNOWN = 4;</code>
-   */
-  COMMAND_OUTCOME_UNKNOWN(4),
-  UNRECOGNIZED(-1),
-  ;
-
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      CommandOutcome.class.getName());
-  }
-  /**
-   * <code>COMMAND_OUTCOME_NONE = 0;</code>
-   */
-  public static final int COMMAND_OUTCOME_NONE_VALUE = 0;
-  /**
-   * <code>COMMAND_OUTCOME_ACCEPTED = 1;</code>
-   */
-  public static final int COMMAND_OUTCOME_ACCEPTED_VALUE = 1;
-  /**
-   * <code>COMMAND_OUTCOME_REJECTED = 2;</code>
-   */
-  public static final int COMMAND_OUTCOME_REJECTED_VALUE = 2;
-  /**
-   * <code>COMMAND_OUTCOME_FENCED = 3;</code>
-   */
-  public static final int COMMAND_OUTCOME_FENCED_VALUE = 3;
-  /**
-   * <code>COMMAND_OUTCOME_UNKNOWN = 4;</code>
-   */
-  public static final int COMMAND_OUTCOME_UNKNOWN_VALUE = 4;
-
-
-  public final int getNumber() {
-    if (this == UNRECOGNIZED) {
-      throw new java.lang.IllegalArgumentException(
-          "Can't get the number of an unknown enum value.");
+public enum CommandOutcome implements com.google.protobuf.ProtocolMessageEnum {
+    /** <code>COMMAND_OUTCOME_NONE = 0;</code> */
+    COMMAND_OUTCOME_NONE(0),
+    /** <code>COMMAND_OUTCOME_ACCEPTED = 1;</code> */
+    COMMAND_OUTCOME_ACCEPTED(1),
+    /** <code>COMMAND_OUTCOME_REJECTED = 2;</code> */
+    COMMAND_OUTCOME_REJECTED(2),
+    /** <code>COMMAND_OUTCOME_FENCED = 3;</code> */
+    COMMAND_OUTCOME_FENCED(3),
+    /** <code>COMMAND_OUTCOME_UNKNOWN = 4;</code> */
+    COMMAND_OUTCOME_UNKNOWN(4),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                CommandOutcome.class.getName());
+    }
+
+    /** <code>COMMAND_OUTCOME_NONE = 0;</code> */
+    public static final int COMMAND_OUTCOME_NONE_VALUE = 0;
+
+    /** <code>COMMAND_OUTCOME_ACCEPTED = 1;</code> */
+    public static final int COMMAND_OUTCOME_ACCEPTED_VALUE = 1;
+
+    /** <code>COMMAND_OUTCOME_REJECTED = 2;</code> */
+    public static final int COMMAND_OUTCOME_REJECTED_VALUE = 2;
+
+    /** <code>COMMAND_OUTCOME_FENCED = 3;</code> */
+    public static final int COMMAND_OUTCOME_FENCED_VALUE = 3;
+
+    /** <code>COMMAND_OUTCOME_UNKNOWN = 4;</code> */
+    public static final int COMMAND_OUTCOME_UNKNOWN_VALUE = 4;
+
+    public final int getNumber() {
+        if (this == UNRECOGNIZED) {
+            throw new java.lang.IllegalArgumentException(
+                    "Can't get the number of an unknown enum value.");
+        }
+        return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static CommandOutcome valueOf(int value) {
+        return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static CommandOutcome forNumber(int value) {
+        switch (value) {
+            case 0:
+                return COMMAND_OUTCOME_NONE;
+            case 1:
+                return COMMAND_OUTCOME_ACCEPTED;
+            case 2:
+                return COMMAND_OUTCOME_REJECTED;
+            case 3:
+                return COMMAND_OUTCOME_FENCED;
+            case 4:
+                return COMMAND_OUTCOME_UNKNOWN;
+            default:
+                return null;
+        }
     }
-    return value;
-  }
-
-  /**
-   * @param value The numeric wire value of the corresponding enum entry.
-   * @return The enum associated with the given numeric wire value.
-   * @deprecated Use {@link #forNumber(int)} instead.
-   */
-  @java.lang.Deprecated
-  public static CommandOutcome valueOf(int value) {
-    return forNumber(value);
-  }
-
-  /**
-   * @param value The numeric wire value of the corresponding enum entry.
-   * @return The enum associated with the given numeric wire value.
-   */
-  public static CommandOutcome forNumber(int value) {
-    switch (value) {
-      case 0: return COMMAND_OUTCOME_NONE;
-      case 1: return COMMAND_OUTCOME_ACCEPTED;
-      case 2: return COMMAND_OUTCOME_REJECTED;
-      case 3: return COMMAND_OUTCOME_FENCED;
-      case 4: return COMMAND_OUTCOME_UNKNOWN;
-      default: return null;
+
+    public static com.google.protobuf.Internal.EnumLiteMap<CommandOutcome> internalGetValueMap() {
+        return internalValueMap;
     }
-  }
-
-  public static com.google.protobuf.Internal.EnumLiteMap<CommandOutcome>
-      internalGetValueMap() {
-    return internalValueMap;
-  }
-  private static final com.google.protobuf.Internal.EnumLiteMap<
-      CommandOutcome> internalValueMap =
-        new com.google.protobuf.Internal.EnumLiteMap<CommandOutcome>() {
-          public CommandOutcome findValueByNumber(int number) {
-            return CommandOutcome.forNumber(number);
-          }
-        };
-
-  public final com.google.protobuf.Descriptors.EnumValueDescriptor
-      getValueDescriptor() {
-    if (this == UNRECOGNIZED) {
-      throw new java.lang.IllegalStateException(
-          "Can't get the descriptor of an unrecognized enum value.");
+
+    private static final com.google.protobuf.Internal.EnumLiteMap<CommandOutcome> internalValueMap =
+            new com.google.protobuf.Internal.EnumLiteMap<CommandOutcome>() {
+                public CommandOutcome findValueByNumber(int number) {
+                    return CommandOutcome.forNumber(number);
+                }
+            };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor getValueDescriptor() {
+        if (this == UNRECOGNIZED) {
+            throw new java.lang.IllegalStateException(
+                    "Can't get the descriptor of an unrecognized enum value.");
+        }
+        return getDescriptor().getValues().get(ordinal());
     }
-    return getDescriptor().getValues().get(ordinal());
-  }
-  public final com.google.protobuf.Descriptors.EnumDescriptor
-      getDescriptorForType() {
-    return getDescriptor();
-  }
-  public static com.google.protobuf.Descriptors.EnumDescriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.getDescriptor().getEnumTypes().get(0);
-  }
-
-  private static final CommandOutcome[] VALUES = values();
-
-  public static CommandOutcome valueOf(
-      com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
-    if (desc.getType() != getDescriptor()) {
-      throw new java.lang.IllegalArgumentException(
-        "EnumValueDescriptor is not for this type.");
+
+    public final com.google.protobuf.Descriptors.EnumDescriptor getDescriptorForType() {
+        return getDescriptor();
     }
-    if (desc.getIndex() == -1) {
-      return UNRECOGNIZED;
+
+    public static com.google.protobuf.Descriptors.EnumDescriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto.getDescriptor().getEnumTypes().get(0);
     }
-    return VALUES[desc.getIndex()];
-  }
 
-  private final int value;
+    private static final CommandOutcome[] VALUES = values();
 
-  private CommandOutcome(int value) {
-    this.value = value;
-  }
+    public static CommandOutcome valueOf(com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+        if (desc.getType() != getDescriptor()) {
+            throw new java.lang.IllegalArgumentException(
+                    "EnumValueDescriptor is not for this type.");
+        }
+        if (desc.getIndex() == -1) {
+            return UNRECOGNIZED;
+        }
+        return VALUES[desc.getIndex()];
+    }
 
-  // @@protoc_insertion_point(enum_scope:pollenpath.group.CommandOutcome)
-}
+    private final int value;
 
+    private CommandOutcome(int value) {
+        this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:pollenpath.group.CommandOutcome)
+}
--- a/wire/src/main/java/io/pollenpath/protocol/wire/DisarmMap.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/DisarmMap.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Forget an armed map.
  * </pre>
@@ -13,429 +15,449 @@
  * Protobuf type {@code pollenpath.group.DisarmMap}
  */
 @com.google.protobuf.Generated
-public final class DisarmMap extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.DisarmMap)
-    DisarmMapOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      DisarmMap.class.getName());
-  }
-  // Use DisarmMap.newBuilder() to construct.
-  private DisarmMap(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private DisarmMap() {
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_DisarmMap_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_DisarmMap_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.DisarmMap.class, io.pollenpath.protocol.wire.DisarmMap.Builder.class);
-  }
-
-  public static final int VERSION_FIELD_NUMBER = 1;
-  private long version_ = 0L;
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  @java.lang.Override
-  public long getVersion() {
-    return version_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (version_ != 0L) {
-      output.writeInt64(1, version_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (version_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, version_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.DisarmMap)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.DisarmMap other = (io.pollenpath.protocol.wire.DisarmMap) obj;
-
-    if (getVersion()
-        != other.getVersion()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + VERSION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getVersion());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.DisarmMap parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.DisarmMap parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.DisarmMap prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Forget an armed map.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.DisarmMap}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.DisarmMap)
-      io.pollenpath.protocol.wire.DisarmMapOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_DisarmMap_descriptor;
+public final class DisarmMap extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.DisarmMap)
+        DisarmMapOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                DisarmMap.class.getName());
+    }
+
+    // Use DisarmMap.newBuilder() to construct.
+    private DisarmMap(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private DisarmMap() {}
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_DisarmMap_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_DisarmMap_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.DisarmMap.class, io.pollenpath.protocol.wire.DisarmMap.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_DisarmMap_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.DisarmMap.class,
+                        io.pollenpath.protocol.wire.DisarmMap.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.DisarmMap.newBuilder()
-    private Builder() {
+    public static final int VERSION_FIELD_NUMBER = 1;
+    private long version_ = 0L;
 
+    /**
+     * <code>int64 version = 1;</code>
+     *
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+        return version_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    private byte memoizedIsInitialized = -1;
 
-    }
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      version_ = 0L;
-      return this;
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_DisarmMap_descriptor;
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (version_ != 0L) {
+            output.writeInt64(1, version_);
+        }
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.DisarmMap getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (version_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, version_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.DisarmMap build() {
-      io.pollenpath.protocol.wire.DisarmMap result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.DisarmMap)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.DisarmMap other = (io.pollenpath.protocol.wire.DisarmMap) obj;
+
+        if (getVersion() != other.getVersion()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.DisarmMap buildPartial() {
-      io.pollenpath.protocol.wire.DisarmMap result = new io.pollenpath.protocol.wire.DisarmMap(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + VERSION_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getVersion());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.DisarmMap result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.version_ = version_;
-      }
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.DisarmMap) {
-        return mergeFrom((io.pollenpath.protocol.wire.DisarmMap)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    public Builder mergeFrom(io.pollenpath.protocol.wire.DisarmMap other) {
-      if (other == io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance()) return this;
-      if (other.getVersion() != 0L) {
-        setVersion(other.getVersion());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.DisarmMap parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
 
     @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              version_ = input.readInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private long version_ ;
-    /**
-     * <code>int64 version = 1;</code>
-     * @return The version.
-     */
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.DisarmMap prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
     @java.lang.Override
-    public long getVersion() {
-      return version_;
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <code>int64 version = 1;</code>
-     * @param value The version to set.
-     * @return This builder for chaining.
-     */
-    public Builder setVersion(long value) {
 
-      version_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <code>int64 version = 1;</code>
-     * @return This builder for chaining.
+     *
+     *
+     * <pre>
+     * Forget an armed map.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.DisarmMap}
      */
-    public Builder clearVersion() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      version_ = 0L;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.DisarmMap)
+            io.pollenpath.protocol.wire.DisarmMapOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_DisarmMap_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_DisarmMap_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.DisarmMap.class,
+                            io.pollenpath.protocol.wire.DisarmMap.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.DisarmMap.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            version_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_DisarmMap_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.DisarmMap getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.DisarmMap build() {
+            io.pollenpath.protocol.wire.DisarmMap result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.DisarmMap buildPartial() {
+            io.pollenpath.protocol.wire.DisarmMap result =
+                    new io.pollenpath.protocol.wire.DisarmMap(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.DisarmMap result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.version_ = version_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.DisarmMap) {
+                return mergeFrom((io.pollenpath.protocol.wire.DisarmMap) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.DisarmMap other) {
+            if (other == io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance()) return this;
+            if (other.getVersion() != 0L) {
+                setVersion(other.getVersion());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                version_ = input.readInt64();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private long version_;
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @return The version.
+         */
+        @java.lang.Override
+        public long getVersion() {
+            return version_;
+        }
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @param value The version to set.
+         * @return This builder for chaining.
+         */
+        public Builder setVersion(long value) {
+
+            version_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearVersion() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            version_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.DisarmMap)
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.DisarmMap)
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.group.DisarmMap)
+    private static final io.pollenpath.protocol.wire.DisarmMap DEFAULT_INSTANCE;
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.DisarmMap)
-  private static final io.pollenpath.protocol.wire.DisarmMap DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.DisarmMap();
-  }
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.DisarmMap();
+    }
 
-  public static io.pollenpath.protocol.wire.DisarmMap getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    public static io.pollenpath.protocol.wire.DisarmMap getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DisarmMap> PARSER =
+            new com.google.protobuf.AbstractParser<DisarmMap>() {
+                @java.lang.Override
+                public DisarmMap parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<DisarmMap> parser() {
+        return PARSER;
+    }
 
-  private static final com.google.protobuf.Parser<DisarmMap>
-      PARSER = new com.google.protobuf.AbstractParser<DisarmMap>() {
     @java.lang.Override
-    public DisarmMap parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<DisarmMap> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<DisarmMap> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.DisarmMap getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<DisarmMap> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.DisarmMap getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/DisarmMapOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/DisarmMapOrBuilder.java
@@ -6,13 +6,15 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface DisarmMapOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.DisarmMap)
-    com.google.protobuf.MessageOrBuilder {
+public interface DisarmMapOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.DisarmMap)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  long getVersion();
+    /**
+     * <code>int64 version = 1;</code>
+     *
+     * @return The version.
+     */
+    long getVersion();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ExpertList.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ExpertList.java
@@ -5,537 +5,564 @@
 
 package io.pollenpath.protocol.wire;
 
-/**
- * Protobuf type {@code pollenpath.group.ExpertList}
- */
+/** Protobuf type {@code pollenpath.group.ExpertList} */
 @com.google.protobuf.Generated
-public final class ExpertList extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.ExpertList)
-    ExpertListOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      ExpertList.class.getName());
-  }
-  // Use ExpertList.newBuilder() to construct.
-  private ExpertList(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private ExpertList() {
-    experts_ = emptyIntList();
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ExpertList_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ExpertList_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.ExpertList.class, io.pollenpath.protocol.wire.ExpertList.Builder.class);
-  }
-
-  public static final int EXPERTS_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList experts_ =
-      emptyIntList();
-  /**
-   * <code>repeated uint32 experts = 1;</code>
-   * @return A list containing the experts.
-   */
-  @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getExpertsList() {
-    return experts_;
-  }
-  /**
-   * <code>repeated uint32 experts = 1;</code>
-   * @return The count of experts.
-   */
-  public int getExpertsCount() {
-    return experts_.size();
-  }
-  /**
-   * <code>repeated uint32 experts = 1;</code>
-   * @param index The index of the element to return.
-   * @return The experts at the given index.
-   */
-  public int getExperts(int index) {
-    return experts_.getInt(index);
-  }
-  private int expertsMemoizedSerializedSize = -1;
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    getSerializedSize();
-    if (getExpertsList().size() > 0) {
-      output.writeUInt32NoTag(10);
-      output.writeUInt32NoTag(expertsMemoizedSerializedSize);
-    }
-    for (int i = 0; i < experts_.size(); i++) {
-      output.writeUInt32NoTag(experts_.getInt(i));
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    {
-      int dataSize = 0;
-      for (int i = 0; i < experts_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt32SizeNoTag(experts_.getInt(i));
-      }
-      size += dataSize;
-      if (!getExpertsList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      expertsMemoizedSerializedSize = dataSize;
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.ExpertList)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.ExpertList other = (io.pollenpath.protocol.wire.ExpertList) obj;
-
-    if (!getExpertsList()
-        .equals(other.getExpertsList())) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    if (getExpertsCount() > 0) {
-      hash = (37 * hash) + EXPERTS_FIELD_NUMBER;
-      hash = (53 * hash) + getExpertsList().hashCode();
-    }
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.ExpertList parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.ExpertList parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ExpertList parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.ExpertList prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * Protobuf type {@code pollenpath.group.ExpertList}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.ExpertList)
-      io.pollenpath.protocol.wire.ExpertListOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ExpertList_descriptor;
+public final class ExpertList extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.ExpertList)
+        ExpertListOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                ExpertList.class.getName());
+    }
+
+    // Use ExpertList.newBuilder() to construct.
+    private ExpertList(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private ExpertList() {
+        experts_ = emptyIntList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_ExpertList_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ExpertList_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.ExpertList.class, io.pollenpath.protocol.wire.ExpertList.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_ExpertList_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.ExpertList.class,
+                        io.pollenpath.protocol.wire.ExpertList.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.ExpertList.newBuilder()
-    private Builder() {
+    public static final int EXPERTS_FIELD_NUMBER = 1;
+
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList experts_ = emptyIntList();
 
+    /**
+     * <code>repeated uint32 experts = 1;</code>
+     *
+     * @return A list containing the experts.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer> getExpertsList() {
+        return experts_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    /**
+     * <code>repeated uint32 experts = 1;</code>
+     *
+     * @return The count of experts.
+     */
+    public int getExpertsCount() {
+        return experts_.size();
+    }
 
+    /**
+     * <code>repeated uint32 experts = 1;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The experts at the given index.
+     */
+    public int getExperts(int index) {
+        return experts_.getInt(index);
     }
+
+    private int expertsMemoizedSerializedSize = -1;
+
+    private byte memoizedIsInitialized = -1;
+
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      experts_ = emptyIntList();
-      return this;
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ExpertList_descriptor;
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        getSerializedSize();
+        if (getExpertsList().size() > 0) {
+            output.writeUInt32NoTag(10);
+            output.writeUInt32NoTag(expertsMemoizedSerializedSize);
+        }
+        for (int i = 0; i < experts_.size(); i++) {
+            output.writeUInt32NoTag(experts_.getInt(i));
+        }
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ExpertList getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.ExpertList.getDefaultInstance();
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        {
+            int dataSize = 0;
+            for (int i = 0; i < experts_.size(); i++) {
+                dataSize +=
+                        com.google.protobuf.CodedOutputStream.computeUInt32SizeNoTag(
+                                experts_.getInt(i));
+            }
+            size += dataSize;
+            if (!getExpertsList().isEmpty()) {
+                size += 1;
+                size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
+            }
+            expertsMemoizedSerializedSize = dataSize;
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ExpertList build() {
-      io.pollenpath.protocol.wire.ExpertList result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.ExpertList)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.ExpertList other = (io.pollenpath.protocol.wire.ExpertList) obj;
+
+        if (!getExpertsList().equals(other.getExpertsList())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ExpertList buildPartial() {
-      io.pollenpath.protocol.wire.ExpertList result = new io.pollenpath.protocol.wire.ExpertList(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        if (getExpertsCount() > 0) {
+            hash = (37 * hash) + EXPERTS_FIELD_NUMBER;
+            hash = (53 * hash) + getExpertsList().hashCode();
+        }
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.ExpertList result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        experts_.makeImmutable();
-        result.experts_ = experts_;
-      }
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.ExpertList) {
-        return mergeFrom((io.pollenpath.protocol.wire.ExpertList)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.ExpertList other) {
-      if (other == io.pollenpath.protocol.wire.ExpertList.getDefaultInstance()) return this;
-      if (!other.experts_.isEmpty()) {
-        if (experts_.isEmpty()) {
-          experts_ = other.experts_;
-          experts_.makeImmutable();
-          bitField0_ |= 0x00000001;
-        } else {
-          ensureExpertsIsMutable();
-          experts_.addAll(other.experts_);
-        }
-        onChanged();
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              int v = input.readUInt32();
-              ensureExpertsIsMutable();
-              experts_.addInt(v);
-              break;
-            } // case 8
-            case 10: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureExpertsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                experts_.addInt(input.readUInt32());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 10
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
 
-    private com.google.protobuf.Internal.IntList experts_ = emptyIntList();
-    private void ensureExpertsIsMutable() {
-      if (!experts_.isModifiable()) {
-        experts_ = makeMutableCopy(experts_);
-      }
-      bitField0_ |= 0x00000001;
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>repeated uint32 experts = 1;</code>
-     * @return A list containing the experts.
-     */
-    public java.util.List<java.lang.Integer>
-        getExpertsList() {
-      experts_.makeImmutable();
-      return experts_;
+
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated uint32 experts = 1;</code>
-     * @return The count of experts.
-     */
-    public int getExpertsCount() {
-      return experts_.size();
+
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated uint32 experts = 1;</code>
-     * @param index The index of the element to return.
-     * @return The experts at the given index.
-     */
-    public int getExperts(int index) {
-      return experts_.getInt(index);
+
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated uint32 experts = 1;</code>
-     * @param index The index to set the value at.
-     * @param value The experts to set.
-     * @return This builder for chaining.
-     */
-    public Builder setExperts(
-        int index, int value) {
 
-      ensureExpertsIsMutable();
-      experts_.setInt(index, value);
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.ExpertList parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated uint32 experts = 1;</code>
-     * @param value The experts to add.
-     * @return This builder for chaining.
-     */
-    public Builder addExperts(int value) {
 
-      ensureExpertsIsMutable();
-      experts_.addInt(value);
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.ExpertList parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated uint32 experts = 1;</code>
-     * @param values The experts to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllExperts(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
-      ensureExpertsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, experts_);
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated uint32 experts = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearExperts() {
-      experts_ = emptyIntList();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
+
+    public static io.pollenpath.protocol.wire.ExpertList parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.ExpertList)
-  }
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.ExpertList)
-  private static final io.pollenpath.protocol.wire.ExpertList DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ExpertList();
-  }
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
 
-  public static io.pollenpath.protocol.wire.ExpertList getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    public static Builder newBuilder(io.pollenpath.protocol.wire.ExpertList prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
 
-  private static final com.google.protobuf.Parser<ExpertList>
-      PARSER = new com.google.protobuf.AbstractParser<ExpertList>() {
     @java.lang.Override
-    public ExpertList parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<ExpertList> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<ExpertList> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ExpertList getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
 
-}
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
+
+    /** Protobuf type {@code pollenpath.group.ExpertList} */
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.ExpertList)
+            io.pollenpath.protocol.wire.ExpertListOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ExpertList_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ExpertList_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.ExpertList.class,
+                            io.pollenpath.protocol.wire.ExpertList.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.ExpertList.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            experts_ = emptyIntList();
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ExpertList_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ExpertList getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.ExpertList.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ExpertList build() {
+            io.pollenpath.protocol.wire.ExpertList result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ExpertList buildPartial() {
+            io.pollenpath.protocol.wire.ExpertList result =
+                    new io.pollenpath.protocol.wire.ExpertList(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.ExpertList result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                experts_.makeImmutable();
+                result.experts_ = experts_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.ExpertList) {
+                return mergeFrom((io.pollenpath.protocol.wire.ExpertList) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.ExpertList other) {
+            if (other == io.pollenpath.protocol.wire.ExpertList.getDefaultInstance()) return this;
+            if (!other.experts_.isEmpty()) {
+                if (experts_.isEmpty()) {
+                    experts_ = other.experts_;
+                    experts_.makeImmutable();
+                    bitField0_ |= 0x00000001;
+                } else {
+                    ensureExpertsIsMutable();
+                    experts_.addAll(other.experts_);
+                }
+                onChanged();
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
 
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                int v = input.readUInt32();
+                                ensureExpertsIsMutable();
+                                experts_.addInt(v);
+                                break;
+                            } // case 8
+                        case 10:
+                            {
+                                int length = input.readRawVarint32();
+                                int limit = input.pushLimit(length);
+                                ensureExpertsIsMutable();
+                                while (input.getBytesUntilLimit() > 0) {
+                                    experts_.addInt(input.readUInt32());
+                                }
+                                input.popLimit(limit);
+                                break;
+                            } // case 10
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private com.google.protobuf.Internal.IntList experts_ = emptyIntList();
+
+        private void ensureExpertsIsMutable() {
+            if (!experts_.isModifiable()) {
+                experts_ = makeMutableCopy(experts_);
+            }
+            bitField0_ |= 0x00000001;
+        }
+
+        /**
+         * <code>repeated uint32 experts = 1;</code>
+         *
+         * @return A list containing the experts.
+         */
+        public java.util.List<java.lang.Integer> getExpertsList() {
+            experts_.makeImmutable();
+            return experts_;
+        }
+
+        /**
+         * <code>repeated uint32 experts = 1;</code>
+         *
+         * @return The count of experts.
+         */
+        public int getExpertsCount() {
+            return experts_.size();
+        }
+
+        /**
+         * <code>repeated uint32 experts = 1;</code>
+         *
+         * @param index The index of the element to return.
+         * @return The experts at the given index.
+         */
+        public int getExperts(int index) {
+            return experts_.getInt(index);
+        }
+
+        /**
+         * <code>repeated uint32 experts = 1;</code>
+         *
+         * @param index The index to set the value at.
+         * @param value The experts to set.
+         * @return This builder for chaining.
+         */
+        public Builder setExperts(int index, int value) {
+
+            ensureExpertsIsMutable();
+            experts_.setInt(index, value);
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>repeated uint32 experts = 1;</code>
+         *
+         * @param value The experts to add.
+         * @return This builder for chaining.
+         */
+        public Builder addExperts(int value) {
+
+            ensureExpertsIsMutable();
+            experts_.addInt(value);
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>repeated uint32 experts = 1;</code>
+         *
+         * @param values The experts to add.
+         * @return This builder for chaining.
+         */
+        public Builder addAllExperts(java.lang.Iterable<? extends java.lang.Integer> values) {
+            ensureExpertsIsMutable();
+            com.google.protobuf.AbstractMessageLite.Builder.addAll(values, experts_);
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>repeated uint32 experts = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearExperts() {
+            experts_ = emptyIntList();
+            bitField0_ = (bitField0_ & ~0x00000001);
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.ExpertList)
+    }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.group.ExpertList)
+    private static final io.pollenpath.protocol.wire.ExpertList DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ExpertList();
+    }
+
+    public static io.pollenpath.protocol.wire.ExpertList getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ExpertList> PARSER =
+            new com.google.protobuf.AbstractParser<ExpertList>() {
+                @java.lang.Override
+                public ExpertList parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<ExpertList> parser() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ExpertList> getParserForType() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ExpertList getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
+}
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ExpertListOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ExpertListOrBuilder.java
@@ -6,24 +6,30 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ExpertListOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.ExpertList)
-    com.google.protobuf.MessageOrBuilder {
+public interface ExpertListOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.ExpertList)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>repeated uint32 experts = 1;</code>
-   * @return A list containing the experts.
-   */
-  java.util.List<java.lang.Integer> getExpertsList();
-  /**
-   * <code>repeated uint32 experts = 1;</code>
-   * @return The count of experts.
-   */
-  int getExpertsCount();
-  /**
-   * <code>repeated uint32 experts = 1;</code>
-   * @param index The index of the element to return.
-   * @return The experts at the given index.
-   */
-  int getExperts(int index);
+    /**
+     * <code>repeated uint32 experts = 1;</code>
+     *
+     * @return A list containing the experts.
+     */
+    java.util.List<java.lang.Integer> getExpertsList();
+
+    /**
+     * <code>repeated uint32 experts = 1;</code>
+     *
+     * @return The count of experts.
+     */
+    int getExpertsCount();
+
+    /**
+     * <code>repeated uint32 experts = 1;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The experts at the given index.
+     */
+    int getExperts(int index);
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/HoldStep.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/HoldStep.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Do not begin a step before it is released.
  * </pre>
@@ -13,429 +15,449 @@
  * Protobuf type {@code pollenpath.group.HoldStep}
  */
 @com.google.protobuf.Generated
-public final class HoldStep extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.HoldStep)
-    HoldStepOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      HoldStep.class.getName());
-  }
-  // Use HoldStep.newBuilder() to construct.
-  private HoldStep(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private HoldStep() {
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_HoldStep_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_HoldStep_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.HoldStep.class, io.pollenpath.protocol.wire.HoldStep.Builder.class);
-  }
-
-  public static final int STEP_FIELD_NUMBER = 1;
-  private long step_ = 0L;
-  /**
-   * <code>int64 step = 1;</code>
-   * @return The step.
-   */
-  @java.lang.Override
-  public long getStep() {
-    return step_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (step_ != 0L) {
-      output.writeInt64(1, step_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (step_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, step_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.HoldStep)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.HoldStep other = (io.pollenpath.protocol.wire.HoldStep) obj;
-
-    if (getStep()
-        != other.getStep()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + STEP_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getStep());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.HoldStep parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.HoldStep parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.HoldStep parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.HoldStep prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Do not begin a step before it is released.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.HoldStep}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.HoldStep)
-      io.pollenpath.protocol.wire.HoldStepOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_HoldStep_descriptor;
+public final class HoldStep extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.HoldStep)
+        HoldStepOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                HoldStep.class.getName());
+    }
+
+    // Use HoldStep.newBuilder() to construct.
+    private HoldStep(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private HoldStep() {}
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_HoldStep_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_HoldStep_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.HoldStep.class, io.pollenpath.protocol.wire.HoldStep.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_HoldStep_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.HoldStep.class,
+                        io.pollenpath.protocol.wire.HoldStep.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.HoldStep.newBuilder()
-    private Builder() {
+    public static final int STEP_FIELD_NUMBER = 1;
+    private long step_ = 0L;
 
+    /**
+     * <code>int64 step = 1;</code>
+     *
+     * @return The step.
+     */
+    @java.lang.Override
+    public long getStep() {
+        return step_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    private byte memoizedIsInitialized = -1;
 
-    }
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      step_ = 0L;
-      return this;
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_HoldStep_descriptor;
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (step_ != 0L) {
+            output.writeInt64(1, step_);
+        }
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.HoldStep getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (step_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, step_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.HoldStep build() {
-      io.pollenpath.protocol.wire.HoldStep result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.HoldStep)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.HoldStep other = (io.pollenpath.protocol.wire.HoldStep) obj;
+
+        if (getStep() != other.getStep()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.HoldStep buildPartial() {
-      io.pollenpath.protocol.wire.HoldStep result = new io.pollenpath.protocol.wire.HoldStep(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + STEP_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getStep());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.HoldStep result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.step_ = step_;
-      }
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.HoldStep) {
-        return mergeFrom((io.pollenpath.protocol.wire.HoldStep)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    public Builder mergeFrom(io.pollenpath.protocol.wire.HoldStep other) {
-      if (other == io.pollenpath.protocol.wire.HoldStep.getDefaultInstance()) return this;
-      if (other.getStep() != 0L) {
-        setStep(other.getStep());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseDelimitedFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.HoldStep parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
 
     @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              step_ = input.readInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private long step_ ;
-    /**
-     * <code>int64 step = 1;</code>
-     * @return The step.
-     */
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.HoldStep prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
     @java.lang.Override
-    public long getStep() {
-      return step_;
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <code>int64 step = 1;</code>
-     * @param value The step to set.
-     * @return This builder for chaining.
-     */
-    public Builder setStep(long value) {
 
-      step_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <code>int64 step = 1;</code>
-     * @return This builder for chaining.
+     *
+     *
+     * <pre>
+     * Do not begin a step before it is released.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.HoldStep}
      */
-    public Builder clearStep() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      step_ = 0L;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.HoldStep)
+            io.pollenpath.protocol.wire.HoldStepOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_HoldStep_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_HoldStep_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.HoldStep.class,
+                            io.pollenpath.protocol.wire.HoldStep.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.HoldStep.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            step_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_HoldStep_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.HoldStep getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.HoldStep build() {
+            io.pollenpath.protocol.wire.HoldStep result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.HoldStep buildPartial() {
+            io.pollenpath.protocol.wire.HoldStep result =
+                    new io.pollenpath.protocol.wire.HoldStep(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.HoldStep result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.step_ = step_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.HoldStep) {
+                return mergeFrom((io.pollenpath.protocol.wire.HoldStep) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.HoldStep other) {
+            if (other == io.pollenpath.protocol.wire.HoldStep.getDefaultInstance()) return this;
+            if (other.getStep() != 0L) {
+                setStep(other.getStep());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                step_ = input.readInt64();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private long step_;
+
+        /**
+         * <code>int64 step = 1;</code>
+         *
+         * @return The step.
+         */
+        @java.lang.Override
+        public long getStep() {
+            return step_;
+        }
+
+        /**
+         * <code>int64 step = 1;</code>
+         *
+         * @param value The step to set.
+         * @return This builder for chaining.
+         */
+        public Builder setStep(long value) {
+
+            step_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 step = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearStep() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            step_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.HoldStep)
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.HoldStep)
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.group.HoldStep)
+    private static final io.pollenpath.protocol.wire.HoldStep DEFAULT_INSTANCE;
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.HoldStep)
-  private static final io.pollenpath.protocol.wire.HoldStep DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.HoldStep();
-  }
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.HoldStep();
+    }
 
-  public static io.pollenpath.protocol.wire.HoldStep getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    public static io.pollenpath.protocol.wire.HoldStep getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<HoldStep> PARSER =
+            new com.google.protobuf.AbstractParser<HoldStep>() {
+                @java.lang.Override
+                public HoldStep parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<HoldStep> parser() {
+        return PARSER;
+    }
 
-  private static final com.google.protobuf.Parser<HoldStep>
-      PARSER = new com.google.protobuf.AbstractParser<HoldStep>() {
     @java.lang.Override
-    public HoldStep parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<HoldStep> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<HoldStep> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.HoldStep getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<HoldStep> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.HoldStep getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/HoldStepOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/HoldStepOrBuilder.java
@@ -6,13 +6,15 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface HoldStepOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.HoldStep)
-    com.google.protobuf.MessageOrBuilder {
+public interface HoldStepOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.HoldStep)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>int64 step = 1;</code>
-   * @return The step.
-   */
-  long getStep();
+    /**
+     * <code>int64 step = 1;</code>
+     *
+     * @return The step.
+     */
+    long getStep();
 }
