--- a/wire/src/main/java/io/pollenpath/protocol/wire/LayerExperts.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/LayerExperts.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * The experts of each rank in one set of layers.
  * </pre>
@@ -13,716 +15,712 @@
  * Protobuf type {@code pollenpath.group.LayerExperts}
  */
 @com.google.protobuf.Generated
-public final class LayerExperts extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.LayerExperts)
-    LayerExpertsOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      LayerExperts.class.getName());
-  }
-  // Use LayerExperts.newBuilder() to construct.
-  private LayerExperts(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private LayerExperts() {
-    ranks_ = java.util.Collections.emptyList();
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_LayerExperts_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_LayerExperts_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.LayerExperts.class, io.pollenpath.protocol.wire.LayerExperts.Builder.class);
-  }
-
-  public static final int RANKS_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.ExpertList> ranks_;
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList() {
-    return ranks_;
-  }
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-      getRanksOrBuilderList() {
-    return ranks_;
-  }
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  @java.lang.Override
-  public int getRanksCount() {
-    return ranks_.size();
-  }
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ExpertList getRanks(int index) {
-    return ranks_.get(index);
-  }
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(
-      int index) {
-    return ranks_.get(index);
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    for (int i = 0; i < ranks_.size(); i++) {
-      output.writeMessage(1, ranks_.get(i));
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    for (int i = 0; i < ranks_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(1, ranks_.get(i));
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.LayerExperts)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.LayerExperts other = (io.pollenpath.protocol.wire.LayerExperts) obj;
-
-    if (!getRanksList()
-        .equals(other.getRanksList())) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    if (getRanksCount() > 0) {
-      hash = (37 * hash) + RANKS_FIELD_NUMBER;
-      hash = (53 * hash) + getRanksList().hashCode();
-    }
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.LayerExperts parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.LayerExperts parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.LayerExperts prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * The experts of each rank in one set of layers.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.LayerExperts}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.LayerExperts)
-      io.pollenpath.protocol.wire.LayerExpertsOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_LayerExperts_descriptor;
+public final class LayerExperts extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.LayerExperts)
+        LayerExpertsOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                LayerExperts.class.getName());
     }
 
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_LayerExperts_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.LayerExperts.class, io.pollenpath.protocol.wire.LayerExperts.Builder.class);
+    // Use LayerExperts.newBuilder() to construct.
+    private LayerExperts(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private LayerExperts() {
+        ranks_ = java.util.Collections.emptyList();
     }
 
-    // Construct using io.pollenpath.protocol.wire.LayerExperts.newBuilder()
-    private Builder() {
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_LayerExperts_descriptor;
+    }
 
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_LayerExperts_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.LayerExperts.class,
+                        io.pollenpath.protocol.wire.LayerExperts.Builder.class);
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    public static final int RANKS_FIELD_NUMBER = 1;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.ExpertList> ranks_;
 
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    @java.lang.Override
+    public java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList() {
+        return ranks_;
     }
+
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      if (ranksBuilder_ == null) {
-        ranks_ = java.util.Collections.emptyList();
-      } else {
-        ranks_ = null;
-        ranksBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000001);
-      return this;
+    public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
+            getRanksOrBuilderList() {
+        return ranks_;
     }
 
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_LayerExperts_descriptor;
+    public int getRanksCount() {
+        return ranks_.size();
     }
 
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.LayerExperts getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance();
+    public io.pollenpath.protocol.wire.ExpertList getRanks(int index) {
+        return ranks_.get(index);
     }
 
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.LayerExperts build() {
-      io.pollenpath.protocol.wire.LayerExperts result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(int index) {
+        return ranks_.get(index);
     }
 
+    private byte memoizedIsInitialized = -1;
+
     @java.lang.Override
-    public io.pollenpath.protocol.wire.LayerExperts buildPartial() {
-      io.pollenpath.protocol.wire.LayerExperts result = new io.pollenpath.protocol.wire.LayerExperts(this);
-      buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
-    private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.LayerExperts result) {
-      if (ranksBuilder_ == null) {
-        if (((bitField0_ & 0x00000001) != 0)) {
-          ranks_ = java.util.Collections.unmodifiableList(ranks_);
-          bitField0_ = (bitField0_ & ~0x00000001);
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        for (int i = 0; i < ranks_.size(); i++) {
+            output.writeMessage(1, ranks_.get(i));
         }
-        result.ranks_ = ranks_;
-      } else {
-        result.ranks_ = ranksBuilder_.build();
-      }
+        getUnknownFields().writeTo(output);
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.LayerExperts result) {
-      int from_bitField0_ = bitField0_;
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        for (int i = 0; i < ranks_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, ranks_.get(i));
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.LayerExperts) {
-        return mergeFrom((io.pollenpath.protocol.wire.LayerExperts)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.LayerExperts other) {
-      if (other == io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance()) return this;
-      if (ranksBuilder_ == null) {
-        if (!other.ranks_.isEmpty()) {
-          if (ranks_.isEmpty()) {
-            ranks_ = other.ranks_;
-            bitField0_ = (bitField0_ & ~0x00000001);
-          } else {
-            ensureRanksIsMutable();
-            ranks_.addAll(other.ranks_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.ranks_.isEmpty()) {
-          if (ranksBuilder_.isEmpty()) {
-            ranksBuilder_.dispose();
-            ranksBuilder_ = null;
-            ranks_ = other.ranks_;
-            bitField0_ = (bitField0_ & ~0x00000001);
-            ranksBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetRanksFieldBuilder() : null;
-          } else {
-            ranksBuilder_.addAllMessages(other.ranks_);
-          }
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.LayerExperts)) {
+            return super.equals(obj);
         }
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+        io.pollenpath.protocol.wire.LayerExperts other =
+                (io.pollenpath.protocol.wire.LayerExperts) obj;
+
+        if (!getRanksList().equals(other.getRanksList())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        if (getRanksCount() > 0) {
+            hash = (37 * hash) + RANKS_FIELD_NUMBER;
+            hash = (53 * hash) + getRanksList().hashCode();
+        }
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              io.pollenpath.protocol.wire.ExpertList m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.ExpertList.parser(),
-                      extensionRegistry);
-              if (ranksBuilder_ == null) {
-                ensureRanksIsMutable();
-                ranks_.add(m);
-              } else {
-                ranksBuilder_.addMessage(m);
-              }
-              break;
-            } // case 10
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private java.util.List<io.pollenpath.protocol.wire.ExpertList> ranks_ =
-      java.util.Collections.emptyList();
-    private void ensureRanksIsMutable() {
-      if (!((bitField0_ & 0x00000001) != 0)) {
-        ranks_ = new java.util.ArrayList<io.pollenpath.protocol.wire.ExpertList>(ranks_);
-        bitField0_ |= 0x00000001;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ExpertList, io.pollenpath.protocol.wire.ExpertList.Builder, io.pollenpath.protocol.wire.ExpertListOrBuilder> ranksBuilder_;
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
 
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList() {
-      if (ranksBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(ranks_);
-      } else {
-        return ranksBuilder_.getMessageList();
-      }
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public int getRanksCount() {
-      if (ranksBuilder_ == null) {
-        return ranks_.size();
-      } else {
-        return ranksBuilder_.getCount();
-      }
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertList getRanks(int index) {
-      if (ranksBuilder_ == null) {
-        return ranks_.get(index);
-      } else {
-        return ranksBuilder_.getMessage(index);
-      }
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder setRanks(
-        int index, io.pollenpath.protocol.wire.ExpertList value) {
-      if (ranksBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureRanksIsMutable();
-        ranks_.set(index, value);
-        onChanged();
-      } else {
-        ranksBuilder_.setMessage(index, value);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder setRanks(
-        int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-      if (ranksBuilder_ == null) {
-        ensureRanksIsMutable();
-        ranks_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        ranksBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder addRanks(io.pollenpath.protocol.wire.ExpertList value) {
-      if (ranksBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureRanksIsMutable();
-        ranks_.add(value);
-        onChanged();
-      } else {
-        ranksBuilder_.addMessage(value);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder addRanks(
-        int index, io.pollenpath.protocol.wire.ExpertList value) {
-      if (ranksBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureRanksIsMutable();
-        ranks_.add(index, value);
-        onChanged();
-      } else {
-        ranksBuilder_.addMessage(index, value);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder addRanks(
-        io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-      if (ranksBuilder_ == null) {
-        ensureRanksIsMutable();
-        ranks_.add(builderForValue.build());
-        onChanged();
-      } else {
-        ranksBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder addRanks(
-        int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-      if (ranksBuilder_ == null) {
-        ensureRanksIsMutable();
-        ranks_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        ranksBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder addAllRanks(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.ExpertList> values) {
-      if (ranksBuilder_ == null) {
-        ensureRanksIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, ranks_);
-        onChanged();
-      } else {
-        ranksBuilder_.addAllMessages(values);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder clearRanks() {
-      if (ranksBuilder_ == null) {
-        ranks_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-      } else {
-        ranksBuilder_.clear();
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.LayerExperts parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public Builder removeRanks(int index) {
-      if (ranksBuilder_ == null) {
-        ensureRanksIsMutable();
-        ranks_.remove(index);
-        onChanged();
-      } else {
-        ranksBuilder_.remove(index);
-      }
-      return this;
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertList.Builder getRanksBuilder(
-        int index) {
-      return internalGetRanksFieldBuilder().getBuilder(index);
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(
-        int index) {
-      if (ranksBuilder_ == null) {
-        return ranks_.get(index);  } else {
-        return ranksBuilder_.getMessageOrBuilder(index);
-      }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.LayerExperts prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-         getRanksOrBuilderList() {
-      if (ranksBuilder_ != null) {
-        return ranksBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(ranks_);
-      }
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertList.Builder addRanksBuilder() {
-      return internalGetRanksFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
+     *
+     *
+     * <pre>
+     * The experts of each rank in one set of layers.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.LayerExperts}
      */
-    public io.pollenpath.protocol.wire.ExpertList.Builder addRanksBuilder(
-        int index) {
-      return internalGetRanksFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.LayerExperts)
+            io.pollenpath.protocol.wire.LayerExpertsOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_LayerExperts_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_LayerExperts_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.LayerExperts.class,
+                            io.pollenpath.protocol.wire.LayerExperts.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.LayerExperts.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            if (ranksBuilder_ == null) {
+                ranks_ = java.util.Collections.emptyList();
+            } else {
+                ranks_ = null;
+                ranksBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000001);
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_LayerExperts_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.LayerExperts getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.LayerExperts build() {
+            io.pollenpath.protocol.wire.LayerExperts result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.LayerExperts buildPartial() {
+            io.pollenpath.protocol.wire.LayerExperts result =
+                    new io.pollenpath.protocol.wire.LayerExperts(this);
+            buildPartialRepeatedFields(result);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.LayerExperts result) {
+            if (ranksBuilder_ == null) {
+                if (((bitField0_ & 0x00000001) != 0)) {
+                    ranks_ = java.util.Collections.unmodifiableList(ranks_);
+                    bitField0_ = (bitField0_ & ~0x00000001);
+                }
+                result.ranks_ = ranks_;
+            } else {
+                result.ranks_ = ranksBuilder_.build();
+            }
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.LayerExperts result) {
+            int from_bitField0_ = bitField0_;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.LayerExperts) {
+                return mergeFrom((io.pollenpath.protocol.wire.LayerExperts) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.LayerExperts other) {
+            if (other == io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance()) return this;
+            if (ranksBuilder_ == null) {
+                if (!other.ranks_.isEmpty()) {
+                    if (ranks_.isEmpty()) {
+                        ranks_ = other.ranks_;
+                        bitField0_ = (bitField0_ & ~0x00000001);
+                    } else {
+                        ensureRanksIsMutable();
+                        ranks_.addAll(other.ranks_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.ranks_.isEmpty()) {
+                    if (ranksBuilder_.isEmpty()) {
+                        ranksBuilder_.dispose();
+                        ranksBuilder_ = null;
+                        ranks_ = other.ranks_;
+                        bitField0_ = (bitField0_ & ~0x00000001);
+                        ranksBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetRanksFieldBuilder()
+                                        : null;
+                    } else {
+                        ranksBuilder_.addAllMessages(other.ranks_);
+                    }
+                }
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                io.pollenpath.protocol.wire.ExpertList m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.ExpertList.parser(),
+                                                extensionRegistry);
+                                if (ranksBuilder_ == null) {
+                                    ensureRanksIsMutable();
+                                    ranks_.add(m);
+                                } else {
+                                    ranksBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 10
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private java.util.List<io.pollenpath.protocol.wire.ExpertList> ranks_ =
+                java.util.Collections.emptyList();
+
+        private void ensureRanksIsMutable() {
+            if (!((bitField0_ & 0x00000001) != 0)) {
+                ranks_ = new java.util.ArrayList<io.pollenpath.protocol.wire.ExpertList>(ranks_);
+                bitField0_ |= 0x00000001;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ExpertList,
+                        io.pollenpath.protocol.wire.ExpertList.Builder,
+                        io.pollenpath.protocol.wire.ExpertListOrBuilder>
+                ranksBuilder_;
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList() {
+            if (ranksBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(ranks_);
+            } else {
+                return ranksBuilder_.getMessageList();
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public int getRanksCount() {
+            if (ranksBuilder_ == null) {
+                return ranks_.size();
+            } else {
+                return ranksBuilder_.getCount();
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public io.pollenpath.protocol.wire.ExpertList getRanks(int index) {
+            if (ranksBuilder_ == null) {
+                return ranks_.get(index);
+            } else {
+                return ranksBuilder_.getMessage(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder setRanks(int index, io.pollenpath.protocol.wire.ExpertList value) {
+            if (ranksBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureRanksIsMutable();
+                ranks_.set(index, value);
+                onChanged();
+            } else {
+                ranksBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder setRanks(
+                int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
+            if (ranksBuilder_ == null) {
+                ensureRanksIsMutable();
+                ranks_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                ranksBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder addRanks(io.pollenpath.protocol.wire.ExpertList value) {
+            if (ranksBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureRanksIsMutable();
+                ranks_.add(value);
+                onChanged();
+            } else {
+                ranksBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder addRanks(int index, io.pollenpath.protocol.wire.ExpertList value) {
+            if (ranksBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureRanksIsMutable();
+                ranks_.add(index, value);
+                onChanged();
+            } else {
+                ranksBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder addRanks(io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
+            if (ranksBuilder_ == null) {
+                ensureRanksIsMutable();
+                ranks_.add(builderForValue.build());
+                onChanged();
+            } else {
+                ranksBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder addRanks(
+                int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
+            if (ranksBuilder_ == null) {
+                ensureRanksIsMutable();
+                ranks_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                ranksBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder addAllRanks(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.ExpertList> values) {
+            if (ranksBuilder_ == null) {
+                ensureRanksIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, ranks_);
+                onChanged();
+            } else {
+                ranksBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder clearRanks() {
+            if (ranksBuilder_ == null) {
+                ranks_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000001);
+                onChanged();
+            } else {
+                ranksBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public Builder removeRanks(int index) {
+            if (ranksBuilder_ == null) {
+                ensureRanksIsMutable();
+                ranks_.remove(index);
+                onChanged();
+            } else {
+                ranksBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public io.pollenpath.protocol.wire.ExpertList.Builder getRanksBuilder(int index) {
+            return internalGetRanksFieldBuilder().getBuilder(index);
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(int index) {
+            if (ranksBuilder_ == null) {
+                return ranks_.get(index);
+            } else {
+                return ranksBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
+                getRanksOrBuilderList() {
+            if (ranksBuilder_ != null) {
+                return ranksBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(ranks_);
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public io.pollenpath.protocol.wire.ExpertList.Builder addRanksBuilder() {
+            return internalGetRanksFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public io.pollenpath.protocol.wire.ExpertList.Builder addRanksBuilder(int index) {
+            return internalGetRanksFieldBuilder()
+                    .addBuilder(index, io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.ExpertList.Builder>
+                getRanksBuilderList() {
+            return internalGetRanksFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ExpertList,
+                        io.pollenpath.protocol.wire.ExpertList.Builder,
+                        io.pollenpath.protocol.wire.ExpertListOrBuilder>
+                internalGetRanksFieldBuilder() {
+            if (ranksBuilder_ == null) {
+                ranksBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.ExpertList,
+                                io.pollenpath.protocol.wire.ExpertList.Builder,
+                                io.pollenpath.protocol.wire.ExpertListOrBuilder>(
+                                ranks_,
+                                ((bitField0_ & 0x00000001) != 0),
+                                getParentForChildren(),
+                                isClean());
+                ranks_ = null;
+            }
+            return ranksBuilder_;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.LayerExperts)
     }
-    /**
-     * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.ExpertList.Builder> 
-         getRanksBuilderList() {
-      return internalGetRanksFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ExpertList, io.pollenpath.protocol.wire.ExpertList.Builder, io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-        internalGetRanksFieldBuilder() {
-      if (ranksBuilder_ == null) {
-        ranksBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.ExpertList, io.pollenpath.protocol.wire.ExpertList.Builder, io.pollenpath.protocol.wire.ExpertListOrBuilder>(
-                ranks_,
-                ((bitField0_ & 0x00000001) != 0),
-                getParentForChildren(),
-                isClean());
-        ranks_ = null;
-      }
-      return ranksBuilder_;
-    }
-
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.LayerExperts)
-  }
-
-  // @@protoc_insertion_point(class_scope:pollenpath.group.LayerExperts)
-  private static final io.pollenpath.protocol.wire.LayerExperts DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.LayerExperts();
-  }
-
-  public static io.pollenpath.protocol.wire.LayerExperts getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
-
-  private static final com.google.protobuf.Parser<LayerExperts>
-      PARSER = new com.google.protobuf.AbstractParser<LayerExperts>() {
+
+    // @@protoc_insertion_point(class_scope:pollenpath.group.LayerExperts)
+    private static final io.pollenpath.protocol.wire.LayerExperts DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.LayerExperts();
+    }
+
+    public static io.pollenpath.protocol.wire.LayerExperts getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<LayerExperts> PARSER =
+            new com.google.protobuf.AbstractParser<LayerExperts>() {
+                @java.lang.Override
+                public LayerExperts parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<LayerExperts> parser() {
+        return PARSER;
+    }
+
     @java.lang.Override
-    public LayerExperts parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<LayerExperts> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<LayerExperts> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.LayerExperts getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<LayerExperts> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.LayerExperts getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/LayerExpertsOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/LayerExpertsOrBuilder.java
@@ -6,31 +6,24 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface LayerExpertsOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.LayerExperts)
-    com.google.protobuf.MessageOrBuilder {
+public interface LayerExpertsOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.LayerExperts)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.ExpertList> 
-      getRanksList();
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  io.pollenpath.protocol.wire.ExpertList getRanks(int index);
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  int getRanksCount();
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-      getRanksOrBuilderList();
-  /**
-   * <code>repeated .pollenpath.group.ExpertList ranks = 1;</code>
-   */
-  io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(
-      int index);
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList();
+
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    io.pollenpath.protocol.wire.ExpertList getRanks(int index);
+
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    int getRanksCount();
+
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
+            getRanksOrBuilderList();
+
+    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(int index);
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMap.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMap.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Fetch the experts of a map that the rank does not hold yet.
  * </pre>
@@ -13,783 +15,786 @@
  * Protobuf type {@code pollenpath.group.PrepareMap}
  */
 @com.google.protobuf.Generated
-public final class PrepareMap extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.PrepareMap)
-    PrepareMapOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      PrepareMap.class.getName());
-  }
-  // Use PrepareMap.newBuilder() to construct.
-  private PrepareMap(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private PrepareMap() {
-    layers_ = java.util.Collections.emptyList();
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_PrepareMap_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_PrepareMap_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.PrepareMap.class, io.pollenpath.protocol.wire.PrepareMap.Builder.class);
-  }
-
-  public static final int VERSION_FIELD_NUMBER = 1;
-  private long version_ = 0L;
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  @java.lang.Override
-  public long getVersion() {
-    return version_;
-  }
-
-  public static final int LAYERS_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.LayerExperts> layers_;
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList() {
-    return layers_;
-  }
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder> 
-      getLayersOrBuilderList() {
-    return layers_;
-  }
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  @java.lang.Override
-  public int getLayersCount() {
-    return layers_.size();
-  }
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.LayerExperts getLayers(int index) {
-    return layers_.get(index);
-  }
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(
-      int index) {
-    return layers_.get(index);
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (version_ != 0L) {
-      output.writeInt64(1, version_);
-    }
-    for (int i = 0; i < layers_.size(); i++) {
-      output.writeMessage(2, layers_.get(i));
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (version_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, version_);
-    }
-    for (int i = 0; i < layers_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, layers_.get(i));
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.PrepareMap)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.PrepareMap other = (io.pollenpath.protocol.wire.PrepareMap) obj;
-
-    if (getVersion()
-        != other.getVersion()) return false;
-    if (!getLayersList()
-        .equals(other.getLayersList())) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + VERSION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getVersion());
-    if (getLayersCount() > 0) {
-      hash = (37 * hash) + LAYERS_FIELD_NUMBER;
-      hash = (53 * hash) + getLayersList().hashCode();
-    }
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.PrepareMap parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.PrepareMap parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.PrepareMap prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Fetch the experts of a map that the rank does not hold yet.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.PrepareMap}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.PrepareMap)
-      io.pollenpath.protocol.wire.PrepareMapOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_PrepareMap_descriptor;
+public final class PrepareMap extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.PrepareMap)
+        PrepareMapOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                PrepareMap.class.getName());
+    }
+
+    // Use PrepareMap.newBuilder() to construct.
+    private PrepareMap(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private PrepareMap() {
+        layers_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_PrepareMap_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_PrepareMap_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.PrepareMap.class, io.pollenpath.protocol.wire.PrepareMap.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_PrepareMap_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.PrepareMap.class,
+                        io.pollenpath.protocol.wire.PrepareMap.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.PrepareMap.newBuilder()
-    private Builder() {
+    public static final int VERSION_FIELD_NUMBER = 1;
+    private long version_ = 0L;
 
+    /**
+     * <code>int64 version = 1;</code>
+     *
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+        return version_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    public static final int LAYERS_FIELD_NUMBER = 2;
 
-    }
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.LayerExperts> layers_;
+
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      version_ = 0L;
-      if (layersBuilder_ == null) {
-        layers_ = java.util.Collections.emptyList();
-      } else {
-        layers_ = null;
-        layersBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000002);
-      return this;
+    public java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList() {
+        return layers_;
     }
 
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_PrepareMap_descriptor;
+    public java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
+            getLayersOrBuilderList() {
+        return layers_;
     }
 
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.PrepareMap getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
+    public int getLayersCount() {
+        return layers_.size();
     }
 
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.PrepareMap build() {
-      io.pollenpath.protocol.wire.PrepareMap result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public io.pollenpath.protocol.wire.LayerExperts getLayers(int index) {
+        return layers_.get(index);
     }
 
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.PrepareMap buildPartial() {
-      io.pollenpath.protocol.wire.PrepareMap result = new io.pollenpath.protocol.wire.PrepareMap(this);
-      buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(int index) {
+        return layers_.get(index);
     }
 
-    private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.PrepareMap result) {
-      if (layersBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0)) {
-          layers_ = java.util.Collections.unmodifiableList(layers_);
-          bitField0_ = (bitField0_ & ~0x00000002);
-        }
-        result.layers_ = layers_;
-      } else {
-        result.layers_ = layersBuilder_.build();
-      }
-    }
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
 
-    private void buildPartial0(io.pollenpath.protocol.wire.PrepareMap result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.version_ = version_;
-      }
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.PrepareMap) {
-        return mergeFrom((io.pollenpath.protocol.wire.PrepareMap)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.PrepareMap other) {
-      if (other == io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance()) return this;
-      if (other.getVersion() != 0L) {
-        setVersion(other.getVersion());
-      }
-      if (layersBuilder_ == null) {
-        if (!other.layers_.isEmpty()) {
-          if (layers_.isEmpty()) {
-            layers_ = other.layers_;
-            bitField0_ = (bitField0_ & ~0x00000002);
-          } else {
-            ensureLayersIsMutable();
-            layers_.addAll(other.layers_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.layers_.isEmpty()) {
-          if (layersBuilder_.isEmpty()) {
-            layersBuilder_.dispose();
-            layersBuilder_ = null;
-            layers_ = other.layers_;
-            bitField0_ = (bitField0_ & ~0x00000002);
-            layersBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLayersFieldBuilder() : null;
-          } else {
-            layersBuilder_.addAllMessages(other.layers_);
-          }
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (version_ != 0L) {
+            output.writeInt64(1, version_);
+        }
+        for (int i = 0; i < layers_.size(); i++) {
+            output.writeMessage(2, layers_.get(i));
         }
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (version_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, version_);
+        }
+        for (int i = 0; i < layers_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, layers_.get(i));
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              version_ = input.readInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 18: {
-              io.pollenpath.protocol.wire.LayerExperts m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.LayerExperts.parser(),
-                      extensionRegistry);
-              if (layersBuilder_ == null) {
-                ensureLayersIsMutable();
-                layers_.add(m);
-              } else {
-                layersBuilder_.addMessage(m);
-              }
-              break;
-            } // case 18
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private long version_ ;
-    /**
-     * <code>int64 version = 1;</code>
-     * @return The version.
-     */
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.PrepareMap)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.PrepareMap other = (io.pollenpath.protocol.wire.PrepareMap) obj;
+
+        if (getVersion() != other.getVersion()) return false;
+        if (!getLayersList().equals(other.getLayersList())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+    }
+
     @java.lang.Override
-    public long getVersion() {
-      return version_;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + VERSION_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getVersion());
+        if (getLayersCount() > 0) {
+            hash = (37 * hash) + LAYERS_FIELD_NUMBER;
+            hash = (53 * hash) + getLayersList().hashCode();
+        }
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
-    /**
-     * <code>int64 version = 1;</code>
-     * @param value The version to set.
-     * @return This builder for chaining.
-     */
-    public Builder setVersion(long value) {
 
-      version_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>int64 version = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearVersion() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      version_ = 0L;
-      onChanged();
-      return this;
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    private java.util.List<io.pollenpath.protocol.wire.LayerExperts> layers_ =
-      java.util.Collections.emptyList();
-    private void ensureLayersIsMutable() {
-      if (!((bitField0_ & 0x00000002) != 0)) {
-        layers_ = new java.util.ArrayList<io.pollenpath.protocol.wire.LayerExperts>(layers_);
-        bitField0_ |= 0x00000002;
-       }
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.LayerExperts, io.pollenpath.protocol.wire.LayerExperts.Builder, io.pollenpath.protocol.wire.LayerExpertsOrBuilder> layersBuilder_;
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
 
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList() {
-      if (layersBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(layers_);
-      } else {
-        return layersBuilder_.getMessageList();
-      }
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public int getLayersCount() {
-      if (layersBuilder_ == null) {
-        return layers_.size();
-      } else {
-        return layersBuilder_.getCount();
-      }
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.LayerExperts getLayers(int index) {
-      if (layersBuilder_ == null) {
-        return layers_.get(index);
-      } else {
-        return layersBuilder_.getMessage(index);
-      }
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder setLayers(
-        int index, io.pollenpath.protocol.wire.LayerExperts value) {
-      if (layersBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLayersIsMutable();
-        layers_.set(index, value);
-        onChanged();
-      } else {
-        layersBuilder_.setMessage(index, value);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder setLayers(
-        int index, io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
-      if (layersBuilder_ == null) {
-        ensureLayersIsMutable();
-        layers_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        layersBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder addLayers(io.pollenpath.protocol.wire.LayerExperts value) {
-      if (layersBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLayersIsMutable();
-        layers_.add(value);
-        onChanged();
-      } else {
-        layersBuilder_.addMessage(value);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder addLayers(
-        int index, io.pollenpath.protocol.wire.LayerExperts value) {
-      if (layersBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLayersIsMutable();
-        layers_.add(index, value);
-        onChanged();
-      } else {
-        layersBuilder_.addMessage(index, value);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder addLayers(
-        io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
-      if (layersBuilder_ == null) {
-        ensureLayersIsMutable();
-        layers_.add(builderForValue.build());
-        onChanged();
-      } else {
-        layersBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.PrepareMap parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder addLayers(
-        int index, io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
-      if (layersBuilder_ == null) {
-        ensureLayersIsMutable();
-        layers_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        layersBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder addAllLayers(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.LayerExperts> values) {
-      if (layersBuilder_ == null) {
-        ensureLayersIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, layers_);
-        onChanged();
-      } else {
-        layersBuilder_.addAllMessages(values);
-      }
-      return this;
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder clearLayers() {
-      if (layersBuilder_ == null) {
-        layers_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-      } else {
-        layersBuilder_.clear();
-      }
-      return this;
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.PrepareMap prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public Builder removeLayers(int index) {
-      if (layersBuilder_ == null) {
-        ensureLayersIsMutable();
-        layers_.remove(index);
-        onChanged();
-      } else {
-        layersBuilder_.remove(index);
-      }
-      return this;
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.LayerExperts.Builder getLayersBuilder(
-        int index) {
-      return internalGetLayersFieldBuilder().getBuilder(index);
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     *
+     *
+     * <pre>
+     * Fetch the experts of a map that the rank does not hold yet.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.PrepareMap}
      */
-    public io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(
-        int index) {
-      if (layersBuilder_ == null) {
-        return layers_.get(index);  } else {
-        return layersBuilder_.getMessageOrBuilder(index);
-      }
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.PrepareMap)
+            io.pollenpath.protocol.wire.PrepareMapOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_PrepareMap_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_PrepareMap_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.PrepareMap.class,
+                            io.pollenpath.protocol.wire.PrepareMap.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.PrepareMap.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            version_ = 0L;
+            if (layersBuilder_ == null) {
+                layers_ = java.util.Collections.emptyList();
+            } else {
+                layers_ = null;
+                layersBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000002);
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_PrepareMap_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.PrepareMap getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.PrepareMap build() {
+            io.pollenpath.protocol.wire.PrepareMap result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.PrepareMap buildPartial() {
+            io.pollenpath.protocol.wire.PrepareMap result =
+                    new io.pollenpath.protocol.wire.PrepareMap(this);
+            buildPartialRepeatedFields(result);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.PrepareMap result) {
+            if (layersBuilder_ == null) {
+                if (((bitField0_ & 0x00000002) != 0)) {
+                    layers_ = java.util.Collections.unmodifiableList(layers_);
+                    bitField0_ = (bitField0_ & ~0x00000002);
+                }
+                result.layers_ = layers_;
+            } else {
+                result.layers_ = layersBuilder_.build();
+            }
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.PrepareMap result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.version_ = version_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.PrepareMap) {
+                return mergeFrom((io.pollenpath.protocol.wire.PrepareMap) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.PrepareMap other) {
+            if (other == io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance()) return this;
+            if (other.getVersion() != 0L) {
+                setVersion(other.getVersion());
+            }
+            if (layersBuilder_ == null) {
+                if (!other.layers_.isEmpty()) {
+                    if (layers_.isEmpty()) {
+                        layers_ = other.layers_;
+                        bitField0_ = (bitField0_ & ~0x00000002);
+                    } else {
+                        ensureLayersIsMutable();
+                        layers_.addAll(other.layers_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.layers_.isEmpty()) {
+                    if (layersBuilder_.isEmpty()) {
+                        layersBuilder_.dispose();
+                        layersBuilder_ = null;
+                        layers_ = other.layers_;
+                        bitField0_ = (bitField0_ & ~0x00000002);
+                        layersBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetLayersFieldBuilder()
+                                        : null;
+                    } else {
+                        layersBuilder_.addAllMessages(other.layers_);
+                    }
+                }
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                version_ = input.readInt64();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        case 18:
+                            {
+                                io.pollenpath.protocol.wire.LayerExperts m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.LayerExperts.parser(),
+                                                extensionRegistry);
+                                if (layersBuilder_ == null) {
+                                    ensureLayersIsMutable();
+                                    layers_.add(m);
+                                } else {
+                                    layersBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 18
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private long version_;
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @return The version.
+         */
+        @java.lang.Override
+        public long getVersion() {
+            return version_;
+        }
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @param value The version to set.
+         * @return This builder for chaining.
+         */
+        public Builder setVersion(long value) {
+
+            version_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 version = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearVersion() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            version_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private java.util.List<io.pollenpath.protocol.wire.LayerExperts> layers_ =
+                java.util.Collections.emptyList();
+
+        private void ensureLayersIsMutable() {
+            if (!((bitField0_ & 0x00000002) != 0)) {
+                layers_ =
+                        new java.util.ArrayList<io.pollenpath.protocol.wire.LayerExperts>(layers_);
+                bitField0_ |= 0x00000002;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.LayerExperts,
+                        io.pollenpath.protocol.wire.LayerExperts.Builder,
+                        io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
+                layersBuilder_;
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList() {
+            if (layersBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(layers_);
+            } else {
+                return layersBuilder_.getMessageList();
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public int getLayersCount() {
+            if (layersBuilder_ == null) {
+                return layers_.size();
+            } else {
+                return layersBuilder_.getCount();
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public io.pollenpath.protocol.wire.LayerExperts getLayers(int index) {
+            if (layersBuilder_ == null) {
+                return layers_.get(index);
+            } else {
+                return layersBuilder_.getMessage(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder setLayers(int index, io.pollenpath.protocol.wire.LayerExperts value) {
+            if (layersBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLayersIsMutable();
+                layers_.set(index, value);
+                onChanged();
+            } else {
+                layersBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder setLayers(
+                int index, io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
+            if (layersBuilder_ == null) {
+                ensureLayersIsMutable();
+                layers_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                layersBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder addLayers(io.pollenpath.protocol.wire.LayerExperts value) {
+            if (layersBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLayersIsMutable();
+                layers_.add(value);
+                onChanged();
+            } else {
+                layersBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder addLayers(int index, io.pollenpath.protocol.wire.LayerExperts value) {
+            if (layersBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLayersIsMutable();
+                layers_.add(index, value);
+                onChanged();
+            } else {
+                layersBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder addLayers(io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
+            if (layersBuilder_ == null) {
+                ensureLayersIsMutable();
+                layers_.add(builderForValue.build());
+                onChanged();
+            } else {
+                layersBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder addLayers(
+                int index, io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
+            if (layersBuilder_ == null) {
+                ensureLayersIsMutable();
+                layers_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                layersBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder addAllLayers(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.LayerExperts> values) {
+            if (layersBuilder_ == null) {
+                ensureLayersIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, layers_);
+                onChanged();
+            } else {
+                layersBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder clearLayers() {
+            if (layersBuilder_ == null) {
+                layers_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000002);
+                onChanged();
+            } else {
+                layersBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public Builder removeLayers(int index) {
+            if (layersBuilder_ == null) {
+                ensureLayersIsMutable();
+                layers_.remove(index);
+                onChanged();
+            } else {
+                layersBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public io.pollenpath.protocol.wire.LayerExperts.Builder getLayersBuilder(int index) {
+            return internalGetLayersFieldBuilder().getBuilder(index);
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(int index) {
+            if (layersBuilder_ == null) {
+                return layers_.get(index);
+            } else {
+                return layersBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
+                getLayersOrBuilderList() {
+            if (layersBuilder_ != null) {
+                return layersBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(layers_);
+            }
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public io.pollenpath.protocol.wire.LayerExperts.Builder addLayersBuilder() {
+            return internalGetLayersFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public io.pollenpath.protocol.wire.LayerExperts.Builder addLayersBuilder(int index) {
+            return internalGetLayersFieldBuilder()
+                    .addBuilder(
+                            index, io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.LayerExperts.Builder>
+                getLayersBuilderList() {
+            return internalGetLayersFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.LayerExperts,
+                        io.pollenpath.protocol.wire.LayerExperts.Builder,
+                        io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
+                internalGetLayersFieldBuilder() {
+            if (layersBuilder_ == null) {
+                layersBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.LayerExperts,
+                                io.pollenpath.protocol.wire.LayerExperts.Builder,
+                                io.pollenpath.protocol.wire.LayerExpertsOrBuilder>(
+                                layers_,
+                                ((bitField0_ & 0x00000002) != 0),
+                                getParentForChildren(),
+                                isClean());
+                layers_ = null;
+            }
+            return layersBuilder_;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.PrepareMap)
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder> 
-         getLayersOrBuilderList() {
-      if (layersBuilder_ != null) {
-        return layersBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(layers_);
-      }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.group.PrepareMap)
+    private static final io.pollenpath.protocol.wire.PrepareMap DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.PrepareMap();
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.LayerExperts.Builder addLayersBuilder() {
-      return internalGetLayersFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance());
+
+    public static io.pollenpath.protocol.wire.PrepareMap getDefaultInstance() {
+        return DEFAULT_INSTANCE;
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.LayerExperts.Builder addLayersBuilder(
-        int index) {
-      return internalGetLayersFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance());
+
+    private static final com.google.protobuf.Parser<PrepareMap> PARSER =
+            new com.google.protobuf.AbstractParser<PrepareMap>() {
+                @java.lang.Override
+                public PrepareMap parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<PrepareMap> parser() {
+        return PARSER;
     }
-    /**
-     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.LayerExperts.Builder> 
-         getLayersBuilderList() {
-      return internalGetLayersFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.LayerExperts, io.pollenpath.protocol.wire.LayerExperts.Builder, io.pollenpath.protocol.wire.LayerExpertsOrBuilder> 
-        internalGetLayersFieldBuilder() {
-      if (layersBuilder_ == null) {
-        layersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.LayerExperts, io.pollenpath.protocol.wire.LayerExperts.Builder, io.pollenpath.protocol.wire.LayerExpertsOrBuilder>(
-                layers_,
-                ((bitField0_ & 0x00000002) != 0),
-                getParentForChildren(),
-                isClean());
-        layers_ = null;
-      }
-      return layersBuilder_;
-    }
-
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.PrepareMap)
-  }
-
-  // @@protoc_insertion_point(class_scope:pollenpath.group.PrepareMap)
-  private static final io.pollenpath.protocol.wire.PrepareMap DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.PrepareMap();
-  }
-
-  public static io.pollenpath.protocol.wire.PrepareMap getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
-
-  private static final com.google.protobuf.Parser<PrepareMap>
-      PARSER = new com.google.protobuf.AbstractParser<PrepareMap>() {
+
     @java.lang.Override
-    public PrepareMap parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<PrepareMap> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<PrepareMap> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.PrepareMap getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<PrepareMap> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.PrepareMap getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMapOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMapOrBuilder.java
@@ -6,37 +6,31 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface PrepareMapOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.PrepareMap)
-    com.google.protobuf.MessageOrBuilder {
-
-  /**
-   * <code>int64 version = 1;</code>
-   * @return The version.
-   */
-  long getVersion();
-
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.LayerExperts> 
-      getLayersList();
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  io.pollenpath.protocol.wire.LayerExperts getLayers(int index);
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  int getLayersCount();
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder> 
-      getLayersOrBuilderList();
-  /**
-   * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
-   */
-  io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(
-      int index);
+public interface PrepareMapOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.PrepareMap)
+        com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 version = 1;</code>
+     *
+     * @return The version.
+     */
+    long getVersion();
+
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList();
+
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    io.pollenpath.protocol.wire.LayerExperts getLayers(int index);
+
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    int getLayersCount();
+
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
+            getLayersOrBuilderList();
+
+    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(int index);
 }
