--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankCommand.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankCommand.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Orders an agent to change its engine.
  * </pre>
@@ -13,1627 +15,1728 @@
  * Protobuf type {@code pollenpath.group.RankCommand}
  */
 @com.google.protobuf.Generated
-public final class RankCommand extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.RankCommand)
-    RankCommandOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      RankCommand.class.getName());
-  }
-  // Use RankCommand.newBuilder() to construct.
-  private RankCommand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private RankCommand() {
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankCommand_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankCommand_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.RankCommand.class, io.pollenpath.protocol.wire.RankCommand.Builder.class);
-  }
-
-  private int orderCase_ = 0;
-  @SuppressWarnings("serial")
-  private java.lang.Object order_;
-  public enum OrderCase
-      implements com.google.protobuf.Internal.EnumLite,
-          com.google.protobuf.AbstractMessage.InternalOneOfEnum {
-    PREPARE(3),
-    HOLD(4),
-    ARM(5),
-    RELEASE(6),
-    DISARM(7),
-    ORDER_NOT_SET(0);
-    private final int value;
-    private OrderCase(int value) {
-      this.value = value;
-    }
-    /**
-     * @param value The number of the enum to look for.
-     * @return The enum associated with the given number.
-     * @deprecated Use {@link #forNumber(int)} instead.
-     */
-    @java.lang.Deprecated
-    public static OrderCase valueOf(int value) {
-      return forNumber(value);
-    }
-
-    public static OrderCase forNumber(int value) {
-      switch (value) {
-        case 3: return PREPARE;
-        case 4: return HOLD;
-        case 5: return ARM;
-        case 6: return RELEASE;
-        case 7: return DISARM;
-        case 0: return ORDER_NOT_SET;
-        default: return null;
-      }
-    }
-    public int getNumber() {
-      return this.value;
-    }
-  };
-
-  public OrderCase
-  getOrderCase() {
-    return OrderCase.forNumber(
-        orderCase_);
-  }
-
-  public static final int TOKEN_FIELD_NUMBER = 1;
-  private long token_ = 0L;
-  /**
-   * <code>int64 token = 1;</code>
-   * @return The token.
-   */
-  @java.lang.Override
-  public long getToken() {
-    return token_;
-  }
-
-  public static final int EPOCH_FIELD_NUMBER = 2;
-  private long epoch_ = 0L;
-  /**
-   * <pre>
-   * Epoch of the group that the order is meant for.
-   * </pre>
-   *
-   * <code>int64 epoch = 2;</code>
-   * @return The epoch.
-   */
-  @java.lang.Override
-  public long getEpoch() {
-    return epoch_;
-  }
-
-  public static final int PREPARE_FIELD_NUMBER = 3;
-  /**
-   * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-   * @return Whether the prepare field is set.
-   */
-  @java.lang.Override
-  public boolean hasPrepare() {
-    return orderCase_ == 3;
-  }
-  /**
-   * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-   * @return The prepare.
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.PrepareMap getPrepare() {
-    if (orderCase_ == 3) {
-       return (io.pollenpath.protocol.wire.PrepareMap) order_;
-    }
-    return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
-  }
-  /**
-   * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.PrepareMapOrBuilder getPrepareOrBuilder() {
-    if (orderCase_ == 3) {
-       return (io.pollenpath.protocol.wire.PrepareMap) order_;
-    }
-    return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
-  }
-
-  public static final int HOLD_FIELD_NUMBER = 4;
-  /**
-   * <code>.pollenpath.group.HoldStep hold = 4;</code>
-   * @return Whether the hold field is set.
-   */
-  @java.lang.Override
-  public boolean hasHold() {
-    return orderCase_ == 4;
-  }
-  /**
-   * <code>.pollenpath.group.HoldStep hold = 4;</code>
-   * @return The hold.
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.HoldStep getHold() {
-    if (orderCase_ == 4) {
-       return (io.pollenpath.protocol.wire.HoldStep) order_;
-    }
-    return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
-  }
-  /**
-   * <code>.pollenpath.group.HoldStep hold = 4;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.HoldStepOrBuilder getHoldOrBuilder() {
-    if (orderCase_ == 4) {
-       return (io.pollenpath.protocol.wire.HoldStep) order_;
-    }
-    return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
-  }
-
-  public static final int ARM_FIELD_NUMBER = 5;
-  /**
-   * <code>.pollenpath.group.ArmMap arm = 5;</code>
-   * @return Whether the arm field is set.
-   */
-  @java.lang.Override
-  public boolean hasArm() {
-    return orderCase_ == 5;
-  }
-  /**
-   * <code>.pollenpath.group.ArmMap arm = 5;</code>
-   * @return The arm.
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ArmMap getArm() {
-    if (orderCase_ == 5) {
-       return (io.pollenpath.protocol.wire.ArmMap) order_;
-    }
-    return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
-  }
-  /**
-   * <code>.pollenpath.group.ArmMap arm = 5;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ArmMapOrBuilder getArmOrBuilder() {
-    if (orderCase_ == 5) {
-       return (io.pollenpath.protocol.wire.ArmMap) order_;
-    }
-    return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
-  }
-
-  public static final int RELEASE_FIELD_NUMBER = 6;
-  /**
-   * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-   * @return Whether the release field is set.
-   */
-  @java.lang.Override
-  public boolean hasRelease() {
-    return orderCase_ == 6;
-  }
-  /**
-   * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-   * @return The release.
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ReleaseStep getRelease() {
-    if (orderCase_ == 6) {
-       return (io.pollenpath.protocol.wire.ReleaseStep) order_;
-    }
-    return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
-  }
-  /**
-   * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ReleaseStepOrBuilder getReleaseOrBuilder() {
-    if (orderCase_ == 6) {
-       return (io.pollenpath.protocol.wire.ReleaseStep) order_;
-    }
-    return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
-  }
-
-  public static final int DISARM_FIELD_NUMBER = 7;
-  /**
-   * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-   * @return Whether the disarm field is set.
-   */
-  @java.lang.Override
-  public boolean hasDisarm() {
-    return orderCase_ == 7;
-  }
-  /**
-   * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-   * @return The disarm.
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.DisarmMap getDisarm() {
-    if (orderCase_ == 7) {
-       return (io.pollenpath.protocol.wire.DisarmMap) order_;
-    }
-    return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
-  }
-  /**
-   * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.DisarmMapOrBuilder getDisarmOrBuilder() {
-    if (orderCase_ == 7) {
-       return (io.pollenpath.protocol.wire.DisarmMap) order_;
-    }
-    return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (token_ != 0L) {
-      output.writeInt64(1, token_);
-    }
-    if (epoch_ != 0L) {
-      output.writeInt64(2, epoch_);
-    }
-    if (orderCase_ == 3) {
-      output.writeMessage(3, (io.pollenpath.protocol.wire.PrepareMap) order_);
-    }
-    if (orderCase_ == 4) {
-      output.writeMessage(4, (io.pollenpath.protocol.wire.HoldStep) order_);
-    }
-    if (orderCase_ == 5) {
-      output.writeMessage(5, (io.pollenpath.protocol.wire.ArmMap) order_);
-    }
-    if (orderCase_ == 6) {
-      output.writeMessage(6, (io.pollenpath.protocol.wire.ReleaseStep) order_);
-    }
-    if (orderCase_ == 7) {
-      output.writeMessage(7, (io.pollenpath.protocol.wire.DisarmMap) order_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (token_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, token_);
-    }
-    if (epoch_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, epoch_);
-    }
-    if (orderCase_ == 3) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, (io.pollenpath.protocol.wire.PrepareMap) order_);
-    }
-    if (orderCase_ == 4) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, (io.pollenpath.protocol.wire.HoldStep) order_);
-    }
-    if (orderCase_ == 5) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, (io.pollenpath.protocol.wire.ArmMap) order_);
-    }
-    if (orderCase_ == 6) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(6, (io.pollenpath.protocol.wire.ReleaseStep) order_);
-    }
-    if (orderCase_ == 7) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(7, (io.pollenpath.protocol.wire.DisarmMap) order_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.RankCommand)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.RankCommand other = (io.pollenpath.protocol.wire.RankCommand) obj;
-
-    if (getToken()
-        != other.getToken()) return false;
-    if (getEpoch()
-        != other.getEpoch()) return false;
-    if (!getOrderCase().equals(other.getOrderCase())) return false;
-    switch (orderCase_) {
-      case 3:
-        if (!getPrepare()
-            .equals(other.getPrepare())) return false;
-        break;
-      case 4:
-        if (!getHold()
-            .equals(other.getHold())) return false;
-        break;
-      case 5:
-        if (!getArm()
-            .equals(other.getArm())) return false;
-        break;
-      case 6:
-        if (!getRelease()
-            .equals(other.getRelease())) return false;
-        break;
-      case 7:
-        if (!getDisarm()
-            .equals(other.getDisarm())) return false;
-        break;
-      case 0:
-      default:
-    }
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + TOKEN_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getToken());
-    hash = (37 * hash) + EPOCH_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getEpoch());
-    switch (orderCase_) {
-      case 3:
-        hash = (37 * hash) + PREPARE_FIELD_NUMBER;
-        hash = (53 * hash) + getPrepare().hashCode();
-        break;
-      case 4:
-        hash = (37 * hash) + HOLD_FIELD_NUMBER;
-        hash = (53 * hash) + getHold().hashCode();
-        break;
-      case 5:
-        hash = (37 * hash) + ARM_FIELD_NUMBER;
-        hash = (53 * hash) + getArm().hashCode();
-        break;
-      case 6:
-        hash = (37 * hash) + RELEASE_FIELD_NUMBER;
-        hash = (53 * hash) + getRelease().hashCode();
-        break;
-      case 7:
-        hash = (37 * hash) + DISARM_FIELD_NUMBER;
-        hash = (53 * hash) + getDisarm().hashCode();
-        break;
-      case 0:
-      default:
-    }
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.RankCommand parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.RankCommand parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankCommand parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.RankCommand prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Orders an agent to change its engine.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.RankCommand}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.RankCommand)
-      io.pollenpath.protocol.wire.RankCommandOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankCommand_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankCommand_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.RankCommand.class, io.pollenpath.protocol.wire.RankCommand.Builder.class);
-    }
-
-    // Construct using io.pollenpath.protocol.wire.RankCommand.newBuilder()
-    private Builder() {
+public final class RankCommand extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.RankCommand)
+        RankCommandOrBuilder {
+    private static final long serialVersionUID = 0L;
 
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                RankCommand.class.getName());
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      token_ = 0L;
-      epoch_ = 0L;
-      if (prepareBuilder_ != null) {
-        prepareBuilder_.clear();
-      }
-      if (holdBuilder_ != null) {
-        holdBuilder_.clear();
-      }
-      if (armBuilder_ != null) {
-        armBuilder_.clear();
-      }
-      if (releaseBuilder_ != null) {
-        releaseBuilder_.clear();
-      }
-      if (disarmBuilder_ != null) {
-        disarmBuilder_.clear();
-      }
-      orderCase_ = 0;
-      order_ = null;
-      return this;
+    // Use RankCommand.newBuilder() to construct.
+    private RankCommand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankCommand_descriptor;
-    }
+    private RankCommand() {}
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankCommand getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.RankCommand.getDefaultInstance();
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankCommand_descriptor;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.RankCommand build() {
-      io.pollenpath.protocol.wire.RankCommand result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankCommand_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.RankCommand.class,
+                        io.pollenpath.protocol.wire.RankCommand.Builder.class);
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankCommand buildPartial() {
-      io.pollenpath.protocol.wire.RankCommand result = new io.pollenpath.protocol.wire.RankCommand(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      buildPartialOneofs(result);
-      onBuilt();
-      return result;
-    }
+    private int orderCase_ = 0;
 
-    private void buildPartial0(io.pollenpath.protocol.wire.RankCommand result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.token_ = token_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.epoch_ = epoch_;
-      }
-    }
+    @SuppressWarnings("serial")
+    private java.lang.Object order_;
 
-    private void buildPartialOneofs(io.pollenpath.protocol.wire.RankCommand result) {
-      result.orderCase_ = orderCase_;
-      result.order_ = this.order_;
-      if (orderCase_ == 3 &&
-          prepareBuilder_ != null) {
-        result.order_ = prepareBuilder_.build();
-      }
-      if (orderCase_ == 4 &&
-          holdBuilder_ != null) {
-        result.order_ = holdBuilder_.build();
-      }
-      if (orderCase_ == 5 &&
-          armBuilder_ != null) {
-        result.order_ = armBuilder_.build();
-      }
-      if (orderCase_ == 6 &&
-          releaseBuilder_ != null) {
-        result.order_ = releaseBuilder_.build();
-      }
-      if (orderCase_ == 7 &&
-          disarmBuilder_ != null) {
-        result.order_ = disarmBuilder_.build();
-      }
-    }
+    public enum OrderCase
+            implements
+                    com.google.protobuf.Internal.EnumLite,
+                    com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+        PREPARE(3),
+        HOLD(4),
+        ARM(5),
+        RELEASE(6),
+        DISARM(7),
+        ORDER_NOT_SET(0);
+        private final int value;
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.RankCommand) {
-        return mergeFrom((io.pollenpath.protocol.wire.RankCommand)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
+        private OrderCase(int value) {
+            this.value = value;
+        }
 
-    public Builder mergeFrom(io.pollenpath.protocol.wire.RankCommand other) {
-      if (other == io.pollenpath.protocol.wire.RankCommand.getDefaultInstance()) return this;
-      if (other.getToken() != 0L) {
-        setToken(other.getToken());
-      }
-      if (other.getEpoch() != 0L) {
-        setEpoch(other.getEpoch());
-      }
-      switch (other.getOrderCase()) {
-        case PREPARE: {
-          mergePrepare(other.getPrepare());
-          break;
-        }
-        case HOLD: {
-          mergeHold(other.getHold());
-          break;
-        }
-        case ARM: {
-          mergeArm(other.getArm());
-          break;
-        }
-        case RELEASE: {
-          mergeRelease(other.getRelease());
-          break;
-        }
-        case DISARM: {
-          mergeDisarm(other.getDisarm());
-          break;
-        }
-        case ORDER_NOT_SET: {
-          break;
-        }
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
-    }
+        /**
+         * @param value The number of the enum to look for.
+         * @return The enum associated with the given number.
+         * @deprecated Use {@link #forNumber(int)} instead.
+         */
+        @java.lang.Deprecated
+        public static OrderCase valueOf(int value) {
+            return forNumber(value);
+        }
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
-    }
+        public static OrderCase forNumber(int value) {
+            switch (value) {
+                case 3:
+                    return PREPARE;
+                case 4:
+                    return HOLD;
+                case 5:
+                    return ARM;
+                case 6:
+                    return RELEASE;
+                case 7:
+                    return DISARM;
+                case 0:
+                    return ORDER_NOT_SET;
+                default:
+                    return null;
+            }
+        }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              token_ = input.readInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              epoch_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 26: {
-              input.readMessage(
-                  internalGetPrepareFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              orderCase_ = 3;
-              break;
-            } // case 26
-            case 34: {
-              input.readMessage(
-                  internalGetHoldFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              orderCase_ = 4;
-              break;
-            } // case 34
-            case 42: {
-              input.readMessage(
-                  internalGetArmFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              orderCase_ = 5;
-              break;
-            } // case 42
-            case 50: {
-              input.readMessage(
-                  internalGetReleaseFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              orderCase_ = 6;
-              break;
-            } // case 50
-            case 58: {
-              input.readMessage(
-                  internalGetDisarmFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              orderCase_ = 7;
-              break;
-            } // case 58
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int orderCase_ = 0;
-    private java.lang.Object order_;
-    public OrderCase
-        getOrderCase() {
-      return OrderCase.forNumber(
-          orderCase_);
-    }
+        public int getNumber() {
+            return this.value;
+        }
+    };
 
-    public Builder clearOrder() {
-      orderCase_ = 0;
-      order_ = null;
-      onChanged();
-      return this;
+    public OrderCase getOrderCase() {
+        return OrderCase.forNumber(orderCase_);
     }
 
-    private int bitField0_;
+    public static final int TOKEN_FIELD_NUMBER = 1;
+    private long token_ = 0L;
 
-    private long token_ ;
     /**
      * <code>int64 token = 1;</code>
+     *
      * @return The token.
      */
     @java.lang.Override
     public long getToken() {
-      return token_;
+        return token_;
     }
-    /**
-     * <code>int64 token = 1;</code>
-     * @param value The token to set.
-     * @return This builder for chaining.
-     */
-    public Builder setToken(long value) {
 
-      token_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 token = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearToken() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      token_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
 
-    private long epoch_ ;
     /**
+     *
+     *
      * <pre>
      * Epoch of the group that the order is meant for.
      * </pre>
      *
      * <code>int64 epoch = 2;</code>
+     *
      * @return The epoch.
      */
     @java.lang.Override
     public long getEpoch() {
-      return epoch_;
+        return epoch_;
     }
-    /**
-     * <pre>
-     * Epoch of the group that the order is meant for.
-     * </pre>
-     *
-     * <code>int64 epoch = 2;</code>
-     * @param value The epoch to set.
-     * @return This builder for chaining.
-     */
-    public Builder setEpoch(long value) {
 
-      epoch_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Epoch of the group that the order is meant for.
-     * </pre>
-     *
-     * <code>int64 epoch = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearEpoch() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      epoch_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int PREPARE_FIELD_NUMBER = 3;
 
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.PrepareMap, io.pollenpath.protocol.wire.PrepareMap.Builder, io.pollenpath.protocol.wire.PrepareMapOrBuilder> prepareBuilder_;
     /**
      * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
+     *
      * @return Whether the prepare field is set.
      */
     @java.lang.Override
     public boolean hasPrepare() {
-      return orderCase_ == 3;
+        return orderCase_ == 3;
     }
+
     /**
      * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
+     *
      * @return The prepare.
      */
     @java.lang.Override
     public io.pollenpath.protocol.wire.PrepareMap getPrepare() {
-      if (prepareBuilder_ == null) {
-        if (orderCase_ == 3) {
-          return (io.pollenpath.protocol.wire.PrepareMap) order_;
-        }
-        return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
-      } else {
         if (orderCase_ == 3) {
-          return prepareBuilder_.getMessage();
+            return (io.pollenpath.protocol.wire.PrepareMap) order_;
         }
         return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-     */
-    public Builder setPrepare(io.pollenpath.protocol.wire.PrepareMap value) {
-      if (prepareBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        order_ = value;
-        onChanged();
-      } else {
-        prepareBuilder_.setMessage(value);
-      }
-      orderCase_ = 3;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-     */
-    public Builder setPrepare(
-        io.pollenpath.protocol.wire.PrepareMap.Builder builderForValue) {
-      if (prepareBuilder_ == null) {
-        order_ = builderForValue.build();
-        onChanged();
-      } else {
-        prepareBuilder_.setMessage(builderForValue.build());
-      }
-      orderCase_ = 3;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-     */
-    public Builder mergePrepare(io.pollenpath.protocol.wire.PrepareMap value) {
-      if (prepareBuilder_ == null) {
-        if (orderCase_ == 3 &&
-            order_ != io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance()) {
-          order_ = io.pollenpath.protocol.wire.PrepareMap.newBuilder((io.pollenpath.protocol.wire.PrepareMap) order_)
-              .mergeFrom(value).buildPartial();
-        } else {
-          order_ = value;
-        }
-        onChanged();
-      } else {
-        if (orderCase_ == 3) {
-          prepareBuilder_.mergeFrom(value);
-        } else {
-          prepareBuilder_.setMessage(value);
-        }
-      }
-      orderCase_ = 3;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-     */
-    public Builder clearPrepare() {
-      if (prepareBuilder_ == null) {
-        if (orderCase_ == 3) {
-          orderCase_ = 0;
-          order_ = null;
-          onChanged();
-        }
-      } else {
-        if (orderCase_ == 3) {
-          orderCase_ = 0;
-          order_ = null;
-        }
-        prepareBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-     */
-    public io.pollenpath.protocol.wire.PrepareMap.Builder getPrepareBuilder() {
-      return internalGetPrepareFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-     */
+
+    /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
     @java.lang.Override
     public io.pollenpath.protocol.wire.PrepareMapOrBuilder getPrepareOrBuilder() {
-      if ((orderCase_ == 3) && (prepareBuilder_ != null)) {
-        return prepareBuilder_.getMessageOrBuilder();
-      } else {
         if (orderCase_ == 3) {
-          return (io.pollenpath.protocol.wire.PrepareMap) order_;
+            return (io.pollenpath.protocol.wire.PrepareMap) order_;
         }
         return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.PrepareMap, io.pollenpath.protocol.wire.PrepareMap.Builder, io.pollenpath.protocol.wire.PrepareMapOrBuilder> 
-        internalGetPrepareFieldBuilder() {
-      if (prepareBuilder_ == null) {
-        if (!(orderCase_ == 3)) {
-          order_ = io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
-        }
-        prepareBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.pollenpath.protocol.wire.PrepareMap, io.pollenpath.protocol.wire.PrepareMap.Builder, io.pollenpath.protocol.wire.PrepareMapOrBuilder>(
-                (io.pollenpath.protocol.wire.PrepareMap) order_,
-                getParentForChildren(),
-                isClean());
-        order_ = null;
-      }
-      orderCase_ = 3;
-      onChanged();
-      return prepareBuilder_;
     }
 
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.HoldStep, io.pollenpath.protocol.wire.HoldStep.Builder, io.pollenpath.protocol.wire.HoldStepOrBuilder> holdBuilder_;
+    public static final int HOLD_FIELD_NUMBER = 4;
+
     /**
      * <code>.pollenpath.group.HoldStep hold = 4;</code>
+     *
      * @return Whether the hold field is set.
      */
     @java.lang.Override
     public boolean hasHold() {
-      return orderCase_ == 4;
+        return orderCase_ == 4;
     }
+
     /**
      * <code>.pollenpath.group.HoldStep hold = 4;</code>
+     *
      * @return The hold.
      */
     @java.lang.Override
     public io.pollenpath.protocol.wire.HoldStep getHold() {
-      if (holdBuilder_ == null) {
-        if (orderCase_ == 4) {
-          return (io.pollenpath.protocol.wire.HoldStep) order_;
-        }
-        return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
-      } else {
         if (orderCase_ == 4) {
-          return holdBuilder_.getMessage();
+            return (io.pollenpath.protocol.wire.HoldStep) order_;
         }
         return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.pollenpath.group.HoldStep hold = 4;</code>
-     */
-    public Builder setHold(io.pollenpath.protocol.wire.HoldStep value) {
-      if (holdBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        order_ = value;
-        onChanged();
-      } else {
-        holdBuilder_.setMessage(value);
-      }
-      orderCase_ = 4;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.HoldStep hold = 4;</code>
-     */
-    public Builder setHold(
-        io.pollenpath.protocol.wire.HoldStep.Builder builderForValue) {
-      if (holdBuilder_ == null) {
-        order_ = builderForValue.build();
-        onChanged();
-      } else {
-        holdBuilder_.setMessage(builderForValue.build());
-      }
-      orderCase_ = 4;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.HoldStep hold = 4;</code>
-     */
-    public Builder mergeHold(io.pollenpath.protocol.wire.HoldStep value) {
-      if (holdBuilder_ == null) {
-        if (orderCase_ == 4 &&
-            order_ != io.pollenpath.protocol.wire.HoldStep.getDefaultInstance()) {
-          order_ = io.pollenpath.protocol.wire.HoldStep.newBuilder((io.pollenpath.protocol.wire.HoldStep) order_)
-              .mergeFrom(value).buildPartial();
-        } else {
-          order_ = value;
-        }
-        onChanged();
-      } else {
-        if (orderCase_ == 4) {
-          holdBuilder_.mergeFrom(value);
-        } else {
-          holdBuilder_.setMessage(value);
-        }
-      }
-      orderCase_ = 4;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.HoldStep hold = 4;</code>
-     */
-    public Builder clearHold() {
-      if (holdBuilder_ == null) {
-        if (orderCase_ == 4) {
-          orderCase_ = 0;
-          order_ = null;
-          onChanged();
-        }
-      } else {
-        if (orderCase_ == 4) {
-          orderCase_ = 0;
-          order_ = null;
-        }
-        holdBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.HoldStep hold = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.HoldStep.Builder getHoldBuilder() {
-      return internalGetHoldFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.pollenpath.group.HoldStep hold = 4;</code>
-     */
+
+    /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
     @java.lang.Override
     public io.pollenpath.protocol.wire.HoldStepOrBuilder getHoldOrBuilder() {
-      if ((orderCase_ == 4) && (holdBuilder_ != null)) {
-        return holdBuilder_.getMessageOrBuilder();
-      } else {
         if (orderCase_ == 4) {
-          return (io.pollenpath.protocol.wire.HoldStep) order_;
+            return (io.pollenpath.protocol.wire.HoldStep) order_;
         }
         return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.pollenpath.group.HoldStep hold = 4;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.HoldStep, io.pollenpath.protocol.wire.HoldStep.Builder, io.pollenpath.protocol.wire.HoldStepOrBuilder> 
-        internalGetHoldFieldBuilder() {
-      if (holdBuilder_ == null) {
-        if (!(orderCase_ == 4)) {
-          order_ = io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
-        }
-        holdBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.pollenpath.protocol.wire.HoldStep, io.pollenpath.protocol.wire.HoldStep.Builder, io.pollenpath.protocol.wire.HoldStepOrBuilder>(
-                (io.pollenpath.protocol.wire.HoldStep) order_,
-                getParentForChildren(),
-                isClean());
-        order_ = null;
-      }
-      orderCase_ = 4;
-      onChanged();
-      return holdBuilder_;
     }
 
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.ArmMap, io.pollenpath.protocol.wire.ArmMap.Builder, io.pollenpath.protocol.wire.ArmMapOrBuilder> armBuilder_;
+    public static final int ARM_FIELD_NUMBER = 5;
+
     /**
      * <code>.pollenpath.group.ArmMap arm = 5;</code>
+     *
      * @return Whether the arm field is set.
      */
     @java.lang.Override
     public boolean hasArm() {
-      return orderCase_ == 5;
+        return orderCase_ == 5;
     }
+
     /**
      * <code>.pollenpath.group.ArmMap arm = 5;</code>
+     *
      * @return The arm.
      */
     @java.lang.Override
     public io.pollenpath.protocol.wire.ArmMap getArm() {
-      if (armBuilder_ == null) {
-        if (orderCase_ == 5) {
-          return (io.pollenpath.protocol.wire.ArmMap) order_;
-        }
-        return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
-      } else {
         if (orderCase_ == 5) {
-          return armBuilder_.getMessage();
+            return (io.pollenpath.protocol.wire.ArmMap) order_;
         }
         return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.pollenpath.group.ArmMap arm = 5;</code>
-     */
-    public Builder setArm(io.pollenpath.protocol.wire.ArmMap value) {
-      if (armBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        order_ = value;
-        onChanged();
-      } else {
-        armBuilder_.setMessage(value);
-      }
-      orderCase_ = 5;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.ArmMap arm = 5;</code>
-     */
-    public Builder setArm(
-        io.pollenpath.protocol.wire.ArmMap.Builder builderForValue) {
-      if (armBuilder_ == null) {
-        order_ = builderForValue.build();
-        onChanged();
-      } else {
-        armBuilder_.setMessage(builderForValue.build());
-      }
-      orderCase_ = 5;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.ArmMap arm = 5;</code>
-     */
-    public Builder mergeArm(io.pollenpath.protocol.wire.ArmMap value) {
-      if (armBuilder_ == null) {
-        if (orderCase_ == 5 &&
-            order_ != io.pollenpath.protocol.wire.ArmMap.getDefaultInstance()) {
-          order_ = io.pollenpath.protocol.wire.ArmMap.newBuilder((io.pollenpath.protocol.wire.ArmMap) order_)
-              .mergeFrom(value).buildPartial();
-        } else {
-          order_ = value;
-        }
-        onChanged();
-      } else {
-        if (orderCase_ == 5) {
-          armBuilder_.mergeFrom(value);
-        } else {
-          armBuilder_.setMessage(value);
-        }
-      }
-      orderCase_ = 5;
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.ArmMap arm = 5;</code>
-     */
-    public Builder clearArm() {
-      if (armBuilder_ == null) {
-        if (orderCase_ == 5) {
-          orderCase_ = 0;
-          order_ = null;
-          onChanged();
-        }
-      } else {
-        if (orderCase_ == 5) {
-          orderCase_ = 0;
-          order_ = null;
-        }
-        armBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.ArmMap arm = 5;</code>
-     */
-    public io.pollenpath.protocol.wire.ArmMap.Builder getArmBuilder() {
-      return internalGetArmFieldBuilder().getBuilder();
     }
-    /**
-     * <code>.pollenpath.group.ArmMap arm = 5;</code>
-     */
+
+    /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
     @java.lang.Override
     public io.pollenpath.protocol.wire.ArmMapOrBuilder getArmOrBuilder() {
-      if ((orderCase_ == 5) && (armBuilder_ != null)) {
-        return armBuilder_.getMessageOrBuilder();
-      } else {
         if (orderCase_ == 5) {
-          return (io.pollenpath.protocol.wire.ArmMap) order_;
+            return (io.pollenpath.protocol.wire.ArmMap) order_;
         }
         return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.pollenpath.group.ArmMap arm = 5;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.ArmMap, io.pollenpath.protocol.wire.ArmMap.Builder, io.pollenpath.protocol.wire.ArmMapOrBuilder> 
-        internalGetArmFieldBuilder() {
-      if (armBuilder_ == null) {
-        if (!(orderCase_ == 5)) {
-          order_ = io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
-        }
-        armBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.pollenpath.protocol.wire.ArmMap, io.pollenpath.protocol.wire.ArmMap.Builder, io.pollenpath.protocol.wire.ArmMapOrBuilder>(
-                (io.pollenpath.protocol.wire.ArmMap) order_,
-                getParentForChildren(),
-                isClean());
-        order_ = null;
-      }
-      orderCase_ = 5;
-      onChanged();
-      return armBuilder_;
     }
 
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.ReleaseStep, io.pollenpath.protocol.wire.ReleaseStep.Builder, io.pollenpath.protocol.wire.ReleaseStepOrBuilder> releaseBuilder_;
+    public static final int RELEASE_FIELD_NUMBER = 6;
+
     /**
      * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+     *
      * @return Whether the release field is set.
      */
     @java.lang.Override
     public boolean hasRelease() {
-      return orderCase_ == 6;
+        return orderCase_ == 6;
     }
+
     /**
      * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+     *
      * @return The release.
      */
     @java.lang.Override
     public io.pollenpath.protocol.wire.ReleaseStep getRelease() {
-      if (releaseBuilder_ == null) {
         if (orderCase_ == 6) {
-          return (io.pollenpath.protocol.wire.ReleaseStep) order_;
+            return (io.pollenpath.protocol.wire.ReleaseStep) order_;
         }
         return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
-      } else {
+    }
+
+    /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ReleaseStepOrBuilder getReleaseOrBuilder() {
         if (orderCase_ == 6) {
-          return releaseBuilder_.getMessage();
+            return (io.pollenpath.protocol.wire.ReleaseStep) order_;
         }
         return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
-      }
-    }
-    /**
-     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-     */
-    public Builder setRelease(io.pollenpath.protocol.wire.ReleaseStep value) {
-      if (releaseBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        order_ = value;
-        onChanged();
-      } else {
-        releaseBuilder_.setMessage(value);
-      }
-      orderCase_ = 6;
-      return this;
     }
+
+    public static final int DISARM_FIELD_NUMBER = 7;
+
     /**
-     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
+     *
+     * @return Whether the disarm field is set.
      */
-    public Builder setRelease(
-        io.pollenpath.protocol.wire.ReleaseStep.Builder builderForValue) {
-      if (releaseBuilder_ == null) {
-        order_ = builderForValue.build();
-        onChanged();
-      } else {
-        releaseBuilder_.setMessage(builderForValue.build());
-      }
-      orderCase_ = 6;
-      return this;
+    @java.lang.Override
+    public boolean hasDisarm() {
+        return orderCase_ == 7;
     }
+
     /**
-     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
+     *
+     * @return The disarm.
      */
-    public Builder mergeRelease(io.pollenpath.protocol.wire.ReleaseStep value) {
-      if (releaseBuilder_ == null) {
-        if (orderCase_ == 6 &&
-            order_ != io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance()) {
-          order_ = io.pollenpath.protocol.wire.ReleaseStep.newBuilder((io.pollenpath.protocol.wire.ReleaseStep) order_)
-              .mergeFrom(value).buildPartial();
-        } else {
-          order_ = value;
-        }
-        onChanged();
-      } else {
-        if (orderCase_ == 6) {
-          releaseBuilder_.mergeFrom(value);
-        } else {
-          releaseBuilder_.setMessage(value);
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.DisarmMap getDisarm() {
+        if (orderCase_ == 7) {
+            return (io.pollenpath.protocol.wire.DisarmMap) order_;
         }
-      }
-      orderCase_ = 6;
-      return this;
+        return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
     }
-    /**
-     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-     */
-    public Builder clearRelease() {
-      if (releaseBuilder_ == null) {
-        if (orderCase_ == 6) {
-          orderCase_ = 0;
-          order_ = null;
-          onChanged();
-        }
-      } else {
-        if (orderCase_ == 6) {
-          orderCase_ = 0;
-          order_ = null;
+
+    /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.DisarmMapOrBuilder getDisarmOrBuilder() {
+        if (orderCase_ == 7) {
+            return (io.pollenpath.protocol.wire.DisarmMap) order_;
         }
-        releaseBuilder_.clear();
-      }
-      return this;
+        return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
     }
-    /**
-     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-     */
-    public io.pollenpath.protocol.wire.ReleaseStep.Builder getReleaseBuilder() {
-      return internalGetReleaseFieldBuilder().getBuilder();
+
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
-    /**
-     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-     */
+
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ReleaseStepOrBuilder getReleaseOrBuilder() {
-      if ((orderCase_ == 6) && (releaseBuilder_ != null)) {
-        return releaseBuilder_.getMessageOrBuilder();
-      } else {
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (token_ != 0L) {
+            output.writeInt64(1, token_);
+        }
+        if (epoch_ != 0L) {
+            output.writeInt64(2, epoch_);
+        }
+        if (orderCase_ == 3) {
+            output.writeMessage(3, (io.pollenpath.protocol.wire.PrepareMap) order_);
+        }
+        if (orderCase_ == 4) {
+            output.writeMessage(4, (io.pollenpath.protocol.wire.HoldStep) order_);
+        }
+        if (orderCase_ == 5) {
+            output.writeMessage(5, (io.pollenpath.protocol.wire.ArmMap) order_);
+        }
         if (orderCase_ == 6) {
-          return (io.pollenpath.protocol.wire.ReleaseStep) order_;
+            output.writeMessage(6, (io.pollenpath.protocol.wire.ReleaseStep) order_);
         }
-        return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
-      }
+        if (orderCase_ == 7) {
+            output.writeMessage(7, (io.pollenpath.protocol.wire.DisarmMap) order_);
+        }
+        getUnknownFields().writeTo(output);
     }
-    /**
-     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.ReleaseStep, io.pollenpath.protocol.wire.ReleaseStep.Builder, io.pollenpath.protocol.wire.ReleaseStepOrBuilder> 
-        internalGetReleaseFieldBuilder() {
-      if (releaseBuilder_ == null) {
-        if (!(orderCase_ == 6)) {
-          order_ = io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
-        }
-        releaseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.pollenpath.protocol.wire.ReleaseStep, io.pollenpath.protocol.wire.ReleaseStep.Builder, io.pollenpath.protocol.wire.ReleaseStepOrBuilder>(
-                (io.pollenpath.protocol.wire.ReleaseStep) order_,
-                getParentForChildren(),
-                isClean());
-        order_ = null;
-      }
-      orderCase_ = 6;
-      onChanged();
-      return releaseBuilder_;
+
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (token_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, token_);
+        }
+        if (epoch_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(2, epoch_);
+        }
+        if (orderCase_ == 3) {
+            size +=
+                    com.google.protobuf.CodedOutputStream.computeMessageSize(
+                            3, (io.pollenpath.protocol.wire.PrepareMap) order_);
+        }
+        if (orderCase_ == 4) {
+            size +=
+                    com.google.protobuf.CodedOutputStream.computeMessageSize(
+                            4, (io.pollenpath.protocol.wire.HoldStep) order_);
+        }
+        if (orderCase_ == 5) {
+            size +=
+                    com.google.protobuf.CodedOutputStream.computeMessageSize(
+                            5, (io.pollenpath.protocol.wire.ArmMap) order_);
+        }
+        if (orderCase_ == 6) {
+            size +=
+                    com.google.protobuf.CodedOutputStream.computeMessageSize(
+                            6, (io.pollenpath.protocol.wire.ReleaseStep) order_);
+        }
+        if (orderCase_ == 7) {
+            size +=
+                    com.google.protobuf.CodedOutputStream.computeMessageSize(
+                            7, (io.pollenpath.protocol.wire.DisarmMap) order_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.DisarmMap, io.pollenpath.protocol.wire.DisarmMap.Builder, io.pollenpath.protocol.wire.DisarmMapOrBuilder> disarmBuilder_;
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     * @return Whether the disarm field is set.
-     */
     @java.lang.Override
-    public boolean hasDisarm() {
-      return orderCase_ == 7;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.RankCommand)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.RankCommand other =
+                (io.pollenpath.protocol.wire.RankCommand) obj;
+
+        if (getToken() != other.getToken()) return false;
+        if (getEpoch() != other.getEpoch()) return false;
+        if (!getOrderCase().equals(other.getOrderCase())) return false;
+        switch (orderCase_) {
+            case 3:
+                if (!getPrepare().equals(other.getPrepare())) return false;
+                break;
+            case 4:
+                if (!getHold().equals(other.getHold())) return false;
+                break;
+            case 5:
+                if (!getArm().equals(other.getArm())) return false;
+                break;
+            case 6:
+                if (!getRelease().equals(other.getRelease())) return false;
+                break;
+            case 7:
+                if (!getDisarm().equals(other.getDisarm())) return false;
+                break;
+            case 0:
+            default:
+        }
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     * @return The disarm.
-     */
+
     @java.lang.Override
-    public io.pollenpath.protocol.wire.DisarmMap getDisarm() {
-      if (disarmBuilder_ == null) {
-        if (orderCase_ == 7) {
-          return (io.pollenpath.protocol.wire.DisarmMap) order_;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
         }
-        return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
-      } else {
-        if (orderCase_ == 7) {
-          return disarmBuilder_.getMessage();
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + TOKEN_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getToken());
+        hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getEpoch());
+        switch (orderCase_) {
+            case 3:
+                hash = (37 * hash) + PREPARE_FIELD_NUMBER;
+                hash = (53 * hash) + getPrepare().hashCode();
+                break;
+            case 4:
+                hash = (37 * hash) + HOLD_FIELD_NUMBER;
+                hash = (53 * hash) + getHold().hashCode();
+                break;
+            case 5:
+                hash = (37 * hash) + ARM_FIELD_NUMBER;
+                hash = (53 * hash) + getArm().hashCode();
+                break;
+            case 6:
+                hash = (37 * hash) + RELEASE_FIELD_NUMBER;
+                hash = (53 * hash) + getRelease().hashCode();
+                break;
+            case 7:
+                hash = (37 * hash) + DISARM_FIELD_NUMBER;
+                hash = (53 * hash) + getDisarm().hashCode();
+                break;
+            case 0:
+            default:
         }
-        return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
-      }
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     */
-    public Builder setDisarm(io.pollenpath.protocol.wire.DisarmMap value) {
-      if (disarmBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        order_ = value;
-        onChanged();
-      } else {
-        disarmBuilder_.setMessage(value);
-      }
-      orderCase_ = 7;
-      return this;
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     */
-    public Builder setDisarm(
-        io.pollenpath.protocol.wire.DisarmMap.Builder builderForValue) {
-      if (disarmBuilder_ == null) {
-        order_ = builderForValue.build();
-        onChanged();
-      } else {
-        disarmBuilder_.setMessage(builderForValue.build());
-      }
-      orderCase_ = 7;
-      return this;
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     */
-    public Builder mergeDisarm(io.pollenpath.protocol.wire.DisarmMap value) {
-      if (disarmBuilder_ == null) {
-        if (orderCase_ == 7 &&
-            order_ != io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance()) {
-          order_ = io.pollenpath.protocol.wire.DisarmMap.newBuilder((io.pollenpath.protocol.wire.DisarmMap) order_)
-              .mergeFrom(value).buildPartial();
-        } else {
-          order_ = value;
-        }
-        onChanged();
-      } else {
-        if (orderCase_ == 7) {
-          disarmBuilder_.mergeFrom(value);
-        } else {
-          disarmBuilder_.setMessage(value);
-        }
-      }
-      orderCase_ = 7;
-      return this;
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     */
-    public Builder clearDisarm() {
-      if (disarmBuilder_ == null) {
-        if (orderCase_ == 7) {
-          orderCase_ = 0;
-          order_ = null;
-          onChanged();
-        }
-      } else {
-        if (orderCase_ == 7) {
-          orderCase_ = 0;
-          order_ = null;
-        }
-        disarmBuilder_.clear();
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     */
-    public io.pollenpath.protocol.wire.DisarmMap.Builder getDisarmBuilder() {
-      return internalGetDisarmFieldBuilder().getBuilder();
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-     */
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankCommand parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankCommand parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankCommand parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
     @java.lang.Override
-    public io.pollenpath.protocol.wire.DisarmMapOrBuilder getDisarmOrBuilder() {
-      if ((orderCase_ == 7) && (disarmBuilder_ != null)) {
-        return disarmBuilder_.getMessageOrBuilder();
-      } else {
-        if (orderCase_ == 7) {
-          return (io.pollenpath.protocol.wire.DisarmMap) order_;
-        }
-        return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
-      }
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.RankCommand prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
+     *
+     *
+     * <pre>
+     * Orders an agent to change its engine.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.RankCommand}
      */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.DisarmMap, io.pollenpath.protocol.wire.DisarmMap.Builder, io.pollenpath.protocol.wire.DisarmMapOrBuilder> 
-        internalGetDisarmFieldBuilder() {
-      if (disarmBuilder_ == null) {
-        if (!(orderCase_ == 7)) {
-          order_ = io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
-        }
-        disarmBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.pollenpath.protocol.wire.DisarmMap, io.pollenpath.protocol.wire.DisarmMap.Builder, io.pollenpath.protocol.wire.DisarmMapOrBuilder>(
-                (io.pollenpath.protocol.wire.DisarmMap) order_,
-                getParentForChildren(),
-                isClean());
-        order_ = null;
-      }
-      orderCase_ = 7;
-      onChanged();
-      return disarmBuilder_;
-    }
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.RankCommand)
+            io.pollenpath.protocol.wire.RankCommandOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankCommand_descriptor;
+        }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.RankCommand)
-  }
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankCommand_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.RankCommand.class,
+                            io.pollenpath.protocol.wire.RankCommand.Builder.class);
+        }
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.RankCommand)
-  private static final io.pollenpath.protocol.wire.RankCommand DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankCommand();
-  }
+        // Construct using io.pollenpath.protocol.wire.RankCommand.newBuilder()
+        private Builder() {}
 
-  public static io.pollenpath.protocol.wire.RankCommand getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
 
-  private static final com.google.protobuf.Parser<RankCommand>
-      PARSER = new com.google.protobuf.AbstractParser<RankCommand>() {
-    @java.lang.Override
-    public RankCommand parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            token_ = 0L;
+            epoch_ = 0L;
+            if (prepareBuilder_ != null) {
+                prepareBuilder_.clear();
+            }
+            if (holdBuilder_ != null) {
+                holdBuilder_.clear();
+            }
+            if (armBuilder_ != null) {
+                armBuilder_.clear();
+            }
+            if (releaseBuilder_ != null) {
+                releaseBuilder_.clear();
+            }
+            if (disarmBuilder_ != null) {
+                disarmBuilder_.clear();
+            }
+            orderCase_ = 0;
+            order_ = null;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankCommand_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankCommand getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.RankCommand.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankCommand build() {
+            io.pollenpath.protocol.wire.RankCommand result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankCommand buildPartial() {
+            io.pollenpath.protocol.wire.RankCommand result =
+                    new io.pollenpath.protocol.wire.RankCommand(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            buildPartialOneofs(result);
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.RankCommand result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.token_ = token_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.epoch_ = epoch_;
+            }
+        }
+
+        private void buildPartialOneofs(io.pollenpath.protocol.wire.RankCommand result) {
+            result.orderCase_ = orderCase_;
+            result.order_ = this.order_;
+            if (orderCase_ == 3 && prepareBuilder_ != null) {
+                result.order_ = prepareBuilder_.build();
+            }
+            if (orderCase_ == 4 && holdBuilder_ != null) {
+                result.order_ = holdBuilder_.build();
+            }
+            if (orderCase_ == 5 && armBuilder_ != null) {
+                result.order_ = armBuilder_.build();
+            }
+            if (orderCase_ == 6 && releaseBuilder_ != null) {
+                result.order_ = releaseBuilder_.build();
+            }
+            if (orderCase_ == 7 && disarmBuilder_ != null) {
+                result.order_ = disarmBuilder_.build();
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.RankCommand) {
+                return mergeFrom((io.pollenpath.protocol.wire.RankCommand) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.RankCommand other) {
+            if (other == io.pollenpath.protocol.wire.RankCommand.getDefaultInstance()) return this;
+            if (other.getToken() != 0L) {
+                setToken(other.getToken());
+            }
+            if (other.getEpoch() != 0L) {
+                setEpoch(other.getEpoch());
+            }
+            switch (other.getOrderCase()) {
+                case PREPARE:
+                    {
+                        mergePrepare(other.getPrepare());
+                        break;
+                    }
+                case HOLD:
+                    {
+                        mergeHold(other.getHold());
+                        break;
+                    }
+                case ARM:
+                    {
+                        mergeArm(other.getArm());
+                        break;
+                    }
+                case RELEASE:
+                    {
+                        mergeRelease(other.getRelease());
+                        break;
+                    }
+                case DISARM:
+                    {
+                        mergeDisarm(other.getDisarm());
+                        break;
+                    }
+                case ORDER_NOT_SET:
+                    {
+                        break;
+                    }
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                token_ = input.readInt64();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        case 16:
+                            {
+                                epoch_ = input.readInt64();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 16
+                        case 26:
+                            {
+                                input.readMessage(
+                                        internalGetPrepareFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                orderCase_ = 3;
+                                break;
+                            } // case 26
+                        case 34:
+                            {
+                                input.readMessage(
+                                        internalGetHoldFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                orderCase_ = 4;
+                                break;
+                            } // case 34
+                        case 42:
+                            {
+                                input.readMessage(
+                                        internalGetArmFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                orderCase_ = 5;
+                                break;
+                            } // case 42
+                        case 50:
+                            {
+                                input.readMessage(
+                                        internalGetReleaseFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                orderCase_ = 6;
+                                break;
+                            } // case 50
+                        case 58:
+                            {
+                                input.readMessage(
+                                        internalGetDisarmFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                orderCase_ = 7;
+                                break;
+                            } // case 58
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int orderCase_ = 0;
+        private java.lang.Object order_;
+
+        public OrderCase getOrderCase() {
+            return OrderCase.forNumber(orderCase_);
+        }
+
+        public Builder clearOrder() {
+            orderCase_ = 0;
+            order_ = null;
+            onChanged();
+            return this;
+        }
+
+        private int bitField0_;
+
+        private long token_;
+
+        /**
+         * <code>int64 token = 1;</code>
+         *
+         * @return The token.
+         */
+        @java.lang.Override
+        public long getToken() {
+            return token_;
+        }
+
+        /**
+         * <code>int64 token = 1;</code>
+         *
+         * @param value The token to set.
+         * @return This builder for chaining.
+         */
+        public Builder setToken(long value) {
+
+            token_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 token = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearToken() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            token_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long epoch_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Epoch of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>int64 epoch = 2;</code>
+         *
+         * @return The epoch.
+         */
+        @java.lang.Override
+        public long getEpoch() {
+            return epoch_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Epoch of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>int64 epoch = 2;</code>
+         *
+         * @param value The epoch to set.
+         * @return This builder for chaining.
+         */
+        public Builder setEpoch(long value) {
+
+            epoch_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Epoch of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>int64 epoch = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearEpoch() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            epoch_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.PrepareMap,
+                        io.pollenpath.protocol.wire.PrepareMap.Builder,
+                        io.pollenpath.protocol.wire.PrepareMapOrBuilder>
+                prepareBuilder_;
+
+        /**
+         * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
+         *
+         * @return Whether the prepare field is set.
+         */
+        @java.lang.Override
+        public boolean hasPrepare() {
+            return orderCase_ == 3;
+        }
+
+        /**
+         * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
+         *
+         * @return The prepare.
+         */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.PrepareMap getPrepare() {
+            if (prepareBuilder_ == null) {
+                if (orderCase_ == 3) {
+                    return (io.pollenpath.protocol.wire.PrepareMap) order_;
+                }
+                return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
+            } else {
+                if (orderCase_ == 3) {
+                    return prepareBuilder_.getMessage();
+                }
+                return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+        public Builder setPrepare(io.pollenpath.protocol.wire.PrepareMap value) {
+            if (prepareBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                order_ = value;
+                onChanged();
+            } else {
+                prepareBuilder_.setMessage(value);
+            }
+            orderCase_ = 3;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+        public Builder setPrepare(io.pollenpath.protocol.wire.PrepareMap.Builder builderForValue) {
+            if (prepareBuilder_ == null) {
+                order_ = builderForValue.build();
+                onChanged();
+            } else {
+                prepareBuilder_.setMessage(builderForValue.build());
+            }
+            orderCase_ = 3;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+        public Builder mergePrepare(io.pollenpath.protocol.wire.PrepareMap value) {
+            if (prepareBuilder_ == null) {
+                if (orderCase_ == 3
+                        && order_ != io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance()) {
+                    order_ =
+                            io.pollenpath.protocol.wire.PrepareMap.newBuilder(
+                                            (io.pollenpath.protocol.wire.PrepareMap) order_)
+                                    .mergeFrom(value)
+                                    .buildPartial();
+                } else {
+                    order_ = value;
+                }
+                onChanged();
+            } else {
+                if (orderCase_ == 3) {
+                    prepareBuilder_.mergeFrom(value);
+                } else {
+                    prepareBuilder_.setMessage(value);
+                }
+            }
+            orderCase_ = 3;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+        public Builder clearPrepare() {
+            if (prepareBuilder_ == null) {
+                if (orderCase_ == 3) {
+                    orderCase_ = 0;
+                    order_ = null;
+                    onChanged();
+                }
+            } else {
+                if (orderCase_ == 3) {
+                    orderCase_ = 0;
+                    order_ = null;
+                }
+                prepareBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+        public io.pollenpath.protocol.wire.PrepareMap.Builder getPrepareBuilder() {
+            return internalGetPrepareFieldBuilder().getBuilder();
+        }
+
+        /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.PrepareMapOrBuilder getPrepareOrBuilder() {
+            if ((orderCase_ == 3) && (prepareBuilder_ != null)) {
+                return prepareBuilder_.getMessageOrBuilder();
+            } else {
+                if (orderCase_ == 3) {
+                    return (io.pollenpath.protocol.wire.PrepareMap) order_;
+                }
+                return io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.PrepareMap,
+                        io.pollenpath.protocol.wire.PrepareMap.Builder,
+                        io.pollenpath.protocol.wire.PrepareMapOrBuilder>
+                internalGetPrepareFieldBuilder() {
+            if (prepareBuilder_ == null) {
+                if (!(orderCase_ == 3)) {
+                    order_ = io.pollenpath.protocol.wire.PrepareMap.getDefaultInstance();
+                }
+                prepareBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.PrepareMap,
+                                io.pollenpath.protocol.wire.PrepareMap.Builder,
+                                io.pollenpath.protocol.wire.PrepareMapOrBuilder>(
+                                (io.pollenpath.protocol.wire.PrepareMap) order_,
+                                getParentForChildren(),
+                                isClean());
+                order_ = null;
+            }
+            orderCase_ = 3;
+            onChanged();
+            return prepareBuilder_;
+        }
+
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.HoldStep,
+                        io.pollenpath.protocol.wire.HoldStep.Builder,
+                        io.pollenpath.protocol.wire.HoldStepOrBuilder>
+                holdBuilder_;
+
+        /**
+         * <code>.pollenpath.group.HoldStep hold = 4;</code>
+         *
+         * @return Whether the hold field is set.
+         */
+        @java.lang.Override
+        public boolean hasHold() {
+            return orderCase_ == 4;
+        }
+
+        /**
+         * <code>.pollenpath.group.HoldStep hold = 4;</code>
+         *
+         * @return The hold.
+         */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.HoldStep getHold() {
+            if (holdBuilder_ == null) {
+                if (orderCase_ == 4) {
+                    return (io.pollenpath.protocol.wire.HoldStep) order_;
+                }
+                return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
+            } else {
+                if (orderCase_ == 4) {
+                    return holdBuilder_.getMessage();
+                }
+                return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+        public Builder setHold(io.pollenpath.protocol.wire.HoldStep value) {
+            if (holdBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                order_ = value;
+                onChanged();
+            } else {
+                holdBuilder_.setMessage(value);
+            }
+            orderCase_ = 4;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+        public Builder setHold(io.pollenpath.protocol.wire.HoldStep.Builder builderForValue) {
+            if (holdBuilder_ == null) {
+                order_ = builderForValue.build();
+                onChanged();
+            } else {
+                holdBuilder_.setMessage(builderForValue.build());
+            }
+            orderCase_ = 4;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+        public Builder mergeHold(io.pollenpath.protocol.wire.HoldStep value) {
+            if (holdBuilder_ == null) {
+                if (orderCase_ == 4
+                        && order_ != io.pollenpath.protocol.wire.HoldStep.getDefaultInstance()) {
+                    order_ =
+                            io.pollenpath.protocol.wire.HoldStep.newBuilder(
+                                            (io.pollenpath.protocol.wire.HoldStep) order_)
+                                    .mergeFrom(value)
+                                    .buildPartial();
+                } else {
+                    order_ = value;
+                }
+                onChanged();
+            } else {
+                if (orderCase_ == 4) {
+                    holdBuilder_.mergeFrom(value);
+                } else {
+                    holdBuilder_.setMessage(value);
+                }
+            }
+            orderCase_ = 4;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+        public Builder clearHold() {
+            if (holdBuilder_ == null) {
+                if (orderCase_ == 4) {
+                    orderCase_ = 0;
+                    order_ = null;
+                    onChanged();
+                }
+            } else {
+                if (orderCase_ == 4) {
+                    orderCase_ = 0;
+                    order_ = null;
+                }
+                holdBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+        public io.pollenpath.protocol.wire.HoldStep.Builder getHoldBuilder() {
+            return internalGetHoldFieldBuilder().getBuilder();
+        }
+
+        /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.HoldStepOrBuilder getHoldOrBuilder() {
+            if ((orderCase_ == 4) && (holdBuilder_ != null)) {
+                return holdBuilder_.getMessageOrBuilder();
+            } else {
+                if (orderCase_ == 4) {
+                    return (io.pollenpath.protocol.wire.HoldStep) order_;
+                }
+                return io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.HoldStep,
+                        io.pollenpath.protocol.wire.HoldStep.Builder,
+                        io.pollenpath.protocol.wire.HoldStepOrBuilder>
+                internalGetHoldFieldBuilder() {
+            if (holdBuilder_ == null) {
+                if (!(orderCase_ == 4)) {
+                    order_ = io.pollenpath.protocol.wire.HoldStep.getDefaultInstance();
+                }
+                holdBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.HoldStep,
+                                io.pollenpath.protocol.wire.HoldStep.Builder,
+                                io.pollenpath.protocol.wire.HoldStepOrBuilder>(
+                                (io.pollenpath.protocol.wire.HoldStep) order_,
+                                getParentForChildren(),
+                                isClean());
+                order_ = null;
+            }
+            orderCase_ = 4;
+            onChanged();
+            return holdBuilder_;
+        }
+
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.ArmMap,
+                        io.pollenpath.protocol.wire.ArmMap.Builder,
+                        io.pollenpath.protocol.wire.ArmMapOrBuilder>
+                armBuilder_;
+
+        /**
+         * <code>.pollenpath.group.ArmMap arm = 5;</code>
+         *
+         * @return Whether the arm field is set.
+         */
+        @java.lang.Override
+        public boolean hasArm() {
+            return orderCase_ == 5;
+        }
+
+        /**
+         * <code>.pollenpath.group.ArmMap arm = 5;</code>
+         *
+         * @return The arm.
+         */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ArmMap getArm() {
+            if (armBuilder_ == null) {
+                if (orderCase_ == 5) {
+                    return (io.pollenpath.protocol.wire.ArmMap) order_;
+                }
+                return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
+            } else {
+                if (orderCase_ == 5) {
+                    return armBuilder_.getMessage();
+                }
+                return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+        public Builder setArm(io.pollenpath.protocol.wire.ArmMap value) {
+            if (armBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                order_ = value;
+                onChanged();
+            } else {
+                armBuilder_.setMessage(value);
+            }
+            orderCase_ = 5;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+        public Builder setArm(io.pollenpath.protocol.wire.ArmMap.Builder builderForValue) {
+            if (armBuilder_ == null) {
+                order_ = builderForValue.build();
+                onChanged();
+            } else {
+                armBuilder_.setMessage(builderForValue.build());
+            }
+            orderCase_ = 5;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+        public Builder mergeArm(io.pollenpath.protocol.wire.ArmMap value) {
+            if (armBuilder_ == null) {
+                if (orderCase_ == 5
+                        && order_ != io.pollenpath.protocol.wire.ArmMap.getDefaultInstance()) {
+                    order_ =
+                            io.pollenpath.protocol.wire.ArmMap.newBuilder(
+                                            (io.pollenpath.protocol.wire.ArmMap) order_)
+                                    .mergeFrom(value)
+                                    .buildPartial();
+                } else {
+                    order_ = value;
+                }
+                onChanged();
+            } else {
+                if (orderCase_ == 5) {
+                    armBuilder_.mergeFrom(value);
+                } else {
+                    armBuilder_.setMessage(value);
+                }
+            }
+            orderCase_ = 5;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+        public Builder clearArm() {
+            if (armBuilder_ == null) {
+                if (orderCase_ == 5) {
+                    orderCase_ = 0;
+                    order_ = null;
+                    onChanged();
+                }
+            } else {
+                if (orderCase_ == 5) {
+                    orderCase_ = 0;
+                    order_ = null;
+                }
+                armBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+        public io.pollenpath.protocol.wire.ArmMap.Builder getArmBuilder() {
+            return internalGetArmFieldBuilder().getBuilder();
+        }
+
+        /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ArmMapOrBuilder getArmOrBuilder() {
+            if ((orderCase_ == 5) && (armBuilder_ != null)) {
+                return armBuilder_.getMessageOrBuilder();
+            } else {
+                if (orderCase_ == 5) {
+                    return (io.pollenpath.protocol.wire.ArmMap) order_;
+                }
+                return io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.ArmMap,
+                        io.pollenpath.protocol.wire.ArmMap.Builder,
+                        io.pollenpath.protocol.wire.ArmMapOrBuilder>
+                internalGetArmFieldBuilder() {
+            if (armBuilder_ == null) {
+                if (!(orderCase_ == 5)) {
+                    order_ = io.pollenpath.protocol.wire.ArmMap.getDefaultInstance();
+                }
+                armBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.ArmMap,
+                                io.pollenpath.protocol.wire.ArmMap.Builder,
+                                io.pollenpath.protocol.wire.ArmMapOrBuilder>(
+                                (io.pollenpath.protocol.wire.ArmMap) order_,
+                                getParentForChildren(),
+                                isClean());
+                order_ = null;
+            }
+            orderCase_ = 5;
+            onChanged();
+            return armBuilder_;
+        }
+
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.ReleaseStep,
+                        io.pollenpath.protocol.wire.ReleaseStep.Builder,
+                        io.pollenpath.protocol.wire.ReleaseStepOrBuilder>
+                releaseBuilder_;
+
+        /**
+         * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+         *
+         * @return Whether the release field is set.
+         */
+        @java.lang.Override
+        public boolean hasRelease() {
+            return orderCase_ == 6;
+        }
+
+        /**
+         * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+         *
+         * @return The release.
+         */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ReleaseStep getRelease() {
+            if (releaseBuilder_ == null) {
+                if (orderCase_ == 6) {
+                    return (io.pollenpath.protocol.wire.ReleaseStep) order_;
+                }
+                return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
+            } else {
+                if (orderCase_ == 6) {
+                    return releaseBuilder_.getMessage();
+                }
+                return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+        public Builder setRelease(io.pollenpath.protocol.wire.ReleaseStep value) {
+            if (releaseBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                order_ = value;
+                onChanged();
+            } else {
+                releaseBuilder_.setMessage(value);
+            }
+            orderCase_ = 6;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+        public Builder setRelease(io.pollenpath.protocol.wire.ReleaseStep.Builder builderForValue) {
+            if (releaseBuilder_ == null) {
+                order_ = builderForValue.build();
+                onChanged();
+            } else {
+                releaseBuilder_.setMessage(builderForValue.build());
+            }
+            orderCase_ = 6;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+        public Builder mergeRelease(io.pollenpath.protocol.wire.ReleaseStep value) {
+            if (releaseBuilder_ == null) {
+                if (orderCase_ == 6
+                        && order_ != io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance()) {
+                    order_ =
+                            io.pollenpath.protocol.wire.ReleaseStep.newBuilder(
+                                            (io.pollenpath.protocol.wire.ReleaseStep) order_)
+                                    .mergeFrom(value)
+                                    .buildPartial();
+                } else {
+                    order_ = value;
+                }
+                onChanged();
+            } else {
+                if (orderCase_ == 6) {
+                    releaseBuilder_.mergeFrom(value);
+                } else {
+                    releaseBuilder_.setMessage(value);
+                }
+            }
+            orderCase_ = 6;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+        public Builder clearRelease() {
+            if (releaseBuilder_ == null) {
+                if (orderCase_ == 6) {
+                    orderCase_ = 0;
+                    order_ = null;
+                    onChanged();
+                }
+            } else {
+                if (orderCase_ == 6) {
+                    orderCase_ = 0;
+                    order_ = null;
+                }
+                releaseBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+        public io.pollenpath.protocol.wire.ReleaseStep.Builder getReleaseBuilder() {
+            return internalGetReleaseFieldBuilder().getBuilder();
+        }
+
+        /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ReleaseStepOrBuilder getReleaseOrBuilder() {
+            if ((orderCase_ == 6) && (releaseBuilder_ != null)) {
+                return releaseBuilder_.getMessageOrBuilder();
+            } else {
+                if (orderCase_ == 6) {
+                    return (io.pollenpath.protocol.wire.ReleaseStep) order_;
+                }
+                return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.ReleaseStep,
+                        io.pollenpath.protocol.wire.ReleaseStep.Builder,
+                        io.pollenpath.protocol.wire.ReleaseStepOrBuilder>
+                internalGetReleaseFieldBuilder() {
+            if (releaseBuilder_ == null) {
+                if (!(orderCase_ == 6)) {
+                    order_ = io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
+                }
+                releaseBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.ReleaseStep,
+                                io.pollenpath.protocol.wire.ReleaseStep.Builder,
+                                io.pollenpath.protocol.wire.ReleaseStepOrBuilder>(
+                                (io.pollenpath.protocol.wire.ReleaseStep) order_,
+                                getParentForChildren(),
+                                isClean());
+                order_ = null;
+            }
+            orderCase_ = 6;
+            onChanged();
+            return releaseBuilder_;
+        }
+
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.DisarmMap,
+                        io.pollenpath.protocol.wire.DisarmMap.Builder,
+                        io.pollenpath.protocol.wire.DisarmMapOrBuilder>
+                disarmBuilder_;
+
+        /**
+         * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
+         *
+         * @return Whether the disarm field is set.
+         */
+        @java.lang.Override
+        public boolean hasDisarm() {
+            return orderCase_ == 7;
+        }
+
+        /**
+         * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
+         *
+         * @return The disarm.
+         */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.DisarmMap getDisarm() {
+            if (disarmBuilder_ == null) {
+                if (orderCase_ == 7) {
+                    return (io.pollenpath.protocol.wire.DisarmMap) order_;
+                }
+                return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
+            } else {
+                if (orderCase_ == 7) {
+                    return disarmBuilder_.getMessage();
+                }
+                return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+        public Builder setDisarm(io.pollenpath.protocol.wire.DisarmMap value) {
+            if (disarmBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                order_ = value;
+                onChanged();
+            } else {
+                disarmBuilder_.setMessage(value);
+            }
+            orderCase_ = 7;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+        public Builder setDisarm(io.pollenpath.protocol.wire.DisarmMap.Builder builderForValue) {
+            if (disarmBuilder_ == null) {
+                order_ = builderForValue.build();
+                onChanged();
+            } else {
+                disarmBuilder_.setMessage(builderForValue.build());
+            }
+            orderCase_ = 7;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+        public Builder mergeDisarm(io.pollenpath.protocol.wire.DisarmMap value) {
+            if (disarmBuilder_ == null) {
+                if (orderCase_ == 7
+                        && order_ != io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance()) {
+                    order_ =
+                            io.pollenpath.protocol.wire.DisarmMap.newBuilder(
+                                            (io.pollenpath.protocol.wire.DisarmMap) order_)
+                                    .mergeFrom(value)
+                                    .buildPartial();
+                } else {
+                    order_ = value;
+                }
+                onChanged();
+            } else {
+                if (orderCase_ == 7) {
+                    disarmBuilder_.mergeFrom(value);
+                } else {
+                    disarmBuilder_.setMessage(value);
+                }
+            }
+            orderCase_ = 7;
+            return this;
+        }
+
+        /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+        public Builder clearDisarm() {
+            if (disarmBuilder_ == null) {
+                if (orderCase_ == 7) {
+                    orderCase_ = 0;
+                    order_ = null;
+                    onChanged();
+                }
+            } else {
+                if (orderCase_ == 7) {
+                    orderCase_ = 0;
+                    order_ = null;
+                }
+                disarmBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+        public io.pollenpath.protocol.wire.DisarmMap.Builder getDisarmBuilder() {
+            return internalGetDisarmFieldBuilder().getBuilder();
+        }
+
+        /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.DisarmMapOrBuilder getDisarmOrBuilder() {
+            if ((orderCase_ == 7) && (disarmBuilder_ != null)) {
+                return disarmBuilder_.getMessageOrBuilder();
+            } else {
+                if (orderCase_ == 7) {
+                    return (io.pollenpath.protocol.wire.DisarmMap) order_;
+                }
+                return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
+            }
+        }
+
+        /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.DisarmMap,
+                        io.pollenpath.protocol.wire.DisarmMap.Builder,
+                        io.pollenpath.protocol.wire.DisarmMapOrBuilder>
+                internalGetDisarmFieldBuilder() {
+            if (disarmBuilder_ == null) {
+                if (!(orderCase_ == 7)) {
+                    order_ = io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
+                }
+                disarmBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.DisarmMap,
+                                io.pollenpath.protocol.wire.DisarmMap.Builder,
+                                io.pollenpath.protocol.wire.DisarmMapOrBuilder>(
+                                (io.pollenpath.protocol.wire.DisarmMap) order_,
+                                getParentForChildren(),
+                                isClean());
+                order_ = null;
+            }
+            orderCase_ = 7;
+            onChanged();
+            return disarmBuilder_;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.RankCommand)
     }
-  };
 
-  public static com.google.protobuf.Parser<RankCommand> parser() {
-    return PARSER;
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.group.RankCommand)
+    private static final io.pollenpath.protocol.wire.RankCommand DEFAULT_INSTANCE;
 
-  @java.lang.Override
-  public com.google.protobuf.Parser<RankCommand> getParserForType() {
-    return PARSER;
-  }
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankCommand();
+    }
 
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RankCommand getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public static io.pollenpath.protocol.wire.RankCommand getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
 
-}
+    private static final com.google.protobuf.Parser<RankCommand> PARSER =
+            new com.google.protobuf.AbstractParser<RankCommand>() {
+                @java.lang.Override
+                public RankCommand parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
 
+    public static com.google.protobuf.Parser<RankCommand> parser() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RankCommand> getParserForType() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RankCommand getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
+}
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankCommandOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankCommandOrBuilder.java
@@ -6,100 +6,115 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RankCommandOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.RankCommand)
-    com.google.protobuf.MessageOrBuilder {
-
-  /**
-   * <code>int64 token = 1;</code>
-   * @return The token.
-   */
-  long getToken();
-
-  /**
-   * <pre>
-   * Epoch of the group that the order is meant for.
-   * </pre>
-   *
-   * <code>int64 epoch = 2;</code>
-   * @return The epoch.
-   */
-  long getEpoch();
-
-  /**
-   * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-   * @return Whether the prepare field is set.
-   */
-  boolean hasPrepare();
-  /**
-   * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-   * @return The prepare.
-   */
-  io.pollenpath.protocol.wire.PrepareMap getPrepare();
-  /**
-   * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
-   */
-  io.pollenpath.protocol.wire.PrepareMapOrBuilder getPrepareOrBuilder();
-
-  /**
-   * <code>.pollenpath.group.HoldStep hold = 4;</code>
-   * @return Whether the hold field is set.
-   */
-  boolean hasHold();
-  /**
-   * <code>.pollenpath.group.HoldStep hold = 4;</code>
-   * @return The hold.
-   */
-  io.pollenpath.protocol.wire.HoldStep getHold();
-  /**
-   * <code>.pollenpath.group.HoldStep hold = 4;</code>
-   */
-  io.pollenpath.protocol.wire.HoldStepOrBuilder getHoldOrBuilder();
-
-  /**
-   * <code>.pollenpath.group.ArmMap arm = 5;</code>
-   * @return Whether the arm field is set.
-   */
-  boolean hasArm();
-  /**
-   * <code>.pollenpath.group.ArmMap arm = 5;</code>
-   * @return The arm.
-   */
-  io.pollenpath.protocol.wire.ArmMap getArm();
-  /**
-   * <code>.pollenpath.group.ArmMap arm = 5;</code>
-   */
-  io.pollenpath.protocol.wire.ArmMapOrBuilder getArmOrBuilder();
-
-  /**
-   * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-   * @return Whether the release field is set.
-   */
-  boolean hasRelease();
-  /**
-   * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-   * @return The release.
-   */
-  io.pollenpath.protocol.wire.ReleaseStep getRelease();
-  /**
-   * <code>.pollenpath.group.ReleaseStep release = 6;</code>
-   */
-  io.pollenpath.protocol.wire.ReleaseStepOrBuilder getReleaseOrBuilder();
-
-  /**
-   * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-   * @return Whether the disarm field is set.
-   */
-  boolean hasDisarm();
-  /**
-   * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-   * @return The disarm.
-   */
-  io.pollenpath.protocol.wire.DisarmMap getDisarm();
-  /**
-   * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
-   */
-  io.pollenpath.protocol.wire.DisarmMapOrBuilder getDisarmOrBuilder();
-
-  io.pollenpath.protocol.wire.RankCommand.OrderCase getOrderCase();
+public interface RankCommandOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.RankCommand)
+        com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 token = 1;</code>
+     *
+     * @return The token.
+     */
+    long getToken();
+
+    /**
+     *
+     *
+     * <pre>
+     * Epoch of the group that the order is meant for.
+     * </pre>
+     *
+     * <code>int64 epoch = 2;</code>
+     *
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
+     *
+     * @return Whether the prepare field is set.
+     */
+    boolean hasPrepare();
+
+    /**
+     * <code>.pollenpath.group.PrepareMap prepare = 3;</code>
+     *
+     * @return The prepare.
+     */
+    io.pollenpath.protocol.wire.PrepareMap getPrepare();
+
+    /** <code>.pollenpath.group.PrepareMap prepare = 3;</code> */
+    io.pollenpath.protocol.wire.PrepareMapOrBuilder getPrepareOrBuilder();
+
+    /**
+     * <code>.pollenpath.group.HoldStep hold = 4;</code>
+     *
+     * @return Whether the hold field is set.
+     */
+    boolean hasHold();
+
+    /**
+     * <code>.pollenpath.group.HoldStep hold = 4;</code>
+     *
+     * @return The hold.
+     */
+    io.pollenpath.protocol.wire.HoldStep getHold();
+
+    /** <code>.pollenpath.group.HoldStep hold = 4;</code> */
+    io.pollenpath.protocol.wire.HoldStepOrBuilder getHoldOrBuilder();
+
+    /**
+     * <code>.pollenpath.group.ArmMap arm = 5;</code>
+     *
+     * @return Whether the arm field is set.
+     */
+    boolean hasArm();
+
+    /**
+     * <code>.pollenpath.group.ArmMap arm = 5;</code>
+     *
+     * @return The arm.
+     */
+    io.pollenpath.protocol.wire.ArmMap getArm();
+
+    /** <code>.pollenpath.group.ArmMap arm = 5;</code> */
+    io.pollenpath.protocol.wire.ArmMapOrBuilder getArmOrBuilder();
+
+    /**
+     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+     *
+     * @return Whether the release field is set.
+     */
+    boolean hasRelease();
+
+    /**
+     * <code>.pollenpath.group.ReleaseStep release = 6;</code>
+     *
+     * @return The release.
+     */
+    io.pollenpath.protocol.wire.ReleaseStep getRelease();
+
+    /** <code>.pollenpath.group.ReleaseStep release = 6;</code> */
+    io.pollenpath.protocol.wire.ReleaseStepOrBuilder getReleaseOrBuilder();
+
+    /**
+     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
+     *
+     * @return Whether the disarm field is set.
+     */
+    boolean hasDisarm();
+
+    /**
+     * <code>.pollenpath.group.DisarmMap disarm = 7;</code>
+     *
+     * @return The disarm.
+     */
+    io.pollenpath.protocol.wire.DisarmMap getDisarm();
+
+    /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
+    io.pollenpath.protocol.wire.DisarmMapOrBuilder getDisarmOrBuilder();
+
+    io.pollenpath.protocol.wire.RankCommand.OrderCase getOrderCase();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankQuery.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankQuery.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Asks an agent for the state of its engine.
  * </pre>
@@ -13,579 +15,619 @@
  * Protobuf type {@code pollenpath.group.RankQuery}
  */
 @com.google.protobuf.Generated
-public final class RankQuery extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.RankQuery)
-    RankQueryOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      RankQuery.class.getName());
-  }
-  // Use RankQuery.newBuilder() to construct.
-  private RankQuery(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private RankQuery() {
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankQuery_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankQuery_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.RankQuery.class, io.pollenpath.protocol.wire.RankQuery.Builder.class);
-  }
-
-  public static final int TOKEN_FIELD_NUMBER = 1;
-  private long token_ = 0L;
-  /**
-   * <pre>
-   * Fencing token of the leader that asks; 0 if the sender only looks around.
-   * </pre>
-   *
-   * <code>int64 token = 1;</code>
-   * @return The token.
-   */
-  @java.lang.Override
-  public long getToken() {
-    return token_;
-  }
-
-  public static final int WITH_COUNTS_FIELD_NUMBER = 2;
-  private boolean withCounts_ = false;
-  /**
-   * <code>bool with_counts = 2;</code>
-   * @return The withCounts.
-   */
-  @java.lang.Override
-  public boolean getWithCounts() {
-    return withCounts_;
-  }
-
-  public static final int WITH_EXPERTS_FIELD_NUMBER = 3;
-  private boolean withExperts_ = false;
-  /**
-   * <code>bool with_experts = 3;</code>
-   * @return The withExperts.
-   */
-  @java.lang.Override
-  public boolean getWithExperts() {
-    return withExperts_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (token_ != 0L) {
-      output.writeInt64(1, token_);
-    }
-    if (withCounts_ != false) {
-      output.writeBool(2, withCounts_);
-    }
-    if (withExperts_ != false) {
-      output.writeBool(3, withExperts_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (token_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, token_);
-    }
-    if (withCounts_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(2, withCounts_);
-    }
-    if (withExperts_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(3, withExperts_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.RankQuery)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.RankQuery other = (io.pollenpath.protocol.wire.RankQuery) obj;
-
-    if (getToken()
-        != other.getToken()) return false;
-    if (getWithCounts()
-        != other.getWithCounts()) return false;
-    if (getWithExperts()
-        != other.getWithExperts()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + TOKEN_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getToken());
-    hash = (37 * hash) + WITH_COUNTS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getWithCounts());
-    hash = (37 * hash) + WITH_EXPERTS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getWithExperts());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.RankQuery parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.RankQuery parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankQuery parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.RankQuery prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Asks an agent for the state of its engine.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.RankQuery}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.RankQuery)
-      io.pollenpath.protocol.wire.RankQueryOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankQuery_descriptor;
+public final class RankQuery extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.RankQuery)
+        RankQueryOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                RankQuery.class.getName());
+    }
+
+    // Use RankQuery.newBuilder() to construct.
+    private RankQuery(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private RankQuery() {}
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankQuery_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankQuery_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.RankQuery.class, io.pollenpath.protocol.wire.RankQuery.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankQuery_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.RankQuery.class,
+                        io.pollenpath.protocol.wire.RankQuery.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.RankQuery.newBuilder()
-    private Builder() {
+    public static final int TOKEN_FIELD_NUMBER = 1;
+    private long token_ = 0L;
 
+    /**
+     *
+     *
+     * <pre>
+     * Fencing token of the leader that asks; 0 if the sender only looks around.
+     * </pre>
+     *
+     * <code>int64 token = 1;</code>
+     *
+     * @return The token.
+     */
+    @java.lang.Override
+    public long getToken() {
+        return token_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    public static final int WITH_COUNTS_FIELD_NUMBER = 2;
+    private boolean withCounts_ = false;
 
-    }
+    /**
+     * <code>bool with_counts = 2;</code>
+     *
+     * @return The withCounts.
+     */
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      token_ = 0L;
-      withCounts_ = false;
-      withExperts_ = false;
-      return this;
+    public boolean getWithCounts() {
+        return withCounts_;
     }
 
+    public static final int WITH_EXPERTS_FIELD_NUMBER = 3;
+    private boolean withExperts_ = false;
+
+    /**
+     * <code>bool with_experts = 3;</code>
+     *
+     * @return The withExperts.
+     */
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankQuery_descriptor;
+    public boolean getWithExperts() {
+        return withExperts_;
     }
 
+    private byte memoizedIsInitialized = -1;
+
     @java.lang.Override
-    public io.pollenpath.protocol.wire.RankQuery getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.RankQuery.getDefaultInstance();
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.RankQuery build() {
-      io.pollenpath.protocol.wire.RankQuery result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (token_ != 0L) {
+            output.writeInt64(1, token_);
+        }
+        if (withCounts_ != false) {
+            output.writeBool(2, withCounts_);
+        }
+        if (withExperts_ != false) {
+            output.writeBool(3, withExperts_);
+        }
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.RankQuery buildPartial() {
-      io.pollenpath.protocol.wire.RankQuery result = new io.pollenpath.protocol.wire.RankQuery(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
-    }
-
-    private void buildPartial0(io.pollenpath.protocol.wire.RankQuery result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.token_ = token_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.withCounts_ = withCounts_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.withExperts_ = withExperts_;
-      }
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (token_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, token_);
+        }
+        if (withCounts_ != false) {
+            size += com.google.protobuf.CodedOutputStream.computeBoolSize(2, withCounts_);
+        }
+        if (withExperts_ != false) {
+            size += com.google.protobuf.CodedOutputStream.computeBoolSize(3, withExperts_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.RankQuery) {
-        return mergeFrom((io.pollenpath.protocol.wire.RankQuery)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.RankQuery other) {
-      if (other == io.pollenpath.protocol.wire.RankQuery.getDefaultInstance()) return this;
-      if (other.getToken() != 0L) {
-        setToken(other.getToken());
-      }
-      if (other.getWithCounts() != false) {
-        setWithCounts(other.getWithCounts());
-      }
-      if (other.getWithExperts() != false) {
-        setWithExperts(other.getWithExperts());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.RankQuery)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.RankQuery other = (io.pollenpath.protocol.wire.RankQuery) obj;
+
+        if (getToken() != other.getToken()) return false;
+        if (getWithCounts() != other.getWithCounts()) return false;
+        if (getWithExperts() != other.getWithExperts()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + TOKEN_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getToken());
+        hash = (37 * hash) + WITH_COUNTS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getWithCounts());
+        hash = (37 * hash) + WITH_EXPERTS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getWithExperts());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              token_ = input.readInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 16: {
-              withCounts_ = input.readBool();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 24: {
-              withExperts_ = input.readBool();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private long token_ ;
-    /**
-     * <pre>
-     * Fencing token of the leader that asks; 0 if the sender only looks around.
-     * </pre>
-     *
-     * <code>int64 token = 1;</code>
-     * @return The token.
-     */
-    @java.lang.Override
-    public long getToken() {
-      return token_;
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <pre>
-     * Fencing token of the leader that asks; 0 if the sender only looks around.
-     * </pre>
-     *
-     * <code>int64 token = 1;</code>
-     * @param value The token to set.
-     * @return This builder for chaining.
-     */
-    public Builder setToken(long value) {
 
-      token_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <pre>
-     * Fencing token of the leader that asks; 0 if the sender only looks around.
-     * </pre>
-     *
-     * <code>int64 token = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearToken() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      token_ = 0L;
-      onChanged();
-      return this;
+
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    private boolean withCounts_ ;
-    /**
-     * <code>bool with_counts = 2;</code>
-     * @return The withCounts.
-     */
-    @java.lang.Override
-    public boolean getWithCounts() {
-      return withCounts_;
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>bool with_counts = 2;</code>
-     * @param value The withCounts to set.
-     * @return This builder for chaining.
-     */
-    public Builder setWithCounts(boolean value) {
 
-      withCounts_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>bool with_counts = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearWithCounts() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      withCounts_ = false;
-      onChanged();
-      return this;
+
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankQuery parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankQuery parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankQuery parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
 
-    private boolean withExperts_ ;
-    /**
-     * <code>bool with_experts = 3;</code>
-     * @return The withExperts.
-     */
     @java.lang.Override
-    public boolean getWithExperts() {
-      return withExperts_;
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
-    /**
-     * <code>bool with_experts = 3;</code>
-     * @param value The withExperts to set.
-     * @return This builder for chaining.
-     */
-    public Builder setWithExperts(boolean value) {
 
-      withExperts_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <code>bool with_experts = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearWithExperts() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      withExperts_ = false;
-      onChanged();
-      return this;
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.RankQuery prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.RankQuery)
-  }
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.RankQuery)
-  private static final io.pollenpath.protocol.wire.RankQuery DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankQuery();
-  }
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
 
-  public static io.pollenpath.protocol.wire.RankQuery getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    /**
+     *
+     *
+     * <pre>
+     * Asks an agent for the state of its engine.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.RankQuery}
+     */
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.RankQuery)
+            io.pollenpath.protocol.wire.RankQueryOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankQuery_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankQuery_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.RankQuery.class,
+                            io.pollenpath.protocol.wire.RankQuery.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.RankQuery.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            token_ = 0L;
+            withCounts_ = false;
+            withExperts_ = false;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankQuery_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankQuery getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.RankQuery.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankQuery build() {
+            io.pollenpath.protocol.wire.RankQuery result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankQuery buildPartial() {
+            io.pollenpath.protocol.wire.RankQuery result =
+                    new io.pollenpath.protocol.wire.RankQuery(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.RankQuery result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.token_ = token_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.withCounts_ = withCounts_;
+            }
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                result.withExperts_ = withExperts_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.RankQuery) {
+                return mergeFrom((io.pollenpath.protocol.wire.RankQuery) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.RankQuery other) {
+            if (other == io.pollenpath.protocol.wire.RankQuery.getDefaultInstance()) return this;
+            if (other.getToken() != 0L) {
+                setToken(other.getToken());
+            }
+            if (other.getWithCounts() != false) {
+                setWithCounts(other.getWithCounts());
+            }
+            if (other.getWithExperts() != false) {
+                setWithExperts(other.getWithExperts());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                token_ = input.readInt64();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        case 16:
+                            {
+                                withCounts_ = input.readBool();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 16
+                        case 24:
+                            {
+                                withExperts_ = input.readBool();
+                                bitField0_ |= 0x00000004;
+                                break;
+                            } // case 24
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private long token_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Fencing token of the leader that asks; 0 if the sender only looks around.
+         * </pre>
+         *
+         * <code>int64 token = 1;</code>
+         *
+         * @return The token.
+         */
+        @java.lang.Override
+        public long getToken() {
+            return token_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fencing token of the leader that asks; 0 if the sender only looks around.
+         * </pre>
+         *
+         * <code>int64 token = 1;</code>
+         *
+         * @param value The token to set.
+         * @return This builder for chaining.
+         */
+        public Builder setToken(long value) {
+
+            token_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fencing token of the leader that asks; 0 if the sender only looks around.
+         * </pre>
+         *
+         * <code>int64 token = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearToken() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            token_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private boolean withCounts_;
+
+        /**
+         * <code>bool with_counts = 2;</code>
+         *
+         * @return The withCounts.
+         */
+        @java.lang.Override
+        public boolean getWithCounts() {
+            return withCounts_;
+        }
+
+        /**
+         * <code>bool with_counts = 2;</code>
+         *
+         * @param value The withCounts to set.
+         * @return This builder for chaining.
+         */
+        public Builder setWithCounts(boolean value) {
+
+            withCounts_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>bool with_counts = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearWithCounts() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            withCounts_ = false;
+            onChanged();
+            return this;
+        }
+
+        private boolean withExperts_;
+
+        /**
+         * <code>bool with_experts = 3;</code>
+         *
+         * @return The withExperts.
+         */
+        @java.lang.Override
+        public boolean getWithExperts() {
+            return withExperts_;
+        }
+
+        /**
+         * <code>bool with_experts = 3;</code>
+         *
+         * @param value The withExperts to set.
+         * @return This builder for chaining.
+         */
+        public Builder setWithExperts(boolean value) {
+
+            withExperts_ = value;
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>bool with_experts = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearWithExperts() {
+            bitField0_ = (bitField0_ & ~0x00000004);
+            withExperts_ = false;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.RankQuery)
+    }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.group.RankQuery)
+    private static final io.pollenpath.protocol.wire.RankQuery DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankQuery();
+    }
+
+    public static io.pollenpath.protocol.wire.RankQuery getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RankQuery> PARSER =
+            new com.google.protobuf.AbstractParser<RankQuery>() {
+                @java.lang.Override
+                public RankQuery parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<RankQuery> parser() {
+        return PARSER;
+    }
 
-  private static final com.google.protobuf.Parser<RankQuery>
-      PARSER = new com.google.protobuf.AbstractParser<RankQuery>() {
     @java.lang.Override
-    public RankQuery parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<RankQuery> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<RankQuery> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RankQuery getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<RankQuery> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RankQuery getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankQueryOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankQueryOrBuilder.java
@@ -6,29 +6,35 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RankQueryOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.RankQuery)
-    com.google.protobuf.MessageOrBuilder {
+public interface RankQueryOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.RankQuery)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <pre>
-   * Fencing token of the leader that asks; 0 if the sender only looks around.
-   * </pre>
-   *
-   * <code>int64 token = 1;</code>
-   * @return The token.
-   */
-  long getToken();
+    /**
+     *
+     *
+     * <pre>
+     * Fencing token of the leader that asks; 0 if the sender only looks around.
+     * </pre>
+     *
+     * <code>int64 token = 1;</code>
+     *
+     * @return The token.
+     */
+    long getToken();
 
-  /**
-   * <code>bool with_counts = 2;</code>
-   * @return The withCounts.
-   */
-  boolean getWithCounts();
+    /**
+     * <code>bool with_counts = 2;</code>
+     *
+     * @return The withCounts.
+     */
+    boolean getWithCounts();
 
-  /**
-   * <code>bool with_experts = 3;</code>
-   * @return The withExperts.
-   */
-  boolean getWithExperts();
+    /**
+     * <code>bool with_experts = 3;</code>
+     *
+     * @return The withExperts.
+     */
+    boolean getWithExperts();
 }
