--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankReply.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankReply.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Answers both calls.
  * </pre>
@@ -13,1507 +15,1726 @@
  * Protobuf type {@code pollenpath.group.RankReply}
  */
 @com.google.protobuf.Generated
-public final class RankReply extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.RankReply)
-    RankReplyOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      RankReply.class.getName());
-  }
-  // Use RankReply.newBuilder() to construct.
-  private RankReply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private RankReply() {
-    outcome_ = 0;
-    counts_ = emptyLongList();
-    experts_ = java.util.Collections.emptyList();
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankReply_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankReply_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.RankReply.class, io.pollenpath.protocol.wire.RankReply.Builder.class);
-  }
-
-  private int bitField0_;
-  public static final int OUTCOME_FIELD_NUMBER = 1;
-  private int outcome_ = 0;
-  /**
-   * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
-   * @return The enum numeric value on the wire for outcome.
-   */
-  @java.lang.Override public int getOutcomeValue() {
-    return outcome_;
-  }
-  /**
-   * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
-   * @return The outcome.
-   */
-  @java.lang.Override public io.pollenpath.protocol.wire.CommandOutcome getOutcome() {
-    io.pollenpath.protocol.wire.CommandOutcome result = io.pollenpath.protocol.wire.CommandOutcome.forNumber(outcome_);
-    return result == null ? io.pollenpath.protocol.wire.CommandOutcome.UNRECOGNIZED : result;
-  }
-
-  public static final int STATE_FIELD_NUMBER = 2;
-  private io.pollenpath.protocol.wire.RankState state_;
-  /**
-   * <pre>
-   * Absent if the engine could not be asked.
-   * </pre>
-   *
-   * <code>.pollenpath.group.RankState state = 2;</code>
-   * @return Whether the state field is set.
-   */
-  @java.lang.Override
-  public boolean hasState() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <pre>
-   * Absent if the engine could not be asked.
-   * </pre>
-   *
-   * <code>.pollenpath.group.RankState state = 2;</code>
-   * @return The state.
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RankState getState() {
-    return state_ == null ? io.pollenpath.protocol.wire.RankState.getDefaultInstance() : state_;
-  }
-  /**
-   * <pre>
-   * Absent if the engine could not be asked.
-   * </pre>
-   *
-   * <code>.pollenpath.group.RankState state = 2;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RankStateOrBuilder getStateOrBuilder() {
-    return state_ == null ? io.pollenpath.protocol.wire.RankState.getDefaultInstance() : state_;
-  }
-
-  public static final int COUNTS_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList counts_ =
-      emptyLongList();
-  /**
-   * <pre>
-   * How often each expert was chosen since the engine started, set by set.
-   * </pre>
-   *
-   * <code>repeated uint64 counts = 3;</code>
-   * @return A list containing the counts.
-   */
-  @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getCountsList() {
-    return counts_;
-  }
-  /**
-   * <pre>
-   * How often each expert was chosen since the engine started, set by set.
-   * </pre>
-   *
-   * <code>repeated uint64 counts = 3;</code>
-   * @return The count of counts.
-   */
-  public int getCountsCount() {
-    return counts_.size();
-  }
-  /**
-   * <pre>
-   * How often each expert was chosen since the engine started, set by set.
-   * </pre>
-   *
-   * <code>repeated uint64 counts = 3;</code>
-   * @param index The index of the element to return.
-   * @return The counts at the given index.
-   */
-  public long getCounts(int index) {
-    return counts_.getLong(index);
-  }
-  private int countsMemoizedSerializedSize = -1;
-
-  public static final int EXPERTS_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.ExpertList> experts_;
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.ExpertList> getExpertsList() {
-    return experts_;
-  }
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-      getExpertsOrBuilderList() {
-    return experts_;
-  }
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  @java.lang.Override
-  public int getExpertsCount() {
-    return experts_.size();
-  }
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ExpertList getExperts(int index) {
-    return experts_.get(index);
-  }
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(
-      int index) {
-    return experts_.get(index);
-  }
-
-  public static final int LEADER_TOKEN_FIELD_NUMBER = 5;
-  private long leaderToken_ = 0L;
-  /**
-   * <pre>
-   * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
-   * </pre>
-   *
-   * <code>int64 leader_token = 5;</code>
-   * @return The leaderToken.
-   */
-  @java.lang.Override
-  public long getLeaderToken() {
-    return leaderToken_;
-  }
-
-  public static final int LEADER_HEARD_MS_FIELD_NUMBER = 6;
-  private long leaderHeardMs_ = 0L;
-  /**
-   * <code>int64 leader_heard_ms = 6;</code>
-   * @return The leaderHeardMs.
-   */
-  @java.lang.Override
-  public long getLeaderHeardMs() {
-    return leaderHeardMs_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    getSerializedSize();
-    if (outcome_ != io.pollenpath.protocol.wire.CommandOutcome.COMMAND_OUTCOME_NONE.getNumber()) {
-      output.writeEnum(1, outcome_);
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(2, getState());
-    }
-    if (getCountsList().size() > 0) {
-      output.writeUInt32NoTag(26);
-      output.writeUInt32NoTag(countsMemoizedSerializedSize);
-    }
-    for (int i = 0; i < counts_.size(); i++) {
-      output.writeUInt64NoTag(counts_.getLong(i));
-    }
-    for (int i = 0; i < experts_.size(); i++) {
-      output.writeMessage(4, experts_.get(i));
-    }
-    if (leaderToken_ != 0L) {
-      output.writeInt64(5, leaderToken_);
-    }
-    if (leaderHeardMs_ != 0L) {
-      output.writeInt64(6, leaderHeardMs_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (outcome_ != io.pollenpath.protocol.wire.CommandOutcome.COMMAND_OUTCOME_NONE.getNumber()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeEnumSize(1, outcome_);
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, getState());
-    }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < counts_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(counts_.getLong(i));
-      }
-      size += dataSize;
-      if (!getCountsList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      countsMemoizedSerializedSize = dataSize;
-    }
-    for (int i = 0; i < experts_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, experts_.get(i));
-    }
-    if (leaderToken_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(5, leaderToken_);
-    }
-    if (leaderHeardMs_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(6, leaderHeardMs_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.RankReply)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.RankReply other = (io.pollenpath.protocol.wire.RankReply) obj;
-
-    if (outcome_ != other.outcome_) return false;
-    if (hasState() != other.hasState()) return false;
-    if (hasState()) {
-      if (!getState()
-          .equals(other.getState())) return false;
-    }
-    if (!getCountsList()
-        .equals(other.getCountsList())) return false;
-    if (!getExpertsList()
-        .equals(other.getExpertsList())) return false;
-    if (getLeaderToken()
-        != other.getLeaderToken()) return false;
-    if (getLeaderHeardMs()
-        != other.getLeaderHeardMs()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
-    hash = (53 * hash) + outcome_;
-    if (hasState()) {
-      hash = (37 * hash) + STATE_FIELD_NUMBER;
-      hash = (53 * hash) + getState().hashCode();
-    }
-    if (getCountsCount() > 0) {
-      hash = (37 * hash) + COUNTS_FIELD_NUMBER;
-      hash = (53 * hash) + getCountsList().hashCode();
-    }
-    if (getExpertsCount() > 0) {
-      hash = (37 * hash) + EXPERTS_FIELD_NUMBER;
-      hash = (53 * hash) + getExpertsList().hashCode();
-    }
-    hash = (37 * hash) + LEADER_TOKEN_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getLeaderToken());
-    hash = (37 * hash) + LEADER_HEARD_MS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getLeaderHeardMs());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.RankReply parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.RankReply parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankReply parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.RankReply prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Answers both calls.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.RankReply}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.RankReply)
-      io.pollenpath.protocol.wire.RankReplyOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankReply_descriptor;
-    }
+public final class RankReply extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.RankReply)
+        RankReplyOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankReply_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.RankReply.class, io.pollenpath.protocol.wire.RankReply.Builder.class);
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                RankReply.class.getName());
     }
 
-    // Construct using io.pollenpath.protocol.wire.RankReply.newBuilder()
-    private Builder() {
-      maybeForceBuilderInitialization();
+    // Use RankReply.newBuilder() to construct.
+    private RankReply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-      maybeForceBuilderInitialization();
-    }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetStateFieldBuilder();
-        internalGetExpertsFieldBuilder();
-      }
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      outcome_ = 0;
-      state_ = null;
-      if (stateBuilder_ != null) {
-        stateBuilder_.dispose();
-        stateBuilder_ = null;
-      }
-      counts_ = emptyLongList();
-      if (expertsBuilder_ == null) {
+    private RankReply() {
+        outcome_ = 0;
+        counts_ = emptyLongList();
         experts_ = java.util.Collections.emptyList();
-      } else {
-        experts_ = null;
-        expertsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000008);
-      leaderToken_ = 0L;
-      leaderHeardMs_ = 0L;
-      return this;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankReply_descriptor;
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankReply getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.RankReply.getDefaultInstance();
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankReply build() {
-      io.pollenpath.protocol.wire.RankReply result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankReply buildPartial() {
-      io.pollenpath.protocol.wire.RankReply result = new io.pollenpath.protocol.wire.RankReply(this);
-      buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
-    }
-
-    private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.RankReply result) {
-      if (expertsBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
-          experts_ = java.util.Collections.unmodifiableList(experts_);
-          bitField0_ = (bitField0_ & ~0x00000008);
-        }
-        result.experts_ = experts_;
-      } else {
-        result.experts_ = expertsBuilder_.build();
-      }
-    }
-
-    private void buildPartial0(io.pollenpath.protocol.wire.RankReply result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.outcome_ = outcome_;
-      }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.state_ = stateBuilder_ == null
-            ? state_
-            : stateBuilder_.build();
-        to_bitField0_ |= 0x00000001;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        counts_.makeImmutable();
-        result.counts_ = counts_;
-      }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.leaderToken_ = leaderToken_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.leaderHeardMs_ = leaderHeardMs_;
-      }
-      result.bitField0_ |= to_bitField0_;
-    }
-
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.RankReply) {
-        return mergeFrom((io.pollenpath.protocol.wire.RankReply)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.RankReply other) {
-      if (other == io.pollenpath.protocol.wire.RankReply.getDefaultInstance()) return this;
-      if (other.outcome_ != 0) {
-        setOutcomeValue(other.getOutcomeValue());
-      }
-      if (other.hasState()) {
-        mergeState(other.getState());
-      }
-      if (!other.counts_.isEmpty()) {
-        if (counts_.isEmpty()) {
-          counts_ = other.counts_;
-          counts_.makeImmutable();
-          bitField0_ |= 0x00000004;
-        } else {
-          ensureCountsIsMutable();
-          counts_.addAll(other.counts_);
-        }
-        onChanged();
-      }
-      if (expertsBuilder_ == null) {
-        if (!other.experts_.isEmpty()) {
-          if (experts_.isEmpty()) {
-            experts_ = other.experts_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-          } else {
-            ensureExpertsIsMutable();
-            experts_.addAll(other.experts_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.experts_.isEmpty()) {
-          if (expertsBuilder_.isEmpty()) {
-            expertsBuilder_.dispose();
-            expertsBuilder_ = null;
-            experts_ = other.experts_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-            expertsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetExpertsFieldBuilder() : null;
-          } else {
-            expertsBuilder_.addAllMessages(other.experts_);
-          }
-        }
-      }
-      if (other.getLeaderToken() != 0L) {
-        setLeaderToken(other.getLeaderToken());
-      }
-      if (other.getLeaderHeardMs() != 0L) {
-        setLeaderHeardMs(other.getLeaderHeardMs());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankReply_descriptor;
     }
 
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankReply_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.RankReply.class,
+                        io.pollenpath.protocol.wire.RankReply.Builder.class);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              outcome_ = input.readEnum();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            case 18: {
-              input.readMessage(
-                  internalGetStateFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 24: {
-              long v = input.readUInt64();
-              ensureCountsIsMutable();
-              counts_.addLong(v);
-              break;
-            } // case 24
-            case 26: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureCountsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                counts_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 26
-            case 34: {
-              io.pollenpath.protocol.wire.ExpertList m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.ExpertList.parser(),
-                      extensionRegistry);
-              if (expertsBuilder_ == null) {
-                ensureExpertsIsMutable();
-                experts_.add(m);
-              } else {
-                expertsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 34
-            case 40: {
-              leaderToken_ = input.readInt64();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
-            case 48: {
-              leaderHeardMs_ = input.readInt64();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 48
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
     private int bitField0_;
-
+    public static final int OUTCOME_FIELD_NUMBER = 1;
     private int outcome_ = 0;
+
     /**
      * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+     *
      * @return The enum numeric value on the wire for outcome.
      */
-    @java.lang.Override public int getOutcomeValue() {
-      return outcome_;
-    }
-    /**
-     * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
-     * @param value The enum numeric value on the wire for outcome to set.
-     * @return This builder for chaining.
-     */
-    public Builder setOutcomeValue(int value) {
-      outcome_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    public int getOutcomeValue() {
+        return outcome_;
     }
+
     /**
      * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+     *
      * @return The outcome.
      */
     @java.lang.Override
     public io.pollenpath.protocol.wire.CommandOutcome getOutcome() {
-      io.pollenpath.protocol.wire.CommandOutcome result = io.pollenpath.protocol.wire.CommandOutcome.forNumber(outcome_);
-      return result == null ? io.pollenpath.protocol.wire.CommandOutcome.UNRECOGNIZED : result;
-    }
-    /**
-     * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
-     * @param value The outcome to set.
-     * @return This builder for chaining.
-     */
-    public Builder setOutcome(io.pollenpath.protocol.wire.CommandOutcome value) {
-      if (value == null) { throw new NullPointerException(); }
-      bitField0_ |= 0x00000001;
-      outcome_ = value.getNumber();
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearOutcome() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      outcome_ = 0;
-      onChanged();
-      return this;
+        io.pollenpath.protocol.wire.CommandOutcome result =
+                io.pollenpath.protocol.wire.CommandOutcome.forNumber(outcome_);
+        return result == null ? io.pollenpath.protocol.wire.CommandOutcome.UNRECOGNIZED : result;
     }
 
+    public static final int STATE_FIELD_NUMBER = 2;
     private io.pollenpath.protocol.wire.RankState state_;
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.RankState, io.pollenpath.protocol.wire.RankState.Builder, io.pollenpath.protocol.wire.RankStateOrBuilder> stateBuilder_;
+
     /**
+     *
+     *
      * <pre>
      * Absent if the engine could not be asked.
      * </pre>
      *
      * <code>.pollenpath.group.RankState state = 2;</code>
+     *
      * @return Whether the state field is set.
      */
+    @java.lang.Override
     public boolean hasState() {
-      return ((bitField0_ & 0x00000002) != 0);
+        return ((bitField0_ & 0x00000001) != 0);
     }
+
     /**
-     * <pre>
-     * Absent if the engine could not be asked.
-     * </pre>
      *
-     * <code>.pollenpath.group.RankState state = 2;</code>
-     * @return The state.
-     */
-    public io.pollenpath.protocol.wire.RankState getState() {
-      if (stateBuilder_ == null) {
-        return state_ == null ? io.pollenpath.protocol.wire.RankState.getDefaultInstance() : state_;
-      } else {
-        return stateBuilder_.getMessage();
-      }
-    }
-    /**
-     * <pre>
-     * Absent if the engine could not be asked.
-     * </pre>
      *
-     * <code>.pollenpath.group.RankState state = 2;</code>
-     */
-    public Builder setState(io.pollenpath.protocol.wire.RankState value) {
-      if (stateBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        state_ = value;
-      } else {
-        stateBuilder_.setMessage(value);
-      }
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
      * <pre>
      * Absent if the engine could not be asked.
      * </pre>
      *
      * <code>.pollenpath.group.RankState state = 2;</code>
-     */
-    public Builder setState(
-        io.pollenpath.protocol.wire.RankState.Builder builderForValue) {
-      if (stateBuilder_ == null) {
-        state_ = builderForValue.build();
-      } else {
-        stateBuilder_.setMessage(builderForValue.build());
-      }
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Absent if the engine could not be asked.
-     * </pre>
      *
-     * <code>.pollenpath.group.RankState state = 2;</code>
+     * @return The state.
      */
-    public Builder mergeState(io.pollenpath.protocol.wire.RankState value) {
-      if (stateBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0) &&
-          state_ != null &&
-          state_ != io.pollenpath.protocol.wire.RankState.getDefaultInstance()) {
-          getStateBuilder().mergeFrom(value);
-        } else {
-          state_ = value;
-        }
-      } else {
-        stateBuilder_.mergeFrom(value);
-      }
-      if (state_ != null) {
-        bitField0_ |= 0x00000002;
-        onChanged();
-      }
-      return this;
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RankState getState() {
+        return state_ == null ? io.pollenpath.protocol.wire.RankState.getDefaultInstance() : state_;
     }
+
     /**
-     * <pre>
-     * Absent if the engine could not be asked.
-     * </pre>
      *
-     * <code>.pollenpath.group.RankState state = 2;</code>
-     */
-    public Builder clearState() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      state_ = null;
-      if (stateBuilder_ != null) {
-        stateBuilder_.dispose();
-        stateBuilder_ = null;
-      }
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Absent if the engine could not be asked.
-     * </pre>
      *
-     * <code>.pollenpath.group.RankState state = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.RankState.Builder getStateBuilder() {
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return internalGetStateFieldBuilder().getBuilder();
-    }
-    /**
      * <pre>
      * Absent if the engine could not be asked.
      * </pre>
      *
      * <code>.pollenpath.group.RankState state = 2;</code>
      */
+    @java.lang.Override
     public io.pollenpath.protocol.wire.RankStateOrBuilder getStateOrBuilder() {
-      if (stateBuilder_ != null) {
-        return stateBuilder_.getMessageOrBuilder();
-      } else {
-        return state_ == null ?
-            io.pollenpath.protocol.wire.RankState.getDefaultInstance() : state_;
-      }
-    }
-    /**
-     * <pre>
-     * Absent if the engine could not be asked.
-     * </pre>
-     *
-     * <code>.pollenpath.group.RankState state = 2;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.RankState, io.pollenpath.protocol.wire.RankState.Builder, io.pollenpath.protocol.wire.RankStateOrBuilder> 
-        internalGetStateFieldBuilder() {
-      if (stateBuilder_ == null) {
-        stateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.pollenpath.protocol.wire.RankState, io.pollenpath.protocol.wire.RankState.Builder, io.pollenpath.protocol.wire.RankStateOrBuilder>(
-                getState(),
-                getParentForChildren(),
-                isClean());
-        state_ = null;
-      }
-      return stateBuilder_;
+        return state_ == null ? io.pollenpath.protocol.wire.RankState.getDefaultInstance() : state_;
     }
 
+    public static final int COUNTS_FIELD_NUMBER = 3;
+
+    @SuppressWarnings("serial")
     private com.google.protobuf.Internal.LongList counts_ = emptyLongList();
-    private void ensureCountsIsMutable() {
-      if (!counts_.isModifiable()) {
-        counts_ = makeMutableCopy(counts_);
-      }
-      bitField0_ |= 0x00000004;
-    }
+
     /**
+     *
+     *
      * <pre>
      * How often each expert was chosen since the engine started, set by set.
      * </pre>
      *
      * <code>repeated uint64 counts = 3;</code>
+     *
      * @return A list containing the counts.
      */
-    public java.util.List<java.lang.Long>
-        getCountsList() {
-      counts_.makeImmutable();
-      return counts_;
+    @java.lang.Override
+    public java.util.List<java.lang.Long> getCountsList() {
+        return counts_;
     }
+
     /**
+     *
+     *
      * <pre>
      * How often each expert was chosen since the engine started, set by set.
      * </pre>
      *
      * <code>repeated uint64 counts = 3;</code>
+     *
      * @return The count of counts.
      */
     public int getCountsCount() {
-      return counts_.size();
+        return counts_.size();
     }
+
     /**
+     *
+     *
      * <pre>
      * How often each expert was chosen since the engine started, set by set.
      * </pre>
      *
      * <code>repeated uint64 counts = 3;</code>
+     *
      * @param index The index of the element to return.
      * @return The counts at the given index.
      */
     public long getCounts(int index) {
-      return counts_.getLong(index);
-    }
-    /**
-     * <pre>
-     * How often each expert was chosen since the engine started, set by set.
-     * </pre>
-     *
-     * <code>repeated uint64 counts = 3;</code>
-     * @param index The index to set the value at.
-     * @param value The counts to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCounts(
-        int index, long value) {
-
-      ensureCountsIsMutable();
-      counts_.setLong(index, value);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+        return counts_.getLong(index);
     }
-    /**
-     * <pre>
-     * How often each expert was chosen since the engine started, set by set.
-     * </pre>
-     *
-     * <code>repeated uint64 counts = 3;</code>
-     * @param value The counts to add.
-     * @return This builder for chaining.
-     */
-    public Builder addCounts(long value) {
 
-      ensureCountsIsMutable();
-      counts_.addLong(value);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
+    private int countsMemoizedSerializedSize = -1;
+
+    public static final int EXPERTS_FIELD_NUMBER = 4;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.ExpertList> experts_;
+
     /**
-     * <pre>
-     * How often each expert was chosen since the engine started, set by set.
-     * </pre>
      *
-     * <code>repeated uint64 counts = 3;</code>
-     * @param values The counts to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllCounts(
-        java.lang.Iterable<? extends java.lang.Long> values) {
-      ensureCountsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, counts_);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
+     *
      * <pre>
-     * How often each expert was chosen since the engine started, set by set.
+     * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
-     * <code>repeated uint64 counts = 3;</code>
-     * @return This builder for chaining.
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    public Builder clearCounts() {
-      counts_ = emptyLongList();
-      bitField0_ = (bitField0_ & ~0x00000004);
-      onChanged();
-      return this;
-    }
-
-    private java.util.List<io.pollenpath.protocol.wire.ExpertList> experts_ =
-      java.util.Collections.emptyList();
-    private void ensureExpertsIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
-        experts_ = new java.util.ArrayList<io.pollenpath.protocol.wire.ExpertList>(experts_);
-        bitField0_ |= 0x00000008;
-       }
+    @java.lang.Override
+    public java.util.List<io.pollenpath.protocol.wire.ExpertList> getExpertsList() {
+        return experts_;
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ExpertList, io.pollenpath.protocol.wire.ExpertList.Builder, io.pollenpath.protocol.wire.ExpertListOrBuilder> expertsBuilder_;
-
     /**
+     *
+     *
      * <pre>
      * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
      * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    public java.util.List<io.pollenpath.protocol.wire.ExpertList> getExpertsList() {
-      if (expertsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(experts_);
-      } else {
-        return expertsBuilder_.getMessageList();
-      }
+    @java.lang.Override
+    public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
+            getExpertsOrBuilderList() {
+        return experts_;
     }
+
     /**
+     *
+     *
      * <pre>
      * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
      * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
+    @java.lang.Override
     public int getExpertsCount() {
-      if (expertsBuilder_ == null) {
         return experts_.size();
-      } else {
-        return expertsBuilder_.getCount();
-      }
     }
+
     /**
+     *
+     *
      * <pre>
      * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
      * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
+    @java.lang.Override
     public io.pollenpath.protocol.wire.ExpertList getExperts(int index) {
-      if (expertsBuilder_ == null) {
         return experts_.get(index);
-      } else {
-        return expertsBuilder_.getMessage(index);
-      }
     }
+
     /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public Builder setExperts(
-        int index, io.pollenpath.protocol.wire.ExpertList value) {
-      if (expertsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureExpertsIsMutable();
-        experts_.set(index, value);
-        onChanged();
-      } else {
-        expertsBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public Builder setExperts(
-        int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-      if (expertsBuilder_ == null) {
-        ensureExpertsIsMutable();
-        experts_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        expertsBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
      * <pre>
      * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
      * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    public Builder addExperts(io.pollenpath.protocol.wire.ExpertList value) {
-      if (expertsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureExpertsIsMutable();
-        experts_.add(value);
-        onChanged();
-      } else {
-        expertsBuilder_.addMessage(value);
-      }
-      return this;
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(int index) {
+        return experts_.get(index);
     }
+
+    public static final int LEADER_TOKEN_FIELD_NUMBER = 5;
+    private long leaderToken_ = 0L;
+
     /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public Builder addExperts(
-        int index, io.pollenpath.protocol.wire.ExpertList value) {
-      if (expertsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureExpertsIsMutable();
-        experts_.add(index, value);
-        onChanged();
-      } else {
-        expertsBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public Builder addExperts(
-        io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-      if (expertsBuilder_ == null) {
-        ensureExpertsIsMutable();
-        experts_.add(builderForValue.build());
-        onChanged();
-      } else {
-        expertsBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
      * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
+     * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
      * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public Builder addExperts(
-        int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-      if (expertsBuilder_ == null) {
-        ensureExpertsIsMutable();
-        experts_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        expertsBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
+     * <code>int64 leader_token = 5;</code>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     * @return The leaderToken.
      */
-    public Builder addAllExperts(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.ExpertList> values) {
-      if (expertsBuilder_ == null) {
-        ensureExpertsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, experts_);
-        onChanged();
-      } else {
-        expertsBuilder_.addAllMessages(values);
-      }
-      return this;
+    @java.lang.Override
+    public long getLeaderToken() {
+        return leaderToken_;
     }
+
+    public static final int LEADER_HEARD_MS_FIELD_NUMBER = 6;
+    private long leaderHeardMs_ = 0L;
+
     /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
+     * <code>int64 leader_heard_ms = 6;</code>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     * @return The leaderHeardMs.
      */
-    public Builder clearExperts() {
-      if (expertsBuilder_ == null) {
-        experts_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
-        onChanged();
-      } else {
-        expertsBuilder_.clear();
-      }
-      return this;
+    @java.lang.Override
+    public long getLeaderHeardMs() {
+        return leaderHeardMs_;
     }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public Builder removeExperts(int index) {
-      if (expertsBuilder_ == null) {
-        ensureExpertsIsMutable();
-        experts_.remove(index);
-        onChanged();
-      } else {
-        expertsBuilder_.remove(index);
-      }
-      return this;
+
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertList.Builder getExpertsBuilder(
-        int index) {
-      return internalGetExpertsFieldBuilder().getBuilder(index);
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        getSerializedSize();
+        if (outcome_
+                != io.pollenpath.protocol.wire.CommandOutcome.COMMAND_OUTCOME_NONE.getNumber()) {
+            output.writeEnum(1, outcome_);
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            output.writeMessage(2, getState());
+        }
+        if (getCountsList().size() > 0) {
+            output.writeUInt32NoTag(26);
+            output.writeUInt32NoTag(countsMemoizedSerializedSize);
+        }
+        for (int i = 0; i < counts_.size(); i++) {
+            output.writeUInt64NoTag(counts_.getLong(i));
+        }
+        for (int i = 0; i < experts_.size(); i++) {
+            output.writeMessage(4, experts_.get(i));
+        }
+        if (leaderToken_ != 0L) {
+            output.writeInt64(5, leaderToken_);
+        }
+        if (leaderHeardMs_ != 0L) {
+            output.writeInt64(6, leaderHeardMs_);
+        }
+        getUnknownFields().writeTo(output);
     }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(
-        int index) {
-      if (expertsBuilder_ == null) {
-        return experts_.get(index);  } else {
-        return expertsBuilder_.getMessageOrBuilder(index);
-      }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (outcome_
+                != io.pollenpath.protocol.wire.CommandOutcome.COMMAND_OUTCOME_NONE.getNumber()) {
+            size += com.google.protobuf.CodedOutputStream.computeEnumSize(1, outcome_);
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, getState());
+        }
+        {
+            int dataSize = 0;
+            for (int i = 0; i < counts_.size(); i++) {
+                dataSize +=
+                        com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(
+                                counts_.getLong(i));
+            }
+            size += dataSize;
+            if (!getCountsList().isEmpty()) {
+                size += 1;
+                size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
+            }
+            countsMemoizedSerializedSize = dataSize;
+        }
+        for (int i = 0; i < experts_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, experts_.get(i));
+        }
+        if (leaderToken_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(5, leaderToken_);
+        }
+        if (leaderHeardMs_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(6, leaderHeardMs_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-         getExpertsOrBuilderList() {
-      if (expertsBuilder_ != null) {
-        return expertsBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(experts_);
-      }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.RankReply)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.RankReply other = (io.pollenpath.protocol.wire.RankReply) obj;
+
+        if (outcome_ != other.outcome_) return false;
+        if (hasState() != other.hasState()) return false;
+        if (hasState()) {
+            if (!getState().equals(other.getState())) return false;
+        }
+        if (!getCountsList().equals(other.getCountsList())) return false;
+        if (!getExpertsList().equals(other.getExpertsList())) return false;
+        if (getLeaderToken() != other.getLeaderToken()) return false;
+        if (getLeaderHeardMs() != other.getLeaderHeardMs()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertList.Builder addExpertsBuilder() {
-      return internalGetExpertsFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
+        hash = (53 * hash) + outcome_;
+        if (hasState()) {
+            hash = (37 * hash) + STATE_FIELD_NUMBER;
+            hash = (53 * hash) + getState().hashCode();
+        }
+        if (getCountsCount() > 0) {
+            hash = (37 * hash) + COUNTS_FIELD_NUMBER;
+            hash = (53 * hash) + getCountsList().hashCode();
+        }
+        if (getExpertsCount() > 0) {
+            hash = (37 * hash) + EXPERTS_FIELD_NUMBER;
+            hash = (53 * hash) + getExpertsList().hashCode();
+        }
+        hash = (37 * hash) + LEADER_TOKEN_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getLeaderToken());
+        hash = (37 * hash) + LEADER_HEARD_MS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getLeaderHeardMs());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.ExpertList.Builder addExpertsBuilder(
-        int index) {
-      return internalGetExpertsFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.ExpertList.Builder> 
-         getExpertsBuilderList() {
-      return internalGetExpertsFieldBuilder().getBuilderList();
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ExpertList, io.pollenpath.protocol.wire.ExpertList.Builder, io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-        internalGetExpertsFieldBuilder() {
-      if (expertsBuilder_ == null) {
-        expertsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.ExpertList, io.pollenpath.protocol.wire.ExpertList.Builder, io.pollenpath.protocol.wire.ExpertListOrBuilder>(
-                experts_,
-                ((bitField0_ & 0x00000008) != 0),
-                getParentForChildren(),
-                isClean());
-        experts_ = null;
-      }
-      return expertsBuilder_;
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankReply parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
 
-    private long leaderToken_ ;
-    /**
-     * <pre>
-     * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
-     * </pre>
-     *
-     * <code>int64 leader_token = 5;</code>
-     * @return The leaderToken.
-     */
     @java.lang.Override
-    public long getLeaderToken() {
-      return leaderToken_;
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
-    /**
-     * <pre>
-     * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
-     * </pre>
-     *
-     * <code>int64 leader_token = 5;</code>
-     * @param value The leaderToken to set.
-     * @return This builder for chaining.
-     */
-    public Builder setLeaderToken(long value) {
 
-      leaderToken_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <pre>
-     * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
-     * </pre>
-     *
-     * <code>int64 leader_token = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearLeaderToken() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      leaderToken_ = 0L;
-      onChanged();
-      return this;
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.RankReply prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
 
-    private long leaderHeardMs_ ;
-    /**
-     * <code>int64 leader_heard_ms = 6;</code>
-     * @return The leaderHeardMs.
-     */
     @java.lang.Override
-    public long getLeaderHeardMs() {
-      return leaderHeardMs_;
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <code>int64 leader_heard_ms = 6;</code>
-     * @param value The leaderHeardMs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setLeaderHeardMs(long value) {
 
-      leaderHeardMs_ = value;
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <code>int64 leader_heard_ms = 6;</code>
-     * @return This builder for chaining.
+     *
+     *
+     * <pre>
+     * Answers both calls.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.RankReply}
      */
-    public Builder clearLeaderHeardMs() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      leaderHeardMs_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.RankReply)
+            io.pollenpath.protocol.wire.RankReplyOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankReply_descriptor;
+        }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.RankReply)
-  }
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankReply_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.RankReply.class,
+                            io.pollenpath.protocol.wire.RankReply.Builder.class);
+        }
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.RankReply)
-  private static final io.pollenpath.protocol.wire.RankReply DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankReply();
-  }
+        // Construct using io.pollenpath.protocol.wire.RankReply.newBuilder()
+        private Builder() {
+            maybeForceBuilderInitialization();
+        }
 
-  public static io.pollenpath.protocol.wire.RankReply getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+            maybeForceBuilderInitialization();
+        }
 
-  private static final com.google.protobuf.Parser<RankReply>
-      PARSER = new com.google.protobuf.AbstractParser<RankReply>() {
-    @java.lang.Override
-    public RankReply parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
+        private void maybeForceBuilderInitialization() {
+            if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
+                internalGetStateFieldBuilder();
+                internalGetExpertsFieldBuilder();
+            }
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            outcome_ = 0;
+            state_ = null;
+            if (stateBuilder_ != null) {
+                stateBuilder_.dispose();
+                stateBuilder_ = null;
+            }
+            counts_ = emptyLongList();
+            if (expertsBuilder_ == null) {
+                experts_ = java.util.Collections.emptyList();
+            } else {
+                experts_ = null;
+                expertsBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000008);
+            leaderToken_ = 0L;
+            leaderHeardMs_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankReply_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankReply getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.RankReply.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankReply build() {
+            io.pollenpath.protocol.wire.RankReply result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankReply buildPartial() {
+            io.pollenpath.protocol.wire.RankReply result =
+                    new io.pollenpath.protocol.wire.RankReply(this);
+            buildPartialRepeatedFields(result);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.RankReply result) {
+            if (expertsBuilder_ == null) {
+                if (((bitField0_ & 0x00000008) != 0)) {
+                    experts_ = java.util.Collections.unmodifiableList(experts_);
+                    bitField0_ = (bitField0_ & ~0x00000008);
+                }
+                result.experts_ = experts_;
+            } else {
+                result.experts_ = expertsBuilder_.build();
+            }
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.RankReply result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.outcome_ = outcome_;
+            }
+            int to_bitField0_ = 0;
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.state_ = stateBuilder_ == null ? state_ : stateBuilder_.build();
+                to_bitField0_ |= 0x00000001;
+            }
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                counts_.makeImmutable();
+                result.counts_ = counts_;
+            }
+            if (((from_bitField0_ & 0x00000010) != 0)) {
+                result.leaderToken_ = leaderToken_;
+            }
+            if (((from_bitField0_ & 0x00000020) != 0)) {
+                result.leaderHeardMs_ = leaderHeardMs_;
+            }
+            result.bitField0_ |= to_bitField0_;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.RankReply) {
+                return mergeFrom((io.pollenpath.protocol.wire.RankReply) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.RankReply other) {
+            if (other == io.pollenpath.protocol.wire.RankReply.getDefaultInstance()) return this;
+            if (other.outcome_ != 0) {
+                setOutcomeValue(other.getOutcomeValue());
+            }
+            if (other.hasState()) {
+                mergeState(other.getState());
+            }
+            if (!other.counts_.isEmpty()) {
+                if (counts_.isEmpty()) {
+                    counts_ = other.counts_;
+                    counts_.makeImmutable();
+                    bitField0_ |= 0x00000004;
+                } else {
+                    ensureCountsIsMutable();
+                    counts_.addAll(other.counts_);
+                }
+                onChanged();
+            }
+            if (expertsBuilder_ == null) {
+                if (!other.experts_.isEmpty()) {
+                    if (experts_.isEmpty()) {
+                        experts_ = other.experts_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                    } else {
+                        ensureExpertsIsMutable();
+                        experts_.addAll(other.experts_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.experts_.isEmpty()) {
+                    if (expertsBuilder_.isEmpty()) {
+                        expertsBuilder_.dispose();
+                        expertsBuilder_ = null;
+                        experts_ = other.experts_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                        expertsBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetExpertsFieldBuilder()
+                                        : null;
+                    } else {
+                        expertsBuilder_.addAllMessages(other.experts_);
+                    }
+                }
+            }
+            if (other.getLeaderToken() != 0L) {
+                setLeaderToken(other.getLeaderToken());
+            }
+            if (other.getLeaderHeardMs() != 0L) {
+                setLeaderHeardMs(other.getLeaderHeardMs());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                outcome_ = input.readEnum();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        case 18:
+                            {
+                                input.readMessage(
+                                        internalGetStateFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 18
+                        case 24:
+                            {
+                                long v = input.readUInt64();
+                                ensureCountsIsMutable();
+                                counts_.addLong(v);
+                                break;
+                            } // case 24
+                        case 26:
+                            {
+                                int length = input.readRawVarint32();
+                                int limit = input.pushLimit(length);
+                                ensureCountsIsMutable();
+                                while (input.getBytesUntilLimit() > 0) {
+                                    counts_.addLong(input.readUInt64());
+                                }
+                                input.popLimit(limit);
+                                break;
+                            } // case 26
+                        case 34:
+                            {
+                                io.pollenpath.protocol.wire.ExpertList m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.ExpertList.parser(),
+                                                extensionRegistry);
+                                if (expertsBuilder_ == null) {
+                                    ensureExpertsIsMutable();
+                                    experts_.add(m);
+                                } else {
+                                    expertsBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 34
+                        case 40:
+                            {
+                                leaderToken_ = input.readInt64();
+                                bitField0_ |= 0x00000010;
+                                break;
+                            } // case 40
+                        case 48:
+                            {
+                                leaderHeardMs_ = input.readInt64();
+                                bitField0_ |= 0x00000020;
+                                break;
+                            } // case 48
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private int outcome_ = 0;
+
+        /**
+         * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+         *
+         * @return The enum numeric value on the wire for outcome.
+         */
+        @java.lang.Override
+        public int getOutcomeValue() {
+            return outcome_;
+        }
+
+        /**
+         * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+         *
+         * @param value The enum numeric value on the wire for outcome to set.
+         * @return This builder for chaining.
+         */
+        public Builder setOutcomeValue(int value) {
+            outcome_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+         *
+         * @return The outcome.
+         */
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.CommandOutcome getOutcome() {
+            io.pollenpath.protocol.wire.CommandOutcome result =
+                    io.pollenpath.protocol.wire.CommandOutcome.forNumber(outcome_);
+            return result == null
+                    ? io.pollenpath.protocol.wire.CommandOutcome.UNRECOGNIZED
+                    : result;
+        }
+
+        /**
+         * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+         *
+         * @param value The outcome to set.
+         * @return This builder for chaining.
+         */
+        public Builder setOutcome(io.pollenpath.protocol.wire.CommandOutcome value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            bitField0_ |= 0x00000001;
+            outcome_ = value.getNumber();
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearOutcome() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            outcome_ = 0;
+            onChanged();
+            return this;
+        }
+
+        private io.pollenpath.protocol.wire.RankState state_;
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.RankState,
+                        io.pollenpath.protocol.wire.RankState.Builder,
+                        io.pollenpath.protocol.wire.RankStateOrBuilder>
+                stateBuilder_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         *
+         * @return Whether the state field is set.
+         */
+        public boolean hasState() {
+            return ((bitField0_ & 0x00000002) != 0);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         *
+         * @return The state.
+         */
+        public io.pollenpath.protocol.wire.RankState getState() {
+            if (stateBuilder_ == null) {
+                return state_ == null
+                        ? io.pollenpath.protocol.wire.RankState.getDefaultInstance()
+                        : state_;
+            } else {
+                return stateBuilder_.getMessage();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         */
+        public Builder setState(io.pollenpath.protocol.wire.RankState value) {
+            if (stateBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                state_ = value;
+            } else {
+                stateBuilder_.setMessage(value);
+            }
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         */
+        public Builder setState(io.pollenpath.protocol.wire.RankState.Builder builderForValue) {
+            if (stateBuilder_ == null) {
+                state_ = builderForValue.build();
+            } else {
+                stateBuilder_.setMessage(builderForValue.build());
+            }
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         */
+        public Builder mergeState(io.pollenpath.protocol.wire.RankState value) {
+            if (stateBuilder_ == null) {
+                if (((bitField0_ & 0x00000002) != 0)
+                        && state_ != null
+                        && state_ != io.pollenpath.protocol.wire.RankState.getDefaultInstance()) {
+                    getStateBuilder().mergeFrom(value);
+                } else {
+                    state_ = value;
+                }
+            } else {
+                stateBuilder_.mergeFrom(value);
+            }
+            if (state_ != null) {
+                bitField0_ |= 0x00000002;
+                onChanged();
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         */
+        public Builder clearState() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            state_ = null;
+            if (stateBuilder_ != null) {
+                stateBuilder_.dispose();
+                stateBuilder_ = null;
+            }
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         */
+        public io.pollenpath.protocol.wire.RankState.Builder getStateBuilder() {
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return internalGetStateFieldBuilder().getBuilder();
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         */
+        public io.pollenpath.protocol.wire.RankStateOrBuilder getStateOrBuilder() {
+            if (stateBuilder_ != null) {
+                return stateBuilder_.getMessageOrBuilder();
+            } else {
+                return state_ == null
+                        ? io.pollenpath.protocol.wire.RankState.getDefaultInstance()
+                        : state_;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Absent if the engine could not be asked.
+         * </pre>
+         *
+         * <code>.pollenpath.group.RankState state = 2;</code>
+         */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.RankState,
+                        io.pollenpath.protocol.wire.RankState.Builder,
+                        io.pollenpath.protocol.wire.RankStateOrBuilder>
+                internalGetStateFieldBuilder() {
+            if (stateBuilder_ == null) {
+                stateBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.RankState,
+                                io.pollenpath.protocol.wire.RankState.Builder,
+                                io.pollenpath.protocol.wire.RankStateOrBuilder>(
+                                getState(), getParentForChildren(), isClean());
+                state_ = null;
+            }
+            return stateBuilder_;
+        }
+
+        private com.google.protobuf.Internal.LongList counts_ = emptyLongList();
+
+        private void ensureCountsIsMutable() {
+            if (!counts_.isModifiable()) {
+                counts_ = makeMutableCopy(counts_);
+            }
+            bitField0_ |= 0x00000004;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the engine started, set by set.
+         * </pre>
+         *
+         * <code>repeated uint64 counts = 3;</code>
+         *
+         * @return A list containing the counts.
+         */
+        public java.util.List<java.lang.Long> getCountsList() {
+            counts_.makeImmutable();
+            return counts_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the engine started, set by set.
+         * </pre>
+         *
+         * <code>repeated uint64 counts = 3;</code>
+         *
+         * @return The count of counts.
+         */
+        public int getCountsCount() {
+            return counts_.size();
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the engine started, set by set.
+         * </pre>
+         *
+         * <code>repeated uint64 counts = 3;</code>
+         *
+         * @param index The index of the element to return.
+         * @return The counts at the given index.
+         */
+        public long getCounts(int index) {
+            return counts_.getLong(index);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the engine started, set by set.
+         * </pre>
+         *
+         * <code>repeated uint64 counts = 3;</code>
+         *
+         * @param index The index to set the value at.
+         * @param value The counts to set.
+         * @return This builder for chaining.
+         */
+        public Builder setCounts(int index, long value) {
+
+            ensureCountsIsMutable();
+            counts_.setLong(index, value);
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the engine started, set by set.
+         * </pre>
+         *
+         * <code>repeated uint64 counts = 3;</code>
+         *
+         * @param value The counts to add.
+         * @return This builder for chaining.
+         */
+        public Builder addCounts(long value) {
+
+            ensureCountsIsMutable();
+            counts_.addLong(value);
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the engine started, set by set.
+         * </pre>
+         *
+         * <code>repeated uint64 counts = 3;</code>
+         *
+         * @param values The counts to add.
+         * @return This builder for chaining.
+         */
+        public Builder addAllCounts(java.lang.Iterable<? extends java.lang.Long> values) {
+            ensureCountsIsMutable();
+            com.google.protobuf.AbstractMessageLite.Builder.addAll(values, counts_);
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the engine started, set by set.
+         * </pre>
+         *
+         * <code>repeated uint64 counts = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearCounts() {
+            counts_ = emptyLongList();
+            bitField0_ = (bitField0_ & ~0x00000004);
+            onChanged();
+            return this;
+        }
+
+        private java.util.List<io.pollenpath.protocol.wire.ExpertList> experts_ =
+                java.util.Collections.emptyList();
+
+        private void ensureExpertsIsMutable() {
+            if (!((bitField0_ & 0x00000008) != 0)) {
+                experts_ =
+                        new java.util.ArrayList<io.pollenpath.protocol.wire.ExpertList>(experts_);
+                bitField0_ |= 0x00000008;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ExpertList,
+                        io.pollenpath.protocol.wire.ExpertList.Builder,
+                        io.pollenpath.protocol.wire.ExpertListOrBuilder>
+                expertsBuilder_;
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public java.util.List<io.pollenpath.protocol.wire.ExpertList> getExpertsList() {
+            if (expertsBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(experts_);
+            } else {
+                return expertsBuilder_.getMessageList();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public int getExpertsCount() {
+            if (expertsBuilder_ == null) {
+                return experts_.size();
+            } else {
+                return expertsBuilder_.getCount();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.ExpertList getExperts(int index) {
+            if (expertsBuilder_ == null) {
+                return experts_.get(index);
+            } else {
+                return expertsBuilder_.getMessage(index);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder setExperts(int index, io.pollenpath.protocol.wire.ExpertList value) {
+            if (expertsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureExpertsIsMutable();
+                experts_.set(index, value);
+                onChanged();
+            } else {
+                expertsBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder setExperts(
+                int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
+            if (expertsBuilder_ == null) {
+                ensureExpertsIsMutable();
+                experts_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                expertsBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder addExperts(io.pollenpath.protocol.wire.ExpertList value) {
+            if (expertsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureExpertsIsMutable();
+                experts_.add(value);
+                onChanged();
+            } else {
+                expertsBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder addExperts(int index, io.pollenpath.protocol.wire.ExpertList value) {
+            if (expertsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureExpertsIsMutable();
+                experts_.add(index, value);
+                onChanged();
+            } else {
+                expertsBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder addExperts(io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
+            if (expertsBuilder_ == null) {
+                ensureExpertsIsMutable();
+                experts_.add(builderForValue.build());
+                onChanged();
+            } else {
+                expertsBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder addExperts(
+                int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
+            if (expertsBuilder_ == null) {
+                ensureExpertsIsMutable();
+                experts_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                expertsBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder addAllExperts(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.ExpertList> values) {
+            if (expertsBuilder_ == null) {
+                ensureExpertsIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, experts_);
+                onChanged();
+            } else {
+                expertsBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder clearExperts() {
+            if (expertsBuilder_ == null) {
+                experts_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000008);
+                onChanged();
+            } else {
+                expertsBuilder_.clear();
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public Builder removeExperts(int index) {
+            if (expertsBuilder_ == null) {
+                ensureExpertsIsMutable();
+                experts_.remove(index);
+                onChanged();
+            } else {
+                expertsBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.ExpertList.Builder getExpertsBuilder(int index) {
+            return internalGetExpertsFieldBuilder().getBuilder(index);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(int index) {
+            if (expertsBuilder_ == null) {
+                return experts_.get(index);
+            } else {
+                return expertsBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
+                getExpertsOrBuilderList() {
+            if (expertsBuilder_ != null) {
+                return expertsBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(experts_);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.ExpertList.Builder addExpertsBuilder() {
+            return internalGetExpertsFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.ExpertList.Builder addExpertsBuilder(int index) {
+            return internalGetExpertsFieldBuilder()
+                    .addBuilder(index, io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The experts that the rank holds for the map in use, one list a set.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+         */
+        public java.util.List<io.pollenpath.protocol.wire.ExpertList.Builder>
+                getExpertsBuilderList() {
+            return internalGetExpertsFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ExpertList,
+                        io.pollenpath.protocol.wire.ExpertList.Builder,
+                        io.pollenpath.protocol.wire.ExpertListOrBuilder>
+                internalGetExpertsFieldBuilder() {
+            if (expertsBuilder_ == null) {
+                expertsBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.ExpertList,
+                                io.pollenpath.protocol.wire.ExpertList.Builder,
+                                io.pollenpath.protocol.wire.ExpertListOrBuilder>(
+                                experts_,
+                                ((bitField0_ & 0x00000008) != 0),
+                                getParentForChildren(),
+                                isClean());
+                experts_ = null;
+            }
+            return expertsBuilder_;
+        }
+
+        private long leaderToken_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
+         * </pre>
+         *
+         * <code>int64 leader_token = 5;</code>
+         *
+         * @return The leaderToken.
+         */
+        @java.lang.Override
+        public long getLeaderToken() {
+            return leaderToken_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
+         * </pre>
+         *
+         * <code>int64 leader_token = 5;</code>
+         *
+         * @param value The leaderToken to set.
+         * @return This builder for chaining.
+         */
+        public Builder setLeaderToken(long value) {
+
+            leaderToken_ = value;
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
+         * </pre>
+         *
+         * <code>int64 leader_token = 5;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearLeaderToken() {
+            bitField0_ = (bitField0_ & ~0x00000010);
+            leaderToken_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long leaderHeardMs_;
+
+        /**
+         * <code>int64 leader_heard_ms = 6;</code>
+         *
+         * @return The leaderHeardMs.
+         */
+        @java.lang.Override
+        public long getLeaderHeardMs() {
+            return leaderHeardMs_;
+        }
+
+        /**
+         * <code>int64 leader_heard_ms = 6;</code>
+         *
+         * @param value The leaderHeardMs to set.
+         * @return This builder for chaining.
+         */
+        public Builder setLeaderHeardMs(long value) {
+
+            leaderHeardMs_ = value;
+            bitField0_ |= 0x00000020;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 leader_heard_ms = 6;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearLeaderHeardMs() {
+            bitField0_ = (bitField0_ & ~0x00000020);
+            leaderHeardMs_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.RankReply)
     }
-  };
 
-  public static com.google.protobuf.Parser<RankReply> parser() {
-    return PARSER;
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.group.RankReply)
+    private static final io.pollenpath.protocol.wire.RankReply DEFAULT_INSTANCE;
 
-  @java.lang.Override
-  public com.google.protobuf.Parser<RankReply> getParserForType() {
-    return PARSER;
-  }
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankReply();
+    }
 
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RankReply getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public static io.pollenpath.protocol.wire.RankReply getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
 
-}
+    private static final com.google.protobuf.Parser<RankReply> PARSER =
+            new com.google.protobuf.AbstractParser<RankReply>() {
+                @java.lang.Override
+                public RankReply parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
 
+    public static com.google.protobuf.Parser<RankReply> parser() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RankReply> getParserForType() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RankReply getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
+}
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankReplyOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankReplyOrBuilder.java
@@ -6,134 +6,175 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RankReplyOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.RankReply)
-    com.google.protobuf.MessageOrBuilder {
-
-  /**
-   * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
-   * @return The enum numeric value on the wire for outcome.
-   */
-  int getOutcomeValue();
-  /**
-   * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
-   * @return The outcome.
-   */
-  io.pollenpath.protocol.wire.CommandOutcome getOutcome();
-
-  /**
-   * <pre>
-   * Absent if the engine could not be asked.
-   * </pre>
-   *
-   * <code>.pollenpath.group.RankState state = 2;</code>
-   * @return Whether the state field is set.
-   */
-  boolean hasState();
-  /**
-   * <pre>
-   * Absent if the engine could not be asked.
-   * </pre>
-   *
-   * <code>.pollenpath.group.RankState state = 2;</code>
-   * @return The state.
-   */
-  io.pollenpath.protocol.wire.RankState getState();
-  /**
-   * <pre>
-   * Absent if the engine could not be asked.
-   * </pre>
-   *
-   * <code>.pollenpath.group.RankState state = 2;</code>
-   */
-  io.pollenpath.protocol.wire.RankStateOrBuilder getStateOrBuilder();
-
-  /**
-   * <pre>
-   * How often each expert was chosen since the engine started, set by set.
-   * </pre>
-   *
-   * <code>repeated uint64 counts = 3;</code>
-   * @return A list containing the counts.
-   */
-  java.util.List<java.lang.Long> getCountsList();
-  /**
-   * <pre>
-   * How often each expert was chosen since the engine started, set by set.
-   * </pre>
-   *
-   * <code>repeated uint64 counts = 3;</code>
-   * @return The count of counts.
-   */
-  int getCountsCount();
-  /**
-   * <pre>
-   * How often each expert was chosen since the engine started, set by set.
-   * </pre>
-   *
-   * <code>repeated uint64 counts = 3;</code>
-   * @param index The index of the element to return.
-   * @return The counts at the given index.
-   */
-  long getCounts(int index);
-
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.ExpertList> 
-      getExpertsList();
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  io.pollenpath.protocol.wire.ExpertList getExperts(int index);
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  int getExpertsCount();
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder> 
-      getExpertsOrBuilderList();
-  /**
-   * <pre>
-   * The experts that the rank holds for the map in use, one list a set.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
-   */
-  io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(
-      int index);
-
-  /**
-   * <pre>
-   * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
-   * </pre>
-   *
-   * <code>int64 leader_token = 5;</code>
-   * @return The leaderToken.
-   */
-  long getLeaderToken();
-
-  /**
-   * <code>int64 leader_heard_ms = 6;</code>
-   * @return The leaderHeardMs.
-   */
-  long getLeaderHeardMs();
+public interface RankReplyOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.RankReply)
+        com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+     *
+     * @return The enum numeric value on the wire for outcome.
+     */
+    int getOutcomeValue();
+
+    /**
+     * <code>.pollenpath.group.CommandOutcome outcome = 1;</code>
+     *
+     * @return The outcome.
+     */
+    io.pollenpath.protocol.wire.CommandOutcome getOutcome();
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent if the engine could not be asked.
+     * </pre>
+     *
+     * <code>.pollenpath.group.RankState state = 2;</code>
+     *
+     * @return Whether the state field is set.
+     */
+    boolean hasState();
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent if the engine could not be asked.
+     * </pre>
+     *
+     * <code>.pollenpath.group.RankState state = 2;</code>
+     *
+     * @return The state.
+     */
+    io.pollenpath.protocol.wire.RankState getState();
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent if the engine could not be asked.
+     * </pre>
+     *
+     * <code>.pollenpath.group.RankState state = 2;</code>
+     */
+    io.pollenpath.protocol.wire.RankStateOrBuilder getStateOrBuilder();
+
+    /**
+     *
+     *
+     * <pre>
+     * How often each expert was chosen since the engine started, set by set.
+     * </pre>
+     *
+     * <code>repeated uint64 counts = 3;</code>
+     *
+     * @return A list containing the counts.
+     */
+    java.util.List<java.lang.Long> getCountsList();
+
+    /**
+     *
+     *
+     * <pre>
+     * How often each expert was chosen since the engine started, set by set.
+     * </pre>
+     *
+     * <code>repeated uint64 counts = 3;</code>
+     *
+     * @return The count of counts.
+     */
+    int getCountsCount();
+
+    /**
+     *
+     *
+     * <pre>
+     * How often each expert was chosen since the engine started, set by set.
+     * </pre>
+     *
+     * <code>repeated uint64 counts = 3;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The counts at the given index.
+     */
+    long getCounts(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * The experts that the rank holds for the map in use, one list a set.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     */
+    java.util.List<io.pollenpath.protocol.wire.ExpertList> getExpertsList();
+
+    /**
+     *
+     *
+     * <pre>
+     * The experts that the rank holds for the map in use, one list a set.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     */
+    io.pollenpath.protocol.wire.ExpertList getExperts(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * The experts that the rank holds for the map in use, one list a set.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     */
+    int getExpertsCount();
+
+    /**
+     *
+     *
+     * <pre>
+     * The experts that the rank holds for the map in use, one list a set.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     */
+    java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
+            getExpertsOrBuilderList();
+
+    /**
+     *
+     *
+     * <pre>
+     * The experts that the rank holds for the map in use, one list a set.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     */
+    io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
+     * </pre>
+     *
+     * <code>int64 leader_token = 5;</code>
+     *
+     * @return The leaderToken.
+     */
+    long getLeaderToken();
+
+    /**
+     * <code>int64 leader_heard_ms = 6;</code>
+     *
+     * @return The leaderHeardMs.
+     */
+    long getLeaderHeardMs();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankState.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankState.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * What an engine says about its place in the group.
  * </pre>
@@ -13,1324 +15,1434 @@
  * Protobuf type {@code pollenpath.group.RankState}
  */
 @com.google.protobuf.Generated
-public final class RankState extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.RankState)
-    RankStateOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      RankState.class.getName());
-  }
-  // Use RankState.newBuilder() to construct.
-  private RankState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private RankState() {
-    group_ = "";
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankState_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankState_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.RankState.class, io.pollenpath.protocol.wire.RankState.Builder.class);
-  }
-
-  private int bitField0_;
-  public static final int GROUP_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object group_ = "";
-  /**
-   * <code>string group = 1;</code>
-   * @return The group.
-   */
-  @java.lang.Override
-  public java.lang.String getGroup() {
-    java.lang.Object ref = group_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      group_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string group = 1;</code>
-   * @return The bytes for group.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getGroupBytes() {
-    java.lang.Object ref = group_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      group_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int EPOCH_FIELD_NUMBER = 2;
-  private long epoch_ = 0L;
-  /**
-   * <code>int64 epoch = 2;</code>
-   * @return The epoch.
-   */
-  @java.lang.Override
-  public long getEpoch() {
-    return epoch_;
-  }
-
-  public static final int RANK_FIELD_NUMBER = 3;
-  private int rank_ = 0;
-  /**
-   * <code>int32 rank = 3;</code>
-   * @return The rank.
-   */
-  @java.lang.Override
-  public int getRank() {
-    return rank_;
-  }
-
-  public static final int SIZE_FIELD_NUMBER = 4;
-  private int size_ = 0;
-  /**
-   * <code>int32 size = 4;</code>
-   * @return The size.
-   */
-  @java.lang.Override
-  public int getSize() {
-    return size_;
-  }
-
-  public static final int OPEN_FIELD_NUMBER = 5;
-  private boolean open_ = false;
-  /**
-   * <code>bool open = 5;</code>
-   * @return The open.
-   */
-  @java.lang.Override
-  public boolean getOpen() {
-    return open_;
-  }
-
-  public static final int STEP_FIELD_NUMBER = 6;
-  private long step_ = 0L;
-  /**
-   * <code>int64 step = 6;</code>
-   * @return The step.
-   */
-  @java.lang.Override
-  public long getStep() {
-    return step_;
-  }
-
-  public static final int MAP_VERSION_FIELD_NUMBER = 7;
-  private long mapVersion_ = 0L;
-  /**
-   * <code>int64 map_version = 7;</code>
-   * @return The mapVersion.
-   */
-  @java.lang.Override
-  public long getMapVersion() {
-    return mapVersion_;
-  }
-
-  public static final int PREPARED_VERSION_FIELD_NUMBER = 8;
-  private long preparedVersion_ = 0L;
-  /**
-   * <code>optional int64 prepared_version = 8;</code>
-   * @return Whether the preparedVersion field is set.
-   */
-  @java.lang.Override
-  public boolean hasPreparedVersion() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <code>optional int64 prepared_version = 8;</code>
-   * @return The preparedVersion.
-   */
-  @java.lang.Override
-  public long getPreparedVersion() {
-    return preparedVersion_;
-  }
-
-  public static final int ARMED_VERSION_FIELD_NUMBER = 9;
-  private long armedVersion_ = 0L;
-  /**
-   * <code>optional int64 armed_version = 9;</code>
-   * @return Whether the armedVersion field is set.
-   */
-  @java.lang.Override
-  public boolean hasArmedVersion() {
-    return ((bitField0_ & 0x00000002) != 0);
-  }
-  /**
-   * <code>optional int64 armed_version = 9;</code>
-   * @return The armedVersion.
-   */
-  @java.lang.Override
-  public long getArmedVersion() {
-    return armedVersion_;
-  }
-
-  public static final int ARMED_STEP_FIELD_NUMBER = 10;
-  private long armedStep_ = 0L;
-  /**
-   * <code>optional int64 armed_step = 10;</code>
-   * @return Whether the armedStep field is set.
-   */
-  @java.lang.Override
-  public boolean hasArmedStep() {
-    return ((bitField0_ & 0x00000004) != 0);
-  }
-  /**
-   * <code>optional int64 armed_step = 10;</code>
-   * @return The armedStep.
-   */
-  @java.lang.Override
-  public long getArmedStep() {
-    return armedStep_;
-  }
-
-  public static final int HELD_STEP_FIELD_NUMBER = 11;
-  private long heldStep_ = 0L;
-  /**
-   * <code>optional int64 held_step = 11;</code>
-   * @return Whether the heldStep field is set.
-   */
-  @java.lang.Override
-  public boolean hasHeldStep() {
-    return ((bitField0_ & 0x00000008) != 0);
-  }
-  /**
-   * <code>optional int64 held_step = 11;</code>
-   * @return The heldStep.
-   */
-  @java.lang.Override
-  public long getHeldStep() {
-    return heldStep_;
-  }
-
-  public static final int BUSY_FIELD_NUMBER = 12;
-  private boolean busy_ = false;
-  /**
-   * <code>bool busy = 12;</code>
-   * @return The busy.
-   */
-  @java.lang.Override
-  public boolean getBusy() {
-    return busy_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, group_);
-    }
-    if (epoch_ != 0L) {
-      output.writeInt64(2, epoch_);
-    }
-    if (rank_ != 0) {
-      output.writeInt32(3, rank_);
-    }
-    if (size_ != 0) {
-      output.writeInt32(4, size_);
-    }
-    if (open_ != false) {
-      output.writeBool(5, open_);
-    }
-    if (step_ != 0L) {
-      output.writeInt64(6, step_);
-    }
-    if (mapVersion_ != 0L) {
-      output.writeInt64(7, mapVersion_);
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeInt64(8, preparedVersion_);
-    }
-    if (((bitField0_ & 0x00000002) != 0)) {
-      output.writeInt64(9, armedVersion_);
-    }
-    if (((bitField0_ & 0x00000004) != 0)) {
-      output.writeInt64(10, armedStep_);
-    }
-    if (((bitField0_ & 0x00000008) != 0)) {
-      output.writeInt64(11, heldStep_);
-    }
-    if (busy_ != false) {
-      output.writeBool(12, busy_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, group_);
-    }
-    if (epoch_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, epoch_);
-    }
-    if (rank_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(3, rank_);
-    }
-    if (size_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(4, size_);
-    }
-    if (open_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(5, open_);
-    }
-    if (step_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(6, step_);
-    }
-    if (mapVersion_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(7, mapVersion_);
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(8, preparedVersion_);
-    }
-    if (((bitField0_ & 0x00000002) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(9, armedVersion_);
-    }
-    if (((bitField0_ & 0x00000004) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(10, armedStep_);
-    }
-    if (((bitField0_ & 0x00000008) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(11, heldStep_);
-    }
-    if (busy_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(12, busy_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.RankState)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.RankState other = (io.pollenpath.protocol.wire.RankState) obj;
-
-    if (!getGroup()
-        .equals(other.getGroup())) return false;
-    if (getEpoch()
-        != other.getEpoch()) return false;
-    if (getRank()
-        != other.getRank()) return false;
-    if (getSize()
-        != other.getSize()) return false;
-    if (getOpen()
-        != other.getOpen()) return false;
-    if (getStep()
-        != other.getStep()) return false;
-    if (getMapVersion()
-        != other.getMapVersion()) return false;
-    if (hasPreparedVersion() != other.hasPreparedVersion()) return false;
-    if (hasPreparedVersion()) {
-      if (getPreparedVersion()
-          != other.getPreparedVersion()) return false;
-    }
-    if (hasArmedVersion() != other.hasArmedVersion()) return false;
-    if (hasArmedVersion()) {
-      if (getArmedVersion()
-          != other.getArmedVersion()) return false;
-    }
-    if (hasArmedStep() != other.hasArmedStep()) return false;
-    if (hasArmedStep()) {
-      if (getArmedStep()
-          != other.getArmedStep()) return false;
-    }
-    if (hasHeldStep() != other.hasHeldStep()) return false;
-    if (hasHeldStep()) {
-      if (getHeldStep()
-          != other.getHeldStep()) return false;
-    }
-    if (getBusy()
-        != other.getBusy()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + GROUP_FIELD_NUMBER;
-    hash = (53 * hash) + getGroup().hashCode();
-    hash = (37 * hash) + EPOCH_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getEpoch());
-    hash = (37 * hash) + RANK_FIELD_NUMBER;
-    hash = (53 * hash) + getRank();
-    hash = (37 * hash) + SIZE_FIELD_NUMBER;
-    hash = (53 * hash) + getSize();
-    hash = (37 * hash) + OPEN_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getOpen());
-    hash = (37 * hash) + STEP_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getStep());
-    hash = (37 * hash) + MAP_VERSION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getMapVersion());
-    if (hasPreparedVersion()) {
-      hash = (37 * hash) + PREPARED_VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getPreparedVersion());
-    }
-    if (hasArmedVersion()) {
-      hash = (37 * hash) + ARMED_VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getArmedVersion());
-    }
-    if (hasArmedStep()) {
-      hash = (37 * hash) + ARMED_STEP_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getArmedStep());
-    }
-    if (hasHeldStep()) {
-      hash = (37 * hash) + HELD_STEP_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getHeldStep());
-    }
-    hash = (37 * hash) + BUSY_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getBusy());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.RankState parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.RankState parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RankState parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.RankState prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * What an engine says about its place in the group.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.group.RankState}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.RankState)
-      io.pollenpath.protocol.wire.RankStateOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankState_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankState_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.RankState.class, io.pollenpath.protocol.wire.RankState.Builder.class);
-    }
-
-    // Construct using io.pollenpath.protocol.wire.RankState.newBuilder()
-    private Builder() {
-
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      group_ = "";
-      epoch_ = 0L;
-      rank_ = 0;
-      size_ = 0;
-      open_ = false;
-      step_ = 0L;
-      mapVersion_ = 0L;
-      preparedVersion_ = 0L;
-      armedVersion_ = 0L;
-      armedStep_ = 0L;
-      heldStep_ = 0L;
-      busy_ = false;
-      return this;
-    }
+public final class RankState extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.RankState)
+        RankStateOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_RankState_descriptor;
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankState getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.RankState.getDefaultInstance();
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankState build() {
-      io.pollenpath.protocol.wire.RankState result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RankState buildPartial() {
-      io.pollenpath.protocol.wire.RankState result = new io.pollenpath.protocol.wire.RankState(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                RankState.class.getName());
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.RankState result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.group_ = group_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.epoch_ = epoch_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.rank_ = rank_;
-      }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.size_ = size_;
-      }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.open_ = open_;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.step_ = step_;
-      }
-      if (((from_bitField0_ & 0x00000040) != 0)) {
-        result.mapVersion_ = mapVersion_;
-      }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.preparedVersion_ = preparedVersion_;
-        to_bitField0_ |= 0x00000001;
-      }
-      if (((from_bitField0_ & 0x00000100) != 0)) {
-        result.armedVersion_ = armedVersion_;
-        to_bitField0_ |= 0x00000002;
-      }
-      if (((from_bitField0_ & 0x00000200) != 0)) {
-        result.armedStep_ = armedStep_;
-        to_bitField0_ |= 0x00000004;
-      }
-      if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.heldStep_ = heldStep_;
-        to_bitField0_ |= 0x00000008;
-      }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
-        result.busy_ = busy_;
-      }
-      result.bitField0_ |= to_bitField0_;
+    // Use RankState.newBuilder() to construct.
+    private RankState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.RankState) {
-        return mergeFrom((io.pollenpath.protocol.wire.RankState)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
+    private RankState() {
+        group_ = "";
     }
 
-    public Builder mergeFrom(io.pollenpath.protocol.wire.RankState other) {
-      if (other == io.pollenpath.protocol.wire.RankState.getDefaultInstance()) return this;
-      if (!other.getGroup().isEmpty()) {
-        group_ = other.group_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (other.getEpoch() != 0L) {
-        setEpoch(other.getEpoch());
-      }
-      if (other.getRank() != 0) {
-        setRank(other.getRank());
-      }
-      if (other.getSize() != 0) {
-        setSize(other.getSize());
-      }
-      if (other.getOpen() != false) {
-        setOpen(other.getOpen());
-      }
-      if (other.getStep() != 0L) {
-        setStep(other.getStep());
-      }
-      if (other.getMapVersion() != 0L) {
-        setMapVersion(other.getMapVersion());
-      }
-      if (other.hasPreparedVersion()) {
-        setPreparedVersion(other.getPreparedVersion());
-      }
-      if (other.hasArmedVersion()) {
-        setArmedVersion(other.getArmedVersion());
-      }
-      if (other.hasArmedStep()) {
-        setArmedStep(other.getArmedStep());
-      }
-      if (other.hasHeldStep()) {
-        setHeldStep(other.getHeldStep());
-      }
-      if (other.getBusy() != false) {
-        setBusy(other.getBusy());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankState_descriptor;
     }
 
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_RankState_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.RankState.class,
+                        io.pollenpath.protocol.wire.RankState.Builder.class);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              group_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              epoch_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 24: {
-              rank_ = input.readInt32();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 32: {
-              size_ = input.readInt32();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
-            case 40: {
-              open_ = input.readBool();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
-            case 48: {
-              step_ = input.readInt64();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 48
-            case 56: {
-              mapVersion_ = input.readInt64();
-              bitField0_ |= 0x00000040;
-              break;
-            } // case 56
-            case 64: {
-              preparedVersion_ = input.readInt64();
-              bitField0_ |= 0x00000080;
-              break;
-            } // case 64
-            case 72: {
-              armedVersion_ = input.readInt64();
-              bitField0_ |= 0x00000100;
-              break;
-            } // case 72
-            case 80: {
-              armedStep_ = input.readInt64();
-              bitField0_ |= 0x00000200;
-              break;
-            } // case 80
-            case 88: {
-              heldStep_ = input.readInt64();
-              bitField0_ |= 0x00000400;
-              break;
-            } // case 88
-            case 96: {
-              busy_ = input.readBool();
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 96
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
     private int bitField0_;
+    public static final int GROUP_FIELD_NUMBER = 1;
+
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object group_ = "";
 
-    private java.lang.Object group_ = "";
     /**
      * <code>string group = 1;</code>
+     *
      * @return The group.
      */
+    @java.lang.Override
     public java.lang.String getGroup() {
-      java.lang.Object ref = group_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        group_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+        java.lang.Object ref = group_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            group_ = s;
+            return s;
+        }
     }
+
     /**
      * <code>string group = 1;</code>
+     *
      * @return The bytes for group.
      */
-    public com.google.protobuf.ByteString
-        getGroupBytes() {
-      java.lang.Object ref = group_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        group_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string group = 1;</code>
-     * @param value The group to set.
-     * @return This builder for chaining.
-     */
-    public Builder setGroup(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      group_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string group = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearGroup() {
-      group_ = getDefaultInstance().getGroup();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string group = 1;</code>
-     * @param value The bytes for group to set.
-     * @return This builder for chaining.
-     */
-    public Builder setGroupBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      group_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    public com.google.protobuf.ByteString getGroupBytes() {
+        java.lang.Object ref = group_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            group_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
     }
 
-    private long epoch_ ;
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
+
     /**
      * <code>int64 epoch = 2;</code>
+     *
      * @return The epoch.
      */
     @java.lang.Override
     public long getEpoch() {
-      return epoch_;
+        return epoch_;
     }
-    /**
-     * <code>int64 epoch = 2;</code>
-     * @param value The epoch to set.
-     * @return This builder for chaining.
-     */
-    public Builder setEpoch(long value) {
 
-      epoch_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 epoch = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearEpoch() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      epoch_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int RANK_FIELD_NUMBER = 3;
+    private int rank_ = 0;
 
-    private int rank_ ;
     /**
      * <code>int32 rank = 3;</code>
+     *
      * @return The rank.
      */
     @java.lang.Override
     public int getRank() {
-      return rank_;
+        return rank_;
     }
-    /**
-     * <code>int32 rank = 3;</code>
-     * @param value The rank to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRank(int value) {
 
-      rank_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int32 rank = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRank() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      rank_ = 0;
-      onChanged();
-      return this;
-    }
+    public static final int SIZE_FIELD_NUMBER = 4;
+    private int size_ = 0;
 
-    private int size_ ;
     /**
      * <code>int32 size = 4;</code>
+     *
      * @return The size.
      */
     @java.lang.Override
     public int getSize() {
-      return size_;
+        return size_;
     }
-    /**
-     * <code>int32 size = 4;</code>
-     * @param value The size to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSize(int value) {
 
-      size_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int32 size = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearSize() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      size_ = 0;
-      onChanged();
-      return this;
-    }
+    public static final int OPEN_FIELD_NUMBER = 5;
+    private boolean open_ = false;
 
-    private boolean open_ ;
     /**
      * <code>bool open = 5;</code>
+     *
      * @return The open.
      */
     @java.lang.Override
     public boolean getOpen() {
-      return open_;
+        return open_;
     }
-    /**
-     * <code>bool open = 5;</code>
-     * @param value The open to set.
-     * @return This builder for chaining.
-     */
-    public Builder setOpen(boolean value) {
 
-      open_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bool open = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearOpen() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      open_ = false;
-      onChanged();
-      return this;
-    }
+    public static final int STEP_FIELD_NUMBER = 6;
+    private long step_ = 0L;
 
-    private long step_ ;
     /**
      * <code>int64 step = 6;</code>
+     *
      * @return The step.
      */
     @java.lang.Override
     public long getStep() {
-      return step_;
+        return step_;
     }
-    /**
-     * <code>int64 step = 6;</code>
-     * @param value The step to set.
-     * @return This builder for chaining.
-     */
-    public Builder setStep(long value) {
 
-      step_ = value;
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 step = 6;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearStep() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      step_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int MAP_VERSION_FIELD_NUMBER = 7;
+    private long mapVersion_ = 0L;
 
-    private long mapVersion_ ;
     /**
      * <code>int64 map_version = 7;</code>
+     *
      * @return The mapVersion.
      */
     @java.lang.Override
     public long getMapVersion() {
-      return mapVersion_;
+        return mapVersion_;
     }
-    /**
-     * <code>int64 map_version = 7;</code>
-     * @param value The mapVersion to set.
-     * @return This builder for chaining.
-     */
-    public Builder setMapVersion(long value) {
 
-      mapVersion_ = value;
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 map_version = 7;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearMapVersion() {
-      bitField0_ = (bitField0_ & ~0x00000040);
-      mapVersion_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int PREPARED_VERSION_FIELD_NUMBER = 8;
+    private long preparedVersion_ = 0L;
 
-    private long preparedVersion_ ;
     /**
      * <code>optional int64 prepared_version = 8;</code>
+     *
      * @return Whether the preparedVersion field is set.
      */
     @java.lang.Override
     public boolean hasPreparedVersion() {
-      return ((bitField0_ & 0x00000080) != 0);
+        return ((bitField0_ & 0x00000001) != 0);
     }
+
     /**
      * <code>optional int64 prepared_version = 8;</code>
+     *
      * @return The preparedVersion.
      */
     @java.lang.Override
     public long getPreparedVersion() {
-      return preparedVersion_;
+        return preparedVersion_;
     }
-    /**
-     * <code>optional int64 prepared_version = 8;</code>
-     * @param value The preparedVersion to set.
-     * @return This builder for chaining.
-     */
-    public Builder setPreparedVersion(long value) {
 
-      preparedVersion_ = value;
-      bitField0_ |= 0x00000080;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>optional int64 prepared_version = 8;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearPreparedVersion() {
-      bitField0_ = (bitField0_ & ~0x00000080);
-      preparedVersion_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int ARMED_VERSION_FIELD_NUMBER = 9;
+    private long armedVersion_ = 0L;
 
-    private long armedVersion_ ;
     /**
      * <code>optional int64 armed_version = 9;</code>
+     *
      * @return Whether the armedVersion field is set.
      */
     @java.lang.Override
     public boolean hasArmedVersion() {
-      return ((bitField0_ & 0x00000100) != 0);
+        return ((bitField0_ & 0x00000002) != 0);
     }
+
     /**
      * <code>optional int64 armed_version = 9;</code>
+     *
      * @return The armedVersion.
      */
     @java.lang.Override
     public long getArmedVersion() {
-      return armedVersion_;
+        return armedVersion_;
     }
-    /**
-     * <code>optional int64 armed_version = 9;</code>
-     * @param value The armedVersion to set.
-     * @return This builder for chaining.
-     */
-    public Builder setArmedVersion(long value) {
 
-      armedVersion_ = value;
-      bitField0_ |= 0x00000100;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>optional int64 armed_version = 9;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearArmedVersion() {
-      bitField0_ = (bitField0_ & ~0x00000100);
-      armedVersion_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int ARMED_STEP_FIELD_NUMBER = 10;
+    private long armedStep_ = 0L;
 
-    private long armedStep_ ;
     /**
      * <code>optional int64 armed_step = 10;</code>
+     *
      * @return Whether the armedStep field is set.
      */
     @java.lang.Override
     public boolean hasArmedStep() {
-      return ((bitField0_ & 0x00000200) != 0);
+        return ((bitField0_ & 0x00000004) != 0);
     }
+
     /**
      * <code>optional int64 armed_step = 10;</code>
+     *
      * @return The armedStep.
      */
     @java.lang.Override
     public long getArmedStep() {
-      return armedStep_;
+        return armedStep_;
     }
-    /**
-     * <code>optional int64 armed_step = 10;</code>
-     * @param value The armedStep to set.
-     * @return This builder for chaining.
-     */
-    public Builder setArmedStep(long value) {
 
-      armedStep_ = value;
-      bitField0_ |= 0x00000200;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>optional int64 armed_step = 10;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearArmedStep() {
-      bitField0_ = (bitField0_ & ~0x00000200);
-      armedStep_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int HELD_STEP_FIELD_NUMBER = 11;
+    private long heldStep_ = 0L;
 
-    private long heldStep_ ;
     /**
      * <code>optional int64 held_step = 11;</code>
+     *
      * @return Whether the heldStep field is set.
      */
     @java.lang.Override
     public boolean hasHeldStep() {
-      return ((bitField0_ & 0x00000400) != 0);
+        return ((bitField0_ & 0x00000008) != 0);
     }
+
     /**
      * <code>optional int64 held_step = 11;</code>
+     *
      * @return The heldStep.
      */
     @java.lang.Override
     public long getHeldStep() {
-      return heldStep_;
+        return heldStep_;
     }
-    /**
-     * <code>optional int64 held_step = 11;</code>
-     * @param value The heldStep to set.
-     * @return This builder for chaining.
-     */
-    public Builder setHeldStep(long value) {
 
-      heldStep_ = value;
-      bitField0_ |= 0x00000400;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>optional int64 held_step = 11;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearHeldStep() {
-      bitField0_ = (bitField0_ & ~0x00000400);
-      heldStep_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int BUSY_FIELD_NUMBER = 12;
+    private boolean busy_ = false;
 
-    private boolean busy_ ;
     /**
      * <code>bool busy = 12;</code>
+     *
      * @return The busy.
      */
     @java.lang.Override
     public boolean getBusy() {
-      return busy_;
+        return busy_;
     }
-    /**
-     * <code>bool busy = 12;</code>
-     * @param value The busy to set.
-     * @return This builder for chaining.
-     */
-    public Builder setBusy(boolean value) {
 
-      busy_ = value;
-      bitField0_ |= 0x00000800;
-      onChanged();
-      return this;
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
-    /**
-     * <code>bool busy = 12;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearBusy() {
-      bitField0_ = (bitField0_ & ~0x00000800);
-      busy_ = false;
-      onChanged();
-      return this;
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 1, group_);
+        }
+        if (epoch_ != 0L) {
+            output.writeInt64(2, epoch_);
+        }
+        if (rank_ != 0) {
+            output.writeInt32(3, rank_);
+        }
+        if (size_ != 0) {
+            output.writeInt32(4, size_);
+        }
+        if (open_ != false) {
+            output.writeBool(5, open_);
+        }
+        if (step_ != 0L) {
+            output.writeInt64(6, step_);
+        }
+        if (mapVersion_ != 0L) {
+            output.writeInt64(7, mapVersion_);
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            output.writeInt64(8, preparedVersion_);
+        }
+        if (((bitField0_ & 0x00000002) != 0)) {
+            output.writeInt64(9, armedVersion_);
+        }
+        if (((bitField0_ & 0x00000004) != 0)) {
+            output.writeInt64(10, armedStep_);
+        }
+        if (((bitField0_ & 0x00000008) != 0)) {
+            output.writeInt64(11, heldStep_);
+        }
+        if (busy_ != false) {
+            output.writeBool(12, busy_);
+        }
+        getUnknownFields().writeTo(output);
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.RankState)
-  }
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(1, group_);
+        }
+        if (epoch_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(2, epoch_);
+        }
+        if (rank_ != 0) {
+            size += com.google.protobuf.CodedOutputStream.computeInt32Size(3, rank_);
+        }
+        if (size_ != 0) {
+            size += com.google.protobuf.CodedOutputStream.computeInt32Size(4, size_);
+        }
+        if (open_ != false) {
+            size += com.google.protobuf.CodedOutputStream.computeBoolSize(5, open_);
+        }
+        if (step_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(6, step_);
+        }
+        if (mapVersion_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(7, mapVersion_);
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(8, preparedVersion_);
+        }
+        if (((bitField0_ & 0x00000002) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(9, armedVersion_);
+        }
+        if (((bitField0_ & 0x00000004) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(10, armedStep_);
+        }
+        if (((bitField0_ & 0x00000008) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(11, heldStep_);
+        }
+        if (busy_ != false) {
+            size += com.google.protobuf.CodedOutputStream.computeBoolSize(12, busy_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+    }
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.RankState)
-  private static final io.pollenpath.protocol.wire.RankState DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankState();
-  }
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.RankState)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.RankState other = (io.pollenpath.protocol.wire.RankState) obj;
+
+        if (!getGroup().equals(other.getGroup())) return false;
+        if (getEpoch() != other.getEpoch()) return false;
+        if (getRank() != other.getRank()) return false;
+        if (getSize() != other.getSize()) return false;
+        if (getOpen() != other.getOpen()) return false;
+        if (getStep() != other.getStep()) return false;
+        if (getMapVersion() != other.getMapVersion()) return false;
+        if (hasPreparedVersion() != other.hasPreparedVersion()) return false;
+        if (hasPreparedVersion()) {
+            if (getPreparedVersion() != other.getPreparedVersion()) return false;
+        }
+        if (hasArmedVersion() != other.hasArmedVersion()) return false;
+        if (hasArmedVersion()) {
+            if (getArmedVersion() != other.getArmedVersion()) return false;
+        }
+        if (hasArmedStep() != other.hasArmedStep()) return false;
+        if (hasArmedStep()) {
+            if (getArmedStep() != other.getArmedStep()) return false;
+        }
+        if (hasHeldStep() != other.hasHeldStep()) return false;
+        if (hasHeldStep()) {
+            if (getHeldStep() != other.getHeldStep()) return false;
+        }
+        if (getBusy() != other.getBusy()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+    }
 
-  public static io.pollenpath.protocol.wire.RankState getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + GROUP_FIELD_NUMBER;
+        hash = (53 * hash) + getGroup().hashCode();
+        hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getEpoch());
+        hash = (37 * hash) + RANK_FIELD_NUMBER;
+        hash = (53 * hash) + getRank();
+        hash = (37 * hash) + SIZE_FIELD_NUMBER;
+        hash = (53 * hash) + getSize();
+        hash = (37 * hash) + OPEN_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getOpen());
+        hash = (37 * hash) + STEP_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getStep());
+        hash = (37 * hash) + MAP_VERSION_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getMapVersion());
+        if (hasPreparedVersion()) {
+            hash = (37 * hash) + PREPARED_VERSION_FIELD_NUMBER;
+            hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getPreparedVersion());
+        }
+        if (hasArmedVersion()) {
+            hash = (37 * hash) + ARMED_VERSION_FIELD_NUMBER;
+            hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getArmedVersion());
+        }
+        if (hasArmedStep()) {
+            hash = (37 * hash) + ARMED_STEP_FIELD_NUMBER;
+            hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getArmedStep());
+        }
+        if (hasHeldStep()) {
+            hash = (37 * hash) + HELD_STEP_FIELD_NUMBER;
+            hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getHeldStep());
+        }
+        hash = (37 * hash) + BUSY_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getBusy());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RankState parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
 
-  private static final com.google.protobuf.Parser<RankState>
-      PARSER = new com.google.protobuf.AbstractParser<RankState>() {
     @java.lang.Override
-    public RankState parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
-  };
 
-  public static com.google.protobuf.Parser<RankState> parser() {
-    return PARSER;
-  }
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
 
-  @java.lang.Override
-  public com.google.protobuf.Parser<RankState> getParserForType() {
-    return PARSER;
-  }
+    public static Builder newBuilder(io.pollenpath.protocol.wire.RankState prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
 
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RankState getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
 
-}
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * What an engine says about its place in the group.
+     * </pre>
+     *
+     * Protobuf type {@code pollenpath.group.RankState}
+     */
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.RankState)
+            io.pollenpath.protocol.wire.RankStateOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankState_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankState_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.RankState.class,
+                            io.pollenpath.protocol.wire.RankState.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.RankState.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            group_ = "";
+            epoch_ = 0L;
+            rank_ = 0;
+            size_ = 0;
+            open_ = false;
+            step_ = 0L;
+            mapVersion_ = 0L;
+            preparedVersion_ = 0L;
+            armedVersion_ = 0L;
+            armedStep_ = 0L;
+            heldStep_ = 0L;
+            busy_ = false;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_RankState_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankState getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.RankState.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankState build() {
+            io.pollenpath.protocol.wire.RankState result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RankState buildPartial() {
+            io.pollenpath.protocol.wire.RankState result =
+                    new io.pollenpath.protocol.wire.RankState(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.RankState result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.group_ = group_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.epoch_ = epoch_;
+            }
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                result.rank_ = rank_;
+            }
+            if (((from_bitField0_ & 0x00000008) != 0)) {
+                result.size_ = size_;
+            }
+            if (((from_bitField0_ & 0x00000010) != 0)) {
+                result.open_ = open_;
+            }
+            if (((from_bitField0_ & 0x00000020) != 0)) {
+                result.step_ = step_;
+            }
+            if (((from_bitField0_ & 0x00000040) != 0)) {
+                result.mapVersion_ = mapVersion_;
+            }
+            int to_bitField0_ = 0;
+            if (((from_bitField0_ & 0x00000080) != 0)) {
+                result.preparedVersion_ = preparedVersion_;
+                to_bitField0_ |= 0x00000001;
+            }
+            if (((from_bitField0_ & 0x00000100) != 0)) {
+                result.armedVersion_ = armedVersion_;
+                to_bitField0_ |= 0x00000002;
+            }
+            if (((from_bitField0_ & 0x00000200) != 0)) {
+                result.armedStep_ = armedStep_;
+                to_bitField0_ |= 0x00000004;
+            }
+            if (((from_bitField0_ & 0x00000400) != 0)) {
+                result.heldStep_ = heldStep_;
+                to_bitField0_ |= 0x00000008;
+            }
+            if (((from_bitField0_ & 0x00000800) != 0)) {
+                result.busy_ = busy_;
+            }
+            result.bitField0_ |= to_bitField0_;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.RankState) {
+                return mergeFrom((io.pollenpath.protocol.wire.RankState) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.RankState other) {
+            if (other == io.pollenpath.protocol.wire.RankState.getDefaultInstance()) return this;
+            if (!other.getGroup().isEmpty()) {
+                group_ = other.group_;
+                bitField0_ |= 0x00000001;
+                onChanged();
+            }
+            if (other.getEpoch() != 0L) {
+                setEpoch(other.getEpoch());
+            }
+            if (other.getRank() != 0) {
+                setRank(other.getRank());
+            }
+            if (other.getSize() != 0) {
+                setSize(other.getSize());
+            }
+            if (other.getOpen() != false) {
+                setOpen(other.getOpen());
+            }
+            if (other.getStep() != 0L) {
+                setStep(other.getStep());
+            }
+            if (other.getMapVersion() != 0L) {
+                setMapVersion(other.getMapVersion());
+            }
+            if (other.hasPreparedVersion()) {
+                setPreparedVersion(other.getPreparedVersion());
+            }
+            if (other.hasArmedVersion()) {
+                setArmedVersion(other.getArmedVersion());
+            }
+            if (other.hasArmedStep()) {
+                setArmedStep(other.getArmedStep());
+            }
+            if (other.hasHeldStep()) {
+                setHeldStep(other.getHeldStep());
+            }
+            if (other.getBusy() != false) {
+                setBusy(other.getBusy());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                group_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 10
+                        case 16:
+                            {
+                                epoch_ = input.readInt64();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 16
+                        case 24:
+                            {
+                                rank_ = input.readInt32();
+                                bitField0_ |= 0x00000004;
+                                break;
+                            } // case 24
+                        case 32:
+                            {
+                                size_ = input.readInt32();
+                                bitField0_ |= 0x00000008;
+                                break;
+                            } // case 32
+                        case 40:
+                            {
+                                open_ = input.readBool();
+                                bitField0_ |= 0x00000010;
+                                break;
+                            } // case 40
+                        case 48:
+                            {
+                                step_ = input.readInt64();
+                                bitField0_ |= 0x00000020;
+                                break;
+                            } // case 48
+                        case 56:
+                            {
+                                mapVersion_ = input.readInt64();
+                                bitField0_ |= 0x00000040;
+                                break;
+                            } // case 56
+                        case 64:
+                            {
+                                preparedVersion_ = input.readInt64();
+                                bitField0_ |= 0x00000080;
+                                break;
+                            } // case 64
+                        case 72:
+                            {
+                                armedVersion_ = input.readInt64();
+                                bitField0_ |= 0x00000100;
+                                break;
+                            } // case 72
+                        case 80:
+                            {
+                                armedStep_ = input.readInt64();
+                                bitField0_ |= 0x00000200;
+                                break;
+                            } // case 80
+                        case 88:
+                            {
+                                heldStep_ = input.readInt64();
+                                bitField0_ |= 0x00000400;
+                                break;
+                            } // case 88
+                        case 96:
+                            {
+                                busy_ = input.readBool();
+                                bitField0_ |= 0x00000800;
+                                break;
+                            } // case 96
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private java.lang.Object group_ = "";
+
+        /**
+         * <code>string group = 1;</code>
+         *
+         * @return The group.
+         */
+        public java.lang.String getGroup() {
+            java.lang.Object ref = group_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                group_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         * <code>string group = 1;</code>
+         *
+         * @return The bytes for group.
+         */
+        public com.google.protobuf.ByteString getGroupBytes() {
+            java.lang.Object ref = group_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                group_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         * <code>string group = 1;</code>
+         *
+         * @param value The group to set.
+         * @return This builder for chaining.
+         */
+        public Builder setGroup(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            group_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>string group = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearGroup() {
+            group_ = getDefaultInstance().getGroup();
+            bitField0_ = (bitField0_ & ~0x00000001);
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>string group = 1;</code>
+         *
+         * @param value The bytes for group to set.
+         * @return This builder for chaining.
+         */
+        public Builder setGroupBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            group_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        private long epoch_;
+
+        /**
+         * <code>int64 epoch = 2;</code>
+         *
+         * @return The epoch.
+         */
+        @java.lang.Override
+        public long getEpoch() {
+            return epoch_;
+        }
+
+        /**
+         * <code>int64 epoch = 2;</code>
+         *
+         * @param value The epoch to set.
+         * @return This builder for chaining.
+         */
+        public Builder setEpoch(long value) {
+
+            epoch_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 epoch = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearEpoch() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            epoch_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private int rank_;
+
+        /**
+         * <code>int32 rank = 3;</code>
+         *
+         * @return The rank.
+         */
+        @java.lang.Override
+        public int getRank() {
+            return rank_;
+        }
+
+        /**
+         * <code>int32 rank = 3;</code>
+         *
+         * @param value The rank to set.
+         * @return This builder for chaining.
+         */
+        public Builder setRank(int value) {
+
+            rank_ = value;
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int32 rank = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearRank() {
+            bitField0_ = (bitField0_ & ~0x00000004);
+            rank_ = 0;
+            onChanged();
+            return this;
+        }
+
+        private int size_;
+
+        /**
+         * <code>int32 size = 4;</code>
+         *
+         * @return The size.
+         */
+        @java.lang.Override
+        public int getSize() {
+            return size_;
+        }
+
+        /**
+         * <code>int32 size = 4;</code>
+         *
+         * @param value The size to set.
+         * @return This builder for chaining.
+         */
+        public Builder setSize(int value) {
+
+            size_ = value;
+            bitField0_ |= 0x00000008;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int32 size = 4;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearSize() {
+            bitField0_ = (bitField0_ & ~0x00000008);
+            size_ = 0;
+            onChanged();
+            return this;
+        }
+
+        private boolean open_;
+
+        /**
+         * <code>bool open = 5;</code>
+         *
+         * @return The open.
+         */
+        @java.lang.Override
+        public boolean getOpen() {
+            return open_;
+        }
+
+        /**
+         * <code>bool open = 5;</code>
+         *
+         * @param value The open to set.
+         * @return This builder for chaining.
+         */
+        public Builder setOpen(boolean value) {
+
+            open_ = value;
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>bool open = 5;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearOpen() {
+            bitField0_ = (bitField0_ & ~0x00000010);
+            open_ = false;
+            onChanged();
+            return this;
+        }
+
+        private long step_;
+
+        /**
+         * <code>int64 step = 6;</code>
+         *
+         * @return The step.
+         */
+        @java.lang.Override
+        public long getStep() {
+            return step_;
+        }
+
+        /**
+         * <code>int64 step = 6;</code>
+         *
+         * @param value The step to set.
+         * @return This builder for chaining.
+         */
+        public Builder setStep(long value) {
+
+            step_ = value;
+            bitField0_ |= 0x00000020;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 step = 6;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearStep() {
+            bitField0_ = (bitField0_ & ~0x00000020);
+            step_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long mapVersion_;
+
+        /**
+         * <code>int64 map_version = 7;</code>
+         *
+         * @return The mapVersion.
+         */
+        @java.lang.Override
+        public long getMapVersion() {
+            return mapVersion_;
+        }
+
+        /**
+         * <code>int64 map_version = 7;</code>
+         *
+         * @param value The mapVersion to set.
+         * @return This builder for chaining.
+         */
+        public Builder setMapVersion(long value) {
+
+            mapVersion_ = value;
+            bitField0_ |= 0x00000040;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 map_version = 7;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearMapVersion() {
+            bitField0_ = (bitField0_ & ~0x00000040);
+            mapVersion_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long preparedVersion_;
+
+        /**
+         * <code>optional int64 prepared_version = 8;</code>
+         *
+         * @return Whether the preparedVersion field is set.
+         */
+        @java.lang.Override
+        public boolean hasPreparedVersion() {
+            return ((bitField0_ & 0x00000080) != 0);
+        }
+
+        /**
+         * <code>optional int64 prepared_version = 8;</code>
+         *
+         * @return The preparedVersion.
+         */
+        @java.lang.Override
+        public long getPreparedVersion() {
+            return preparedVersion_;
+        }
+
+        /**
+         * <code>optional int64 prepared_version = 8;</code>
+         *
+         * @param value The preparedVersion to set.
+         * @return This builder for chaining.
+         */
+        public Builder setPreparedVersion(long value) {
+
+            preparedVersion_ = value;
+            bitField0_ |= 0x00000080;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>optional int64 prepared_version = 8;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearPreparedVersion() {
+            bitField0_ = (bitField0_ & ~0x00000080);
+            preparedVersion_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long armedVersion_;
+
+        /**
+         * <code>optional int64 armed_version = 9;</code>
+         *
+         * @return Whether the armedVersion field is set.
+         */
+        @java.lang.Override
+        public boolean hasArmedVersion() {
+            return ((bitField0_ & 0x00000100) != 0);
+        }
+
+        /**
+         * <code>optional int64 armed_version = 9;</code>
+         *
+         * @return The armedVersion.
+         */
+        @java.lang.Override
+        public long getArmedVersion() {
+            return armedVersion_;
+        }
+
+        /**
+         * <code>optional int64 armed_version = 9;</code>
+         *
+         * @param value The armedVersion to set.
+         * @return This builder for chaining.
+         */
+        public Builder setArmedVersion(long value) {
+
+            armedVersion_ = value;
+            bitField0_ |= 0x00000100;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>optional int64 armed_version = 9;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearArmedVersion() {
+            bitField0_ = (bitField0_ & ~0x00000100);
+            armedVersion_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long armedStep_;
+
+        /**
+         * <code>optional int64 armed_step = 10;</code>
+         *
+         * @return Whether the armedStep field is set.
+         */
+        @java.lang.Override
+        public boolean hasArmedStep() {
+            return ((bitField0_ & 0x00000200) != 0);
+        }
+
+        /**
+         * <code>optional int64 armed_step = 10;</code>
+         *
+         * @return The armedStep.
+         */
+        @java.lang.Override
+        public long getArmedStep() {
+            return armedStep_;
+        }
+
+        /**
+         * <code>optional int64 armed_step = 10;</code>
+         *
+         * @param value The armedStep to set.
+         * @return This builder for chaining.
+         */
+        public Builder setArmedStep(long value) {
+
+            armedStep_ = value;
+            bitField0_ |= 0x00000200;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>optional int64 armed_step = 10;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearArmedStep() {
+            bitField0_ = (bitField0_ & ~0x00000200);
+            armedStep_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long heldStep_;
+
+        /**
+         * <code>optional int64 held_step = 11;</code>
+         *
+         * @return Whether the heldStep field is set.
+         */
+        @java.lang.Override
+        public boolean hasHeldStep() {
+            return ((bitField0_ & 0x00000400) != 0);
+        }
+
+        /**
+         * <code>optional int64 held_step = 11;</code>
+         *
+         * @return The heldStep.
+         */
+        @java.lang.Override
+        public long getHeldStep() {
+            return heldStep_;
+        }
+
+        /**
+         * <code>optional int64 held_step = 11;</code>
+         *
+         * @param value The heldStep to set.
+         * @return This builder for chaining.
+         */
+        public Builder setHeldStep(long value) {
+
+            heldStep_ = value;
+            bitField0_ |= 0x00000400;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>optional int64 held_step = 11;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearHeldStep() {
+            bitField0_ = (bitField0_ & ~0x00000400);
+            heldStep_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private boolean busy_;
+
+        /**
+         * <code>bool busy = 12;</code>
+         *
+         * @return The busy.
+         */
+        @java.lang.Override
+        public boolean getBusy() {
+            return busy_;
+        }
+
+        /**
+         * <code>bool busy = 12;</code>
+         *
+         * @param value The busy to set.
+         * @return This builder for chaining.
+         */
+        public Builder setBusy(boolean value) {
+
+            busy_ = value;
+            bitField0_ |= 0x00000800;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>bool busy = 12;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearBusy() {
+            bitField0_ = (bitField0_ & ~0x00000800);
+            busy_ = false;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.RankState)
+    }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.group.RankState)
+    private static final io.pollenpath.protocol.wire.RankState DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RankState();
+    }
+
+    public static io.pollenpath.protocol.wire.RankState getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RankState> PARSER =
+            new com.google.protobuf.AbstractParser<RankState>() {
+                @java.lang.Override
+                public RankState parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<RankState> parser() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RankState> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RankState getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
+}
