--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankStateOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankStateOrBuilder.java
@@ -6,105 +6,127 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RankStateOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.group.RankState)
-    com.google.protobuf.MessageOrBuilder {
-
-  /**
-   * <code>string group = 1;</code>
-   * @return The group.
-   */
-  java.lang.String getGroup();
-  /**
-   * <code>string group = 1;</code>
-   * @return The bytes for group.
-   */
-  com.google.protobuf.ByteString
-      getGroupBytes();
-
-  /**
-   * <code>int64 epoch = 2;</code>
-   * @return The epoch.
-   */
-  long getEpoch();
-
-  /**
-   * <code>int32 rank = 3;</code>
-   * @return The rank.
-   */
-  int getRank();
-
-  /**
-   * <code>int32 size = 4;</code>
-   * @return The size.
-   */
-  int getSize();
-
-  /**
-   * <code>bool open = 5;</code>
-   * @return The open.
-   */
-  boolean getOpen();
-
-  /**
-   * <code>int64 step = 6;</code>
-   * @return The step.
-   */
-  long getStep();
-
-  /**
-   * <code>int64 map_version = 7;</code>
-   * @return The mapVersion.
-   */
-  long getMapVersion();
-
-  /**
-   * <code>optional int64 prepared_version = 8;</code>
-   * @return Whether the preparedVersion field is set.
-   */
-  boolean hasPreparedVersion();
-  /**
-   * <code>optional int64 prepared_version = 8;</code>
-   * @return The preparedVersion.
-   */
-  long getPreparedVersion();
-
-  /**
-   * <code>optional int64 armed_version = 9;</code>
-   * @return Whether the armedVersion field is set.
-   */
-  boolean hasArmedVersion();
-  /**
-   * <code>optional int64 armed_version = 9;</code>
-   * @return The armedVersion.
-   */
-  long getArmedVersion();
-
-  /**
-   * <code>optional int64 armed_step = 10;</code>
-   * @return Whether the armedStep field is set.
-   */
-  boolean hasArmedStep();
-  /**
-   * <code>optional int64 armed_step = 10;</code>
-   * @return The armedStep.
-   */
-  long getArmedStep();
-
-  /**
-   * <code>optional int64 held_step = 11;</code>
-   * @return Whether the heldStep field is set.
-   */
-  boolean hasHeldStep();
-  /**
-   * <code>optional int64 held_step = 11;</code>
-   * @return The heldStep.
-   */
-  long getHeldStep();
-
-  /**
-   * <code>bool busy = 12;</code>
-   * @return The busy.
-   */
-  boolean getBusy();
+public interface RankStateOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.group.RankState)
+        com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string group = 1;</code>
+     *
+     * @return The group.
+     */
+    java.lang.String getGroup();
+
+    /**
+     * <code>string group = 1;</code>
+     *
+     * @return The bytes for group.
+     */
+    com.google.protobuf.ByteString getGroupBytes();
+
+    /**
+     * <code>int64 epoch = 2;</code>
+     *
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>int32 rank = 3;</code>
+     *
+     * @return The rank.
+     */
+    int getRank();
+
+    /**
+     * <code>int32 size = 4;</code>
+     *
+     * @return The size.
+     */
+    int getSize();
+
+    /**
+     * <code>bool open = 5;</code>
+     *
+     * @return The open.
+     */
+    boolean getOpen();
+
+    /**
+     * <code>int64 step = 6;</code>
+     *
+     * @return The step.
+     */
+    long getStep();
+
+    /**
+     * <code>int64 map_version = 7;</code>
+     *
+     * @return The mapVersion.
+     */
+    long getMapVersion();
+
+    /**
+     * <code>optional int64 prepared_version = 8;</code>
+     *
+     * @return Whether the preparedVersion field is set.
+     */
+    boolean hasPreparedVersion();
+
+    /**
+     * <code>optional int64 prepared_version = 8;</code>
+     *
+     * @return The preparedVersion.
+     */
+    long getPreparedVersion();
+
+    /**
+     * <code>optional int64 armed_version = 9;</code>
+     *
+     * @return Whether the armedVersion field is set.
+     */
+    boolean hasArmedVersion();
+
+    /**
+     * <code>optional int64 armed_version = 9;</code>
+     *
+     * @return The armedVersion.
+     */
+    long getArmedVersion();
+
+    /**
+     * <code>optional int64 armed_step = 10;</code>
+     *
+     * @return Whether the armedStep field is set.
+     */
+    boolean hasArmedStep();
+
+    /**
+     * <code>optional int64 armed_step = 10;</code>
+     *
+     * @return The armedStep.
+     */
+    long getArmedStep();
+
+    /**
+     * <code>optional int64 held_step = 11;</code>
+     *
+     * @return Whether the heldStep field is set.
+     */
+    boolean hasHeldStep();
+
+    /**
+     * <code>optional int64 held_step = 11;</code>
+     *
+     * @return The heldStep.
+     */
+    long getHeldStep();
+
+    /**
+     * <code>bool busy = 12;</code>
+     *
+     * @return The busy.
+     */
+    boolean getBusy();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ReleaseStep.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ReleaseStep.java
@@ -5,429 +5,444 @@
 
 package io.pollenpath.protocol.wire;
 
-/**
- * Protobuf type {@code pollenpath.group.ReleaseStep}
- */
+/** Protobuf type {@code pollenpath.group.ReleaseStep} */
 @com.google.protobuf.Generated
-public final class ReleaseStep extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.group.ReleaseStep)
-    ReleaseStepOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      ReleaseStep.class.getName());
-  }
-  // Use ReleaseStep.newBuilder() to construct.
-  private ReleaseStep(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private ReleaseStep() {
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ReleaseStep_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ReleaseStep_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.ReleaseStep.class, io.pollenpath.protocol.wire.ReleaseStep.Builder.class);
-  }
-
-  public static final int STEP_FIELD_NUMBER = 1;
-  private long step_ = 0L;
-  /**
-   * <code>int64 step = 1;</code>
-   * @return The step.
-   */
-  @java.lang.Override
-  public long getStep() {
-    return step_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (step_ != 0L) {
-      output.writeInt64(1, step_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (step_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, step_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.ReleaseStep)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.ReleaseStep other = (io.pollenpath.protocol.wire.ReleaseStep) obj;
-
-    if (getStep()
-        != other.getStep()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + STEP_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getStep());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.ReleaseStep parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.ReleaseStep parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.ReleaseStep prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * Protobuf type {@code pollenpath.group.ReleaseStep}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.group.ReleaseStep)
-      io.pollenpath.protocol.wire.ReleaseStepOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ReleaseStep_descriptor;
+public final class ReleaseStep extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.group.ReleaseStep)
+        ReleaseStepOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                ReleaseStep.class.getName());
+    }
+
+    // Use ReleaseStep.newBuilder() to construct.
+    private ReleaseStep(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private ReleaseStep() {}
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_ReleaseStep_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ReleaseStep_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.ReleaseStep.class, io.pollenpath.protocol.wire.ReleaseStep.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.GroupProto
+                .internal_static_pollenpath_group_ReleaseStep_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.ReleaseStep.class,
+                        io.pollenpath.protocol.wire.ReleaseStep.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.ReleaseStep.newBuilder()
-    private Builder() {
+    public static final int STEP_FIELD_NUMBER = 1;
+    private long step_ = 0L;
 
+    /**
+     * <code>int64 step = 1;</code>
+     *
+     * @return The step.
+     */
+    @java.lang.Override
+    public long getStep() {
+        return step_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    private byte memoizedIsInitialized = -1;
 
-    }
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      step_ = 0L;
-      return this;
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.GroupProto.internal_static_pollenpath_group_ReleaseStep_descriptor;
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (step_ != 0L) {
+            output.writeInt64(1, step_);
+        }
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ReleaseStep getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (step_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, step_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ReleaseStep build() {
-      io.pollenpath.protocol.wire.ReleaseStep result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.ReleaseStep)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.ReleaseStep other =
+                (io.pollenpath.protocol.wire.ReleaseStep) obj;
+
+        if (getStep() != other.getStep()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ReleaseStep buildPartial() {
-      io.pollenpath.protocol.wire.ReleaseStep result = new io.pollenpath.protocol.wire.ReleaseStep(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + STEP_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getStep());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.ReleaseStep result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.step_ = step_;
-      }
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.ReleaseStep) {
-        return mergeFrom((io.pollenpath.protocol.wire.ReleaseStep)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    public Builder mergeFrom(io.pollenpath.protocol.wire.ReleaseStep other) {
-      if (other == io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance()) return this;
-      if (other.getStep() != 0L) {
-        setStep(other.getStep());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ReleaseStep parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
 
     @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 8: {
-              step_ = input.readInt64();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private long step_ ;
-    /**
-     * <code>int64 step = 1;</code>
-     * @return The step.
-     */
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.ReleaseStep prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
     @java.lang.Override
-    public long getStep() {
-      return step_;
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <code>int64 step = 1;</code>
-     * @param value The step to set.
-     * @return This builder for chaining.
-     */
-    public Builder setStep(long value) {
 
-      step_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
-    /**
-     * <code>int64 step = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearStep() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      step_ = 0L;
-      onChanged();
-      return this;
+
+    /** Protobuf type {@code pollenpath.group.ReleaseStep} */
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.group.ReleaseStep)
+            io.pollenpath.protocol.wire.ReleaseStepOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ReleaseStep_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ReleaseStep_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.ReleaseStep.class,
+                            io.pollenpath.protocol.wire.ReleaseStep.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.ReleaseStep.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            step_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.GroupProto
+                    .internal_static_pollenpath_group_ReleaseStep_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ReleaseStep getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ReleaseStep build() {
+            io.pollenpath.protocol.wire.ReleaseStep result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ReleaseStep buildPartial() {
+            io.pollenpath.protocol.wire.ReleaseStep result =
+                    new io.pollenpath.protocol.wire.ReleaseStep(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.ReleaseStep result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.step_ = step_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.ReleaseStep) {
+                return mergeFrom((io.pollenpath.protocol.wire.ReleaseStep) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.ReleaseStep other) {
+            if (other == io.pollenpath.protocol.wire.ReleaseStep.getDefaultInstance()) return this;
+            if (other.getStep() != 0L) {
+                setStep(other.getStep());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 8:
+                            {
+                                step_ = input.readInt64();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 8
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private long step_;
+
+        /**
+         * <code>int64 step = 1;</code>
+         *
+         * @return The step.
+         */
+        @java.lang.Override
+        public long getStep() {
+            return step_;
+        }
+
+        /**
+         * <code>int64 step = 1;</code>
+         *
+         * @param value The step to set.
+         * @return This builder for chaining.
+         */
+        public Builder setStep(long value) {
+
+            step_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>int64 step = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearStep() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            step_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.group.ReleaseStep)
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.group.ReleaseStep)
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.group.ReleaseStep)
+    private static final io.pollenpath.protocol.wire.ReleaseStep DEFAULT_INSTANCE;
 
-  // @@protoc_insertion_point(class_scope:pollenpath.group.ReleaseStep)
-  private static final io.pollenpath.protocol.wire.ReleaseStep DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ReleaseStep();
-  }
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ReleaseStep();
+    }
 
-  public static io.pollenpath.protocol.wire.ReleaseStep getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    public static io.pollenpath.protocol.wire.ReleaseStep getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ReleaseStep> PARSER =
+            new com.google.protobuf.AbstractParser<ReleaseStep>() {
+                @java.lang.Override
+                public ReleaseStep parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<ReleaseStep> parser() {
+        return PARSER;
+    }
 
-  private static final com.google.protobuf.Parser<ReleaseStep>
-      PARSER = new com.google.protobuf.AbstractParser<ReleaseStep>() {
     @java.lang.Override
-    public ReleaseStep parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<ReleaseStep> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<ReleaseStep> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ReleaseStep getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<ReleaseStep> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ReleaseStep getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
