--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -224,6 +224,8 @@
         long returnMs =
                 Patience.returnAfterMs(
                         service.expectedWaitMs(), request.timeLeftMs(nowNanos), random);
+        int servers = view.get().serversOf(request.context().service()).size();
+        log.refused(request, reason, service, servers, returnMs);
         return Refusals.notRun(reason, "no server is free in time; come back later", returnMs);
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -48,6 +48,26 @@
                         .with("events", request.events()));
     }
 
+    void refused(
+            ForwardedRequest request,
+            String reason,
+            ServiceTraffic service,
+            int servers,
+            long returnMs) {
+        LOG.info(
+                "{}",
+                LogLine.event("request_refused")
+                        .with("request", request.context().facts().requestId())
+                        .with("service", request.context().service())
+                        .with("reason", reason)
+                        .with("servers", servers)
+                        .with("in_flight", service.inFlight())
+                        .with("waiting", service.waiting().size())
+                        .with("expected_wait_ms", Math.round(service.expectedWaitMs()))
+                        .with("pause_ms", Math.round(service.pauseMs()))
+                        .with("retry_after_ms", returnMs));
+    }
+
     void rejected(CallerFacts facts, String host, String uri, long configVersion, int status) {
         MetricNames.count(metrics, "requests_rejected_total", "status", Integer.toString(status));
         LOG.info(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -62,6 +62,11 @@
         return limit;
     }
 
+    /** Returns the mean pause between events of the last moments; 0 if there are none. */
+    double pauseMs() {
+        return limit == null ? 0 : limit.meanGapMs();
+    }
+
     static int totalSlots(List<ServerInstance> servers) {
         int slots = 0;
         for (ServerInstance server : servers) {
