Send callers of a group that stands still back later

Cause: while a group forms anew the queue tells nothing on when there is room, so refused callers came back within 0.1 s and were refused again. Change: after 0.7 s without any answer of a service, refused callers return after 1.6 to 3.2 s, within a third of their time.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/Patience.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/Patience.java
@@ -17,8 +17,14 @@
     /** The part of the time left that callers wait at most before they return. */
     static final double RETURN_PART = 1.0 / 3;
 
+    /** How long a service sends nothing before its queue says nothing on when it is free. */
+    static final long STALL_MS = 700;
+
     private static final double MIN_RETURN_MS = 50;
 
+    /** When callers return to a service that stands still; a group takes seconds to form anew. */
+    private static final double STALLED_RETURN_MS = 1_600;
+
     private Patience() {}
 
     /**
@@ -44,14 +50,16 @@
     /**
      * Returns when a refused caller should come back.
      *
-     * @param expectedWaitMs the time until the queue has room, in milliseconds
+     * @param expectedWaitMs the time until the queue has room at the present pace, in milliseconds
+     * @param silentMs how long no server of the service has sent anything, in milliseconds
      * @param timeLeftMs the time until the caller gives up, in milliseconds
      * @param random spreads callers, not null
      * @return the time, in milliseconds; within the part of its time that a caller waits
      */
     public static long returnAfterMs(
-            double expectedWaitMs, long timeLeftMs, RandomGenerator random) {
-        double base = Math.max(MIN_RETURN_MS, expectedWaitMs);
+            double expectedWaitMs, long silentMs, long timeLeftMs, RandomGenerator random) {
+        double least = silentMs >= STALL_MS ? STALLED_RETURN_MS : MIN_RETURN_MS;
+        double base = Math.max(least, expectedWaitMs);
         double spread = base * (1 + random.nextDouble());
         return (long) Math.max(0, Math.min(spread, timeLeftMs * RETURN_PART));
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -142,9 +142,10 @@
     }
 
     /** Takes the pause between two events of a stream. */
-    void onEventGap(ForwardedRequest request, long gapNanos) {
+    void onEventGap(ForwardedRequest request, long gapNanos, long nowNanos) {
         String name = request.context().service();
         ServiceTraffic service = traffic(name);
+        service.onProgress(nowNanos);
         Optional<EnginePace> pace = pace(view.get(), name);
         if (pace.isPresent()) {
             double objectiveMs = (double) request.route().gapObjectiveMs();
@@ -223,7 +224,10 @@
         ServiceTraffic service = traffic(request.context().service());
         long returnMs =
                 Patience.returnAfterMs(
-                        service.expectedWaitMs(), request.timeLeftMs(nowNanos), random);
+                        service.expectedWaitMs(),
+                        service.silentMs(nowNanos),
+                        request.timeLeftMs(nowNanos),
+                        random);
         int servers = view.get().serversOf(request.context().service()).size();
         log.refused(request, reason, service, servers, returnMs);
         return Refusals.notRun(reason, "no server is free in time; come back later", returnMs);
@@ -237,6 +241,7 @@
         if (server != null) {
             if (answered) {
                 record(server.id()).onSuccess();
+                traffic(name).onProgress(nowNanos);
             }
             leaveServer(request, server, nowNanos);
             drain(name, nowNanos);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -237,7 +237,7 @@
 
     private void noteGap() {
         if (lastEventNanos != 0) {
-            gateway.onEventGap(this, progressNanos - lastEventNanos);
+            gateway.onEventGap(this, progressNanos - lastEventNanos, progressNanos);
         }
         lastEventNanos = progressNanos;
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -236,8 +236,8 @@
         caller.whole(problem.status(), headers, problem.toJson(facts.requestId()));
     }
 
-    void onEventGap(ForwardedRequest request, long gapNanos) {
-        dispatcher.onEventGap(request, gapNanos);
+    void onEventGap(ForwardedRequest request, long gapNanos, long nowNanos) {
+        dispatcher.onEventGap(request, gapNanos, nowNanos);
     }
 
     void onSendFailed(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -6,6 +6,7 @@
 import io.pollenpath.state.serving.EnginePace;
 import io.pollenpath.state.serving.ServerInstance;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** Holds the traffic of this entry to one service. */
 final class ServiceTraffic {
@@ -19,6 +20,7 @@
     private int inFlight;
     private double intervalMs = FIRST_INTERVAL_MS;
     private long lastEndNanos;
+    private long progressNanos;
 
     ServiceTraffic(SharedRetryBudget budget) {
         this.budget = budget;
@@ -49,6 +51,16 @@
         lastEndNanos = nowNanos;
     }
 
+    /** Takes that a server of the service has sent something of an answer. */
+    void onProgress(long nowNanos) {
+        progressNanos = nowNanos;
+    }
+
+    /** Returns how long no server has sent anything although requests wait or run. */
+    long silentMs(long nowNanos) {
+        return progressNanos == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(nowNanos - progressNanos);
+    }
+
     /** Estimates when a request that joins the queue now would be sent. */
     double expectedWaitMs() {
         return intervalMs * waiting.size();
