--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/SimulatedGroup.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/SimulatedGroup.java
@@ -12,10 +12,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
-/** Plays the engines of a rank group as the platform's pages describe them. */
-final class SimulatedGroup {
+/** Plays the engines of a rank group as the platform's pages describe them; safe for threads. */
+public final class SimulatedGroup {
 
-    static final String NAME = "group";
+    /** The name of the group. */
+    public static final String NAME = "group";
 
     private final List<Engine> engines = new ArrayList<>();
     private final boolean fenced;
@@ -34,7 +35,8 @@
         private final Map<Long, GroupMap> maps = new HashMap<>();
     }
 
-    SimulatedGroup(int ranks, boolean fenced, GroupMap firstMap) {
+    /** Forms a group whose ranks hold the first map. */
+    public SimulatedGroup(int ranks, boolean fenced, GroupMap firstMap) {
         this.fenced = fenced;
         this.firstMap = firstMap;
         for (int rank = 0; rank < ranks; rank++) {
@@ -42,19 +44,18 @@
         }
     }
 
-    int ranks() {
-        return engines.size();
-    }
-
-    long step() {
+    /** Returns the last pass that was begun. */
+    public synchronized long step() {
         return step;
     }
 
-    int changes() {
+    /** Counts the ranks that have switched to another map. */
+    public synchronized int changes() {
         return changes;
     }
 
-    RankStatus status(int rank) {
+    /** Returns what a rank reports. */
+    public synchronized RankStatus status(int rank) {
         Engine engine = engines.get(rank);
         return new RankStatus(
                 NAME,
@@ -70,7 +71,8 @@
                 false);
     }
 
-    List<List<Integer>> experts(int rank) {
+    /** Returns the experts that a rank holds. */
+    public synchronized List<List<Integer>> experts(int rank) {
         Engine engine = engines.get(rank);
         GroupMap map = engine.maps.getOrDefault(engine.mapVersion, firstMap);
         List<List<Integer>> held = new ArrayList<>();
@@ -79,7 +81,7 @@
     }
 
     /** Begins the next pass unless it is held; returns false if ranks use different maps in it. */
-    boolean pass() {
+    public synchronized boolean pass() {
         long next = step + 1;
         for (Engine engine : engines) {
             if (engine.held.isPresent() && engine.held.getAsLong() == next) {
@@ -110,12 +112,8 @@
         return true;
     }
 
-    boolean isHeld() {
-        return engines.stream().anyMatch(engine -> engine.held.isPresent());
-    }
-
     /** Loses a rank and forms the group anew. */
-    void crash(int rank) {
+    public synchronized void crash(int rank) {
         epoch++;
         for (Engine engine : engines) {
             engine.mapVersion = 0;
@@ -127,7 +125,9 @@
         engines.get(rank).highestVersion = 0;
     }
 
-    OrderOutcome carryOut(int rank, RankOrder order, long orderEpoch, long token) {
+    /** Carries out an order at a rank. */
+    public synchronized OrderOutcome carryOut(
+            int rank, RankOrder order, long orderEpoch, long token) {
         Engine engine = engines.get(rank);
         if (orderEpoch != epoch) {
             return OrderOutcome.REJECTED;
