--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -269,7 +269,8 @@
                             + PlatformFixtures.KEY
                             + "\r\nContent-Length: 0\r\n\r\n";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-            await(() -> gateway.open() == 1);
+            await(() -> first.received().size() == 1);
+            assertThat(gateway.open()).isEqualTo(1);
         }
         await(() -> gateway.open() == 0);
         // An ordinary close would deliver bytes that the path holds back, after the caller left.
