Let one piece of code serve where the platform's roles and the gateway said a thing twice

Listening sockets are bound by Listeners; both roles start their control thread and sleep through one class; kinds of the store are named once; wrapped failures of the store are looked through in one place; decoding of a watched object has no map of one. A counter and two methods that nothing read are gone. The open requests are counted on the event loop that owns them: the stopping thread walked its maps without synchronisation. Decisions are unchanged.

--- a/pollenpath/src/main/java/io/pollenpath/platform/AgentDirectory.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/AgentDirectory.java
@@ -17,9 +17,6 @@
 /** Announces the agent of this VM in the store and decodes the announcements of the others. */
 final class AgentDirectory {
 
-    /** The kind of the announcements. */
-    static final String KIND = "agents";
-
     private static final Logger LOG = LoggerFactory.getLogger(AgentDirectory.class);
     private static final String AGENT = "Agent";
     private static final String ENGINE = "Engine";
@@ -45,10 +42,11 @@
                         .put(AGENT, address.agent().toString())
                         .put(ENGINE, address.engine().toString())
                         .put(SERVICE, service);
-        store.create(KIND, node, spec, TIMEOUT_MS)
+        store.create(StoreKinds.AGENTS, node, spec, TIMEOUT_MS)
                 .whenCompleteAsync(
                         (written, failure) -> {
-                            if (failure != null && !exists(failure)) {
+                            if (failure != null
+                                    && !StoreException.hasStatus(failure, STATUS_EXISTS)) {
                                 control.schedule(
                                         () -> announce(node, address),
                                         RETRY_MS,
@@ -58,11 +56,6 @@
                         control);
     }
 
-    private static boolean exists(Throwable failure) {
-        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
-        return cause instanceof StoreException refused && refused.status() == STATUS_EXISTS;
-    }
-
     /** Decodes the announcements of agents beside engines of the same service. */
     List<AgentAddress> decode(Map<String, StoredObject> objects) {
         List<AgentAddress> addresses = new ArrayList<>();
--- a/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
@@ -4,7 +4,7 @@
 import io.pollenpath.util.LogLine;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -111,7 +111,7 @@
         String last = "";
         for (JsonNode item : page.path("Items")) {
             last = item.path("Metadata").path("Name").asText(last);
-            decode(item, listing);
+            decode(item).ifPresent(object -> listing.put(object.name(), object));
         }
         if (page.path("HasMore").asBoolean() && !last.isEmpty()) {
             list(last);
@@ -152,31 +152,31 @@
     }
 
     private boolean apply(JsonNode event) {
-        Map<String, StoredObject> decoded = new HashMap<>();
-        decode(event.path("Object"), decoded);
-        for (StoredObject object : decoded.values()) {
-            StoredObject known = objects.get(object.name());
-            if (known != null && known.revision() > object.revision()) {
-                return false;
-            }
-            if (event.path("Deleted").asBoolean()) {
-                objects.remove(object.name());
-            } else {
-                objects.put(object.name(), object);
-            }
-            return true;
+        Optional<StoredObject> decoded = decode(event.path("Object"));
+        if (decoded.isEmpty()) {
+            return false;
         }
-        return false;
+        StoredObject object = decoded.get();
+        StoredObject known = objects.get(object.name());
+        if (known != null && known.revision() > object.revision()) {
+            return false;
+        }
+        if (event.path("Deleted").asBoolean()) {
+            objects.remove(object.name());
+        } else {
+            objects.put(object.name(), object);
+        }
+        return true;
     }
 
-    private void decode(JsonNode item, Map<String, StoredObject> into) {
+    private Optional<StoredObject> decode(JsonNode item) {
         try {
-            StoredObject object = StoredObject.decode(item);
-            into.put(object.name(), object);
+            return Optional.of(StoredObject.decode(item));
         } catch (IllegalArgumentException e) {
             LOG.warn(
                     "{}",
                     LogLine.event("stored_object_skipped").with("kind", kind).with("cause", e));
+            return Optional.empty();
         }
     }
 
@@ -200,18 +200,14 @@
     }
 
     private void onFailure(Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null
-                        ? failure.getCause()
-                        : failure;
-        boolean gone = cause instanceof StoreException refused && refused.status() == STATUS_GONE;
+        boolean gone = StoreException.hasStatus(failure, STATUS_GONE);
         if (!lost) {
             LOG.warn(
                     "{}",
                     LogLine.event(gone ? "store_history_gone" : "store_lost")
                             .with("kind", kind)
                             .with("revision", revision)
-                            .with("cause", cause));
+                            .with("cause", StoreException.causeOf(failure)));
         }
         if (gone) {
             list("");
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -22,7 +22,6 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,13 +43,7 @@
 
     private final PlatformSettings settings;
     private final NettyLoops loops = new NettyLoops(1);
-    private final ScheduledExecutorService control =
-            Executors.newSingleThreadScheduledExecutor(
-                    task -> {
-                        Thread thread = new Thread(task, "control");
-                        thread.setDaemon(true);
-                        return thread;
-                    });
+    private final ScheduledExecutorService control = ControlThreads.start();
     private final StoreClient store;
     private final Gateway gateway;
     private final PlatformView view;
@@ -118,11 +111,7 @@
     }
 
     private void announce() {
-        store.create(
-                        PlatformView.entriesKind(),
-                        settings.node(),
-                        Json.object(),
-                        STORE_CALL_TIMEOUT_MS)
+        store.create(StoreKinds.ENTRIES, settings.node(), Json.object(), STORE_CALL_TIMEOUT_MS)
                 .whenComplete(
                         (object, failure) -> {
                             if (failure != null) {
@@ -137,7 +126,7 @@
     public boolean stop() {
         stopping = true;
         gateway.stopAfterAnswers();
-        store.delete(PlatformView.entriesKind(), settings.node(), STORE_CALL_TIMEOUT_MS)
+        store.delete(StoreKinds.ENTRIES, settings.node(), STORE_CALL_TIMEOUT_MS)
                 .whenComplete(
                         (gone, failure) ->
                                 LOG.info(
@@ -149,9 +138,9 @@
         gateway.refuseNew();
         long lastMs = Math.max(LEAVE_BALANCER_MS, settings.bounds().graceMs() - EXIT_RESERVE_MS);
         while (gateway.open() > 0 && elapsedMs(startNanos) < lastMs) {
-            sleepMs(POLL_MS);
+            ControlThreads.sleepMs(POLL_MS);
         }
-        sleepMs(POLL_MS);
+        ControlThreads.sleepMs(POLL_MS);
         return gateway.open() == 0;
     }
 
@@ -160,14 +149,6 @@
     }
 
     private static void sleepUntil(long startNanos, long untilMs) {
-        sleepMs(Math.max(0, untilMs - elapsedMs(startNanos)));
-    }
-
-    private static void sleepMs(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        ControlThreads.sleepMs(Math.max(0, untilMs - elapsedMs(startNanos)));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -19,7 +19,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -35,19 +34,11 @@
     private static final long STORE_TIMEOUT_MS = 1_000;
     private static final long SHAPE_PERIOD_MS = 60_000;
     private static final long SHAPE_RETRY_MS = 500;
-    private static final String CONFIG = "config";
-    private static final String NEWEST_CONFIG = "main";
 
     private final PlatformSettings settings;
     private final NettyLoops loops = new NettyLoops(1);
     private final HttpClient http = new HttpClient(loops);
-    private final ScheduledExecutorService control =
-            Executors.newSingleThreadScheduledExecutor(
-                    task -> {
-                        Thread thread = new Thread(task, "control");
-                        thread.setDaemon(true);
-                        return thread;
-                    });
+    private final ScheduledExecutorService control = ControlThreads.start();
     private final GroupAgent agent;
     private final AgentDirectory directory;
     private final String service;
@@ -109,7 +100,7 @@
 
     private void follow(StoreClient store) {
         readShape(store);
-        new KindWatch(store, AgentDirectory.KIND, WATCH_WAIT_MS, control, this::onAgents).start();
+        new KindWatch(store, StoreKinds.AGENTS, WATCH_WAIT_MS, control, this::onAgents).start();
     }
 
     private void onAgents(Map<String, StoredObject> objects, long awayMs) {
@@ -118,7 +109,7 @@
 
     /** Reads the shape of the group now and then; it changes with the engines, not with routes. */
     private void readShape(StoreClient store) {
-        store.read(CONFIG, NEWEST_CONFIG, STORE_TIMEOUT_MS)
+        store.read(StoreKinds.CONFIG, StoreKinds.NEWEST_CONFIG, STORE_TIMEOUT_MS)
                 .thenApply(object -> Manifest.decode(object.path("Spec")).service(service))
                 .whenCompleteAsync(
                         (spec, failure) -> {
@@ -138,20 +129,12 @@
                         control);
     }
 
-    private static void sleep() {
-        try {
-            Thread.sleep(STOP_CHECK_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     @Override
     public boolean stop() {
         agent.stop();
         long startNanos = System.nanoTime();
         while (agent.isLeading() && System.nanoTime() - startNanos < LEAD_END_NANOS) {
-            sleep();
+            ControlThreads.sleepMs(STOP_CHECK_MS);
         }
         boolean quiet = !agent.isLeading();
         control.shutdownNow();
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformView.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformView.java
@@ -17,10 +17,6 @@
 final class PlatformView {
 
     private static final Logger LOG = LoggerFactory.getLogger(PlatformView.class);
-    private static final String SERVERS = "servers";
-    private static final String CONFIG = "config";
-    private static final String NEWEST_CONFIG = "main";
-    private static final String ENTRIES = "entries";
     private static final long MAX_WAIT_MS = 1_500;
     private static final long GRACE_CHECK_MS = 2_100;
     private static final long SLOW_WAIT_MS = 20_000;
@@ -43,21 +39,18 @@
         long waitMs = Math.min(MAX_WAIT_MS, bounds.stableWindowMs() / 2);
         watches =
                 List.of(
-                        new KindWatch(store, CONFIG, waitMs, control, this::onConfig),
-                        new KindWatch(store, SERVERS, waitMs, control, this::onServers),
-                        new KindWatch(store, ENTRIES, SLOW_WAIT_MS, control, this::onEntries));
+                        new KindWatch(store, StoreKinds.CONFIG, waitMs, control, this::onConfig),
+                        new KindWatch(store, StoreKinds.SERVERS, waitMs, control, this::onServers),
+                        new KindWatch(
+                                store, StoreKinds.ENTRIES, SLOW_WAIT_MS, control, this::onEntries));
     }
 
     void start() {
         watches.forEach(KindWatch::start);
     }
 
-    void stop() {
-        watches.forEach(KindWatch::stop);
-    }
-
     private void onConfig(Map<String, StoredObject> objects, long awayMs) {
-        StoredObject newest = objects.get(NEWEST_CONFIG);
+        StoredObject newest = objects.get(StoreKinds.NEWEST_CONFIG);
         if (newest == null) {
             return;
         }
@@ -107,9 +100,4 @@
         view = newer;
         publish.accept(newer);
     }
-
-    /** Returns the kind under which entries announce themselves. */
-    static String entriesKind() {
-        return ENTRIES;
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreException.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreException.java
@@ -1,5 +1,7 @@
 package io.pollenpath.platform;
 
+import java.util.concurrent.CompletionException;
+
 /** Tells that the store answered a call with something other than success. */
 final class StoreException extends RuntimeException {
 
@@ -18,7 +20,14 @@
         this.status = status;
     }
 
-    int status() {
-        return status;
+    /** Tells whether a failed call was answered with a status; looks through wrapped failures. */
+    static boolean hasStatus(Throwable failure, int status) {
+        return causeOf(failure) instanceof StoreException refused && refused.status == status;
+    }
+
+    /** Returns the failure of a call without the wrapping of the future that carried it. */
+    static Throwable causeOf(Throwable failure) {
+        boolean wrapped = failure instanceof CompletionException && failure.getCause() != null;
+        return wrapped ? failure.getCause() : failure;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
@@ -5,7 +5,6 @@
 import io.pollenpath.transport.group.LeaderLease;
 import io.pollenpath.util.Json;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 
 /**
  * Keeps the leader of each group in an object of the store. The revision of the write that took the
@@ -13,7 +12,6 @@
  */
 final class StoreLease implements LeaderLease {
 
-    private static final String KIND = "leases";
     private static final String HOLDER = "Holder";
     private static final int STATUS_NOT_FOUND = 404;
     private static final long TIMEOUT_MS = 600;
@@ -26,14 +24,15 @@
 
     @Override
     public CompletableFuture<Long> claim(String group, String holder) {
-        return store.read(KIND, group, TIMEOUT_MS)
+        return store.read(StoreKinds.LEASES, group, TIMEOUT_MS)
                 .handle(
                         (object, failure) -> {
                             if (failure == null) {
                                 return take(group, holder, object);
                             }
-                            return isMissing(failure)
-                                    ? store.create(KIND, group, spec(holder), TIMEOUT_MS)
+                            return StoreException.hasStatus(failure, STATUS_NOT_FOUND)
+                                    ? store.create(
+                                            StoreKinds.LEASES, group, spec(holder), TIMEOUT_MS)
                                     : CompletableFuture.<JsonNode>failedFuture(failure);
                         })
                 .thenCompose(written -> written)
@@ -46,12 +45,7 @@
             // An earlier claim of this process took effect although its answer was lost.
             return CompletableFuture.completedFuture(object);
         }
-        return store.replace(KIND, group, spec(holder), revision(object), TIMEOUT_MS);
-    }
-
-    private static boolean isMissing(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return cause instanceof StoreException refused && refused.status() == STATUS_NOT_FOUND;
+        return store.replace(StoreKinds.LEASES, group, spec(holder), revision(object), TIMEOUT_MS);
     }
 
     private static ObjectNode spec(String holder) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/Listeners.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/Listeners.java
@@ -5,11 +5,20 @@
 import io.netty.channel.ChannelFuture;
 
 /** Binds listening sockets. */
-final class Listeners {
+public final class Listeners {
 
     private Listeners() {}
 
-    static Channel bind(ServerBootstrap bootstrap, String host, int port) {
+    /**
+     * Binds a socket and waits until it listens.
+     *
+     * @param bootstrap how connections are served, not null
+     * @param host the IP number to listen on, not null
+     * @param port the port; 0 for any free one
+     * @return the listening channel
+     * @throws IllegalStateException if the address can't be bound
+     */
+    public static Channel bind(ServerBootstrap bootstrap, String host, int port) {
         ChannelFuture bound = bootstrap.bind(host, port).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IllegalStateException(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnections.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnections.java
@@ -41,7 +41,6 @@
     private final Bootstrap bootstrap;
     private final WireDialect dialect;
     private final Map<String, Deque<BackendConnection>> idle = new HashMap<>();
-    private long opened;
 
     BackendConnections(EventLoop loop, WireDialect dialect) {
         this.dialect = dialect;
@@ -95,7 +94,6 @@
     private void open(
             ServerInstance server, Consumer<BackendConnection> use, Consumer<String> failed) {
         BackendConnection connection = new BackendConnection(this, server.id(), dialect);
-        opened++;
         ChannelFuture connecting =
                 bootstrap
                         .clone()
@@ -163,9 +161,4 @@
             }
         }
     }
-
-    /** Counts the connections opened since the start. */
-    long opened() {
-        return opened;
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -25,7 +25,7 @@
 
 /**
  * Takes callers' requests, finds their route and account, and hands them to the dispatcher. It
- * lives on one event loop; only {@link #update} and {@link #view} may be called from elsewhere.
+ * lives on one event loop; its public methods may be called from other threads.
  */
 public final class Gateway {
 
@@ -134,12 +134,12 @@
     }
 
     /**
-     * Counts the requests without a final answer.
+     * Counts the requests without a final answer; waits for the event loop, which owns them.
      *
-     * @return the number, as of the last moment
+     * @return the number
      */
     public int open() {
-        return dispatcher.open();
+        return loop.submit(dispatcher::open).syncUninterruptibly().getNow();
     }
 
     boolean isStopping() {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -12,6 +11,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.pollenpath.state.serving.CallerLimits;
+import io.pollenpath.transport.Listeners;
 
 /** Listens for callers of a gateway. */
 public final class GatewayServer implements AutoCloseable {
@@ -46,12 +46,7 @@
                                         addHandlers(channel, gateway);
                                     }
                                 });
-        ChannelFuture bound = bootstrap.bind(host, port).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IllegalStateException(
-                    "cannot listen on " + host + ":" + port + "; free the port", bound.cause());
-        }
-        listener = bound.channel();
+        listener = Listeners.bind(bootstrap, host, port);
     }
 
     private static void addHandlers(SocketChannel channel, Gateway gateway) {
