--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/Candidacy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/Candidacy.java
@@ -8,14 +8,17 @@
  */
 public final class Candidacy {
 
-    /** How long a leader may be silent, in milliseconds. */
-    public static final long SILENCE_MS = 500;
-
-    /** How long an agent that starts listens for a leader, in milliseconds. */
-    private static final long START_SILENCE_MS = 300;
+    /** How much sooner an agent that has just started may try, in milliseconds. */
+    private static final long START_LEAD_MS = 200;
 
+    /** How much longer each of the first ranks waits than the one before it, in milliseconds. */
     private static final long STAGGER_MS = 80;
+
     private static final int STAGGERED_RANKS = 8;
+
+    /** The same for the ranks after them, which try only if all of the first are gone. */
+    private static final long LATE_STAGGER_MS = 20;
+
     private static final long RETRY_MS = 400;
 
     private long heardNanos;
@@ -28,7 +31,7 @@
      * @param nowNanos the present time
      */
     public Candidacy(long nowNanos) {
-        heardNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(SILENCE_MS - START_SILENCE_MS);
+        heardNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(START_LEAD_MS);
         nextTryNanos = nowNanos;
     }
 
@@ -61,12 +64,12 @@
      * Decides whether to try now; each yes puts the next try off.
      *
      * @param rank the rank of the engine beside this agent
+     * @param silenceMs how long a leader may be silent, in milliseconds
      * @param nowNanos the present time
      * @return true if this agent should claim the lease
      */
-    public boolean shouldTry(int rank, long nowNanos) {
-        long patienceMs = SILENCE_MS + STAGGER_MS * (rank % STAGGERED_RANKS);
-        boolean silent = silentMs(nowNanos) >= patienceMs;
+    public boolean shouldTry(int rank, long silenceMs, long nowNanos) {
+        boolean silent = silentMs(nowNanos) >= silenceMs + staggerMs(rank);
         if (!silent || nowNanos - nextTryNanos < 0) {
             return false;
         }
@@ -74,6 +77,11 @@
         return true;
     }
 
+    private static long staggerMs(int rank) {
+        int late = Math.max(0, rank - STAGGERED_RANKS);
+        return STAGGER_MS * (rank - late) + LATE_STAGGER_MS * late;
+    }
+
     /**
      * Returns how long no leader was heard.
      *
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemand.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemand.java
@@ -1,12 +1,6 @@
 package io.pollenpath.coordination.group;
 
-import java.util.HashMap;
-import java.util.Map;
-
-/**
- * Estimates how often each expert is chosen from the counters of the ranks. A rank that started
- * again counts from zero; its first report after that is taken as it is.
- */
+/** Estimates how often each expert is chosen from what the ranks counted. */
 public final class ExpertDemand {
 
     /** The weight of a sample while the demand is steady. */
@@ -20,7 +14,6 @@
 
     private final int layers;
     private final int experts;
-    private final Map<Integer, long[]> lastCounts = new HashMap<>();
     private final double[][] fresh;
     private final double[][] shares;
     private double[][] last;
@@ -42,20 +35,17 @@
     }
 
     /**
-     * Takes the counters of a rank.
+     * Takes what one rank counted since it was asked before.
      *
-     * @param rank the rank
-     * @param counts the counters, set by set, not null
+     * @param counts how often each expert was chosen, set by set, not null; left out if there are
+     *     more or fewer than experts
      */
-    public void onCounts(int rank, long[] counts) {
+    public void onCounts(long[] counts) {
         if (counts.length != layers * experts) {
             return;
         }
-        long[] before = lastCounts.put(rank, counts);
         for (int i = 0; i < counts.length; i++) {
-            long old = before == null ? counts[i] : before[i];
-            long grown = counts[i] >= old ? counts[i] - old : counts[i];
-            fresh[i / experts][i % experts] += grown;
+            fresh[i / experts][i % experts] += counts[i];
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/GroupLead.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/GroupLead.java
@@ -91,13 +91,12 @@
     }
 
     /**
-     * Takes how often each expert was chosen by the requests of a rank.
+     * Takes how often each expert was chosen by the requests of one rank.
      *
-     * @param rank the rank
-     * @param counts the counters since its engine started, not null
+     * @param counts the choices since the rank was asked before, not null
      */
-    public void onCounts(int rank, long[] counts) {
-        demand.onCounts(rank, counts);
+    public void onCounts(long[] counts) {
+        demand.onCounts(counts);
     }
 
     /** Takes the counts since the last call into the estimate of the demand. */
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSettings.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSettings.java
@@ -1,5 +1,6 @@
 package io.pollenpath.platform;
 
+import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.transport.HttpAddress;
 import java.util.Objects;
 import java.util.Optional;
@@ -16,6 +17,7 @@
  * @param store the address of the platform's store
  * @param engineAddress the engine on the same VM; empty on VMs without one
  * @param engineService the service of that engine; empty on VMs without one
+ * @param capacity what the VM gives to the process
  * @param bounds the time limits and budgets of the deployment
  */
 record PlatformSettings(
@@ -28,6 +30,7 @@
         HttpAddress store,
         Optional<HttpAddress> engineAddress,
         Optional<String> engineService,
+        VmCapacity capacity,
         DeploymentBounds bounds) {
 
     PlatformSettings {
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -72,7 +72,8 @@
                         control,
                         http,
                         this::engineOf,
-                        settings.node() + "/" + UUID.randomUUID());
+                        settings.node() + "/" + UUID.randomUUID(),
+                        settings.capacity());
         int port = settings.firstInternalPort() + 1;
         new AgentServer(loops, settings.ip(), port, new RankAgent(engine, control, candidacy));
         MetricRegistry metrics = new MetricRegistry();
--- a/pollenpath/src/main/java/io/pollenpath/platform/SettingsFile.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/SettingsFile.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.transport.HttpAddress;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -18,6 +19,9 @@
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final double DEFAULT_RETRY_WINDOW_S = 10;
     private static final long DEFAULT_STALL_MS = 1_500;
+    private static final double DEFAULT_CPU_SHARE = 1;
+    private static final double DEFAULT_LINK_MBPS = 1_000;
+    private static final double BITS_PER_MEGABIT = 1_000_000;
 
     private SettingsFile() {}
 
@@ -50,9 +54,17 @@
                         .orElseThrow(() -> missing("Platform.Address")),
                 address(root.path("app")),
                 Optional.ofNullable(root.path("Service").asText(null)),
+                capacity(root.path("Limits")),
                 bounds(root.path("Bounds")));
     }
 
+    private static VmCapacity capacity(JsonNode limits) {
+        double linkMbps = limits.path("LinkMbps").asDouble(DEFAULT_LINK_MBPS);
+        return new VmCapacity(
+                limits.path("CpuShare").asDouble(DEFAULT_CPU_SHARE),
+                linkMbps * BITS_PER_MEGABIT / Byte.SIZE);
+    }
+
     private static DeploymentBounds bounds(JsonNode bounds) {
         return new DeploymentBounds(
                 ms(bounds.path("GraceS").asDouble(DEFAULT_GRACE_S)),
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/AgentServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/AgentServer.java
@@ -67,7 +67,8 @@
         if (order.isEmpty()) {
             throw new InvalidProtocolBufferException("the command holds no known order");
         }
-        return agent.command(order.get(), command.getEpoch(), command.getToken());
+        return agent.command(
+                order.get(), command.getGroup(), command.getEpoch(), command.getToken());
     }
 
     private static void respond(HttpExchange exchange, byte[] body) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -3,6 +3,7 @@
 import io.pollenpath.coordination.group.AddressedOrder;
 import io.pollenpath.coordination.group.GroupLead;
 import io.pollenpath.coordination.group.LeadListener;
+import io.pollenpath.coordination.group.LeadPace;
 import io.pollenpath.coordination.group.MapCommit;
 import io.pollenpath.coordination.group.MapPlanner;
 import io.pollenpath.state.group.OrderOutcome;
@@ -26,7 +27,10 @@
 final class GroupLeader implements LeadListener {
 
     private static final Logger LOG = LoggerFactory.getLogger(GroupLeader.class);
-    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long MIN_QUERY_TIMEOUT_MS = 250;
+
+    /** How often an agent of another group is asked, in case its engine changes groups. */
+    private static final long STRANGER_POLL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** How old the state may be that an engine tells others than its own agent. */
     private static final long ENGINE_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
@@ -36,6 +40,8 @@
     private final Executor control;
     private final GroupLead lead;
     private final Map<Integer, RankPeer> peers = new HashMap<>();
+    private final Map<RankPeer, Integer> ranks = new HashMap<>();
+    private final Map<RankPeer, Long> strangers = new HashMap<>();
     private final Set<Integer> ordering = new HashSet<>();
     private final Set<RankPeer> asking = new HashSet<>();
     private final Set<RankPeer> unreached = new HashSet<>();
@@ -60,25 +66,31 @@
     }
 
     /** Polls the agents and moves on; called often. */
-    void tick(List<RankPeer> known, long nowNanos) {
+    void tick(List<RankPeer> known, LeadPace pace, long nowNanos) {
         if (nowNanos - nextPollNanos >= 0) {
-            nextPollNanos = nowNanos + POLL_NANOS;
+            nextPollNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(pace.pollPeriodMs());
             lead.foldCounts();
-            known.forEach(this::poll);
+            for (RankPeer peer : known) {
+                if (nowNanos - strangers.getOrDefault(peer, nowNanos) >= 0) {
+                    poll(peer, pace);
+                }
+            }
         }
         advance(nowNanos);
     }
 
-    private void poll(RankPeer peer) {
+    private void poll(RankPeer peer, LeadPace pace) {
         if (lead.isBusy() && peer.asksEngine()) {
             pollEngine(peer);
         }
         if (!asking.add(peer)) {
             return;
         }
-        RankQuestion question = new RankQuestion(token, lead.isSettled(), lead.needsExperts());
+        Integer rank = ranks.get(peer);
+        boolean withCounts = lead.isSettled() && rank != null && pace.counts(rank);
+        RankQuestion question = new RankQuestion(group, token, withCounts, lead.needsExperts());
         long askedNanos = System.nanoTime();
-        peer.query(question)
+        peer.query(question, Math.max(MIN_QUERY_TIMEOUT_MS, 2 * pace.pollPeriodMs()))
                 .whenCompleteAsync(
                         (report, failure) -> {
                             asking.remove(peer);
@@ -114,13 +126,19 @@
             depose(report);
             return;
         }
-        if (report.status().isEmpty() || !report.status().get().group().equals(group)) {
+        if (report.status().isEmpty()) {
             return;
         }
         RankStatus status = report.status().get();
+        if (!status.group().equals(group)) {
+            strangers.put(peer, System.nanoTime() + STRANGER_POLL_NANOS);
+            return;
+        }
+        strangers.remove(peer);
         peers.put(status.rank(), peer);
+        ranks.put(peer, status.rank());
         lead.onStatus(status, askedNanos);
-        lead.onCounts(status.rank(), report.counts());
+        lead.onCounts(report.counts());
         if (!report.experts().isEmpty()) {
             lead.onExperts(status.rank(), report.experts());
         }
@@ -151,7 +169,7 @@
             return;
         }
         long askedNanos = System.nanoTime();
-        peer.command(order.order(), lead.epoch(), token)
+        peer.command(order.order(), group, lead.epoch(), token)
                 .whenCompleteAsync(
                         (report, failure) -> {
                             ordering.remove(order.rank());
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
@@ -19,6 +19,7 @@
 import io.pollenpath.state.group.RankOrder;
 import io.pollenpath.state.group.RankStatus;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -26,10 +27,16 @@
 /** Turns the calls between agents into protobuf messages and back. */
 final class GroupMessages {
 
+    private static final int EMPTY_SLOT = 0;
+
+    /** The most that one count may be, so that it takes one byte. */
+    private static final long MAX_UNITS = 127;
+
     private GroupMessages() {}
 
     static byte[] encode(RankQuestion question) {
         return RankQuery.newBuilder()
+                .setGroup(question.group())
                 .setToken(question.token())
                 .setWithCounts(question.withCounts())
                 .setWithExperts(question.withExperts())
@@ -39,11 +46,13 @@
 
     static RankQuestion decodeQuestion(byte[] bytes) throws InvalidProtocolBufferException {
         RankQuery query = RankQuery.parseFrom(bytes);
-        return new RankQuestion(query.getToken(), query.getWithCounts(), query.getWithExperts());
+        return new RankQuestion(
+                query.getGroup(), query.getToken(), query.getWithCounts(), query.getWithExperts());
     }
 
-    static byte[] encode(RankOrder order, long epoch, long token) {
-        RankCommand.Builder command = RankCommand.newBuilder().setToken(token).setEpoch(epoch);
+    static byte[] encode(RankOrder order, String group, long epoch, long token) {
+        RankCommand.Builder command =
+                RankCommand.newBuilder().setGroup(group).setToken(token).setEpoch(epoch);
         if (order instanceof RankOrder.Prepare prepare) {
             command.setPrepare(encodePrepare(prepare));
         } else if (order instanceof RankOrder.Hold hold) {
@@ -60,14 +69,22 @@
 
     private static PrepareMap encodePrepare(RankOrder.Prepare prepare) {
         PrepareMap.Builder map = PrepareMap.newBuilder().setVersion(prepare.version());
-        for (List<List<Integer>> ranks : prepare.map().layers()) {
-            LayerExperts.Builder layer = LayerExperts.newBuilder();
-            ranks.forEach(experts -> layer.addRanks(encodeList(experts)));
-            map.addLayers(layer);
-        }
+        prepare.map().layers().forEach(ranks -> map.addLayers(encodeLayer(ranks)));
         return map.build();
     }
 
+    private static LayerExperts encodeLayer(List<List<Integer>> ranks) {
+        int slots = ranks.stream().mapToInt(List::size).max().orElse(0);
+        LayerExperts.Builder layer = LayerExperts.newBuilder().setSlotsPerRank(slots);
+        for (List<Integer> experts : ranks) {
+            experts.forEach(expert -> layer.addSlots(expert + 1));
+            for (int empty = experts.size(); empty < slots; empty++) {
+                layer.addSlots(EMPTY_SLOT);
+            }
+        }
+        return layer.build();
+    }
+
     private static ExpertList encodeList(List<Integer> experts) {
         return ExpertList.newBuilder().addAllExperts(experts).build();
     }
@@ -94,11 +111,26 @@
     private static RankOrder decodePrepare(PrepareMap prepare) {
         List<List<List<Integer>>> layers = new ArrayList<>();
         for (LayerExperts layer : prepare.getLayersList()) {
-            layers.add(layer.getRanksList().stream().map(ExpertList::getExpertsList).toList());
+            layers.add(decodeLayer(layer));
         }
         return new RankOrder.Prepare(prepare.getVersion(), new GroupMap(layers));
     }
 
+    private static List<List<Integer>> decodeLayer(LayerExperts layer) {
+        List<List<Integer>> ranks = new ArrayList<>();
+        int slots = Math.max(1, layer.getSlotsPerRank());
+        for (int first = 0; first + slots <= layer.getSlotsCount(); first += slots) {
+            List<Integer> experts = new ArrayList<>();
+            for (int slot : layer.getSlotsList().subList(first, first + slots)) {
+                if (slot != EMPTY_SLOT) {
+                    experts.add(slot - 1);
+                }
+            }
+            ranks.add(experts);
+        }
+        return ranks;
+    }
+
     static byte[] encode(RankReport report) {
         RankReply.Builder reply =
                 RankReply.newBuilder()
@@ -106,13 +138,26 @@
                         .setLeaderHeardMs(report.leaderHeardMs());
         report.outcome().ifPresent(outcome -> reply.setOutcome(encodeOutcome(outcome)));
         report.status().ifPresent(status -> reply.setState(encodeState(status)));
-        for (long count : report.counts()) {
-            reply.addCounts(count);
-        }
+        encodeCounts(report.counts(), reply);
         report.experts().forEach(list -> reply.addExperts(encodeList(list)));
         return reply.build().toByteArray();
     }
 
+    /** Rounds the counts to units, since only their shares matter. */
+    private static void encodeCounts(long[] counts, RankReply.Builder reply) {
+        long most = Arrays.stream(counts).max().orElse(0);
+        long unit = Math.max(1, (most + MAX_UNITS - 1) / MAX_UNITS);
+        reply.setCountUnit(unit);
+        for (long count : counts) {
+            reply.addChosen((int) ((count + unit / 2) / unit));
+        }
+    }
+
+    private static long[] decodeCounts(RankReply reply) {
+        long unit = reply.getCountUnit();
+        return reply.getChosenList().stream().mapToLong(units -> units * unit).toArray();
+    }
+
     private static CommandOutcome encodeOutcome(OrderOutcome outcome) {
         return switch (outcome) {
             case ACCEPTED -> CommandOutcome.COMMAND_OUTCOME_ACCEPTED;
@@ -146,7 +191,7 @@
         return new RankReport(
                 decodeOutcome(reply.getOutcome()),
                 reply.hasState() ? Optional.of(decodeState(reply.getState())) : Optional.empty(),
-                reply.getCountsList().stream().mapToLong(Long::longValue).toArray(),
+                decodeCounts(reply),
                 reply.getExpertsList().stream().map(ExpertList::getExpertsList).toList(),
                 reply.getLeaderToken(),
                 reply.getLeaderHeardMs());
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.group;
 
 import io.pollenpath.coordination.group.Candidacy;
+import io.pollenpath.coordination.group.CountGrowth;
 import io.pollenpath.state.group.OrderOutcome;
 import io.pollenpath.state.group.RankOrder;
 import io.pollenpath.state.group.RankStatus;
@@ -24,6 +25,8 @@
     private final EngineControl engine;
     private final Executor control;
     private final Candidacy candidacy;
+    private final CountGrowth growth = new CountGrowth();
+    private volatile Optional<String> ownGroup = Optional.empty();
 
     /**
      * Creates an agent.
@@ -45,27 +48,64 @@
      * @return the answer; never fails
      */
     public CompletableFuture<RankReport> query(RankQuestion question) {
+        return isOwn(question.group())
+                .thenCompose(own -> own ? answer(question) : answerStranger());
+    }
+
+    private CompletableFuture<RankReport> answer(RankQuestion question) {
         return hear(question.token())
-                .thenCompose(
-                        heard ->
-                                heard
-                                        ? ask(question, Optional.empty())
-                                        : report(
-                                                Optional.of(OrderOutcome.FENCED),
-                                                Optional.empty(),
-                                                NO_COUNTS,
-                                                List.of()));
+                .thenCompose(heard -> heard ? ask(question, Optional.empty()) : refuse());
+    }
+
+    private CompletableFuture<RankReport> refuse() {
+        return report(Optional.of(OrderOutcome.FENCED), Optional.empty(), NO_COUNTS, List.of());
+    }
+
+    /** Tells the state of the engine only; the leaders of other groups mean nothing here. */
+    private CompletableFuture<RankReport> answerStranger() {
+        return optional(status())
+                .thenApply(
+                        status ->
+                                new RankReport(
+                                        Optional.empty(), status, NO_COUNTS, List.of(), 0, 0));
+    }
+
+    /** Tells whether a group is the engine's; not before the engine has named its group. */
+    private CompletableFuture<Boolean> isOwn(String group) {
+        if (ownGroup.isPresent()) {
+            return CompletableFuture.completedFuture(ownGroup.get().equals(group));
+        }
+        return optional(status())
+                .thenApply(status -> status.isPresent() && status.get().group().equals(group));
+    }
+
+    private CompletableFuture<RankStatus> status() {
+        return engine.status()
+                .whenComplete(
+                        (status, failure) -> {
+                            if (failure == null) {
+                                ownGroup = Optional.of(status.group());
+                            }
+                        });
     }
 
     /**
      * Carries out an order.
      *
      * @param order the order, not null
+     * @param group the group that it is meant for, not null
      * @param epoch the epoch of the group that it is meant for
      * @param token the fencing token of the leader
      * @return what became of it and the state after it; never fails
      */
-    public CompletableFuture<RankReport> command(RankOrder order, long epoch, long token) {
+    public CompletableFuture<RankReport> command(
+            RankOrder order, String group, long epoch, long token) {
+        return isOwn(group)
+                .thenCompose(own -> own ? carryOut(order, group, epoch, token) : answerStranger());
+    }
+
+    private CompletableFuture<RankReport> carryOut(
+            RankOrder order, String group, long epoch, long token) {
         return hear(token)
                 .thenCompose(
                         heard ->
@@ -75,7 +115,9 @@
                 .thenCompose(
                         outcome -> {
                             logOrder(order, epoch, token, outcome);
-                            return ask(new RankQuestion(token, false, false), Optional.of(outcome));
+                            return ask(
+                                    new RankQuestion(group, token, false, false),
+                                    Optional.of(outcome));
                         });
     }
 
@@ -86,9 +128,9 @@
 
     private CompletableFuture<RankReport> ask(
             RankQuestion question, Optional<OrderOutcome> outcome) {
-        CompletableFuture<Optional<RankStatus>> status = optional(engine.status());
+        CompletableFuture<Optional<RankStatus>> status = optional(status());
         CompletableFuture<Optional<long[]>> counts =
-                question.withCounts() ? optional(engine.counts()) : nothing();
+                question.withCounts() ? optional(grown()) : nothing();
         CompletableFuture<Optional<List<List<Integer>>>> experts =
                 question.withExperts() ? optional(engine.experts()) : nothing();
         return CompletableFuture.allOf(status, counts, experts)
@@ -101,6 +143,10 @@
                                         experts.join().orElse(List.of())));
     }
 
+    private CompletableFuture<long[]> grown() {
+        return engine.counts().thenApplyAsync(growth::since, control);
+    }
+
     private static <T> CompletableFuture<Optional<T>> nothing() {
         return CompletableFuture.completedFuture(Optional.empty());
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -16,7 +16,6 @@
 /** Calls the agent of one rank, or its engine itself while the agent does not answer. */
 final class RankPeer {
 
-    private static final long QUERY_TIMEOUT_MS = 250;
     private static final long COMMAND_TIMEOUT_MS = 200;
     private static final long[] NO_COUNTS = new long[0];
 
@@ -49,20 +48,20 @@
         return agentSilent && direct.isPresent();
     }
 
-    /** Asks the agent; fails if it does not answer. */
-    CompletableFuture<RankReport> query(RankQuestion question) {
-        return call(AgentServer.QUERY_PATH, GroupMessages.encode(question), QUERY_TIMEOUT_MS)
+    /** Asks the agent; fails if it does not answer in time. */
+    CompletableFuture<RankReport> query(RankQuestion question, long timeoutMs) {
+        return call(AgentServer.QUERY_PATH, GroupMessages.encode(question), timeoutMs)
                 .whenComplete((report, failure) -> agentSilent = failure != null);
     }
 
     /** Sends an order; never fails. */
-    CompletableFuture<RankReport> command(RankOrder order, long epoch, long token) {
+    CompletableFuture<RankReport> command(RankOrder order, String group, long epoch, long token) {
         if (asksEngine()) {
             return direct.orElseThrow()
                     .order(order, epoch, token)
                     .thenApply(RankPeer::withoutState);
         }
-        byte[] body = GroupMessages.encode(order, epoch, token);
+        byte[] body = GroupMessages.encode(order, group, epoch, token);
         return call(AgentServer.COMMAND_PATH, body, COMMAND_TIMEOUT_MS)
                 .handle(
                         (report, failure) -> {
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
@@ -11,9 +11,10 @@
  *
  * @param outcome what became of the order; empty after a question
  * @param status the state of the engine; empty if it did not answer
- * @param counts how often each expert was chosen; empty if not asked for
+ * @param counts how often each expert was chosen since the question before; empty if not asked for
  * @param experts the experts that the rank holds, one list a set; empty if not asked for
- * @param leaderToken the highest token of a leader that the agent has heard
+ * @param leaderToken the highest token of a leader that the agent has heard; 0 if none, or if the
+ *     sender belongs to another group
  * @param leaderHeardMs how long ago that was, in milliseconds
  */
 public record RankReport(
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/CountGrowthTest.java
@@ -0,0 +1,34 @@
+package io.pollenpath.coordination.group;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class CountGrowthTest {
+
+    private final CountGrowth growth = new CountGrowth();
+
+    @Test
+    void theFirstCountersTellNothing() {
+        assertThat(growth.since(new long[] {5, 7})).isEqualTo(new long[] {0, 0});
+    }
+
+    @Test
+    void tellsWhatWasCountedBetweenTwoCalls() {
+        growth.since(new long[] {5, 7});
+        assertThat(growth.since(new long[] {6, 17})).isEqualTo(new long[] {1, 10});
+        assertThat(growth.since(new long[] {6, 18})).isEqualTo(new long[] {0, 1});
+    }
+
+    @Test
+    void takesCountersOfARestartedEngineFromZero() {
+        growth.since(new long[] {400, 400});
+        assertThat(growth.since(new long[] {100, 50})).isEqualTo(new long[] {100, 50});
+    }
+
+    @Test
+    void countersOfAnotherShapeTellNothing() {
+        growth.since(new long[] {5, 7});
+        assertThat(growth.since(new long[] {6})).isEqualTo(new long[] {0});
+    }
+}
--- a/wire/src/main/java/io/pollenpath/protocol/wire/GroupProto.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/GroupProto.java
@@ -78,42 +78,44 @@
 
     static {
         java.lang.String[] descriptorData = {
-            "\n\013group.proto\022\020pollenpath.group\"E\n\tRankQ"
+            "\n\013group.proto\022\020pollenpath.group\"T\n\tRankQ"
                     + "uery\022\r\n\005token\030\001 \001(\003\022\023\n\013with_counts\030\002 \001(\010"
-                    + "\022\024\n\014with_experts\030\003 \001(\010\"\233\002\n\013RankCommand\022\r"
-                    + "\n\005token\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022/\n\007prepare\030"
-                    + "\003 \001(\0132\034.pollenpath.group.PrepareMapH\000\022*\n"
-                    + "\004hold\030\004 \001(\0132\032.pollenpath.group.HoldStepH"
-                    + "\000\022\'\n\003arm\030\005 \001(\0132\030.pollenpath.group.ArmMap"
-                    + "H\000\0220\n\007release\030\006 \001(\0132\035.pollenpath.group.R"
-                    + "eleaseStepH\000\022-\n\006disarm\030\007 \001(\0132\033.pollenpat"
-                    + "h.group.DisarmMapH\000B\007\n\005order\"M\n\nPrepareM"
-                    + "ap\022\017\n\007version\030\001 \001(\003\022.\n\006layers\030\002 \003(\0132\036.po"
-                    + "llenpath.group.LayerExperts\";\n\014LayerExpe"
-                    + "rts\022+\n\005ranks\030\001 \003(\0132\034.pollenpath.group.Ex"
-                    + "pertList\"\035\n\nExpertList\022\017\n\007experts\030\001 \003(\r\""
-                    + "\030\n\010HoldStep\022\014\n\004step\030\001 \001(\003\"\'\n\006ArmMap\022\017\n\007v"
-                    + "ersion\030\001 \001(\003\022\014\n\004step\030\002 \001(\003\"\033\n\013ReleaseSte"
-                    + "p\022\014\n\004step\030\001 \001(\003\"\034\n\tDisarmMap\022\017\n\007version\030"
-                    + "\001 \001(\003\"\330\001\n\tRankReply\0221\n\007outcome\030\001 \001(\0162 .p"
-                    + "ollenpath.group.CommandOutcome\022*\n\005state\030"
-                    + "\002 \001(\0132\033.pollenpath.group.RankState\022\016\n\006co"
-                    + "unts\030\003 \003(\004\022-\n\007experts\030\004 \003(\0132\034.pollenpath"
-                    + ".group.ExpertList\022\024\n\014leader_token\030\005 \001(\003\022"
-                    + "\027\n\017leader_heard_ms\030\006 \001(\003\"\264\002\n\tRankState\022\r"
-                    + "\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\003\022\014\n\004rank\030\003 \001"
-                    + "(\005\022\014\n\004size\030\004 \001(\005\022\014\n\004open\030\005 \001(\010\022\014\n\004step\030\006"
-                    + " \001(\003\022\023\n\013map_version\030\007 \001(\003\022\035\n\020prepared_ve"
-                    + "rsion\030\010 \001(\003H\000\210\001\001\022\032\n\rarmed_version\030\t \001(\003H"
-                    + "\001\210\001\001\022\027\n\narmed_step\030\n \001(\003H\002\210\001\001\022\026\n\theld_st"
-                    + "ep\030\013 \001(\003H\003\210\001\001\022\014\n\004busy\030\014 \001(\010B\023\n\021_prepared"
-                    + "_versionB\020\n\016_armed_versionB\r\n\013_armed_ste"
-                    + "pB\014\n\n_held_step*\237\001\n\016CommandOutcome\022\030\n\024CO"
-                    + "MMAND_OUTCOME_NONE\020\000\022\034\n\030COMMAND_OUTCOME_"
-                    + "ACCEPTED\020\001\022\034\n\030COMMAND_OUTCOME_REJECTED\020\002"
-                    + "\022\032\n\026COMMAND_OUTCOME_FENCED\020\003\022\033\n\027COMMAND_"
-                    + "OUTCOME_UNKNOWN\020\004B+\n\033io.pollenpath.proto"
-                    + "col.wireB\nGroupProtoP\001b\006proto3"
+                    + "\022\024\n\014with_experts\030\003 \001(\010\022\r\n\005group\030\004 \001(\t\"\252\002"
+                    + "\n\013RankCommand\022\r\n\005token\030\001 \001(\003\022\r\n\005epoch\030\002 "
+                    + "\001(\003\022/\n\007prepare\030\003 \001(\0132\034.pollenpath.group."
+                    + "PrepareMapH\000\022*\n\004hold\030\004 \001(\0132\032.pollenpath."
+                    + "group.HoldStepH\000\022\'\n\003arm\030\005 \001(\0132\030.pollenpa"
+                    + "th.group.ArmMapH\000\0220\n\007release\030\006 \001(\0132\035.pol"
+                    + "lenpath.group.ReleaseStepH\000\022-\n\006disarm\030\007 "
+                    + "\001(\0132\033.pollenpath.group.DisarmMapH\000\022\r\n\005gr"
+                    + "oup\030\010 \001(\tB\007\n\005order\"M\n\nPrepareMap\022\017\n\007vers"
+                    + "ion\030\001 \001(\003\022.\n\006layers\030\002 \003(\0132\036.pollenpath.g"
+                    + "roup.LayerExperts\";\n\014LayerExperts\022\026\n\016slo"
+                    + "ts_per_rank\030\002 \001(\r\022\r\n\005slots\030\003 \003(\rJ\004\010\001\020\002\"\035"
+                    + "\n\nExpertList\022\017\n\007experts\030\001 \003(\r\"\030\n\010HoldSte"
+                    + "p\022\014\n\004step\030\001 \001(\003\"\'\n\006ArmMap\022\017\n\007version\030\001 \001"
+                    + "(\003\022\014\n\004step\030\002 \001(\003\"\033\n\013ReleaseStep\022\014\n\004step\030"
+                    + "\001 \001(\003\"\034\n\tDisarmMap\022\017\n\007version\030\001 \001(\003\"\362\001\n\t"
+                    + "RankReply\0221\n\007outcome\030\001 \001(\0162 .pollenpath."
+                    + "group.CommandOutcome\022*\n\005state\030\002 \001(\0132\033.po"
+                    + "llenpath.group.RankState\022-\n\007experts\030\004 \003("
+                    + "\0132\034.pollenpath.group.ExpertList\022\024\n\014leade"
+                    + "r_token\030\005 \001(\003\022\027\n\017leader_heard_ms\030\006 \001(\003\022\016"
+                    + "\n\006chosen\030\007 \003(\r\022\022\n\ncount_unit\030\010 \001(\004J\004\010\003\020\004"
+                    + "\"\264\002\n\tRankState\022\r\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002"
+                    + " \001(\003\022\014\n\004rank\030\003 \001(\005\022\014\n\004size\030\004 \001(\005\022\014\n\004open"
+                    + "\030\005 \001(\010\022\014\n\004step\030\006 \001(\003\022\023\n\013map_version\030\007 \001("
+                    + "\003\022\035\n\020prepared_version\030\010 \001(\003H\000\210\001\001\022\032\n\rarme"
+                    + "d_version\030\t \001(\003H\001\210\001\001\022\027\n\narmed_step\030\n \001(\003"
+                    + "H\002\210\001\001\022\026\n\theld_step\030\013 \001(\003H\003\210\001\001\022\014\n\004busy\030\014 "
+                    + "\001(\010B\023\n\021_prepared_versionB\020\n\016_armed_versi"
+                    + "onB\r\n\013_armed_stepB\014\n\n_held_step*\237\001\n\016Comm"
+                    + "andOutcome\022\030\n\024COMMAND_OUTCOME_NONE\020\000\022\034\n\030"
+                    + "COMMAND_OUTCOME_ACCEPTED\020\001\022\034\n\030COMMAND_OU"
+                    + "TCOME_REJECTED\020\002\022\032\n\026COMMAND_OUTCOME_FENC"
+                    + "ED\020\003\022\033\n\027COMMAND_OUTCOME_UNKNOWN\020\004B+\n\033io."
+                    + "pollenpath.protocol.wireB\nGroupProtoP\001b\006"
+                    + "proto3"
         };
         descriptor =
                 com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
@@ -124,7 +126,7 @@
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_RankQuery_descriptor,
                         new java.lang.String[] {
-                            "Token", "WithCounts", "WithExperts",
+                            "Token", "WithCounts", "WithExperts", "Group",
                         });
         internal_static_pollenpath_group_RankCommand_descriptor =
                 getDescriptor().getMessageTypes().get(1);
@@ -133,7 +135,7 @@
                         internal_static_pollenpath_group_RankCommand_descriptor,
                         new java.lang.String[] {
                             "Token", "Epoch", "Prepare", "Hold", "Arm", "Release", "Disarm",
-                            "Order",
+                            "Group", "Order",
                         });
         internal_static_pollenpath_group_PrepareMap_descriptor =
                 getDescriptor().getMessageTypes().get(2);
@@ -149,7 +151,7 @@
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_LayerExperts_descriptor,
                         new java.lang.String[] {
-                            "Ranks",
+                            "SlotsPerRank", "Slots",
                         });
         internal_static_pollenpath_group_ExpertList_descriptor =
                 getDescriptor().getMessageTypes().get(4);
@@ -197,7 +199,13 @@
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_RankReply_descriptor,
                         new java.lang.String[] {
-                            "Outcome", "State", "Counts", "Experts", "LeaderToken", "LeaderHeardMs",
+                            "Outcome",
+                            "State",
+                            "Experts",
+                            "LeaderToken",
+                            "LeaderHeardMs",
+                            "Chosen",
+                            "CountUnit",
                         });
         internal_static_pollenpath_group_RankState_descriptor =
                 getDescriptor().getMessageTypes().get(10);
--- a/wire/src/main/java/io/pollenpath/protocol/wire/LayerExperts.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/LayerExperts.java
@@ -37,7 +37,7 @@
     }
 
     private LayerExperts() {
-        ranks_ = java.util.Collections.emptyList();
+        slots_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
@@ -55,42 +55,79 @@
                         io.pollenpath.protocol.wire.LayerExperts.Builder.class);
     }
 
-    public static final int RANKS_FIELD_NUMBER = 1;
+    public static final int SLOTS_PER_RANK_FIELD_NUMBER = 2;
+    private int slotsPerRank_ = 0;
 
-    @SuppressWarnings("serial")
-    private java.util.List<io.pollenpath.protocol.wire.ExpertList> ranks_;
-
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * How many slots each rank has.
+     * </pre>
+     *
+     * <code>uint32 slots_per_rank = 2;</code>
+     *
+     * @return The slotsPerRank.
+     */
     @java.lang.Override
-    public java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList() {
-        return ranks_;
+    public int getSlotsPerRank() {
+        return slotsPerRank_;
     }
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    @java.lang.Override
-    public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
-            getRanksOrBuilderList() {
-        return ranks_;
-    }
+    public static final int SLOTS_FIELD_NUMBER = 3;
+
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList slots_ = emptyIntList();
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+     * </pre>
+     *
+     * <code>repeated uint32 slots = 3;</code>
+     *
+     * @return A list containing the slots.
+     */
     @java.lang.Override
-    public int getRanksCount() {
-        return ranks_.size();
+    public java.util.List<java.lang.Integer> getSlotsList() {
+        return slots_;
     }
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.ExpertList getRanks(int index) {
-        return ranks_.get(index);
+    /**
+     *
+     *
+     * <pre>
+     * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+     * </pre>
+     *
+     * <code>repeated uint32 slots = 3;</code>
+     *
+     * @return The count of slots.
+     */
+    public int getSlotsCount() {
+        return slots_.size();
     }
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(int index) {
-        return ranks_.get(index);
+    /**
+     *
+     *
+     * <pre>
+     * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+     * </pre>
+     *
+     * <code>repeated uint32 slots = 3;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The slots at the given index.
+     */
+    public int getSlots(int index) {
+        return slots_.getInt(index);
     }
 
+    private int slotsMemoizedSerializedSize = -1;
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -105,8 +142,16 @@
 
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-        for (int i = 0; i < ranks_.size(); i++) {
-            output.writeMessage(1, ranks_.get(i));
+        getSerializedSize();
+        if (slotsPerRank_ != 0) {
+            output.writeUInt32(2, slotsPerRank_);
+        }
+        if (getSlotsList().size() > 0) {
+            output.writeUInt32NoTag(26);
+            output.writeUInt32NoTag(slotsMemoizedSerializedSize);
+        }
+        for (int i = 0; i < slots_.size(); i++) {
+            output.writeUInt32NoTag(slots_.getInt(i));
         }
         getUnknownFields().writeTo(output);
     }
@@ -117,8 +162,22 @@
         if (size != -1) return size;
 
         size = 0;
-        for (int i = 0; i < ranks_.size(); i++) {
-            size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, ranks_.get(i));
+        if (slotsPerRank_ != 0) {
+            size += com.google.protobuf.CodedOutputStream.computeUInt32Size(2, slotsPerRank_);
+        }
+        {
+            int dataSize = 0;
+            for (int i = 0; i < slots_.size(); i++) {
+                dataSize +=
+                        com.google.protobuf.CodedOutputStream.computeUInt32SizeNoTag(
+                                slots_.getInt(i));
+            }
+            size += dataSize;
+            if (!getSlotsList().isEmpty()) {
+                size += 1;
+                size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
+            }
+            slotsMemoizedSerializedSize = dataSize;
         }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
@@ -136,7 +195,8 @@
         io.pollenpath.protocol.wire.LayerExperts other =
                 (io.pollenpath.protocol.wire.LayerExperts) obj;
 
-        if (!getRanksList().equals(other.getRanksList())) return false;
+        if (getSlotsPerRank() != other.getSlotsPerRank()) return false;
+        if (!getSlotsList().equals(other.getSlotsList())) return false;
         if (!getUnknownFields().equals(other.getUnknownFields())) return false;
         return true;
     }
@@ -148,9 +208,11 @@
         }
         int hash = 41;
         hash = (19 * hash) + getDescriptor().hashCode();
-        if (getRanksCount() > 0) {
-            hash = (37 * hash) + RANKS_FIELD_NUMBER;
-            hash = (53 * hash) + getRanksList().hashCode();
+        hash = (37 * hash) + SLOTS_PER_RANK_FIELD_NUMBER;
+        hash = (53 * hash) + getSlotsPerRank();
+        if (getSlotsCount() > 0) {
+            hash = (37 * hash) + SLOTS_FIELD_NUMBER;
+            hash = (53 * hash) + getSlotsList().hashCode();
         }
         hash = (29 * hash) + getUnknownFields().hashCode();
         memoizedHashCode = hash;
@@ -292,13 +354,8 @@
         public Builder clear() {
             super.clear();
             bitField0_ = 0;
-            if (ranksBuilder_ == null) {
-                ranks_ = java.util.Collections.emptyList();
-            } else {
-                ranks_ = null;
-                ranksBuilder_.clear();
-            }
-            bitField0_ = (bitField0_ & ~0x00000001);
+            slotsPerRank_ = 0;
+            slots_ = emptyIntList();
             return this;
         }
 
@@ -326,7 +383,6 @@
         public io.pollenpath.protocol.wire.LayerExperts buildPartial() {
             io.pollenpath.protocol.wire.LayerExperts result =
                     new io.pollenpath.protocol.wire.LayerExperts(this);
-            buildPartialRepeatedFields(result);
             if (bitField0_ != 0) {
                 buildPartial0(result);
             }
@@ -334,20 +390,15 @@
             return result;
         }
 
-        private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.LayerExperts result) {
-            if (ranksBuilder_ == null) {
-                if (((bitField0_ & 0x00000001) != 0)) {
-                    ranks_ = java.util.Collections.unmodifiableList(ranks_);
-                    bitField0_ = (bitField0_ & ~0x00000001);
-                }
-                result.ranks_ = ranks_;
-            } else {
-                result.ranks_ = ranksBuilder_.build();
-            }
-        }
-
         private void buildPartial0(io.pollenpath.protocol.wire.LayerExperts result) {
             int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.slotsPerRank_ = slotsPerRank_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                slots_.makeImmutable();
+                result.slots_ = slots_;
+            }
         }
 
         @java.lang.Override
@@ -362,32 +413,19 @@
 
         public Builder mergeFrom(io.pollenpath.protocol.wire.LayerExperts other) {
             if (other == io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance()) return this;
-            if (ranksBuilder_ == null) {
-                if (!other.ranks_.isEmpty()) {
-                    if (ranks_.isEmpty()) {
-                        ranks_ = other.ranks_;
-                        bitField0_ = (bitField0_ & ~0x00000001);
-                    } else {
-                        ensureRanksIsMutable();
-                        ranks_.addAll(other.ranks_);
-                    }
-                    onChanged();
-                }
-            } else {
-                if (!other.ranks_.isEmpty()) {
-                    if (ranksBuilder_.isEmpty()) {
-                        ranksBuilder_.dispose();
-                        ranksBuilder_ = null;
-                        ranks_ = other.ranks_;
-                        bitField0_ = (bitField0_ & ~0x00000001);
-                        ranksBuilder_ =
-                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
-                                        ? internalGetRanksFieldBuilder()
-                                        : null;
-                    } else {
-                        ranksBuilder_.addAllMessages(other.ranks_);
-                    }
+            if (other.getSlotsPerRank() != 0) {
+                setSlotsPerRank(other.getSlotsPerRank());
+            }
+            if (!other.slots_.isEmpty()) {
+                if (slots_.isEmpty()) {
+                    slots_ = other.slots_;
+                    slots_.makeImmutable();
+                    bitField0_ |= 0x00000002;
+                } else {
+                    ensureSlotsIsMutable();
+                    slots_.addAll(other.slots_);
                 }
+                onChanged();
             }
             this.mergeUnknownFields(other.getUnknownFields());
             onChanged();
@@ -415,20 +453,30 @@
                         case 0:
                             done = true;
                             break;
-                        case 10:
+                        case 16:
                             {
-                                io.pollenpath.protocol.wire.ExpertList m =
-                                        input.readMessage(
-                                                io.pollenpath.protocol.wire.ExpertList.parser(),
-                                                extensionRegistry);
-                                if (ranksBuilder_ == null) {
-                                    ensureRanksIsMutable();
-                                    ranks_.add(m);
-                                } else {
-                                    ranksBuilder_.addMessage(m);
+                                slotsPerRank_ = input.readUInt32();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 16
+                        case 24:
+                            {
+                                int v = input.readUInt32();
+                                ensureSlotsIsMutable();
+                                slots_.addInt(v);
+                                break;
+                            } // case 24
+                        case 26:
+                            {
+                                int length = input.readRawVarint32();
+                                int limit = input.pushLimit(length);
+                                ensureSlotsIsMutable();
+                                while (input.getBytesUntilLimit() > 0) {
+                                    slots_.addInt(input.readUInt32());
                                 }
+                                input.popLimit(limit);
                                 break;
-                            } // case 10
+                            } // case 26
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -448,231 +496,199 @@
 
         private int bitField0_;
 
-        private java.util.List<io.pollenpath.protocol.wire.ExpertList> ranks_ =
-                java.util.Collections.emptyList();
-
-        private void ensureRanksIsMutable() {
-            if (!((bitField0_ & 0x00000001) != 0)) {
-                ranks_ = new java.util.ArrayList<io.pollenpath.protocol.wire.ExpertList>(ranks_);
-                bitField0_ |= 0x00000001;
-            }
-        }
-
-        private com.google.protobuf.RepeatedFieldBuilder<
-                        io.pollenpath.protocol.wire.ExpertList,
-                        io.pollenpath.protocol.wire.ExpertList.Builder,
-                        io.pollenpath.protocol.wire.ExpertListOrBuilder>
-                ranksBuilder_;
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList() {
-            if (ranksBuilder_ == null) {
-                return java.util.Collections.unmodifiableList(ranks_);
-            } else {
-                return ranksBuilder_.getMessageList();
-            }
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public int getRanksCount() {
-            if (ranksBuilder_ == null) {
-                return ranks_.size();
-            } else {
-                return ranksBuilder_.getCount();
-            }
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public io.pollenpath.protocol.wire.ExpertList getRanks(int index) {
-            if (ranksBuilder_ == null) {
-                return ranks_.get(index);
-            } else {
-                return ranksBuilder_.getMessage(index);
-            }
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder setRanks(int index, io.pollenpath.protocol.wire.ExpertList value) {
-            if (ranksBuilder_ == null) {
-                if (value == null) {
-                    throw new NullPointerException();
-                }
-                ensureRanksIsMutable();
-                ranks_.set(index, value);
-                onChanged();
-            } else {
-                ranksBuilder_.setMessage(index, value);
-            }
-            return this;
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder setRanks(
-                int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-            if (ranksBuilder_ == null) {
-                ensureRanksIsMutable();
-                ranks_.set(index, builderForValue.build());
-                onChanged();
-            } else {
-                ranksBuilder_.setMessage(index, builderForValue.build());
-            }
-            return this;
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder addRanks(io.pollenpath.protocol.wire.ExpertList value) {
-            if (ranksBuilder_ == null) {
-                if (value == null) {
-                    throw new NullPointerException();
-                }
-                ensureRanksIsMutable();
-                ranks_.add(value);
-                onChanged();
-            } else {
-                ranksBuilder_.addMessage(value);
-            }
+        private int slotsPerRank_;
+
+        /**
+         *
+         *
+         * <pre>
+         * How many slots each rank has.
+         * </pre>
+         *
+         * <code>uint32 slots_per_rank = 2;</code>
+         *
+         * @return The slotsPerRank.
+         */
+        @java.lang.Override
+        public int getSlotsPerRank() {
+            return slotsPerRank_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many slots each rank has.
+         * </pre>
+         *
+         * <code>uint32 slots_per_rank = 2;</code>
+         *
+         * @param value The slotsPerRank to set.
+         * @return This builder for chaining.
+         */
+        public Builder setSlotsPerRank(int value) {
+
+            slotsPerRank_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder addRanks(int index, io.pollenpath.protocol.wire.ExpertList value) {
-            if (ranksBuilder_ == null) {
-                if (value == null) {
-                    throw new NullPointerException();
-                }
-                ensureRanksIsMutable();
-                ranks_.add(index, value);
-                onChanged();
-            } else {
-                ranksBuilder_.addMessage(index, value);
-            }
+        /**
+         *
+         *
+         * <pre>
+         * How many slots each rank has.
+         * </pre>
+         *
+         * <code>uint32 slots_per_rank = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearSlotsPerRank() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            slotsPerRank_ = 0;
+            onChanged();
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder addRanks(io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-            if (ranksBuilder_ == null) {
-                ensureRanksIsMutable();
-                ranks_.add(builderForValue.build());
-                onChanged();
-            } else {
-                ranksBuilder_.addMessage(builderForValue.build());
-            }
-            return this;
-        }
+        private com.google.protobuf.Internal.IntList slots_ = emptyIntList();
 
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder addRanks(
-                int index, io.pollenpath.protocol.wire.ExpertList.Builder builderForValue) {
-            if (ranksBuilder_ == null) {
-                ensureRanksIsMutable();
-                ranks_.add(index, builderForValue.build());
-                onChanged();
-            } else {
-                ranksBuilder_.addMessage(index, builderForValue.build());
+        private void ensureSlotsIsMutable() {
+            if (!slots_.isModifiable()) {
+                slots_ = makeMutableCopy(slots_);
             }
+            bitField0_ |= 0x00000002;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+         * </pre>
+         *
+         * <code>repeated uint32 slots = 3;</code>
+         *
+         * @return A list containing the slots.
+         */
+        public java.util.List<java.lang.Integer> getSlotsList() {
+            slots_.makeImmutable();
+            return slots_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+         * </pre>
+         *
+         * <code>repeated uint32 slots = 3;</code>
+         *
+         * @return The count of slots.
+         */
+        public int getSlotsCount() {
+            return slots_.size();
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+         * </pre>
+         *
+         * <code>repeated uint32 slots = 3;</code>
+         *
+         * @param index The index of the element to return.
+         * @return The slots at the given index.
+         */
+        public int getSlots(int index) {
+            return slots_.getInt(index);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+         * </pre>
+         *
+         * <code>repeated uint32 slots = 3;</code>
+         *
+         * @param index The index to set the value at.
+         * @param value The slots to set.
+         * @return This builder for chaining.
+         */
+        public Builder setSlots(int index, int value) {
+
+            ensureSlotsIsMutable();
+            slots_.setInt(index, value);
+            bitField0_ |= 0x00000002;
+            onChanged();
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder addAllRanks(
-                java.lang.Iterable<? extends io.pollenpath.protocol.wire.ExpertList> values) {
-            if (ranksBuilder_ == null) {
-                ensureRanksIsMutable();
-                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, ranks_);
-                onChanged();
-            } else {
-                ranksBuilder_.addAllMessages(values);
-            }
+        /**
+         *
+         *
+         * <pre>
+         * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+         * </pre>
+         *
+         * <code>repeated uint32 slots = 3;</code>
+         *
+         * @param value The slots to add.
+         * @return This builder for chaining.
+         */
+        public Builder addSlots(int value) {
+
+            ensureSlotsIsMutable();
+            slots_.addInt(value);
+            bitField0_ |= 0x00000002;
+            onChanged();
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder clearRanks() {
-            if (ranksBuilder_ == null) {
-                ranks_ = java.util.Collections.emptyList();
-                bitField0_ = (bitField0_ & ~0x00000001);
-                onChanged();
-            } else {
-                ranksBuilder_.clear();
-            }
+        /**
+         *
+         *
+         * <pre>
+         * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+         * </pre>
+         *
+         * <code>repeated uint32 slots = 3;</code>
+         *
+         * @param values The slots to add.
+         * @return This builder for chaining.
+         */
+        public Builder addAllSlots(java.lang.Iterable<? extends java.lang.Integer> values) {
+            ensureSlotsIsMutable();
+            com.google.protobuf.AbstractMessageLite.Builder.addAll(values, slots_);
+            bitField0_ |= 0x00000002;
+            onChanged();
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public Builder removeRanks(int index) {
-            if (ranksBuilder_ == null) {
-                ensureRanksIsMutable();
-                ranks_.remove(index);
-                onChanged();
-            } else {
-                ranksBuilder_.remove(index);
-            }
+        /**
+         *
+         *
+         * <pre>
+         * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+         * </pre>
+         *
+         * <code>repeated uint32 slots = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearSlots() {
+            slots_ = emptyIntList();
+            bitField0_ = (bitField0_ & ~0x00000002);
+            onChanged();
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public io.pollenpath.protocol.wire.ExpertList.Builder getRanksBuilder(int index) {
-            return internalGetRanksFieldBuilder().getBuilder(index);
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(int index) {
-            if (ranksBuilder_ == null) {
-                return ranks_.get(index);
-            } else {
-                return ranksBuilder_.getMessageOrBuilder(index);
-            }
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
-                getRanksOrBuilderList() {
-            if (ranksBuilder_ != null) {
-                return ranksBuilder_.getMessageOrBuilderList();
-            } else {
-                return java.util.Collections.unmodifiableList(ranks_);
-            }
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public io.pollenpath.protocol.wire.ExpertList.Builder addRanksBuilder() {
-            return internalGetRanksFieldBuilder()
-                    .addBuilder(io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public io.pollenpath.protocol.wire.ExpertList.Builder addRanksBuilder(int index) {
-            return internalGetRanksFieldBuilder()
-                    .addBuilder(index, io.pollenpath.protocol.wire.ExpertList.getDefaultInstance());
-        }
-
-        /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-        public java.util.List<io.pollenpath.protocol.wire.ExpertList.Builder>
-                getRanksBuilderList() {
-            return internalGetRanksFieldBuilder().getBuilderList();
-        }
-
-        private com.google.protobuf.RepeatedFieldBuilder<
-                        io.pollenpath.protocol.wire.ExpertList,
-                        io.pollenpath.protocol.wire.ExpertList.Builder,
-                        io.pollenpath.protocol.wire.ExpertListOrBuilder>
-                internalGetRanksFieldBuilder() {
-            if (ranksBuilder_ == null) {
-                ranksBuilder_ =
-                        new com.google.protobuf.RepeatedFieldBuilder<
-                                io.pollenpath.protocol.wire.ExpertList,
-                                io.pollenpath.protocol.wire.ExpertList.Builder,
-                                io.pollenpath.protocol.wire.ExpertListOrBuilder>(
-                                ranks_,
-                                ((bitField0_ & 0x00000001) != 0),
-                                getParentForChildren(),
-                                isClean());
-                ranks_ = null;
-            }
-            return ranksBuilder_;
-        }
-
         // @@protoc_insertion_point(builder_scope:pollenpath.group.LayerExperts)
     }
 
--- a/wire/src/main/java/io/pollenpath/protocol/wire/LayerExpertsOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/LayerExpertsOrBuilder.java
@@ -11,19 +11,56 @@
         // @@protoc_insertion_point(interface_extends:pollenpath.group.LayerExperts)
         com.google.protobuf.MessageOrBuilder {
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    java.util.List<io.pollenpath.protocol.wire.ExpertList> getRanksList();
+    /**
+     *
+     *
+     * <pre>
+     * How many slots each rank has.
+     * </pre>
+     *
+     * <code>uint32 slots_per_rank = 2;</code>
+     *
+     * @return The slotsPerRank.
+     */
+    int getSlotsPerRank();
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    io.pollenpath.protocol.wire.ExpertList getRanks(int index);
+    /**
+     *
+     *
+     * <pre>
+     * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+     * </pre>
+     *
+     * <code>repeated uint32 slots = 3;</code>
+     *
+     * @return A list containing the slots.
+     */
+    java.util.List<java.lang.Integer> getSlotsList();
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    int getRanksCount();
+    /**
+     *
+     *
+     * <pre>
+     * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+     * </pre>
+     *
+     * <code>repeated uint32 slots = 3;</code>
+     *
+     * @return The count of slots.
+     */
+    int getSlotsCount();
 
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
-            getRanksOrBuilderList();
-
-    /** <code>repeated .pollenpath.group.ExpertList ranks = 1;</code> */
-    io.pollenpath.protocol.wire.ExpertListOrBuilder getRanksOrBuilder(int index);
+    /**
+     *
+     *
+     * <pre>
+     * One more than the number of the expert in each slot, rank by rank; 0 for an empty slot.
+     * </pre>
+     *
+     * <code>repeated uint32 slots = 3;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The slots at the given index.
+     */
+    int getSlots(int index);
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankCommand.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankCommand.java
@@ -36,7 +36,9 @@
         super(builder);
     }
 
-    private RankCommand() {}
+    private RankCommand() {
+        group_ = "";
+    }
 
     public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
         return io.pollenpath.protocol.wire.GroupProto
@@ -314,6 +316,59 @@
         return io.pollenpath.protocol.wire.DisarmMap.getDefaultInstance();
     }
 
+    public static final int GROUP_FIELD_NUMBER = 8;
+
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object group_ = "";
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the order is meant for.
+     * </pre>
+     *
+     * <code>string group = 8;</code>
+     *
+     * @return The group.
+     */
+    @java.lang.Override
+    public java.lang.String getGroup() {
+        java.lang.Object ref = group_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            group_ = s;
+            return s;
+        }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the order is meant for.
+     * </pre>
+     *
+     * <code>string group = 8;</code>
+     *
+     * @return The bytes for group.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getGroupBytes() {
+        java.lang.Object ref = group_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            group_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
+    }
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -349,6 +404,9 @@
         if (orderCase_ == 7) {
             output.writeMessage(7, (io.pollenpath.protocol.wire.DisarmMap) order_);
         }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 8, group_);
+        }
         getUnknownFields().writeTo(output);
     }
 
@@ -389,6 +447,9 @@
                     com.google.protobuf.CodedOutputStream.computeMessageSize(
                             7, (io.pollenpath.protocol.wire.DisarmMap) order_);
         }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(8, group_);
+        }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
         return size;
@@ -407,6 +468,7 @@
 
         if (getToken() != other.getToken()) return false;
         if (getEpoch() != other.getEpoch()) return false;
+        if (!getGroup().equals(other.getGroup())) return false;
         if (!getOrderCase().equals(other.getOrderCase())) return false;
         switch (orderCase_) {
             case 3:
@@ -442,6 +504,8 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getToken());
         hash = (37 * hash) + EPOCH_FIELD_NUMBER;
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getEpoch());
+        hash = (37 * hash) + GROUP_FIELD_NUMBER;
+        hash = (53 * hash) + getGroup().hashCode();
         switch (orderCase_) {
             case 3:
                 hash = (37 * hash) + PREPARE_FIELD_NUMBER;
@@ -623,6 +687,7 @@
             if (disarmBuilder_ != null) {
                 disarmBuilder_.clear();
             }
+            group_ = "";
             orderCase_ = 0;
             order_ = null;
             return this;
@@ -668,6 +733,9 @@
             if (((from_bitField0_ & 0x00000002) != 0)) {
                 result.epoch_ = epoch_;
             }
+            if (((from_bitField0_ & 0x00000080) != 0)) {
+                result.group_ = group_;
+            }
         }
 
         private void buildPartialOneofs(io.pollenpath.protocol.wire.RankCommand result) {
@@ -708,6 +776,11 @@
             if (other.getEpoch() != 0L) {
                 setEpoch(other.getEpoch());
             }
+            if (!other.getGroup().isEmpty()) {
+                group_ = other.group_;
+                bitField0_ |= 0x00000080;
+                onChanged();
+            }
             switch (other.getOrderCase()) {
                 case PREPARE:
                     {
@@ -817,6 +890,12 @@
                                 orderCase_ = 7;
                                 break;
                             } // case 58
+                        case 66:
+                            {
+                                group_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000080;
+                                break;
+                            } // case 66
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1689,6 +1768,117 @@
             return disarmBuilder_;
         }
 
+        private java.lang.Object group_ = "";
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>string group = 8;</code>
+         *
+         * @return The group.
+         */
+        public java.lang.String getGroup() {
+            java.lang.Object ref = group_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                group_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>string group = 8;</code>
+         *
+         * @return The bytes for group.
+         */
+        public com.google.protobuf.ByteString getGroupBytes() {
+            java.lang.Object ref = group_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                group_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>string group = 8;</code>
+         *
+         * @param value The group to set.
+         * @return This builder for chaining.
+         */
+        public Builder setGroup(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            group_ = value;
+            bitField0_ |= 0x00000080;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>string group = 8;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearGroup() {
+            group_ = getDefaultInstance().getGroup();
+            bitField0_ = (bitField0_ & ~0x00000080);
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the order is meant for.
+         * </pre>
+         *
+         * <code>string group = 8;</code>
+         *
+         * @param value The bytes for group to set.
+         * @return This builder for chaining.
+         */
+        public Builder setGroupBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            group_ = value;
+            bitField0_ |= 0x00000080;
+            onChanged();
+            return this;
+        }
+
         // @@protoc_insertion_point(builder_scope:pollenpath.group.RankCommand)
     }
 
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankCommandOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankCommandOrBuilder.java
@@ -116,5 +116,31 @@
     /** <code>.pollenpath.group.DisarmMap disarm = 7;</code> */
     io.pollenpath.protocol.wire.DisarmMapOrBuilder getDisarmOrBuilder();
 
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the order is meant for.
+     * </pre>
+     *
+     * <code>string group = 8;</code>
+     *
+     * @return The group.
+     */
+    java.lang.String getGroup();
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the order is meant for.
+     * </pre>
+     *
+     * <code>string group = 8;</code>
+     *
+     * @return The bytes for group.
+     */
+    com.google.protobuf.ByteString getGroupBytes();
+
     io.pollenpath.protocol.wire.RankCommand.OrderCase getOrderCase();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankQuery.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankQuery.java
@@ -36,7 +36,9 @@
         super(builder);
     }
 
-    private RankQuery() {}
+    private RankQuery() {
+        group_ = "";
+    }
 
     public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
         return io.pollenpath.protocol.wire.GroupProto
@@ -98,6 +100,59 @@
         return withExperts_;
     }
 
+    public static final int GROUP_FIELD_NUMBER = 4;
+
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object group_ = "";
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the sender belongs to.
+     * </pre>
+     *
+     * <code>string group = 4;</code>
+     *
+     * @return The group.
+     */
+    @java.lang.Override
+    public java.lang.String getGroup() {
+        java.lang.Object ref = group_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            group_ = s;
+            return s;
+        }
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the sender belongs to.
+     * </pre>
+     *
+     * <code>string group = 4;</code>
+     *
+     * @return The bytes for group.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getGroupBytes() {
+        java.lang.Object ref = group_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            group_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
+    }
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -121,6 +176,9 @@
         if (withExperts_ != false) {
             output.writeBool(3, withExperts_);
         }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 4, group_);
+        }
         getUnknownFields().writeTo(output);
     }
 
@@ -139,6 +197,9 @@
         if (withExperts_ != false) {
             size += com.google.protobuf.CodedOutputStream.computeBoolSize(3, withExperts_);
         }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(4, group_);
+        }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
         return size;
@@ -157,6 +218,7 @@
         if (getToken() != other.getToken()) return false;
         if (getWithCounts() != other.getWithCounts()) return false;
         if (getWithExperts() != other.getWithExperts()) return false;
+        if (!getGroup().equals(other.getGroup())) return false;
         if (!getUnknownFields().equals(other.getUnknownFields())) return false;
         return true;
     }
@@ -174,6 +236,8 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getWithCounts());
         hash = (37 * hash) + WITH_EXPERTS_FIELD_NUMBER;
         hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getWithExperts());
+        hash = (37 * hash) + GROUP_FIELD_NUMBER;
+        hash = (53 * hash) + getGroup().hashCode();
         hash = (29 * hash) + getUnknownFields().hashCode();
         memoizedHashCode = hash;
         return hash;
@@ -317,6 +381,7 @@
             token_ = 0L;
             withCounts_ = false;
             withExperts_ = false;
+            group_ = "";
             return this;
         }
 
@@ -362,6 +427,9 @@
             if (((from_bitField0_ & 0x00000004) != 0)) {
                 result.withExperts_ = withExperts_;
             }
+            if (((from_bitField0_ & 0x00000008) != 0)) {
+                result.group_ = group_;
+            }
         }
 
         @java.lang.Override
@@ -385,6 +453,11 @@
             if (other.getWithExperts() != false) {
                 setWithExperts(other.getWithExperts());
             }
+            if (!other.getGroup().isEmpty()) {
+                group_ = other.group_;
+                bitField0_ |= 0x00000008;
+                onChanged();
+            }
             this.mergeUnknownFields(other.getUnknownFields());
             onChanged();
             return this;
@@ -429,6 +502,12 @@
                                 bitField0_ |= 0x00000004;
                                 break;
                             } // case 24
+                        case 34:
+                            {
+                                group_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000008;
+                                break;
+                            } // case 34
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -580,6 +659,117 @@
             return this;
         }
 
+        private java.lang.Object group_ = "";
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the sender belongs to.
+         * </pre>
+         *
+         * <code>string group = 4;</code>
+         *
+         * @return The group.
+         */
+        public java.lang.String getGroup() {
+            java.lang.Object ref = group_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                group_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the sender belongs to.
+         * </pre>
+         *
+         * <code>string group = 4;</code>
+         *
+         * @return The bytes for group.
+         */
+        public com.google.protobuf.ByteString getGroupBytes() {
+            java.lang.Object ref = group_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                group_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the sender belongs to.
+         * </pre>
+         *
+         * <code>string group = 4;</code>
+         *
+         * @param value The group to set.
+         * @return This builder for chaining.
+         */
+        public Builder setGroup(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            group_ = value;
+            bitField0_ |= 0x00000008;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the sender belongs to.
+         * </pre>
+         *
+         * <code>string group = 4;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearGroup() {
+            group_ = getDefaultInstance().getGroup();
+            bitField0_ = (bitField0_ & ~0x00000008);
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the group that the sender belongs to.
+         * </pre>
+         *
+         * <code>string group = 4;</code>
+         *
+         * @param value The bytes for group to set.
+         * @return This builder for chaining.
+         */
+        public Builder setGroupBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            group_ = value;
+            bitField0_ |= 0x00000008;
+            onChanged();
+            return this;
+        }
+
         // @@protoc_insertion_point(builder_scope:pollenpath.group.RankQuery)
     }
 
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankQueryOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankQueryOrBuilder.java
@@ -37,4 +37,30 @@
      * @return The withExperts.
      */
     boolean getWithExperts();
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the sender belongs to.
+     * </pre>
+     *
+     * <code>string group = 4;</code>
+     *
+     * @return The group.
+     */
+    java.lang.String getGroup();
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the group that the sender belongs to.
+     * </pre>
+     *
+     * <code>string group = 4;</code>
+     *
+     * @return The bytes for group.
+     */
+    com.google.protobuf.ByteString getGroupBytes();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankReply.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankReply.java
@@ -38,8 +38,8 @@
 
     private RankReply() {
         outcome_ = 0;
-        counts_ = emptyLongList();
         experts_ = java.util.Collections.emptyList();
+        chosen_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
@@ -132,60 +132,6 @@
         return state_ == null ? io.pollenpath.protocol.wire.RankState.getDefaultInstance() : state_;
     }
 
-    public static final int COUNTS_FIELD_NUMBER = 3;
-
-    @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList counts_ = emptyLongList();
-
-    /**
-     *
-     *
-     * <pre>
-     * How often each expert was chosen since the engine started, set by set.
-     * </pre>
-     *
-     * <code>repeated uint64 counts = 3;</code>
-     *
-     * @return A list containing the counts.
-     */
-    @java.lang.Override
-    public java.util.List<java.lang.Long> getCountsList() {
-        return counts_;
-    }
-
-    /**
-     *
-     *
-     * <pre>
-     * How often each expert was chosen since the engine started, set by set.
-     * </pre>
-     *
-     * <code>repeated uint64 counts = 3;</code>
-     *
-     * @return The count of counts.
-     */
-    public int getCountsCount() {
-        return counts_.size();
-    }
-
-    /**
-     *
-     *
-     * <pre>
-     * How often each expert was chosen since the engine started, set by set.
-     * </pre>
-     *
-     * <code>repeated uint64 counts = 3;</code>
-     *
-     * @param index The index of the element to return.
-     * @return The counts at the given index.
-     */
-    public long getCounts(int index) {
-        return counts_.getLong(index);
-    }
-
-    private int countsMemoizedSerializedSize = -1;
-
     public static final int EXPERTS_FIELD_NUMBER = 4;
 
     @SuppressWarnings("serial")
@@ -294,6 +240,73 @@
         return leaderHeardMs_;
     }
 
+    public static final int CHOSEN_FIELD_NUMBER = 7;
+
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList chosen_ = emptyIntList();
+
+    /**
+     *
+     *
+     * <pre>
+     * How often each expert was chosen since the question before, set by set, in units of count_unit.
+     * </pre>
+     *
+     * <code>repeated uint32 chosen = 7;</code>
+     *
+     * @return A list containing the chosen.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer> getChosenList() {
+        return chosen_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * How often each expert was chosen since the question before, set by set, in units of count_unit.
+     * </pre>
+     *
+     * <code>repeated uint32 chosen = 7;</code>
+     *
+     * @return The count of chosen.
+     */
+    public int getChosenCount() {
+        return chosen_.size();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * How often each expert was chosen since the question before, set by set, in units of count_unit.
+     * </pre>
+     *
+     * <code>repeated uint32 chosen = 7;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The chosen at the given index.
+     */
+    public int getChosen(int index) {
+        return chosen_.getInt(index);
+    }
+
+    private int chosenMemoizedSerializedSize = -1;
+
+    public static final int COUNT_UNIT_FIELD_NUMBER = 8;
+    private long countUnit_ = 0L;
+
+    /**
+     * <code>uint64 count_unit = 8;</code>
+     *
+     * @return The countUnit.
+     */
+    @java.lang.Override
+    public long getCountUnit() {
+        return countUnit_;
+    }
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -316,13 +329,6 @@
         if (((bitField0_ & 0x00000001) != 0)) {
             output.writeMessage(2, getState());
         }
-        if (getCountsList().size() > 0) {
-            output.writeUInt32NoTag(26);
-            output.writeUInt32NoTag(countsMemoizedSerializedSize);
-        }
-        for (int i = 0; i < counts_.size(); i++) {
-            output.writeUInt64NoTag(counts_.getLong(i));
-        }
         for (int i = 0; i < experts_.size(); i++) {
             output.writeMessage(4, experts_.get(i));
         }
@@ -332,6 +338,16 @@
         if (leaderHeardMs_ != 0L) {
             output.writeInt64(6, leaderHeardMs_);
         }
+        if (getChosenList().size() > 0) {
+            output.writeUInt32NoTag(58);
+            output.writeUInt32NoTag(chosenMemoizedSerializedSize);
+        }
+        for (int i = 0; i < chosen_.size(); i++) {
+            output.writeUInt32NoTag(chosen_.getInt(i));
+        }
+        if (countUnit_ != 0L) {
+            output.writeUInt64(8, countUnit_);
+        }
         getUnknownFields().writeTo(output);
     }
 
@@ -348,28 +364,31 @@
         if (((bitField0_ & 0x00000001) != 0)) {
             size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, getState());
         }
+        for (int i = 0; i < experts_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, experts_.get(i));
+        }
+        if (leaderToken_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(5, leaderToken_);
+        }
+        if (leaderHeardMs_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(6, leaderHeardMs_);
+        }
         {
             int dataSize = 0;
-            for (int i = 0; i < counts_.size(); i++) {
+            for (int i = 0; i < chosen_.size(); i++) {
                 dataSize +=
-                        com.google.protobuf.CodedOutputStream.computeUInt64SizeNoTag(
-                                counts_.getLong(i));
+                        com.google.protobuf.CodedOutputStream.computeUInt32SizeNoTag(
+                                chosen_.getInt(i));
             }
             size += dataSize;
-            if (!getCountsList().isEmpty()) {
+            if (!getChosenList().isEmpty()) {
                 size += 1;
                 size += com.google.protobuf.CodedOutputStream.computeInt32SizeNoTag(dataSize);
             }
-            countsMemoizedSerializedSize = dataSize;
-        }
-        for (int i = 0; i < experts_.size(); i++) {
-            size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, experts_.get(i));
+            chosenMemoizedSerializedSize = dataSize;
         }
-        if (leaderToken_ != 0L) {
-            size += com.google.protobuf.CodedOutputStream.computeInt64Size(5, leaderToken_);
-        }
-        if (leaderHeardMs_ != 0L) {
-            size += com.google.protobuf.CodedOutputStream.computeInt64Size(6, leaderHeardMs_);
+        if (countUnit_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeUInt64Size(8, countUnit_);
         }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
@@ -391,10 +410,11 @@
         if (hasState()) {
             if (!getState().equals(other.getState())) return false;
         }
-        if (!getCountsList().equals(other.getCountsList())) return false;
         if (!getExpertsList().equals(other.getExpertsList())) return false;
         if (getLeaderToken() != other.getLeaderToken()) return false;
         if (getLeaderHeardMs() != other.getLeaderHeardMs()) return false;
+        if (!getChosenList().equals(other.getChosenList())) return false;
+        if (getCountUnit() != other.getCountUnit()) return false;
         if (!getUnknownFields().equals(other.getUnknownFields())) return false;
         return true;
     }
@@ -412,10 +432,6 @@
             hash = (37 * hash) + STATE_FIELD_NUMBER;
             hash = (53 * hash) + getState().hashCode();
         }
-        if (getCountsCount() > 0) {
-            hash = (37 * hash) + COUNTS_FIELD_NUMBER;
-            hash = (53 * hash) + getCountsList().hashCode();
-        }
         if (getExpertsCount() > 0) {
             hash = (37 * hash) + EXPERTS_FIELD_NUMBER;
             hash = (53 * hash) + getExpertsList().hashCode();
@@ -424,6 +440,12 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getLeaderToken());
         hash = (37 * hash) + LEADER_HEARD_MS_FIELD_NUMBER;
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getLeaderHeardMs());
+        if (getChosenCount() > 0) {
+            hash = (37 * hash) + CHOSEN_FIELD_NUMBER;
+            hash = (53 * hash) + getChosenList().hashCode();
+        }
+        hash = (37 * hash) + COUNT_UNIT_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getCountUnit());
         hash = (29 * hash) + getUnknownFields().hashCode();
         memoizedHashCode = hash;
         return hash;
@@ -580,16 +602,17 @@
                 stateBuilder_.dispose();
                 stateBuilder_ = null;
             }
-            counts_ = emptyLongList();
             if (expertsBuilder_ == null) {
                 experts_ = java.util.Collections.emptyList();
             } else {
                 experts_ = null;
                 expertsBuilder_.clear();
             }
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000004);
             leaderToken_ = 0L;
             leaderHeardMs_ = 0L;
+            chosen_ = emptyIntList();
+            countUnit_ = 0L;
             return this;
         }
 
@@ -627,9 +650,9 @@
 
         private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.RankReply result) {
             if (expertsBuilder_ == null) {
-                if (((bitField0_ & 0x00000008) != 0)) {
+                if (((bitField0_ & 0x00000004) != 0)) {
                     experts_ = java.util.Collections.unmodifiableList(experts_);
-                    bitField0_ = (bitField0_ & ~0x00000008);
+                    bitField0_ = (bitField0_ & ~0x00000004);
                 }
                 result.experts_ = experts_;
             } else {
@@ -647,15 +670,18 @@
                 result.state_ = stateBuilder_ == null ? state_ : stateBuilder_.build();
                 to_bitField0_ |= 0x00000001;
             }
-            if (((from_bitField0_ & 0x00000004) != 0)) {
-                counts_.makeImmutable();
-                result.counts_ = counts_;
+            if (((from_bitField0_ & 0x00000008) != 0)) {
+                result.leaderToken_ = leaderToken_;
             }
             if (((from_bitField0_ & 0x00000010) != 0)) {
-                result.leaderToken_ = leaderToken_;
+                result.leaderHeardMs_ = leaderHeardMs_;
             }
             if (((from_bitField0_ & 0x00000020) != 0)) {
-                result.leaderHeardMs_ = leaderHeardMs_;
+                chosen_.makeImmutable();
+                result.chosen_ = chosen_;
+            }
+            if (((from_bitField0_ & 0x00000040) != 0)) {
+                result.countUnit_ = countUnit_;
             }
             result.bitField0_ |= to_bitField0_;
         }
@@ -678,22 +704,11 @@
             if (other.hasState()) {
                 mergeState(other.getState());
             }
-            if (!other.counts_.isEmpty()) {
-                if (counts_.isEmpty()) {
-                    counts_ = other.counts_;
-                    counts_.makeImmutable();
-                    bitField0_ |= 0x00000004;
-                } else {
-                    ensureCountsIsMutable();
-                    counts_.addAll(other.counts_);
-                }
-                onChanged();
-            }
             if (expertsBuilder_ == null) {
                 if (!other.experts_.isEmpty()) {
                     if (experts_.isEmpty()) {
                         experts_ = other.experts_;
-                        bitField0_ = (bitField0_ & ~0x00000008);
+                        bitField0_ = (bitField0_ & ~0x00000004);
                     } else {
                         ensureExpertsIsMutable();
                         experts_.addAll(other.experts_);
@@ -706,7 +721,7 @@
                         expertsBuilder_.dispose();
                         expertsBuilder_ = null;
                         experts_ = other.experts_;
-                        bitField0_ = (bitField0_ & ~0x00000008);
+                        bitField0_ = (bitField0_ & ~0x00000004);
                         expertsBuilder_ =
                                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
                                         ? internalGetExpertsFieldBuilder()
@@ -722,6 +737,20 @@
             if (other.getLeaderHeardMs() != 0L) {
                 setLeaderHeardMs(other.getLeaderHeardMs());
             }
+            if (!other.chosen_.isEmpty()) {
+                if (chosen_.isEmpty()) {
+                    chosen_ = other.chosen_;
+                    chosen_.makeImmutable();
+                    bitField0_ |= 0x00000020;
+                } else {
+                    ensureChosenIsMutable();
+                    chosen_.addAll(other.chosen_);
+                }
+                onChanged();
+            }
+            if (other.getCountUnit() != 0L) {
+                setCountUnit(other.getCountUnit());
+            }
             this.mergeUnknownFields(other.getUnknownFields());
             onChanged();
             return this;
@@ -762,24 +791,6 @@
                                 bitField0_ |= 0x00000002;
                                 break;
                             } // case 18
-                        case 24:
-                            {
-                                long v = input.readUInt64();
-                                ensureCountsIsMutable();
-                                counts_.addLong(v);
-                                break;
-                            } // case 24
-                        case 26:
-                            {
-                                int length = input.readRawVarint32();
-                                int limit = input.pushLimit(length);
-                                ensureCountsIsMutable();
-                                while (input.getBytesUntilLimit() > 0) {
-                                    counts_.addLong(input.readUInt64());
-                                }
-                                input.popLimit(limit);
-                                break;
-                            } // case 26
                         case 34:
                             {
                                 io.pollenpath.protocol.wire.ExpertList m =
@@ -797,15 +808,39 @@
                         case 40:
                             {
                                 leaderToken_ = input.readInt64();
-                                bitField0_ |= 0x00000010;
+                                bitField0_ |= 0x00000008;
                                 break;
                             } // case 40
                         case 48:
                             {
                                 leaderHeardMs_ = input.readInt64();
-                                bitField0_ |= 0x00000020;
+                                bitField0_ |= 0x00000010;
                                 break;
                             } // case 48
+                        case 56:
+                            {
+                                int v = input.readUInt32();
+                                ensureChosenIsMutable();
+                                chosen_.addInt(v);
+                                break;
+                            } // case 56
+                        case 58:
+                            {
+                                int length = input.readRawVarint32();
+                                int limit = input.pushLimit(length);
+                                ensureChosenIsMutable();
+                                while (input.getBytesUntilLimit() > 0) {
+                                    chosen_.addInt(input.readUInt32());
+                                }
+                                input.popLimit(limit);
+                                break;
+                            } // case 58
+                        case 64:
+                            {
+                                countUnit_ = input.readUInt64();
+                                bitField0_ |= 0x00000040;
+                                break;
+                            } // case 64
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1086,151 +1121,14 @@
             return stateBuilder_;
         }
 
-        private com.google.protobuf.Internal.LongList counts_ = emptyLongList();
-
-        private void ensureCountsIsMutable() {
-            if (!counts_.isModifiable()) {
-                counts_ = makeMutableCopy(counts_);
-            }
-            bitField0_ |= 0x00000004;
-        }
-
-        /**
-         *
-         *
-         * <pre>
-         * How often each expert was chosen since the engine started, set by set.
-         * </pre>
-         *
-         * <code>repeated uint64 counts = 3;</code>
-         *
-         * @return A list containing the counts.
-         */
-        public java.util.List<java.lang.Long> getCountsList() {
-            counts_.makeImmutable();
-            return counts_;
-        }
-
-        /**
-         *
-         *
-         * <pre>
-         * How often each expert was chosen since the engine started, set by set.
-         * </pre>
-         *
-         * <code>repeated uint64 counts = 3;</code>
-         *
-         * @return The count of counts.
-         */
-        public int getCountsCount() {
-            return counts_.size();
-        }
-
-        /**
-         *
-         *
-         * <pre>
-         * How often each expert was chosen since the engine started, set by set.
-         * </pre>
-         *
-         * <code>repeated uint64 counts = 3;</code>
-         *
-         * @param index The index of the element to return.
-         * @return The counts at the given index.
-         */
-        public long getCounts(int index) {
-            return counts_.getLong(index);
-        }
-
-        /**
-         *
-         *
-         * <pre>
-         * How often each expert was chosen since the engine started, set by set.
-         * </pre>
-         *
-         * <code>repeated uint64 counts = 3;</code>
-         *
-         * @param index The index to set the value at.
-         * @param value The counts to set.
-         * @return This builder for chaining.
-         */
-        public Builder setCounts(int index, long value) {
-
-            ensureCountsIsMutable();
-            counts_.setLong(index, value);
-            bitField0_ |= 0x00000004;
-            onChanged();
-            return this;
-        }
-
-        /**
-         *
-         *
-         * <pre>
-         * How often each expert was chosen since the engine started, set by set.
-         * </pre>
-         *
-         * <code>repeated uint64 counts = 3;</code>
-         *
-         * @param value The counts to add.
-         * @return This builder for chaining.
-         */
-        public Builder addCounts(long value) {
-
-            ensureCountsIsMutable();
-            counts_.addLong(value);
-            bitField0_ |= 0x00000004;
-            onChanged();
-            return this;
-        }
-
-        /**
-         *
-         *
-         * <pre>
-         * How often each expert was chosen since the engine started, set by set.
-         * </pre>
-         *
-         * <code>repeated uint64 counts = 3;</code>
-         *
-         * @param values The counts to add.
-         * @return This builder for chaining.
-         */
-        public Builder addAllCounts(java.lang.Iterable<? extends java.lang.Long> values) {
-            ensureCountsIsMutable();
-            com.google.protobuf.AbstractMessageLite.Builder.addAll(values, counts_);
-            bitField0_ |= 0x00000004;
-            onChanged();
-            return this;
-        }
-
-        /**
-         *
-         *
-         * <pre>
-         * How often each expert was chosen since the engine started, set by set.
-         * </pre>
-         *
-         * <code>repeated uint64 counts = 3;</code>
-         *
-         * @return This builder for chaining.
-         */
-        public Builder clearCounts() {
-            counts_ = emptyLongList();
-            bitField0_ = (bitField0_ & ~0x00000004);
-            onChanged();
-            return this;
-        }
-
         private java.util.List<io.pollenpath.protocol.wire.ExpertList> experts_ =
                 java.util.Collections.emptyList();
 
         private void ensureExpertsIsMutable() {
-            if (!((bitField0_ & 0x00000008) != 0)) {
+            if (!((bitField0_ & 0x00000004) != 0)) {
                 experts_ =
                         new java.util.ArrayList<io.pollenpath.protocol.wire.ExpertList>(experts_);
-                bitField0_ |= 0x00000008;
+                bitField0_ |= 0x00000004;
             }
         }
 
@@ -1455,7 +1353,7 @@
         public Builder clearExperts() {
             if (expertsBuilder_ == null) {
                 experts_ = java.util.Collections.emptyList();
-                bitField0_ = (bitField0_ & ~0x00000008);
+                bitField0_ = (bitField0_ & ~0x00000004);
                 onChanged();
             } else {
                 expertsBuilder_.clear();
@@ -1585,7 +1483,7 @@
                                 io.pollenpath.protocol.wire.ExpertList.Builder,
                                 io.pollenpath.protocol.wire.ExpertListOrBuilder>(
                                 experts_,
-                                ((bitField0_ & 0x00000008) != 0),
+                                ((bitField0_ & 0x00000004) != 0),
                                 getParentForChildren(),
                                 isClean());
                 experts_ = null;
@@ -1626,7 +1524,7 @@
         public Builder setLeaderToken(long value) {
 
             leaderToken_ = value;
-            bitField0_ |= 0x00000010;
+            bitField0_ |= 0x00000008;
             onChanged();
             return this;
         }
@@ -1643,7 +1541,7 @@
          * @return This builder for chaining.
          */
         public Builder clearLeaderToken() {
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000008);
             leaderToken_ = 0L;
             onChanged();
             return this;
@@ -1670,7 +1568,7 @@
         public Builder setLeaderHeardMs(long value) {
 
             leaderHeardMs_ = value;
-            bitField0_ |= 0x00000020;
+            bitField0_ |= 0x00000010;
             onChanged();
             return this;
         }
@@ -1681,12 +1579,187 @@
          * @return This builder for chaining.
          */
         public Builder clearLeaderHeardMs() {
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000010);
             leaderHeardMs_ = 0L;
             onChanged();
             return this;
         }
 
+        private com.google.protobuf.Internal.IntList chosen_ = emptyIntList();
+
+        private void ensureChosenIsMutable() {
+            if (!chosen_.isModifiable()) {
+                chosen_ = makeMutableCopy(chosen_);
+            }
+            bitField0_ |= 0x00000020;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the question before, set by set, in units of count_unit.
+         * </pre>
+         *
+         * <code>repeated uint32 chosen = 7;</code>
+         *
+         * @return A list containing the chosen.
+         */
+        public java.util.List<java.lang.Integer> getChosenList() {
+            chosen_.makeImmutable();
+            return chosen_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the question before, set by set, in units of count_unit.
+         * </pre>
+         *
+         * <code>repeated uint32 chosen = 7;</code>
+         *
+         * @return The count of chosen.
+         */
+        public int getChosenCount() {
+            return chosen_.size();
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the question before, set by set, in units of count_unit.
+         * </pre>
+         *
+         * <code>repeated uint32 chosen = 7;</code>
+         *
+         * @param index The index of the element to return.
+         * @return The chosen at the given index.
+         */
+        public int getChosen(int index) {
+            return chosen_.getInt(index);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the question before, set by set, in units of count_unit.
+         * </pre>
+         *
+         * <code>repeated uint32 chosen = 7;</code>
+         *
+         * @param index The index to set the value at.
+         * @param value The chosen to set.
+         * @return This builder for chaining.
+         */
+        public Builder setChosen(int index, int value) {
+
+            ensureChosenIsMutable();
+            chosen_.setInt(index, value);
+            bitField0_ |= 0x00000020;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the question before, set by set, in units of count_unit.
+         * </pre>
+         *
+         * <code>repeated uint32 chosen = 7;</code>
+         *
+         * @param value The chosen to add.
+         * @return This builder for chaining.
+         */
+        public Builder addChosen(int value) {
+
+            ensureChosenIsMutable();
+            chosen_.addInt(value);
+            bitField0_ |= 0x00000020;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the question before, set by set, in units of count_unit.
+         * </pre>
+         *
+         * <code>repeated uint32 chosen = 7;</code>
+         *
+         * @param values The chosen to add.
+         * @return This builder for chaining.
+         */
+        public Builder addAllChosen(java.lang.Iterable<? extends java.lang.Integer> values) {
+            ensureChosenIsMutable();
+            com.google.protobuf.AbstractMessageLite.Builder.addAll(values, chosen_);
+            bitField0_ |= 0x00000020;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How often each expert was chosen since the question before, set by set, in units of count_unit.
+         * </pre>
+         *
+         * <code>repeated uint32 chosen = 7;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearChosen() {
+            chosen_ = emptyIntList();
+            bitField0_ = (bitField0_ & ~0x00000020);
+            onChanged();
+            return this;
+        }
+
+        private long countUnit_;
+
+        /**
+         * <code>uint64 count_unit = 8;</code>
+         *
+         * @return The countUnit.
+         */
+        @java.lang.Override
+        public long getCountUnit() {
+            return countUnit_;
+        }
+
+        /**
+         * <code>uint64 count_unit = 8;</code>
+         *
+         * @param value The countUnit to set.
+         * @return This builder for chaining.
+         */
+        public Builder setCountUnit(long value) {
+
+            countUnit_ = value;
+            bitField0_ |= 0x00000040;
+            onChanged();
+            return this;
+        }
+
+        /**
+         * <code>uint64 count_unit = 8;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearCountUnit() {
+            bitField0_ = (bitField0_ & ~0x00000040);
+            countUnit_ = 0L;
+            onChanged();
+            return this;
+        }
+
         // @@protoc_insertion_point(builder_scope:pollenpath.group.RankReply)
     }
 
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankReplyOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankReplyOrBuilder.java
@@ -66,41 +66,34 @@
      *
      *
      * <pre>
-     * How often each expert was chosen since the engine started, set by set.
+     * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
-     * <code>repeated uint64 counts = 3;</code>
-     *
-     * @return A list containing the counts.
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    java.util.List<java.lang.Long> getCountsList();
+    java.util.List<io.pollenpath.protocol.wire.ExpertList> getExpertsList();
 
     /**
      *
      *
      * <pre>
-     * How often each expert was chosen since the engine started, set by set.
+     * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
-     * <code>repeated uint64 counts = 3;</code>
-     *
-     * @return The count of counts.
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    int getCountsCount();
+    io.pollenpath.protocol.wire.ExpertList getExperts(int index);
 
     /**
      *
      *
      * <pre>
-     * How often each expert was chosen since the engine started, set by set.
+     * The experts that the rank holds for the map in use, one list a set.
      * </pre>
      *
-     * <code>repeated uint64 counts = 3;</code>
-     *
-     * @param index The index of the element to return.
-     * @return The counts at the given index.
+     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    long getCounts(int index);
+    int getExpertsCount();
 
     /**
      *
@@ -111,7 +104,8 @@
      *
      * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    java.util.List<io.pollenpath.protocol.wire.ExpertList> getExpertsList();
+    java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
+            getExpertsOrBuilderList();
 
     /**
      *
@@ -122,59 +116,72 @@
      *
      * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
      */
-    io.pollenpath.protocol.wire.ExpertList getExperts(int index);
+    io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(int index);
 
     /**
      *
      *
      * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
+     * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
      * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     * <code>int64 leader_token = 5;</code>
+     *
+     * @return The leaderToken.
      */
-    int getExpertsCount();
+    long getLeaderToken();
+
+    /**
+     * <code>int64 leader_heard_ms = 6;</code>
+     *
+     * @return The leaderHeardMs.
+     */
+    long getLeaderHeardMs();
 
     /**
      *
      *
      * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
+     * How often each expert was chosen since the question before, set by set, in units of count_unit.
      * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     * <code>repeated uint32 chosen = 7;</code>
+     *
+     * @return A list containing the chosen.
      */
-    java.util.List<? extends io.pollenpath.protocol.wire.ExpertListOrBuilder>
-            getExpertsOrBuilderList();
+    java.util.List<java.lang.Integer> getChosenList();
 
     /**
      *
      *
      * <pre>
-     * The experts that the rank holds for the map in use, one list a set.
+     * How often each expert was chosen since the question before, set by set, in units of count_unit.
      * </pre>
      *
-     * <code>repeated .pollenpath.group.ExpertList experts = 4;</code>
+     * <code>repeated uint32 chosen = 7;</code>
+     *
+     * @return The count of chosen.
      */
-    io.pollenpath.protocol.wire.ExpertListOrBuilder getExpertsOrBuilder(int index);
+    int getChosenCount();
 
     /**
      *
      *
      * <pre>
-     * Highest token of a leader that this agent has heard, and how long ago, in milliseconds; -1 for never.
+     * How often each expert was chosen since the question before, set by set, in units of count_unit.
      * </pre>
      *
-     * <code>int64 leader_token = 5;</code>
+     * <code>repeated uint32 chosen = 7;</code>
      *
-     * @return The leaderToken.
+     * @param index The index of the element to return.
+     * @return The chosen at the given index.
      */
-    long getLeaderToken();
+    int getChosen(int index);
 
     /**
-     * <code>int64 leader_heard_ms = 6;</code>
+     * <code>uint64 count_unit = 8;</code>
      *
-     * @return The leaderHeardMs.
+     * @return The countUnit.
      */
-    long getLeaderHeardMs();
+    long getCountUnit();
 }
