Gather changes of the servers and of the agents' directory between calls to the store

Change: KindWatch may wait after a change before it asks for the next ones: 0.2 s for servers, 1 s for agents, not at all for the configuration. The first change after a while is still told at once.

--- a/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
@@ -28,6 +28,7 @@
     private final StoreClient store;
     private final String kind;
     private final long waitMs;
+    private final long gatherMs;
     private final Listener listener;
     private final ScheduledExecutorService control;
     private final Map<String, StoredObject> objects = new HashMap<>();
@@ -58,6 +59,8 @@
      * @param store the store
      * @param kind the kind
      * @param waitMs how long the store holds a call without changes, in milliseconds
+     * @param gatherMs how long after a change the store is asked for the next ones, in
+     *     milliseconds, so that many changes at a time make few calls
      * @param control the thread that owns the state
      * @param listener takes what is learnt
      */
@@ -65,11 +68,13 @@
             StoreClient store,
             String kind,
             long waitMs,
+            long gatherMs,
             ScheduledExecutorService control,
             Listener listener) {
         this.store = store;
         this.kind = kind;
         this.waitMs = waitMs;
+        this.gatherMs = gatherMs;
         this.control = control;
         this.listener = listener;
     }
@@ -148,7 +153,11 @@
         }
         revision = Math.max(revision, answer.path("CurrentRev").asLong(revision));
         onContact(changed);
-        watch();
+        if (changed && gatherMs > 0) {
+            control.schedule(this::watch, gatherMs, TimeUnit.MILLISECONDS);
+        } else {
+            watch();
+        }
     }
 
     private boolean apply(JsonNode event) {
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -29,11 +29,15 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PlatformSide.class);
     private static final long WATCH_WAIT_MS = 20_000;
+
+    /** Agents start at the same time, and each one announces itself to all others. */
+    private static final long WATCH_GATHER_MS = 1_000;
+
     private static final long LEAD_END_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long STOP_CHECK_MS = 20;
     private static final long STORE_TIMEOUT_MS = 1_000;
     private static final long SHAPE_PERIOD_MS = 60_000;
-    private static final long SHAPE_RETRY_MS = 500;
+    private static final long SHAPE_RETRY_MS = 1_500;
 
     private final PlatformSettings settings;
     private final NettyLoops loops = new NettyLoops(1);
@@ -101,7 +105,14 @@
 
     private void follow(StoreClient store) {
         readShape(store);
-        new KindWatch(store, StoreKinds.AGENTS, WATCH_WAIT_MS, control, this::onAgents).start();
+        new KindWatch(
+                        store,
+                        StoreKinds.AGENTS,
+                        WATCH_WAIT_MS,
+                        WATCH_GATHER_MS,
+                        control,
+                        this::onAgents)
+                .start();
     }
 
     private void onAgents(Map<String, StoredObject> objects, long awayMs) {
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformView.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformView.java
@@ -21,6 +21,9 @@
     private static final long GRACE_CHECK_MS = 2_100;
     private static final long SLOW_WAIT_MS = 20_000;
 
+    /** Many servers may start or leave at the same time. */
+    private static final long SERVERS_GATHER_MS = 200;
+
     private final Consumer<ServingView> publish;
     private final ServerEntries entries = new ServerEntries();
     private final ServerRoster roster = new ServerRoster();
@@ -39,10 +42,21 @@
         long waitMs = Math.min(MAX_WAIT_MS, bounds.stableWindowMs() / 2);
         watches =
                 List.of(
-                        new KindWatch(store, StoreKinds.CONFIG, waitMs, control, this::onConfig),
-                        new KindWatch(store, StoreKinds.SERVERS, waitMs, control, this::onServers),
+                        new KindWatch(store, StoreKinds.CONFIG, waitMs, 0, control, this::onConfig),
+                        new KindWatch(
+                                store,
+                                StoreKinds.SERVERS,
+                                waitMs,
+                                SERVERS_GATHER_MS,
+                                control,
+                                this::onServers),
                         new KindWatch(
-                                store, StoreKinds.ENTRIES, SLOW_WAIT_MS, control, this::onEntries));
+                                store,
+                                StoreKinds.ENTRIES,
+                                SLOW_WAIT_MS,
+                                0,
+                                control,
+                                this::onEntries));
     }
 
     void start() {
--- a/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
@@ -38,17 +38,21 @@
 
     @BeforeEach
     void start() {
+        watch = create(0);
+    }
+
+    private KindWatch create(long gatherMs) {
         StoreClient client = new StoreClient(http, new HttpAddress("127.0.0.1", store.port()));
-        watch =
-                new KindWatch(
-                        client,
-                        KIND,
-                        WAIT_MS,
-                        control,
-                        (objects, awayMs) -> {
-                            seen = new TreeSet<>(objects.keySet());
-                            longestAwayMs.accumulateAndGet(awayMs, Math::max);
-                        });
+        return new KindWatch(
+                client,
+                KIND,
+                WAIT_MS,
+                gatherMs,
+                control,
+                (objects, awayMs) -> {
+                    seen = new TreeSet<>(objects.keySet());
+                    longestAwayMs.accumulateAndGet(awayMs, Math::max);
+                });
     }
 
     @AfterEach
@@ -126,4 +130,19 @@
         store.setFault(StoreFault.NONE);
         awaitSeen("a");
     }
+
+    @Test
+    void changesThatComeInARowMakeFewCalls() throws InterruptedException {
+        watch = create(2 * WAIT_MS);
+        watch.start();
+        put("a");
+        awaitSeen("a");
+        long before = store.calls();
+        for (String name : new String[] {"b", "c", "d", "e", "f", "g"}) {
+            put(name);
+            Thread.sleep(WAIT_MS / 10);
+        }
+        awaitSeen("a", "b", "c", "d", "e", "f", "g");
+        assertThat(store.calls() - before).isAtMost(2);
+    }
 }
