--- a/pollenpath/src/main/java/io/pollenpath/cli/OperatorCommands.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/OperatorCommands.java
@@ -1,5 +1,6 @@
 package io.pollenpath.cli;
 
+import io.pollenpath.cli.explain.ExplainCommand;
 import io.pollenpath.protocol.DeclarationRules;
 import io.pollenpath.protocol.ObjectApiException;
 import io.pollenpath.transport.HttpAddress;
@@ -11,8 +12,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CompletionException;
 
 /** Runs the operators' commands: connects, acts, and turns failures into exit codes. */
@@ -77,6 +80,19 @@
                 });
     }
 
+    static int explain(ExplainSettings settings) {
+        List<String> files = settings.arguments.subList(1, settings.arguments.size());
+        try {
+            boolean known =
+                    new ExplainCommand(System.in, System.out)
+                            .explain(settings.arguments.get(0), files);
+            return known ? ExitCodes.OK : ExitCodes.FAILED;
+        } catch (IOException | UncheckedIOException e) {
+            System.err.println("error: a log can't be read: " + e + "; name text files");
+            return ExitCodes.FAILED;
+        }
+    }
+
     static int hashKey(BaseSettings settings) {
         try {
             BufferedReader input =
--- a/pollenpath/src/main/java/io/pollenpath/cli/Subcommands.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/Subcommands.java
@@ -52,6 +52,11 @@
                         "Take a backend server back into use",
                         DrainSettings::new,
                         settings -> OperatorCommands.setDrained(settings, false)),
+                new Subcommand<>(
+                        "explain",
+                        "Print the story of one request from the logs of all processes",
+                        ExplainSettings::new,
+                        OperatorCommands::explain),
                 new Subcommand<>(
                         "hash-key",
                         "Read a customer's key from standard input and print its digest",
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/cli/explain/RequestStory.java
@@ -0,0 +1,126 @@
+package io.pollenpath.cli.explain;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Puts together what the logs say of one request: its own lines in order of time, what the process
+ * that ended it believed then, and what is missing.
+ */
+final class RequestStory {
+
+    private static final String REQUEST = "request";
+    private static final String TRACE = "trace";
+    private static final String DROPPED = "log_lines_dropped";
+
+    /** One of these ends each request. */
+    private static final Set<String> ENDS =
+            Set.of(
+                    "request_done",
+                    "request_refused",
+                    "request_rejected",
+                    "request_ended",
+                    "resumption_ended");
+
+    /** What a process believes changes with these. */
+    private static final Set<String> BELIEFS =
+            Set.of(
+                    "config_in_force",
+                    "config_skipped",
+                    "servers_changed",
+                    "store_lost",
+                    "store_regained",
+                    "settings_kept",
+                    "settings_reloaded",
+                    "started",
+                    "stopping");
+
+    private final String requestId;
+    private final List<LoggedEvent> events;
+
+    /**
+     * Creates the story of a request.
+     *
+     * @param requestId the id of the request
+     * @param events all lines of all processes, in any order
+     */
+    RequestStory(String requestId, List<LoggedEvent> events) {
+        this.requestId = requestId;
+        this.events = events.stream().sorted(Comparator.comparing(LoggedEvent::time)).toList();
+    }
+
+    /** Tells whether any line names the request. */
+    boolean isKnown() {
+        return !own().isEmpty();
+    }
+
+    /** Returns the story, a line of text for each step. */
+    List<String> lines() {
+        List<LoggedEvent> own = own();
+        List<String> lines = new ArrayList<>();
+        if (own.isEmpty()) {
+            lines.add(
+                    "missing: no line names the request; it never reached these processes, or"
+                            + " their log levels leave it out, or their logs are not among the"
+                            + " files");
+        } else {
+            LoggedEvent last = own.get(own.size() - 1);
+            beliefs(last).forEach(event -> lines.add("believed " + show(event)));
+            own.forEach(event -> lines.add("request  " + show(event)));
+            if (own.stream().noneMatch(event -> ENDS.contains(event.event()))) {
+                lines.add(
+                        "missing: no line tells how the request ended; the process may have been"
+                                + " killed or still be at work");
+            }
+        }
+        dropped(own).forEach(event -> lines.add("missing: lines were dropped " + show(event)));
+        return lines;
+    }
+
+    private List<LoggedEvent> own() {
+        Set<String> traces = new HashSet<>();
+        events.stream()
+                .filter(event -> event.field(REQUEST).equals(requestId))
+                .map(event -> event.field(TRACE))
+                .filter(trace -> !trace.isEmpty())
+                .forEach(traces::add);
+        return events.stream()
+                .filter(
+                        event ->
+                                event.field(REQUEST).equals(requestId)
+                                        || traces.contains(event.field(TRACE)))
+                .toList();
+    }
+
+    /** Returns the newest belief of each kind that the process had at the end of the request. */
+    private List<LoggedEvent> beliefs(LoggedEvent last) {
+        Map<String, LoggedEvent> newest = new LinkedHashMap<>();
+        for (LoggedEvent event : events) {
+            boolean before = event.time().compareTo(last.time()) <= 0;
+            if (before
+                    && event.process().equals(last.process())
+                    && BELIEFS.contains(event.event())) {
+                newest.put(event.event(), event);
+            }
+        }
+        return newest.values().stream().sorted(Comparator.comparing(LoggedEvent::time)).toList();
+    }
+
+    private List<LoggedEvent> dropped(List<LoggedEvent> own) {
+        Set<String> processes = new HashSet<>();
+        own.forEach(event -> processes.add(event.process()));
+        return events.stream()
+                .filter(event -> event.event().equals(DROPPED))
+                .filter(event -> processes.isEmpty() || processes.contains(event.process()))
+                .toList();
+    }
+
+    private static String show(LoggedEvent event) {
+        return event.time() + " " + event.process() + " " + event.text();
+    }
+}
