--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
@@ -57,6 +57,13 @@
         return placement.mostLoad();
     }
 
+    /** Returns how many experts each rank fetches, for the other sets of layers as well. */
+    int[] allFetches() {
+        int[] fetches = new int[placement.ranks()];
+        Arrays.setAll(fetches, placement::allFetches);
+        return fetches;
+    }
+
     /** Improves the placement until nothing more is won. */
     List<List<Integer>> improve() {
         for (int step = 0; step < MAX_STEPS && mostLoad() > EVEN_ENOUGH; step++) {
@@ -118,13 +125,6 @@
         return waiting;
     }
 
-    /** Returns how many experts each rank fetches, for the other sets of layers as well. */
-    int[] allFetches() {
-        int[] fetches = new int[placement.ranks()];
-        Arrays.setAll(fetches, placement::allFetches);
-        return fetches;
-    }
-
     private double sumNorms() {
         double sum = 0;
         for (int rank = 0; rank < norms.length; rank++) {
