--- a/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.standin.platform.PlatformFixtures;
 import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.state.serving.Repeatability;
 import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
@@ -186,9 +187,33 @@
         assertThat(settings.bounds().graceMs()).isEqualTo(8_000);
         assertThat(settings.callerAddress().orElseThrow().port()).isEqualTo(8227);
         assertThat(settings.engineAddress()).isEmpty();
+        assertThat(settings.capacity().cores()).isEqualTo(1);
         Files.writeString(file, "Zone: \"zone-a\"\n");
         IllegalArgumentException fault =
                 assertThrows(IllegalArgumentException.class, () -> SettingsFile.read(file));
         assertThat(fault).hasMessageThat().contains("Node");
     }
+
+    @Test
+    void theCapacityOfTheVmComesFromTheSettingsFile(@TempDir Path folder) throws IOException {
+        String text =
+                """
+                Node: "side-1"
+                Zone: "zone-a"
+                Ip: "127.0.0.1"
+                Limits:
+                  CpuShare: %s
+                  LinkMbps: 14.0
+                Platform:
+                  Address: "127.0.0.1:8223"
+                """;
+        Path file = Files.writeString(folder.resolve("node.yaml"), text.formatted("0.45"));
+        VmCapacity capacity = SettingsFile.read(file).capacity();
+        assertThat(capacity.cores()).isEqualTo(0.45);
+        assertThat(capacity.linkBytesPerS()).isEqualTo(1_750_000);
+        Files.writeString(file, text.formatted("0"));
+        IllegalArgumentException fault =
+                assertThrows(IllegalArgumentException.class, () -> SettingsFile.read(file));
+        assertThat(fault).hasMessageThat().contains("declare figures above 0");
+    }
 }
