Send to a server whose address another one has taken only where none else has room

Logs of the entries, explained request by request: from 36.5 to 37.4 s each entry knew 34 servers, 18 that had just registered and 16 old entries at the same addresses that had not lapsed yet. 62 sends went to old ones and got "address has another server" (421); 16 of these requests had spent their sends and were refused.

Change: ServingView marks servers at whose address another one registered later, by the store's revision at which the entry was made. Placement counts four full servers for a mark, so a living server that is marked by mistake still serves where the others are full. A server whose address has another one is avoided like one whose connection broke.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/Placement.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/Placement.java
@@ -9,13 +9,17 @@
 
 /**
  * Chooses the backend server of a request: the one with the fewest own requests for its slots, with
- * a penalty for recent failures and for another availability zone.
+ * a penalty for recent failures, for an address that another server has taken, and for another
+ * availability zone.
  */
 public final class Placement {
 
     /** What a server that fails every request counts, in full servers. */
     static final double FAILURE_PENALTY = 3.0;
 
+    /** What an outdated server counts, in full servers: it gets work only where none else can. */
+    static final double OUTDATED_PENALTY = 4.0;
+
     /** Decides between servers of equal load, in full servers. */
     static final double OTHER_ZONE_PENALTY = 0.01;
 
@@ -39,6 +43,7 @@
      * Chooses among servers.
      *
      * @param servers the servers of the service, not null
+     * @param outdated the identities of servers whose address another one has taken, not null
      * @param records what is known of each server, by identity, not null
      * @param tried the identities of servers that had the request before, not null
      * @param room whether only servers with a free slot count
@@ -47,6 +52,7 @@
      */
     public Optional<ServerInstance> choose(
             List<ServerInstance> servers,
+            Set<String> outdated,
             Function<String, ServerTrackRecord> records,
             Set<String> tried,
             boolean room,
@@ -63,6 +69,7 @@
                 continue;
             }
             double score = score(server, record);
+            score += outdated.contains(server.id()) ? OUTDATED_PENALTY : 0;
             if (score < bestScore) {
                 best = server;
                 bestScore = score;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerRoster.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerRoster.java
@@ -69,19 +69,15 @@
         kept.keySet().removeAll(listed.keySet());
         List<ServerInstance> all = new ArrayList<>(listed.values());
         Set<String> addresses = new HashSet<>();
-        all.forEach(server -> addresses.add(addressOf(server)));
+        all.forEach(server -> addresses.add(server.address()));
         for (ServerInstance server : kept.values()) {
-            if (!addresses.contains(addressOf(server))) {
+            if (!addresses.contains(server.address())) {
                 all.add(server);
             }
         }
         return all;
     }
 
-    private static String addressOf(ServerInstance server) {
-        return server.host() + ":" + server.port();
-    }
-
     /**
      * Tells whether servers are kept that the store does not list.
      *
--- a/pollenpath/src/main/java/io/pollenpath/platform/ServerEntries.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ServerEntries.java
@@ -49,6 +49,7 @@
         return new ServerInstance(
                 object.name(),
                 entry.path("born").asLong(0),
+                object.createdRevision(),
                 text(entry, "Service"),
                 address.host(),
                 address.port(),
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoredObject.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoredObject.java
@@ -7,9 +7,10 @@
  *
  * @param name the name within its kind
  * @param revision the store's revision of its last change
+ * @param createdRevision the store's revision at which it was created; 0 if the store does not tell
  * @param spec what its owner wrote
  */
-record StoredObject(String name, long revision, JsonNode spec) {
+record StoredObject(String name, long revision, long createdRevision, JsonNode spec) {
 
     /** Decodes an object; fails with {@link IllegalArgumentException} if it has no name. */
     static StoredObject decode(JsonNode node) {
@@ -19,6 +20,9 @@
             throw new IllegalArgumentException("object of the store has no name; skip it");
         }
         return new StoredObject(
-                name.textValue(), metadata.path("Revision").asLong(0), node.path("Spec"));
+                name.textValue(),
+                metadata.path("Revision").asLong(0),
+                metadata.path("Created").asLong(0),
+                node.path("Spec"));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/state/serving/ServingView.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/serving/ServingView.java
@@ -14,22 +14,27 @@
  *
  * @param config the newest configuration; empty before the first one is known
  * @param servers the backend servers of each service, without those that are draining, not null
+ * @param outdated the identities of servers at whose address another one has registered later, so
+ *     that they are most likely gone though they are still listed, not null
  * @param serversKnown whether the list of servers was read at least once
  * @param liveEntries the entries that share budgets, this one among them, at least 1
  */
 public record ServingView(
         Optional<ServingConfig> config,
         Map<String, List<ServerInstance>> servers,
+        Set<String> outdated,
         boolean serversKnown,
         int liveEntries) {
 
     /** What a process believes when it starts. */
-    public static final ServingView EMPTY = new ServingView(Optional.empty(), Map.of(), false, 1);
+    public static final ServingView EMPTY =
+            new ServingView(Optional.empty(), Map.of(), Set.of(), false, 1);
 
     /** Checks the components. */
     public ServingView {
         Objects.requireNonNull(config, "config");
         servers = Map.copyOf(servers);
+        outdated = Set.copyOf(outdated);
         if (liveEntries < 1) {
             throw new IllegalArgumentException("liveEntries is " + liveEntries + "; set 1 or more");
         }
@@ -45,7 +50,7 @@
         boolean older = config.map(present -> newer.version() < present.version()).orElse(false);
         return older
                 ? this
-                : new ServingView(Optional.of(newer), servers, serversKnown, liveEntries);
+                : new ServingView(Optional.of(newer), servers, outdated, serversKnown, liveEntries);
     }
 
     /**
@@ -61,7 +66,21 @@
                 byService.computeIfAbsent(server.service(), name -> new ArrayList<>()).add(server);
             }
         }
-        return new ServingView(config, byService, true, liveEntries);
+        return new ServingView(config, byService, outdatedOf(all), true, liveEntries);
+    }
+
+    private static Set<String> outdatedOf(Iterable<ServerInstance> all) {
+        Map<String, Long> newestEntry = new HashMap<>();
+        for (ServerInstance server : all) {
+            newestEntry.merge(server.address(), server.entryRevision(), Math::max);
+        }
+        Set<String> outdated = new HashSet<>();
+        for (ServerInstance server : all) {
+            if (server.entryRevision() < newestEntry.get(server.address())) {
+                outdated.add(server.id());
+            }
+        }
+        return outdated;
     }
 
     /**
@@ -71,7 +90,7 @@
      * @return the changed view
      */
     public ServingView withLiveEntries(int entries) {
-        return new ServingView(config, servers, serversKnown, entries);
+        return new ServingView(config, servers, outdated, serversKnown, entries);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -118,7 +118,8 @@
             return false;
         }
         Optional<ServerInstance> server =
-                placement.choose(servers, this::record, request.tried(), !resend, nowNanos);
+                placement.choose(
+                        servers, now.outdated(), this::record, request.tried(), !resend, nowNanos);
         if (server.isEmpty()) {
             return false;
         }
@@ -192,10 +193,9 @@
             return;
         }
         ServerTrackRecord record = record(server.id());
-        if (outcome == SendOutcome.NOT_SENT || outcome == SendOutcome.UNKNOWN) {
-            record.onBreak(nowNanos);
-        } else {
-            record.onFailure();
+        switch (outcome) {
+            case NOT_SENT, UNKNOWN, OTHER_SERVER -> record.onBreak(nowNanos);
+            case NOT_RUN, RUN_AND_FAILED -> record.onFailure();
         }
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/PlacementTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/PlacementTest.java
@@ -25,7 +25,7 @@
     }
 
     private Optional<ServerInstance> choose(Set<String> tried, boolean room, long nowNanos) {
-        return placement.choose(BOTH, this::record, tried, room, nowNanos);
+        return placement.choose(BOTH, Set.of(), this::record, tried, room, nowNanos);
     }
 
     @Test
@@ -70,4 +70,14 @@
         record("far").onSent();
         assertThat(choose(Set.of(), true, 0)).hasValue(FAR);
     }
+
+    @Test
+    void usesAnOutdatedServerOnlyWhereNoOtherHasRoom() {
+        record("far").onSent();
+        Set<String> outdated = Set.of("near");
+        assertThat(placement.choose(BOTH, outdated, this::record, Set.of(), true, 0)).hasValue(FAR);
+        record("far").onSent();
+        assertThat(placement.choose(BOTH, outdated, this::record, Set.of(), true, 0))
+                .hasValue(NEAR);
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServerRosterTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServerRosterTest.java
@@ -11,11 +11,11 @@
 
     private static final ServerInstance ONE = ServingFixtures.server("one", "zone-a");
     private static final ServerInstance TWO =
-            new ServerInstance("two", 0, ServingFixtures.SERVICE, "127.0.0.1", 2, "z", 2, false);
+            new ServerInstance("two", 0, 0, ServingFixtures.SERVICE, "127.0.0.1", 2, "z", 2, false);
     private static final ServerInstance LEAVING =
-            new ServerInstance("two", 0, ServingFixtures.SERVICE, "127.0.0.1", 2, "z", 2, true);
+            new ServerInstance("two", 0, 0, ServingFixtures.SERVICE, "127.0.0.1", 2, "z", 2, true);
     private static final ServerInstance SUCCESSOR =
-            new ServerInstance("three", 0, "other", "127.0.0.1", 2, "z", 2, false);
+            new ServerInstance("three", 0, 0, "other", "127.0.0.1", 2, "z", 2, false);
     private static final long OUTAGE_MS = 5_000;
 
     private final ServerRoster roster = new ServerRoster();
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServingFixtures.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServingFixtures.java
@@ -52,6 +52,6 @@
 
     /** Returns a server of two slots. */
     public static ServerInstance server(String id, String zone) {
-        return new ServerInstance(id, 0, SERVICE, "127.0.0.1", 1, zone, 2, false);
+        return new ServerInstance(id, 0, 0, SERVICE, "127.0.0.1", 1, zone, 2, false);
     }
 }
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/state/serving/ServingViewTest.java
@@ -0,0 +1,57 @@
+package io.pollenpath.state.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ServingViewTest {
+
+    private static ServerInstance server(
+            String id, long entryRevision, int port, boolean draining) {
+        return new ServerInstance(
+                id, 0, entryRevision, "drafts", "10.0.0.1", port, "zone-a", 8, draining);
+    }
+
+    @Test
+    void theLastServerToRegisterAtAnAddressOutdatesTheOthers() {
+        ServingView view =
+                ServingView.EMPTY.withServers(
+                        List.of(
+                                server("old", 100, 80, false),
+                                server("new", 200, 80, false),
+                                server("elsewhere", 50, 81, false)));
+        assertThat(view.outdated()).containsExactly("old");
+        assertThat(view.serversOf("drafts")).hasSize(3);
+    }
+
+    @Test
+    void aDrainingServerOutdatesOthersToo() {
+        ServingView view =
+                ServingView.EMPTY.withServers(
+                        List.of(server("old", 100, 80, false), server("new", 200, 80, true)));
+        assertThat(view.outdated()).containsExactly("old");
+    }
+
+    @Test
+    void serversOfUnknownOrderOutdateNone() {
+        ServingView view =
+                ServingView.EMPTY.withServers(
+                        List.of(server("one", 0, 80, false), server("two", 0, 80, false)));
+        assertThat(view.outdated()).isEmpty();
+    }
+
+    /** All VMs lose power at the same time: each engine is back before its old entry has lapsed. */
+    @Test
+    void afterALossOfPowerEveryOldEntryIsOutdated() {
+        List<ServerInstance> all = new ArrayList<>();
+        for (int port = 1; port <= 16; port++) {
+            all.add(server("before-" + port, 1_000, port, false));
+            all.add(server("after-" + port, 3_000 + port, port, false));
+        }
+        ServingView view = ServingView.EMPTY.withServers(all);
+        assertThat(view.outdated()).hasSize(16);
+        assertThat(view.outdated().stream().allMatch(id -> id.startsWith("before"))).isTrue();
+    }
+}
--- a/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
@@ -39,7 +39,7 @@
     private static List<ServerInstance> decode(JsonNode... entries) {
         Map<String, StoredObject> objects = new HashMap<>();
         for (int i = 0; i < entries.length; i++) {
-            objects.put("i-" + i, new StoredObject("i-" + i, 1, entries[i]));
+            objects.put("i-" + i, new StoredObject("i-" + i, 9, 5, entries[i]));
         }
         return new ServerEntries().decode(objects);
     }
@@ -52,6 +52,7 @@
         assertThat(server.service()).isEqualTo("drafts");
         assertThat(server.port()).isEqualTo(8080);
         assertThat(server.incarnation()).isEqualTo(17);
+        assertThat(server.entryRevision()).isEqualTo(5);
         assertThat(server.draining()).isFalse();
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -123,7 +123,7 @@
     }
 
     private static ServerInstance instance(String id, PlatformEngineStandin engine) {
-        return new ServerInstance(id, 0, SERVICE, HOST, engine.port(), "zone-a", 8, false);
+        return new ServerInstance(id, 0, 0, SERVICE, HOST, engine.port(), "zone-a", 8, false);
     }
 
     private void addSecondEngine() {
