Plan also for ranks that hold more experts than they have slots

Cause: found by reading: LayerPlacement kept as many slots for a rank as a deployment allows, and a group whose first map deals out more would have made each plan fail (the new test got an index out of bounds).

Change: room for what a rank holds at first; a rank over its slots takes nothing new. No other plan changes.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerPlacement.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerPlacement.java
@@ -42,7 +42,8 @@
         int experts = demand.length;
         heldBefore = new boolean[ranks][experts];
         heldNow = new boolean[ranks][experts];
-        slots = new int[ranks][places];
+        int mostHeld = base.stream().mapToInt(List::size).max().orElse(0);
+        slots = new int[ranks][Math.max(places, mostHeld)];
         used = new int[ranks];
         fetches = new int[ranks];
         holders = new int[experts][ranks];
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/MapPlannerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/MapPlannerTest.java
@@ -151,6 +151,17 @@
         return fetches;
     }
 
+    @Test
+    void aRankThatHoldsMoreThanItsSlotsGivesExpertsAwayOnly() {
+        GroupShape shape = new GroupShape(1, 16, 3, 2, 0.85);
+        GroupMap map = dealt(1, 4, 16);
+        double[][] shares = zipf(1, 16, new Random(3));
+        MapPlanner.Plan plan = new MapPlanner(shape).plan(map, shares);
+        for (List<Integer> held : plan.map().layers().get(0)) {
+            assertThat(held.size()).isAtMost(4);
+        }
+    }
+
     /** The deployments' own sizes, and groups as large as the product is meant for. */
     @ParameterizedTest
     @CsvSource({"16, 64, 4, 5", "72, 144, 12, 3", "128, 256, 60, 3"})
