Let one pause and one base of the platform's roles serve

Roles, ControlThreads and three beds of the bench each had the same sleep: Pause.forMs replaces them. The two providers of roles differed only in the role: PlatformRoleProvider holds the rest. The settings file was parsed three times at start (check, name, start) and is now parsed once, when the flags are checked. No other behaviour changes.

--- a/bench/src/main/java/io/pollenpath/bench/TestBed.java
+++ b/bench/src/main/java/io/pollenpath/bench/TestBed.java
@@ -1,6 +1,7 @@
 package io.pollenpath.bench;
 
 import io.pollenpath.util.Digests;
+import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -174,7 +175,7 @@
             if (isReady(entry)) {
                 return;
             }
-            sleep();
+            Pause.forMs(POLL_MS);
         }
         throw new IOException("an entry is not ready: " + entry.lines());
     }
@@ -188,14 +189,6 @@
         }
     }
 
-    private static void sleep() {
-        try {
-            Thread.sleep(POLL_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /**
      * Returns the client of this bed.
      *
--- a/bench/src/main/java/io/pollenpath/bench/prove/AnswerBed.java
+++ b/bench/src/main/java/io/pollenpath/bench/prove/AnswerBed.java
@@ -22,6 +22,7 @@
 import io.pollenpath.transport.side.SideProcess;
 import io.pollenpath.util.Digests;
 import io.pollenpath.util.Json;
+import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -137,15 +138,7 @@
             if (i == READY_TRIES) {
                 throw new IOException("an entry found no side process");
             }
-            pause(5);
-        }
-    }
-
-    static void pause(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            Pause.forMs(5);
         }
     }
 
--- a/bench/src/main/java/io/pollenpath/bench/prove/KeyedRequestBed.java
+++ b/bench/src/main/java/io/pollenpath/bench/prove/KeyedRequestBed.java
@@ -6,6 +6,7 @@
 import io.pollenpath.bench.TestBed;
 import io.pollenpath.transport.HttpReply;
 import io.pollenpath.util.Json;
+import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -75,7 +76,7 @@
                     return bed.sides().get(engine);
                 }
             }
-            pause(POLL_MS);
+            Pause.forMs(POLL_MS);
         }
         throw new IOException("no engine runs the request");
     }
@@ -117,12 +118,4 @@
     static int unless(boolean expected) {
         return expected ? 0 : 1;
     }
-
-    static void pause(long pauseMs) {
-        try {
-            Thread.sleep(pauseMs);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/bench/src/main/java/io/pollenpath/bench/prove/RunProcessProofs.java
+++ b/bench/src/main/java/io/pollenpath/bench/prove/RunProcessProofs.java
@@ -4,6 +4,7 @@
 import io.pollenpath.bench.Signals;
 import io.pollenpath.bench.TestBed;
 import io.pollenpath.transport.HttpReply;
+import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
@@ -56,7 +57,7 @@
         ChildProcess side = bed.runningSide();
         Signals.freeze(side);
         CompletableFuture<HttpReply> retry = bed.send(1);
-        KeyedRequestBed.pause(PAUSE_MS);
+        Pause.forMs(PAUSE_MS);
         Signals.resume(side);
         HttpReply answer = retry.join();
         return bed.violations(first.join(), answer)
@@ -70,7 +71,7 @@
         }
         CompletableFuture<HttpReply> first = bed.send(0);
         CompletableFuture<HttpReply> retry = bed.send(1);
-        KeyedRequestBed.pause(PAUSE_MS);
+        Pause.forMs(PAUSE_MS);
         for (ChildProcess side : sides) {
             Signals.resume(side);
         }
--- a/bench/src/main/java/io/pollenpath/bench/prove/WholeAnswerCases.java
+++ b/bench/src/main/java/io/pollenpath/bench/prove/WholeAnswerCases.java
@@ -2,6 +2,7 @@
 
 import io.pollenpath.transport.entry.DeliveryLimits;
 import io.pollenpath.transport.side.AnswerLimits;
+import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -104,7 +105,7 @@
         for (int i = 0; i < bodies.size(); i++) {
             StreamCaller caller = callers.get(i);
             while (caller.await() == STATUS_UNAVAILABLE && caller.tail().contains(NOT_RUN)) {
-                AnswerBed.pause(RETRY_MS);
+                Pause.forMs(RETRY_MS);
                 caller = new StreamCaller(0);
                 caller.send(bed.client(), bed.post(i % 2, bodies.get(i), Map.of()));
             }
@@ -183,10 +184,10 @@
             StreamCaller caller = new StreamCaller(0);
             caller.send(bed.client(), bed.post(0, body, Map.of()));
             while (caller.eventCount() == 0) {
-                AnswerBed.pause(1);
+                Pause.forMs(1);
             }
             caller.setReading(false);
-            AnswerBed.pause(SLOW_READER_MS);
+            Pause.forMs(SLOW_READER_MS);
             long unreadBytes = backend.emittedBytes() - caller.byteCount();
             boolean bounded = unreadBytes < KERNEL_BUFFER_BYTES && backend.pauses() > 0;
             caller.setReading(true);
@@ -201,7 +202,7 @@
             StreamCaller caller = new StreamCaller(0);
             caller.send(bed.client(), bed.post(0, body, Map.of()));
             while (caller.eventCount() == 0) {
-                AnswerBed.pause(1);
+                Pause.forMs(1);
             }
             bed.closeSides();
             int status = caller.await();
--- a/bench/src/main/java/io/pollenpath/bench/prove/WholeAnswerProcessCases.java
+++ b/bench/src/main/java/io/pollenpath/bench/prove/WholeAnswerProcessCases.java
@@ -6,6 +6,7 @@
 import io.pollenpath.transport.HttpAddress;
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.NettyLoops;
+import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -86,7 +87,7 @@
 
         private static void awaitEvents(StreamCaller caller, int count) {
             while (caller.eventCount() < count) {
-                AnswerBed.pause(POLL_MS);
+                Pause.forMs(POLL_MS);
             }
         }
 
@@ -110,7 +111,7 @@
             StreamCaller caller = sendToEntry(0);
             awaitEvents(caller, 1 + random.nextInt(TOKENS / 2));
             caller.setReading(false);
-            AnswerBed.pause(SLOW_READER_MS);
+            Pause.forMs(SLOW_READER_MS);
             caller.setReading(true);
             boolean whole = caller.await() == STATUS_OK;
             return (whole ? 0 : 1) + differences(caller.events());
--- a/pollenpath/src/main/java/io/pollenpath/cli/EntryRole.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/EntryRole.java
@@ -21,6 +21,7 @@
 import io.pollenpath.transport.entry.ObjectApiRunGuard;
 import io.pollenpath.transport.entry.RunGuard;
 import io.pollenpath.util.LogLine;
+import io.pollenpath.util.Pause;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -116,7 +117,7 @@
             if (System.nanoTime() - endNanos >= 0) {
                 return false;
             }
-            Roles.sleep(POLL_MS);
+            Pause.forMs(POLL_MS);
         }
         return true;
     }
--- a/pollenpath/src/main/java/io/pollenpath/cli/Roles.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/Roles.java
@@ -68,12 +68,4 @@
         // Halt, because a process that ends by a signal would report 143 after a clean stop.
         Runtime.getRuntime().halt(whole ? ExitCodes.OK : ExitCodes.GRACE_EXCEEDED);
     }
-
-    static void sleep(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/ControlThreads.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ControlThreads.java
@@ -17,13 +17,4 @@
                     return thread;
                 });
     }
-
-    /** Lets the calling thread sleep; an interrupt ends the sleep and stays noted. */
-    static void sleepMs(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -19,6 +19,7 @@
 import io.pollenpath.transport.serving.GatewaySettings;
 import io.pollenpath.util.Json;
 import io.pollenpath.util.LogLine;
+import io.pollenpath.util.Pause;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -138,9 +139,9 @@
         gateway.refuseNew();
         long lastMs = Math.max(LEAVE_BALANCER_MS, settings.bounds().graceMs() - EXIT_RESERVE_MS);
         while (gateway.open() > 0 && elapsedMs(startNanos) < lastMs) {
-            ControlThreads.sleepMs(POLL_MS);
+            Pause.forMs(POLL_MS);
         }
-        ControlThreads.sleepMs(POLL_MS);
+        Pause.forMs(POLL_MS);
         return gateway.open() == 0;
     }
 
@@ -149,6 +150,6 @@
     }
 
     private static void sleepUntil(long startNanos, long untilMs) {
-        ControlThreads.sleepMs(Math.max(0, untilMs - elapsedMs(startNanos)));
+        Pause.forMs(Math.max(0, untilMs - elapsedMs(startNanos)));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformFlags.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformFlags.java
@@ -17,14 +17,16 @@
             required = true)
     String settingsFile = "";
 
-    /** Reads the settings file that filled flags name. */
-    static PlatformSettings read(BaseSettings settings) {
-        return SettingsFile.read(fileOf(settings));
+    private PlatformSettings settings;
+
+    /** Returns the settings file. */
+    Path file() {
+        return Path.of(settingsFile);
     }
 
-    /** Returns the settings file that filled flags name. */
-    static Path fileOf(BaseSettings settings) {
-        return Path.of(((PlatformFlags) settings).settingsFile);
+    /** Returns what the settings file said when the flags were checked. */
+    PlatformSettings settings() {
+        return settings;
     }
 
     @Override
@@ -32,12 +34,12 @@
         if (settingsFile.isEmpty()) {
             return;
         }
-        if (!Files.isReadable(Path.of(settingsFile))) {
+        if (!Files.isReadable(file())) {
             faults.add("--boot '" + settingsFile + "' can't be read; name the settings file");
             return;
         }
         try {
-            SettingsFile.read(Path.of(settingsFile));
+            settings = SettingsFile.read(file());
         } catch (IllegalArgumentException e) {
             faults.add("--boot: " + e.getMessage());
         }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -15,6 +15,7 @@
 import io.pollenpath.transport.group.GroupAgent;
 import io.pollenpath.transport.group.RankAgent;
 import io.pollenpath.util.LogLine;
+import io.pollenpath.util.Pause;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Optional;
@@ -146,7 +147,7 @@
         agent.stop();
         long startNanos = System.nanoTime();
         while (agent.isLeading() && System.nanoTime() - startNanos < LEAD_END_NANOS) {
-            ControlThreads.sleepMs(STOP_CHECK_MS);
+            Pause.forMs(STOP_CHECK_MS);
         }
         boolean quiet = !agent.isLeading();
         control.shutdownNow();
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSideProvider.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSideProvider.java
@@ -1,11 +1,10 @@
 package io.pollenpath.platform;
 
-import io.pollenpath.cli.BaseSettings;
 import io.pollenpath.cli.Role;
-import io.pollenpath.cli.RoleProvider;
+import java.nio.file.Path;
 
 /** Adds the agent that runs beside an engine of the platform to the command line. */
-public final class PlatformSideProvider implements RoleProvider {
+public final class PlatformSideProvider extends PlatformRoleProvider {
 
     @Override
     public String name() {
@@ -18,17 +17,7 @@
     }
 
     @Override
-    public BaseSettings newSettings() {
-        return new PlatformFlags();
-    }
-
-    @Override
-    public String processName(BaseSettings settings) {
-        return PlatformFlags.read(settings).node();
-    }
-
-    @Override
-    public Role start(BaseSettings settings) {
-        return new PlatformSide(PlatformFlags.fileOf(settings), PlatformFlags.read(settings));
+    Role start(Path file, PlatformSettings settings) {
+        return new PlatformSide(file, settings);
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/util/package-info.java
+++ b/pollenpath/src/main/java/io/pollenpath/util/package-info.java
@@ -1,2 +1,2 @@
-/** Provides small helpers that every layer may use: log lines, digests and JSON. */
+/** Provides small helpers that every layer may use: log lines, digests, JSON and pauses. */
 package io.pollenpath.util;
