Drop what the group's code kept twice

Fetches of a plan are counted by the balancer, so GroupMap counts them no more. The leader moved on twice for each order's answer, now once. The agent's list of addresses is the keys of its peers. The epoch of a settlement was read by nobody. The working copy of a placement is called PlacementDraft, since the experts package has a LayerPlacement of its own. RequestStory finds the lines of a request once, and a print left from tracing is out of a test, whose assertions stay. Plans and orders stay the same.

--- a/pollenpath/src/main/java/io/pollenpath/cli/explain/RequestStory.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/explain/RequestStory.java
@@ -40,8 +40,8 @@
                     "started",
                     "stopping");
 
-    private final String requestId;
     private final List<LoggedEvent> events;
+    private final List<LoggedEvent> own;
 
     /**
      * Creates the story of a request.
@@ -50,18 +50,17 @@
      * @param events all lines of all processes, in any order
      */
     RequestStory(String requestId, List<LoggedEvent> events) {
-        this.requestId = requestId;
         this.events = events.stream().sorted(Comparator.comparing(LoggedEvent::time)).toList();
+        own = linesOf(requestId);
     }
 
     /** Tells whether any line names the request. */
     boolean isKnown() {
-        return !own().isEmpty();
+        return !own.isEmpty();
     }
 
     /** Returns the story, a line of text for each step. */
     List<String> lines() {
-        List<LoggedEvent> own = own();
         List<String> lines = new ArrayList<>();
         if (own.isEmpty()) {
             lines.add(
@@ -78,11 +77,11 @@
                                 + " killed or still be at work");
             }
         }
-        dropped(own).forEach(event -> lines.add("missing: lines were dropped " + show(event)));
+        dropped().forEach(event -> lines.add("missing: lines were dropped " + show(event)));
         return lines;
     }
 
-    private List<LoggedEvent> own() {
+    private List<LoggedEvent> linesOf(String requestId) {
         Set<String> traces = new HashSet<>();
         events.stream()
                 .filter(event -> event.field(REQUEST).equals(requestId))
@@ -111,7 +110,7 @@
         return newest.values().stream().sorted(Comparator.comparing(LoggedEvent::time)).toList();
     }
 
-    private List<LoggedEvent> dropped(List<LoggedEvent> own) {
+    private List<LoggedEvent> dropped() {
         Set<String> processes = new HashSet<>();
         own.forEach(event -> processes.add(event.process()));
         return events.stream()
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
@@ -22,7 +22,7 @@
 
     private static final int NONE = -1;
 
-    private final LayerPlacement placement;
+    private final PlacementDraft placement;
     private final double[] norms;
     private final double[] delta;
     private final int[] touched;
@@ -45,7 +45,7 @@
      */
     LayerBalancer(
             List<List<Integer>> base, double[] demand, int places, int maxNew, int[] otherFetches) {
-        placement = new LayerPlacement(base, demand, places, maxNew, otherFetches);
+        placement = new PlacementDraft(base, demand, places, maxNew, otherFetches);
         norms = new double[base.size()];
         delta = new double[base.size()];
         touched = new int[base.size()];
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
@@ -3,6 +3,7 @@
 import io.pollenpath.state.group.GroupMap;
 import io.pollenpath.state.serving.GroupShape;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 
@@ -76,6 +77,7 @@
             fetches = balancer.allFetches();
         }
         GroupMap map = new GroupMap(layers);
-        return new Plan(map, now / shares.length, then / shares.length, map.fetchesFrom(current));
+        return new Plan(
+                map, now / shares.length, then / shares.length, Arrays.stream(fetches).sum());
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapSettlement.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapSettlement.java
@@ -199,13 +199,4 @@
                                                     status.rank(), new RankOrder.Release(step))));
         }
     }
-
-    /**
-     * Returns the epoch in which the states were read.
-     *
-     * @return the epoch; meaningful once {@link #isRead}
-     */
-    public long epoch() {
-        return statuses[0].epoch();
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerPlacement.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/PlacementDraft.java
@@ -8,7 +8,7 @@
  * Holds which ranks hold which experts of one set of layers while a new placement is worked out,
  * and the load of each rank. The replicas of an expert share its load evenly.
  */
-final class LayerPlacement {
+final class PlacementDraft {
 
     private final int places;
     private final int maxNew;
@@ -32,7 +32,7 @@
      * @param maxNew the most experts that may be new to a rank
      * @param otherFetches how many experts each rank fetches for other sets of layers
      */
-    LayerPlacement(
+    PlacementDraft(
             List<List<Integer>> base, double[] demand, int places, int maxNew, int[] otherFetches) {
         this.otherFetches = otherFetches.clone();
         this.places = places;
--- a/pollenpath/src/main/java/io/pollenpath/state/group/GroupMap.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/group/GroupMap.java
@@ -47,23 +47,4 @@
     public int ranks() {
         return layers.get(0).size();
     }
-
-    /**
-     * Counts the experts that ranks must fetch to get from another map to this one.
-     *
-     * @param before the other map, of the same shape, not null
-     * @return the experts that are new to their rank
-     */
-    public int fetchesFrom(GroupMap before) {
-        int fetches = 0;
-        for (int layer = 0; layer < layers.size(); layer++) {
-            for (int rank = 0; rank < ranks(); rank++) {
-                List<Integer> held = before.layers.get(layer).get(rank);
-                for (int expert : layers.get(layer).get(rank)) {
-                    fetches += held.contains(expert) ? 0 : 1;
-                }
-            }
-        }
-        return fetches;
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -39,7 +40,6 @@
     private final String holder;
     private final VmCapacity capacity;
     private final Map<AgentAddress, RankPeer> peers = new HashMap<>();
-    private List<AgentAddress> addresses = List.of();
     private Optional<GroupShape> shape = Optional.empty();
     private Optional<GroupLeader> leader = Optional.empty();
     private int groupSize;
@@ -104,9 +104,8 @@
      * @param known the agents of all groups, this one among them, not null
      */
     public void setAgents(List<AgentAddress> known) {
-        addresses = List.copyOf(known);
-        peers.keySet().retainAll(addresses);
-        for (AgentAddress address : addresses) {
+        peers.keySet().retainAll(Set.copyOf(known));
+        for (AgentAddress address : known) {
             peers.computeIfAbsent(address, added -> new RankPeer(http, added, direct.apply(added)));
         }
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -96,6 +96,7 @@
                             asking.remove(peer);
                             if (failure == null) {
                                 onReport(peer, report, askedNanos);
+                                advance(System.nanoTime());
                             }
                         },
                         control);
@@ -109,6 +110,7 @@
                             if (failure == null) {
                                 unreached.remove(peer);
                                 onReport(peer, report, askedNanos - ENGINE_LAG_NANOS);
+                                advance(System.nanoTime());
                             } else if (unreached.add(peer)) {
                                 LOG.info(
                                         "{}",
@@ -142,7 +144,6 @@
         if (!report.experts().isEmpty()) {
             lead.onExperts(status.rank(), report.experts());
         }
-        advance(System.nanoTime());
     }
 
     private void depose(RankReport report) {
--- a/pollenpath/src/test/java/io/pollenpath/cli/BoundedAsyncAppenderTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/cli/BoundedAsyncAppenderTest.java
@@ -54,19 +54,6 @@
             logger.info("line {}", i);
         }
         assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(2));
-        System.out.println(
-                "Q "
-                        + appender.getNumberOfElementsInQueue()
-                        + " cap "
-                        + appender.getRemainingCapacity()
-                        + " started "
-                        + appender.isStarted()
-                        + " "
-                        + stuck.isStarted()
-                        + " level "
-                        + logger.getEffectiveLevel()
-                        + " "
-                        + appender.isNeverBlock());
         stuck.let.countDown();
         while (appender.getNumberOfElementsInQueue() > 0) {
             Thread.sleep(1);
