Pass the agents their transport and clock, so that a group can run in simulated time

No change of behaviour: HttpAgentTransport sends what RankPeer sent, AgentScheduler holds the control thread and System::nanoTime.

--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -10,9 +10,11 @@
 import io.pollenpath.transport.NettyLoops;
 import io.pollenpath.transport.ProcessMetrics;
 import io.pollenpath.transport.group.AgentAddress;
+import io.pollenpath.transport.group.AgentScheduler;
 import io.pollenpath.transport.group.AgentServer;
 import io.pollenpath.transport.group.EngineControl;
 import io.pollenpath.transport.group.GroupAgent;
+import io.pollenpath.transport.group.HttpAgentTransport;
 import io.pollenpath.transport.group.RankAgent;
 import io.pollenpath.util.LogLine;
 import io.pollenpath.util.Pause;
@@ -72,18 +74,19 @@
         LeaderElection election = new LeaderElection(System.nanoTime());
         StoreClient store = new StoreClient(http, settings.store());
         directory = new AgentDirectory(store, control, service);
+        AgentScheduler scheduler = AgentScheduler.of(control);
         agent =
                 new GroupAgent(
                         engine,
                         election,
                         new StoreLease(store),
-                        control,
-                        http,
+                        scheduler,
+                        new HttpAgentTransport(http),
                         this::fencedEngine,
                         settings.node() + "/" + UUID.randomUUID(),
                         settings.capacity());
         int port = settings.firstInternalPort() + 1;
-        new AgentServer(loops, settings.ip(), port, new RankAgent(engine, control, election));
+        new AgentServer(loops, settings.ip(), port, new RankAgent(engine, scheduler, election));
         MetricRegistry metrics = new MetricRegistry();
         ProcessMetrics.register(metrics);
         new AdminServer(loops, settings.ip(), settings.firstInternalPort(), () -> true, metrics);
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/AgentServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/AgentServer.java
@@ -53,19 +53,21 @@
 
     private void handle(HttpCall call, HttpExchange exchange) {
         try {
-            answer(call).thenAccept(report -> respond(exchange, GroupMessages.encode(report)));
+            answer(agent, call.path(), call.body())
+                    .thenAccept(report -> respond(exchange, GroupMessages.encode(report)));
         } catch (InvalidProtocolBufferException e) {
             LOG.warn("{}", LogLine.event("agent_call_unreadable").with("cause", e));
             exchange.respond(STATUS_BAD_REQUEST, MEDIA_TYPE, Map.of(), NO_BODY);
         }
     }
 
-    private CompletableFuture<RankReport> answer(HttpCall call)
+    /** Decodes a call and passes it to the agent. */
+    static CompletableFuture<RankReport> answer(RankAgent agent, String path, byte[] body)
             throws InvalidProtocolBufferException {
-        if (!call.path().equals(COMMAND_PATH)) {
-            return agent.query(GroupMessages.decodeQuery(call.body()));
+        if (!path.equals(COMMAND_PATH)) {
+            return agent.query(GroupMessages.decodeQuery(body));
         }
-        RankCommand message = GroupMessages.decodeCommand(call.body());
+        RankCommand message = GroupMessages.decodeCommand(body);
         Optional<EngineCommand> command = GroupMessages.toEngineCommand(message);
         if (command.isEmpty()) {
             throw new InvalidProtocolBufferException(
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -5,7 +5,6 @@
 import io.pollenpath.state.group.RankStatus;
 import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.state.serving.GroupShape;
-import io.pollenpath.transport.HttpClient;
 import io.pollenpath.util.LogLine;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,7 +13,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -34,8 +32,8 @@
     private final EngineControl engine;
     private final LeaderElection election;
     private final LeaderLease lease;
-    private final ScheduledExecutorService control;
-    private final HttpClient http;
+    private final AgentScheduler scheduler;
+    private final AgentTransport transport;
     private final Function<AgentAddress, Optional<EngineControl>> directEngines;
     private final String holder;
     private final VmCapacity capacity;
@@ -54,8 +52,8 @@
      * @param engine the engine on this VM, not null
      * @param election records contacts of leaders and decides when to claim leadership, not null
      * @param lease the store in which leadership is claimed, not null
-     * @param control the control thread, not null
-     * @param http the client for calls to other agents, not null
+     * @param scheduler the control thread and its clock, not null
+     * @param transport sends the calls to other agents, not null
      * @param directEngines returns a client for the engine of another agent, not null; empty if
      *     engines do not check fencing tokens
      * @param holder identifies this process incarnation when it claims leadership, not null
@@ -65,16 +63,16 @@
             EngineControl engine,
             LeaderElection election,
             LeaderLease lease,
-            ScheduledExecutorService control,
-            HttpClient http,
+            AgentScheduler scheduler,
+            AgentTransport transport,
             Function<AgentAddress, Optional<EngineControl>> directEngines,
             String holder,
             VmCapacity capacity) {
         this.engine = engine;
         this.election = election;
         this.lease = lease;
-        this.control = control;
-        this.http = http;
+        this.scheduler = scheduler;
+        this.transport = transport;
         this.directEngines = directEngines;
         this.holder = holder;
         this.capacity = capacity;
@@ -82,7 +80,9 @@
 
     /** Starts the periodic work on the control thread. */
     public void start() {
-        control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        scheduler
+                .executor()
+                .scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -111,7 +111,7 @@
         peers.keySet().retainAll(Set.copyOf(known));
         for (AgentAddress address : known) {
             peers.computeIfAbsent(
-                    address, added -> new RankPeer(http, added, directEngines.apply(added)));
+                    address, added -> new RankPeer(transport, added, directEngines.apply(added)));
         }
     }
 
@@ -127,7 +127,7 @@
     private void tick() {
         try {
             ticks++;
-            long nowNanos = System.nanoTime();
+            long nowNanos = scheduler.nowNanos();
             if (leader.isPresent()) {
                 runLeader(leader.get(), nowNanos);
             } else if (!stopping && ticks % CLAIM_CHECK_TICKS == 0) {
@@ -163,10 +163,10 @@
                         (status, failure) -> {
                             claiming = false;
                             if (failure == null) {
-                                claimIfDue(status, System.nanoTime());
+                                claimIfDue(status, scheduler.nowNanos());
                             }
                         },
-                        control);
+                        scheduler.executor());
     }
 
     private void claimIfDue(RankStatus ownStatus, long nowNanos) {
@@ -181,7 +181,9 @@
                                 leaderSeen
                                         ? CompletableFuture.completedFuture(0L)
                                         : lease.claim(ownStatus.group(), holder))
-                .whenCompleteAsync((token, failure) -> onClaim(ownStatus, token, failure), control);
+                .whenCompleteAsync(
+                        (token, failure) -> onClaim(ownStatus, token, failure),
+                        scheduler.executor());
     }
 
     /** Queries the other agents: a leader that does not reach this agent may still reach them. */
@@ -213,7 +215,7 @@
 
     private void onClaim(RankStatus ownStatus, Long token, Throwable failure) {
         claiming = false;
-        long nowNanos = System.nanoTime();
+        long nowNanos = scheduler.nowNanos();
         if (failure != null) {
             LOG.info(
                     "{}",
@@ -223,7 +225,9 @@
         } else if (token == 0) {
             election.onLeaderSeenByPeer(nowNanos);
         } else if (election.onLeaderCall(token, nowNanos) && shape.isPresent()) {
-            leader = Optional.of(new GroupLeader(token, ownStatus, shape.get(), control, nowNanos));
+            leader =
+                    Optional.of(
+                            new GroupLeader(token, ownStatus, shape.get(), scheduler, nowNanos));
             LOG.info(
                     "{}",
                     LogLine.event("lease_claimed")
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -15,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,12 +36,12 @@
 
     private final long token;
     private final String group;
-    private final Executor control;
+    private final AgentScheduler scheduler;
     private final LeaderState state;
     private final Map<Integer, RankPeer> peersByRank = new HashMap<>();
     private final Map<RankPeer, Integer> ranksByPeer = new HashMap<>();
 
-    /** Time of the next poll of each agent of another group, by {@link System#nanoTime}. */
+    /** Time of the next poll of each agent of another group, by the clock of the scheduler. */
     private final Map<RankPeer, Long> nextForeignPolls = new HashMap<>();
 
     /** Ranks with a command that is not answered yet. */
@@ -58,9 +57,13 @@
     private long nextPollNanos;
 
     GroupLeader(
-            long token, RankStatus ownStatus, GroupShape shape, Executor control, long nowNanos) {
+            long token,
+            RankStatus ownStatus,
+            GroupShape shape,
+            AgentScheduler scheduler,
+            long nowNanos) {
         this.token = token;
-        this.control = control;
+        this.scheduler = scheduler;
         group = ownStatus.group();
         state = new LeaderState(token, ownStatus.rank(), shape, this);
         nextPollNanos = nowNanos;
@@ -101,28 +104,28 @@
         Integer rank = ranksByPeer.get(peer);
         boolean withCounts = state.isRecovered() && rank != null && polling.isSampled(rank);
         RankStatusQuery query = new RankStatusQuery(group, token, withCounts, state.needsExperts());
-        long sentNanos = System.nanoTime();
+        long sentNanos = scheduler.nowNanos();
         peer.query(query, Math.max(MIN_QUERY_TIMEOUT_MS, 2 * polling.pollPeriodMs()))
                 .whenCompleteAsync(
                         (report, failure) -> {
                             pendingQueries.remove(peer);
                             if (failure == null) {
                                 onReport(peer, report, sentNanos);
-                                advance(System.nanoTime());
+                                advance(scheduler.nowNanos());
                             }
                         },
-                        control);
+                        scheduler.executor());
     }
 
     private void pollEngine(RankPeer peer) {
-        long sentNanos = System.nanoTime();
+        long sentNanos = scheduler.nowNanos();
         peer.queryEngine()
                 .whenCompleteAsync(
                         (report, failure) -> {
                             if (failure == null) {
                                 unreachableEngines.remove(peer);
                                 onReport(peer, report, sentNanos - MAX_ENGINE_STATE_AGE_NANOS);
-                                advance(System.nanoTime());
+                                advance(scheduler.nowNanos());
                             } else if (unreachableEngines.add(peer)) {
                                 LOG.info(
                                         "{}",
@@ -131,7 +134,7 @@
                                                 .with("cause", failure));
                             }
                         },
-                        control);
+                        scheduler.executor());
     }
 
     /** Handles the response to a call. Its state was read at {@code sentNanos} or later. */
@@ -145,7 +148,7 @@
         }
         RankStatus status = report.status().get();
         if (!status.group().equals(group)) {
-            nextForeignPolls.put(peer, System.nanoTime() + FOREIGN_POLL_NANOS);
+            nextForeignPolls.put(peer, scheduler.nowNanos() + FOREIGN_POLL_NANOS);
             return;
         }
         nextForeignPolls.remove(peer);
@@ -181,7 +184,7 @@
         if (peer == null || !pendingCommands.add(addressed.rank())) {
             return;
         }
-        long sentNanos = System.nanoTime();
+        long sentNanos = scheduler.nowNanos();
         peer.command(addressed.command(), group, state.epoch(), token)
                 .whenCompleteAsync(
                         (report, failure) -> {
@@ -190,12 +193,12 @@
                                 onOutcome(peer, addressed, report, sentNanos);
                             }
                         },
-                        control);
+                        scheduler.executor());
     }
 
     private void onOutcome(
             RankPeer peer, AddressedCommand addressed, RankReport report, long sentNanos) {
-        long nowNanos = System.nanoTime();
+        long nowNanos = scheduler.nowNanos();
         state.onOutcome(addressed, report.outcome().orElse(CommandResult.UNKNOWN), nowNanos);
         onReport(peer, report, sentNanos);
         advance(nowNanos);
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,7 +22,7 @@
     private static final long[] NO_COUNTS = new long[0];
 
     private final EngineControl engine;
-    private final Executor control;
+    private final AgentScheduler scheduler;
     private final LeaderElection election;
     private final CounterDeltas countDeltas = new CounterDeltas();
     private volatile Optional<String> ownGroup = Optional.empty();
@@ -32,12 +31,12 @@
      * Creates an agent.
      *
      * @param engine the client of the engine, not null
-     * @param control the thread to which the election state is confined, not null
+     * @param scheduler the thread to which the election state is confined, and its clock, not null
      * @param election records contacts of leaders, not null
      */
-    public RankAgent(EngineControl engine, Executor control, LeaderElection election) {
+    public RankAgent(EngineControl engine, AgentScheduler scheduler, LeaderElection election) {
         this.engine = engine;
-        this.control = control;
+        this.scheduler = scheduler;
         this.election = election;
     }
 
@@ -128,7 +127,8 @@
 
     private CompletableFuture<Boolean> recordLeader(long token) {
         return CompletableFuture.supplyAsync(
-                () -> token == 0 || election.onLeaderCall(token, System.nanoTime()), control);
+                () -> token == 0 || election.onLeaderCall(token, scheduler.nowNanos()),
+                scheduler.executor());
     }
 
     private CompletableFuture<RankReport> readEngine(
@@ -149,7 +149,7 @@
     }
 
     private CompletableFuture<long[]> newCounts() {
-        return engine.counts().thenApplyAsync(countDeltas::update, control);
+        return engine.counts().thenApplyAsync(countDeltas::update, scheduler.executor());
     }
 
     private static <T> CompletableFuture<Optional<T>> notRequested() {
@@ -179,8 +179,8 @@
                                 counts,
                                 experts,
                                 election.highestToken(),
-                                election.leaderSilenceMs(System.nanoTime())),
-                control);
+                                election.leaderSilenceMs(scheduler.nowNanos())),
+                scheduler.executor());
     }
 
     private static void logCommand(
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -4,14 +4,10 @@
 import io.pollenpath.state.group.CommandResult;
 import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.transport.HttpAddress;
-import io.pollenpath.transport.HttpClient;
-import io.pollenpath.transport.HttpReply;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
 
 /** Calls the agent of one rank, or its engine directly while the agent does not answer. */
 final class RankPeer {
@@ -19,7 +15,7 @@
     private static final long COMMAND_TIMEOUT_MS = 200;
     private static final long[] NO_COUNTS = new long[0];
 
-    private final HttpClient http;
+    private final AgentTransport transport;
     private final AgentAddress address;
     private final Optional<EngineControl> directEngine;
     private volatile boolean agentUnreachable;
@@ -27,13 +23,13 @@
     /**
      * Creates a peer.
      *
-     * @param http the client for calls to the agent
+     * @param transport sends the calls to the agent
      * @param address the addresses of the agent and its engine
      * @param directEngine the client of the engine; empty if engines do not reject commands with an
      *     outdated fencing token, since then only the agent rejects them
      */
-    RankPeer(HttpClient http, AgentAddress address, Optional<EngineControl> directEngine) {
-        this.http = http;
+    RankPeer(AgentTransport transport, AgentAddress address, Optional<EngineControl> directEngine) {
+        this.transport = transport;
         this.address = address;
         this.directEngine = directEngine;
     }
@@ -101,20 +97,12 @@
     }
 
     private CompletableFuture<RankReport> call(String path, byte[] body, long timeoutMs) {
-        return http.send(
-                        new HttpClient.Request(
-                                address.agent(),
-                                "POST",
-                                path,
-                                Map.of("Content-Type", AgentServer.MEDIA_TYPE),
-                                body))
-                .orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
-                .thenApply(RankPeer::decode);
+        return transport.call(address.agent(), path, body, timeoutMs).thenApply(RankPeer::decode);
     }
 
-    private static RankReport decode(HttpReply reply) {
+    private static RankReport decode(byte[] answer) {
         try {
-            return GroupMessages.decodeReport(reply.body());
+            return GroupMessages.decodeReport(answer);
         } catch (InvalidProtocolBufferException e) {
             throw new CompletionException(e);
         }
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/AgentGroupFixture.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/AgentGroupFixture.java
@@ -95,6 +95,7 @@
         Member(int rank) {
             Engine engine = new Engine(rank);
             LeaderElection election = new LeaderElection(System.nanoTime());
+            AgentScheduler scheduler = AgentScheduler.of(control);
             LeaderLease lease =
                     (name, holder) ->
                             CompletableFuture.completedFuture(lastToken.incrementAndGet());
@@ -103,14 +104,14 @@
                             engine,
                             election,
                             lease,
-                            control,
-                            http,
+                            scheduler,
+                            new HttpAgentTransport(http),
                             address -> engineAt(address),
                             "agent-" + rank,
                             CAPACITY);
             server =
                     new AgentServer(
-                            loops, "127.0.0.1", 0, new RankAgent(engine, control, election));
+                            loops, "127.0.0.1", 0, new RankAgent(engine, scheduler, election));
         }
 
         GroupAgent agent() {
