Log what a leader's calls carry, how far a commit came, and the load of a service each second

The logs could not tell a full link from a late processor or an overloaded group: leader_calls has bytes, unanswered and refused commands and the longest delay of a round, commit_over has the ranks prepared and armed and its time, service_state the limit and the pause between events. Each is at most one line a second or one a commit. process_open_descriptors counts what a process holds open. No change of behaviour.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -312,6 +312,24 @@
         return map;
     }
 
+    /**
+     * Returns how many ranks are known to have fetched the map.
+     *
+     * @return the number; 0 if an earlier leader planned the change
+     */
+    public int preparedRanks() {
+        return prepared.size();
+    }
+
+    /**
+     * Returns how many ranks are known to be armed for the map or to use it.
+     *
+     * @return the number
+     */
+    public int armedRanks() {
+        return armed.size();
+    }
+
     /**
      * Returns the step at which the ranks switch to the map.
      *
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimit.java
@@ -66,6 +66,15 @@
         return inFlight < Math.max(limit, MIN_FRACTION * equalShare);
     }
 
+    /**
+     * Returns the limit that follows from the gaps, without the minimum.
+     *
+     * @return the number of streams; infinite before the first gap
+     */
+    public double limit() {
+        return limit;
+    }
+
     /**
      * Returns the moving average of the gap between events.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/ProcessMetrics.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/ProcessMetrics.java
@@ -39,6 +39,7 @@
                 metrics,
                 "process_threads",
                 () -> ManagementFactory.getThreadMXBean().getThreadCount());
+        gauge(metrics, "process_open_descriptors", ProcessMetrics::openDescriptors);
         gauge(metrics, "process_gc_seconds_total", ProcessMetrics::gcSeconds);
         gauge(
                 metrics,
@@ -57,6 +58,13 @@
                 : 0;
     }
 
+    private static long openDescriptors() {
+        return ManagementFactory.getOperatingSystemMXBean()
+                        instanceof com.sun.management.UnixOperatingSystemMXBean system
+                ? system.getOpenFileDescriptorCount()
+                : 0;
+    }
+
     private static long directBytes() {
         return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
                 .mapToLong(BufferPoolMXBean::getMemoryUsed)
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -7,6 +7,7 @@
 import io.pollenpath.coordination.group.MapCommit;
 import io.pollenpath.coordination.group.MapPlanner;
 import io.pollenpath.state.group.CommandResult;
+import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.RankStatus;
 import io.pollenpath.state.serving.GroupShape;
 import io.pollenpath.util.LogLine;
@@ -53,8 +54,10 @@
     /** Peers whose engine did not answer the last direct query, so that this is logged once. */
     private final Set<RankPeer> unreachableEngines = new HashSet<>();
 
+    private final LeaderCallStats stats;
     private boolean steppedDown;
     private long nextPollNanos;
+    private long commitStartNanos;
 
     GroupLeader(
             long token,
@@ -67,6 +70,7 @@
         group = ownStatus.group();
         state = new LeaderState(token, ownStatus.rank(), shape, this);
         nextPollNanos = nowNanos;
+        stats = new LeaderCallStats(nowNanos);
     }
 
     boolean hasSteppedDown() {
@@ -83,6 +87,7 @@
      */
     void tick(List<RankPeer> known, LeaderPolling polling, long nowNanos) {
         if (nowNanos - nextPollNanos >= 0) {
+            stats.onRound(nowNanos - nextPollNanos);
             nextPollNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(polling.pollPeriodMs());
             state.updateDemand();
             for (RankPeer peer : known) {
@@ -92,6 +97,8 @@
             }
         }
         advance(nowNanos);
+        stats.lineIfDue(nowNanos)
+                .ifPresent(line -> LOG.info("{}", line.with("group", group).with("token", token)));
     }
 
     private void poll(RankPeer peer, LeaderPolling polling) {
@@ -109,6 +116,7 @@
                 .whenCompleteAsync(
                         (report, failure) -> {
                             pendingQueries.remove(peer);
+                            stats.onQuery(failure == null);
                             if (failure == null) {
                                 onReport(peer, report, sentNanos);
                                 advance(scheduler.nowNanos());
@@ -185,7 +193,10 @@
             return;
         }
         long sentNanos = scheduler.nowNanos();
-        peer.command(addressed.command(), group, state.epoch(), token)
+        EngineCommand command = addressed.command();
+        byte[] body = GroupMessages.encode(command, group, state.epoch(), token);
+        stats.onCommandSent(body.length, peer.canQueryEngine());
+        peer.command(command, body, state.epoch(), token)
                 .whenCompleteAsync(
                         (report, failure) -> {
                             pendingCommands.remove(addressed.rank());
@@ -199,13 +210,16 @@
     private void onOutcome(
             RankPeer peer, AddressedCommand addressed, RankReport report, long sentNanos) {
         long nowNanos = scheduler.nowNanos();
-        state.onOutcome(addressed, report.outcome().orElse(CommandResult.UNKNOWN), nowNanos);
+        CommandResult result = report.outcome().orElse(CommandResult.UNKNOWN);
+        stats.onCommandEnded(result);
+        state.onOutcome(addressed, result, nowNanos);
         onReport(peer, report, sentNanos);
         advance(nowNanos);
     }
 
     @Override
     public void onCommitStarted(MapCommit commit, MapPlanner.Plan plan) {
+        commitStartNanos = scheduler.nowNanos();
         LOG.info(
                 "{}",
                 LogLine.event("commit_started")
@@ -218,6 +232,7 @@
 
     @Override
     public void onCommitTakenOver(MapCommit commit) {
+        commitStartNanos = scheduler.nowNanos();
         logCommit("commit_taken_over", commit);
     }
 
@@ -233,7 +248,13 @@
                         .with("group", group)
                         .with("version", commit.version())
                         .with("step", commit.step())
-                        .with("phase", commit.phase()));
+                        .with("phase", commit.phase())
+                        .with("prepared", commit.preparedRanks())
+                        .with("armed", commit.armedRanks())
+                        .with(
+                                "took_ms",
+                                TimeUnit.NANOSECONDS.toMillis(
+                                        scheduler.nowNanos() - commitStartNanos)));
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -50,16 +50,19 @@
                 .whenComplete((report, failure) -> agentUnreachable = failure != null);
     }
 
-    /** Sends a command; the future never fails. */
+    /**
+     * Sends a command; the future never fails.
+     *
+     * @param body the message to the agent with the same command, epoch and token
+     */
     CompletableFuture<RankReport> command(
-            EngineCommand command, String group, long epoch, long token) {
+            EngineCommand command, byte[] body, long epoch, long token) {
         if (canQueryEngine()) {
             return directEngine
                     .orElseThrow()
                     .send(command, epoch, token)
                     .thenApply(RankPeer::withoutState);
         }
-        byte[] body = GroupMessages.encode(command, group, epoch, token);
         return call(AgentServer.COMMAND_PATH, body, COMMAND_TIMEOUT_MS)
                 .handle(
                         (report, failure) -> {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -309,6 +309,16 @@
                 : twoObjectives;
     }
 
+    /** Logs the load of each service that has requests. */
+    void logState() {
+        traffic.forEach(
+                (name, service) -> {
+                    if (service.inFlight() > 0 || service.queue().size() > 0) {
+                        log.serviceState(name, service, view.get().serversOf(name).size());
+                    }
+                });
+    }
+
     /** Removes the state of all servers except the given ones and those with requests in flight. */
     void retainServers(Set<String> serverIds) {
         Set<String> inUse = new HashSet<>(serverIds);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -31,6 +31,7 @@
 
     private static final long TICK_MS = 20;
     private static final long HOUSEKEEPING_MS = 500;
+    private static final long STATE_LOG_INTERVAL_MS = 1_000;
     private static final long NOT_READY_RETRY_AFTER_MS = 500;
 
     /**
@@ -75,6 +76,11 @@
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                dispatcher::logState,
+                STATE_LOG_INTERVAL_MS,
+                STATE_LOG_INTERVAL_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -68,6 +68,20 @@
                         .with("retry_after_ms", retryAfterMs));
     }
 
+    /** Logs the load of a service as this entry sees it. */
+    void serviceState(String service, ServiceTraffic traffic, int servers) {
+        LOG.info(
+                "{}",
+                LogLine.event("service_state")
+                        .with("service", service)
+                        .with("servers", servers)
+                        .with("in_flight", traffic.inFlight())
+                        .with("waiting", traffic.queue().size())
+                        .with("limit", Math.round(traffic.concurrencyLimit()))
+                        .with("pause_ms", Math.round(traffic.meanEventGapMs()))
+                        .with("expected_wait_ms", Math.round(traffic.expectedWaitMs())));
+    }
+
     void rejected(
             CallerHeaders callerHeaders, String host, String uri, long configVersion, int status) {
         MetricNames.count(metrics, "requests_rejected_total", "status", Integer.toString(status));
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -76,6 +76,12 @@
         return concurrencyLimit;
     }
 
+    /** Returns the adaptive limit of concurrent streams; 0 if there is none. */
+    double concurrencyLimit() {
+        boolean limited = concurrencyLimit != null && Double.isFinite(concurrencyLimit.limit());
+        return limited ? concurrencyLimit.limit() : 0;
+    }
+
     /** Returns the moving average of the time between events; 0 if there are none. */
     double meanEventGapMs() {
         return concurrencyLimit == null ? 0 : concurrencyLimit.meanGapMs();
