--- a/pollenpath/src/main/java/io/pollenpath/transport/MetricHelp.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/MetricHelp.java
@@ -37,6 +37,7 @@
                     Map.entry("process_direct_bytes", "Direct buffers of the event loops."),
                     Map.entry("process_resident_bytes", "Resident memory; 0 where unknown."),
                     Map.entry("process_threads", "Live threads."),
+                    Map.entry("process_open_descriptors", "Open sockets and files."),
                     Map.entry("process_gc_seconds_total", "Time spent in garbage collection."),
                     Map.entry("process_uptime_seconds", "Time since the process started."));
 
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupDemandShiftTest.java
@@ -0,0 +1,40 @@
+package io.pollenpath.transport.group;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.pollenpath.state.group.VmCapacity;
+import io.pollenpath.state.serving.GroupShape;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LargeGroupDemandShiftTest {
+
+    private static final int RANKS = 72;
+    private static final GroupShape SHAPE = new GroupShape(12, 144, 3, 2, 0.85);
+    private static final VmCapacity CAPACITY = new VmCapacity(0.45, 700_000);
+    private static final long SETTLE_MS = 3_000;
+    private static final int SHIFTS = 5;
+    private static final long SHIFT_INTERVAL_MS = 2_600;
+    private static final double SHIFT_FRACTION = 0.72;
+
+    /** Target of the mean worth per request that the users state for the grown deployments. */
+    private static final double MIN_ON_TIME_FRACTION = 0.63;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void streamsStayOnTimeAlthoughMapsOf72RanksExceedTheLinkWithinOneTimeout(long seed) {
+        LargeGroupFixture group = new LargeGroupFixture(RANKS, SHAPE, CAPACITY, seed);
+        group.start();
+        group.run(SETTLE_MS);
+        group.startMeasuring();
+        for (int shift = 0; shift < SHIFTS; shift++) {
+            group.shiftDemand(SHIFT_FRACTION);
+            group.run(SHIFT_INTERVAL_MS);
+        }
+        assertThat(group.usedMixedMaps()).isFalse();
+        assertWithMessage("fraction of the events on time, seed " + seed)
+                .that(group.onTimeFraction())
+                .isAtLeast(MIN_ON_TIME_FRACTION);
+    }
+}
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
@@ -0,0 +1,341 @@
+package io.pollenpath.transport.group;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.pollenpath.coordination.group.LeaderElection;
+import io.pollenpath.coordination.group.SimulatedGroup;
+import io.pollenpath.state.group.CommandResult;
+import io.pollenpath.state.group.EngineCommand;
+import io.pollenpath.state.group.ExpertMap;
+import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.state.group.VmCapacity;
+import io.pollenpath.state.serving.GroupShape;
+import io.pollenpath.transport.HttpAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+/**
+ * Runs the agents of a large group in simulated time, with links as narrow as those of the VMs
+ * beside engines, and engines whose experts are in changing demand.
+ */
+final class LargeGroupFixture {
+
+    private static final long MAX_START_DELAY_MS = 300;
+    private static final long ENGINE_CALL_MS = 1;
+    private static final long DIRECT_ENGINE_TIMEOUT_MS = 150;
+    private static final long STORE_CALL_MS = 8;
+    private static final long HELD_STEP_RETRY_MS = 1;
+    private static final int HTTP_HEADER_BYTES = 200;
+    private static final int JSON_REPORT_BYTES = 250;
+    private static final int JSON_BYTES_PER_SLOT = 4;
+    private static final int JSON_BYTES_PER_RANK = 3;
+    private static final double SELECTIONS_PER_PASS_AND_LAYER = 300;
+
+    private final VirtualExecutor executor = new VirtualExecutor();
+    private final Random random;
+    private final int ranks;
+    private final GroupShape shape;
+    private final VmCapacity capacity;
+    private final SimulatedLinks links;
+    private final SimulatedGroup group;
+    private final SimulatedDemand demand;
+    private final double[] expectedCounts;
+    private final List<Member> members = new ArrayList<>();
+    private SimulatedStreams streams = new SimulatedStreams();
+    private long lastToken = 100;
+    private long lastPassNanos;
+    private boolean mixedMaps;
+
+    LargeGroupFixture(int ranks, GroupShape shape, VmCapacity capacity, long seed) {
+        this.ranks = ranks;
+        this.shape = shape;
+        this.capacity = capacity;
+        random = new Random(seed);
+        links = new SimulatedLinks(executor, ranks, capacity.linkBytesPerSecond());
+        group = new SimulatedGroup("large", ranks, true, firstMap());
+        demand = new SimulatedDemand(shape.layers(), shape.experts(), random);
+        expectedCounts = new double[shape.layers() * shape.experts()];
+        for (int rank = 0; rank < ranks; rank++) {
+            members.add(new Member(rank));
+        }
+    }
+
+    private ExpertMap firstMap() {
+        List<List<List<Integer>>> layers = new ArrayList<>();
+        for (int layer = 0; layer < shape.layers(); layer++) {
+            List<List<Integer>> byRank = new ArrayList<>();
+            for (int rank = 0; rank < ranks; rank++) {
+                List<Integer> experts = new ArrayList<>();
+                for (int expert = rank; expert < shape.experts(); expert += ranks) {
+                    experts.add(expert);
+                }
+                byRank.add(experts);
+            }
+            layers.add(byRank);
+        }
+        return new ExpertMap(layers);
+    }
+
+    /** Starts the agents and the passes of the group. */
+    void start() {
+        List<AgentAddress> addresses = members.stream().map(member -> member.address).toList();
+        for (Member member : members) {
+            executor.schedule(
+                    () -> member.start(addresses),
+                    random.nextLong(MAX_START_DELAY_MS),
+                    TimeUnit.MILLISECONDS);
+        }
+        executor.execute(this::beginPass);
+    }
+
+    private void beginPass() {
+        long step = group.step();
+        mixedMaps |= !group.beginStep();
+        if (group.step() == step) {
+            executor.schedule(this::beginPass, HELD_STEP_RETRY_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        double imbalance = demand.imbalance(activeMap());
+        streams.onPass((executor.nowNanos() - lastPassNanos) / 1e6, imbalance);
+        lastPassNanos = executor.nowNanos();
+        addExpectedCounts();
+        long passNanos = (long) (SimulatedStreams.passMs(imbalance) * 1e6);
+        executor.schedule(this::beginPass, passNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private ExpertMap activeMap() {
+        List<List<List<Integer>>> byRank = new ArrayList<>();
+        for (int rank = 0; rank < ranks; rank++) {
+            byRank.add(group.experts(rank));
+        }
+        return ExpertMap.ofRanks(byRank);
+    }
+
+    private void addExpectedCounts() {
+        for (int i = 0; i < expectedCounts.length; i++) {
+            double share = demand.share(i / shape.experts(), i % shape.experts());
+            expectedCounts[i] += share * SELECTIONS_PER_PASS_AND_LAYER;
+        }
+    }
+
+    /** Runs the group for a time. */
+    void run(long durationMs) {
+        executor.runUntil(executor.nowNanos() + TimeUnit.MILLISECONDS.toNanos(durationMs));
+    }
+
+    /** Changes which experts a fraction of the selections goes to. */
+    void shiftDemand(double fraction) {
+        demand.shift(fraction);
+    }
+
+    /** Starts the measurement of what callers get anew. */
+    void startMeasuring() {
+        streams = new SimulatedStreams();
+    }
+
+    /** Returns the fraction of the events since then that callers got on time. */
+    double onTimeFraction() {
+        return streams.onTimeFraction();
+    }
+
+    /** Returns the load of the most loaded rank now, in multiples of the mean. */
+    double imbalanceNow() {
+        return demand.imbalance(activeMap());
+    }
+
+    /** Returns whether a pass began while two ranks had different maps. */
+    boolean usedMixedMaps() {
+        return mixedMaps;
+    }
+
+    private final class Member {
+        private final int rank;
+        private final AgentAddress address;
+        private final RankAgent rankAgent;
+        private final GroupAgent agent;
+
+        Member(int rank) {
+            this.rank = rank;
+            address =
+                    new AgentAddress(
+                            new HttpAddress("agent", rank + 1),
+                            new HttpAddress("engine", rank + 1));
+            AgentScheduler scheduler = new AgentScheduler(executor, executor::nowNanos);
+            EngineControl engine = new LocalEngine(rank);
+            LeaderElection election = new LeaderElection(0);
+            rankAgent = new RankAgent(engine, scheduler, election);
+            agent =
+                    new GroupAgent(
+                            engine,
+                            election,
+                            (name, holder) -> after(STORE_CALL_MS, () -> ++lastToken),
+                            scheduler,
+                            this::call,
+                            other -> Optional.of(new RemoteEngine(rank, other.engine().port() - 1)),
+                            "agent-" + rank,
+                            capacity);
+        }
+
+        void start(List<AgentAddress> addresses) {
+            agent.setAgents(addresses);
+            agent.setShape(Optional.of(shape));
+            agent.start();
+        }
+
+        private CompletableFuture<byte[]> call(
+                HttpAddress target, String path, byte[] body, long timeoutMs) {
+            CompletableFuture<byte[]> answer = withTimeout(timeoutMs);
+            Member other = members.get(target.port() - 1);
+            links.send(
+                    rank,
+                    body.length + HTTP_HEADER_BYTES,
+                    () -> !answer.isDone(),
+                    () -> other.answer(path, body, answer));
+            return answer;
+        }
+
+        private void answer(String path, byte[] body, CompletableFuture<byte[]> answer) {
+            try {
+                AgentServer.answer(rankAgent, path, body)
+                        .thenAccept(
+                                report -> {
+                                    byte[] reply = GroupMessages.encode(report);
+                                    links.send(
+                                            rank,
+                                            reply.length + HTTP_HEADER_BYTES,
+                                            () -> !answer.isDone(),
+                                            () -> answer.complete(reply));
+                                });
+            } catch (InvalidProtocolBufferException e) {
+                answer.completeExceptionally(e);
+            }
+        }
+    }
+
+    private <T> CompletableFuture<T> withTimeout(long timeoutMs) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        executor.schedule(
+                () -> answer.completeExceptionally(new TimeoutException()),
+                timeoutMs,
+                TimeUnit.MILLISECONDS);
+        return answer;
+    }
+
+    private <T> CompletableFuture<T> after(long delayMs, Supplier<T> result) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        executor.schedule(() -> answer.complete(result.get()), delayMs, TimeUnit.MILLISECONDS);
+        return answer;
+    }
+
+    /** Calls an engine on the same VM. */
+    private final class LocalEngine implements EngineControl {
+        private final int rank;
+        private final long[] counts = new long[shape.layers() * shape.experts()];
+        private final double[] counted = new double[shape.layers() * shape.experts()];
+
+        LocalEngine(int rank) {
+            this.rank = rank;
+        }
+
+        @Override
+        public CompletableFuture<RankStatus> status() {
+            return after(ENGINE_CALL_MS, () -> group.status(rank));
+        }
+
+        @Override
+        public CompletableFuture<long[]> counts() {
+            return after(ENGINE_CALL_MS, this::readCounts);
+        }
+
+        private long[] readCounts() {
+            for (int i = 0; i < counts.length; i++) {
+                double expected = expectedCounts[i] - counted[i];
+                double noise = Math.sqrt(expected) * random.nextGaussian();
+                counts[i] += Math.max(0, Math.round(expected + noise));
+                counted[i] = expectedCounts[i];
+            }
+            return counts.clone();
+        }
+
+        @Override
+        public CompletableFuture<List<List<Integer>>> experts() {
+            return after(ENGINE_CALL_MS, () -> group.experts(rank));
+        }
+
+        @Override
+        public CompletableFuture<CommandResult> send(
+                EngineCommand command, long epoch, long token) {
+            return after(ENGINE_CALL_MS, () -> group.execute(rank, command, epoch, token));
+        }
+    }
+
+    /** Calls an engine on another VM, with messages as large as the JSON of the engines' API. */
+    private final class RemoteEngine implements EngineControl {
+        private final int callerRank;
+        private final int rank;
+
+        RemoteEngine(int callerRank, int rank) {
+            this.callerRank = callerRank;
+            this.rank = rank;
+        }
+
+        @Override
+        public CompletableFuture<RankStatus> status() {
+            return call(0, JSON_REPORT_BYTES, () -> group.status(rank));
+        }
+
+        @Override
+        public CompletableFuture<long[]> counts() {
+            throw new UnsupportedOperationException("only the agent of an engine reads its counts");
+        }
+
+        @Override
+        public CompletableFuture<List<List<Integer>>> experts() {
+            throw new UnsupportedOperationException(
+                    "only the agent of an engine reads its experts");
+        }
+
+        @Override
+        public CompletableFuture<CommandResult> send(
+                EngineCommand command, long epoch, long token) {
+            return call(jsonBytes(command), 0, () -> group.execute(rank, command, epoch, token))
+                    .exceptionally(failure -> CommandResult.UNKNOWN);
+        }
+
+        private <T> CompletableFuture<T> call(
+                int requestBytes, int replyBytes, Supplier<T> execution) {
+            CompletableFuture<T> answer = withTimeout(DIRECT_ENGINE_TIMEOUT_MS);
+            links.send(
+                    callerRank,
+                    requestBytes + HTTP_HEADER_BYTES,
+                    () -> !answer.isDone(),
+                    () -> {
+                        T result = execution.get();
+                        links.send(
+                                rank,
+                                replyBytes + HTTP_HEADER_BYTES,
+                                () -> !answer.isDone(),
+                                () -> answer.complete(result));
+                    });
+            return answer;
+        }
+    }
+
+    private static int jsonBytes(EngineCommand command) {
+        if (!(command instanceof EngineCommand.Prepare prepare)) {
+            return 0;
+        }
+        int bytes = 0;
+        for (List<List<Integer>> layer : prepare.map().layers()) {
+            for (List<Integer> experts : layer) {
+                bytes += JSON_BYTES_PER_RANK + JSON_BYTES_PER_SLOT * experts.size();
+            }
+        }
+        return bytes;
+    }
+}
