Bound the bytes of a leader's commands in flight by what its link carries within their timeout

Cause: a leader sent the map (2.9 kB) to all 72 agents at once, 205 kB on a link of 700,000 bytes/s, under a timeout of 200 ms that the size of the group doesn't enter. What was given up was called unreachable, sent again at once and to the engine as well, so a change took up to its 4 s. Change: SendWindow lets as many bytes out as the link carries in 100 ms, and gives a message twice the time that all bytes in flight need. A map is encoded once, not once for each rank.

--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -227,7 +227,8 @@
         } else if (election.onLeaderCall(token, nowNanos) && shape.isPresent()) {
             leader =
                     Optional.of(
-                            new GroupLeader(token, ownStatus, shape.get(), scheduler, nowNanos));
+                            new GroupLeader(
+                                    token, ownStatus, shape.get(), capacity, scheduler, nowNanos));
             LOG.info(
                     "{}",
                     LogLine.event("lease_claimed")
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -6,9 +6,11 @@
 import io.pollenpath.coordination.group.LeaderState;
 import io.pollenpath.coordination.group.MapCommit;
 import io.pollenpath.coordination.group.MapPlanner;
+import io.pollenpath.coordination.group.SendWindow;
 import io.pollenpath.state.group.CommandResult;
 import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.state.serving.GroupShape;
 import io.pollenpath.util.LogLine;
 import java.util.HashMap;
@@ -55,6 +57,8 @@
     private final Set<RankPeer> unreachableEngines = new HashSet<>();
 
     private final LeaderCallStats stats;
+    private final SendWindow window;
+    private final CommandEncoder encoder;
     private boolean steppedDown;
     private long nextPollNanos;
     private long commitStartNanos;
@@ -63,6 +67,7 @@
             long token,
             RankStatus ownStatus,
             GroupShape shape,
+            VmCapacity capacity,
             AgentScheduler scheduler,
             long nowNanos) {
         this.token = token;
@@ -71,6 +76,8 @@
         state = new LeaderState(token, ownStatus.rank(), shape, this);
         nextPollNanos = nowNanos;
         stats = new LeaderCallStats(nowNanos);
+        window = new SendWindow(capacity.linkBytesPerSecond());
+        encoder = new CommandEncoder(group, token);
     }
 
     boolean hasSteppedDown() {
@@ -187,19 +194,25 @@
         }
     }
 
+    /** Sends a command, unless the rank has one in progress or the window is full. */
     private void send(AddressedCommand addressed) {
         RankPeer peer = peersByRank.get(addressed.rank());
-        if (peer == null || !pendingCommands.add(addressed.rank())) {
+        if (peer == null || pendingCommands.contains(addressed.rank())) {
             return;
         }
-        long sentNanos = scheduler.nowNanos();
         EngineCommand command = addressed.command();
-        byte[] body = GroupMessages.encode(command, group, state.epoch(), token);
+        byte[] body = encoder.encode(command, state.epoch());
+        if (!window.tryAcquire(body.length)) {
+            return;
+        }
+        pendingCommands.add(addressed.rank());
         stats.onCommandSent(body.length, peer.canQueryEngine());
-        peer.command(command, body, state.epoch(), token)
+        long sentNanos = scheduler.nowNanos();
+        peer.command(command, body, state.epoch(), token, window.timeoutMs())
                 .whenCompleteAsync(
                         (report, failure) -> {
                             pendingCommands.remove(addressed.rank());
+                            window.release(body.length);
                             if (failure == null) {
                                 onOutcome(peer, addressed, report, sentNanos);
                             }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -12,7 +12,6 @@
 /** Calls the agent of one rank, or its engine directly while the agent does not answer. */
 final class RankPeer {
 
-    private static final long COMMAND_TIMEOUT_MS = 200;
     private static final long[] NO_COUNTS = new long[0];
 
     private final AgentTransport transport;
@@ -54,16 +53,17 @@
      * Sends a command; the future never fails.
      *
      * @param body the message to the agent with the same command, epoch and token
+     * @param timeoutMs the timeout of a call to the agent, in milliseconds
      */
     CompletableFuture<RankReport> command(
-            EngineCommand command, byte[] body, long epoch, long token) {
+            EngineCommand command, byte[] body, long epoch, long token, long timeoutMs) {
         if (canQueryEngine()) {
             return directEngine
                     .orElseThrow()
                     .send(command, epoch, token)
                     .thenApply(RankPeer::withoutState);
         }
-        return call(AgentServer.COMMAND_PATH, body, COMMAND_TIMEOUT_MS)
+        return call(AgentServer.COMMAND_PATH, body, timeoutMs)
                 .handle(
                         (report, failure) -> {
                             agentUnreachable = failure != null;
