Repeat commands that a rank refuses or does not answer after growing delays

Cause: every answer that a leader got sent all unfinished commands again, also to ranks that had just failed at once. Change: CommandBackoff; the first repeat goes at once, since a refusal shows the new state, then 40 ms, doubling to 640 ms, until the rank accepts. Evidence: CommandBackoffTest, at most 7 commands a second to a rank that never answers; the same loop without it has no bound.

--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.group;
 
 import io.pollenpath.coordination.group.AddressedCommand;
+import io.pollenpath.coordination.group.CommandBackoff;
 import io.pollenpath.coordination.group.LeaderListener;
 import io.pollenpath.coordination.group.LeaderPolling;
 import io.pollenpath.coordination.group.LeaderState;
@@ -59,6 +60,7 @@
     private final LeaderCallStats stats;
     private final SendWindow window;
     private final CommandEncoder encoder;
+    private final CommandBackoff backoff = new CommandBackoff();
     private boolean steppedDown;
     private long nextPollNanos;
     private long commitStartNanos;
@@ -190,14 +192,17 @@
 
     private void advance(long nowNanos) {
         if (!steppedDown) {
-            state.nextCommands(nowNanos).forEach(this::send);
+            state.nextCommands(nowNanos).forEach(command -> send(command, nowNanos));
         }
     }
 
-    /** Sends a command, unless the rank has one in progress or the window is full. */
-    private void send(AddressedCommand addressed) {
+    /** Sends a command, unless the rank has one in progress, or its delay or the window forbid. */
+    private void send(AddressedCommand addressed, long nowNanos) {
         RankPeer peer = peersByRank.get(addressed.rank());
-        if (peer == null || pendingCommands.contains(addressed.rank())) {
+        boolean blocked =
+                pendingCommands.contains(addressed.rank())
+                        || !backoff.isDue(addressed.rank(), nowNanos);
+        if (peer == null || blocked) {
             return;
         }
         EngineCommand command = addressed.command();
@@ -207,14 +212,13 @@
         }
         pendingCommands.add(addressed.rank());
         stats.onCommandSent(body.length, peer.canQueryEngine());
-        long sentNanos = scheduler.nowNanos();
         peer.command(command, body, state.epoch(), token, window.timeoutMs())
                 .whenCompleteAsync(
                         (report, failure) -> {
                             pendingCommands.remove(addressed.rank());
                             window.release(body.length);
                             if (failure == null) {
-                                onOutcome(peer, addressed, report, sentNanos);
+                                onOutcome(peer, addressed, report, nowNanos);
                             }
                         },
                         scheduler.executor());
@@ -225,6 +229,7 @@
         long nowNanos = scheduler.nowNanos();
         CommandResult result = report.outcome().orElse(CommandResult.UNKNOWN);
         stats.onCommandEnded(result);
+        backoff.onOutcome(addressed.rank(), result == CommandResult.ACCEPTED, nowNanos);
         state.onOutcome(addressed, result, nowNanos);
         onReport(peer, report, sentNanos);
         advance(nowNanos);
