Call an engine past its agent only after three calls in a row without an answer

Callers: one late answer of an agent made streams of the whole group late for seconds. Cause: a single call without an answer marked an agent unreachable, and its engine was then sent the map as text, four times as large, on the same full link, so the next polls were lost too. Change: three calls in a row, and such commands take room in the window by the size of their text.

--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -38,6 +38,9 @@
     /** Greatest age of the state that an engine reports to any client other than its own agent. */
     private static final long MAX_ENGINE_STATE_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+    /** Size of a command in the text of the engines' API, in multiples of an agent's message. */
+    private static final int DIRECT_SIZE_FACTOR = 4;
+
     private final long token;
     private final String group;
     private final AgentScheduler scheduler;
@@ -207,16 +210,18 @@
         }
         EngineCommand command = addressed.command();
         byte[] body = encoder.encode(command, state.epoch());
-        if (!window.tryAcquire(body.length)) {
+        boolean direct = peer.canQueryEngine();
+        int bytes = direct ? DIRECT_SIZE_FACTOR * body.length : body.length;
+        if (!window.tryAcquire(bytes)) {
             return;
         }
         pendingCommands.add(addressed.rank());
-        stats.onCommandSent(body.length, peer.canQueryEngine());
+        stats.onCommandSent(bytes, direct);
         peer.command(command, body, state.epoch(), token, window.timeoutMs())
                 .whenCompleteAsync(
                         (report, failure) -> {
                             pendingCommands.remove(addressed.rank());
-                            window.release(body.length);
+                            window.release(bytes);
                             if (failure == null) {
                                 onOutcome(peer, addressed, report, nowNanos);
                             }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/LeaderCallStats.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/LeaderCallStats.java
@@ -37,7 +37,7 @@
     /**
      * Records a command that was sent.
      *
-     * @param bytes the size of its message to the agent
+     * @param bytes the size of its message
      * @param direct whether it was sent to the engine instead, because the agent did not answer
      */
     void onCommandSent(int bytes, boolean direct) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -8,16 +8,20 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Calls the agent of one rank, or its engine directly while the agent does not answer. */
 final class RankPeer {
 
+    /** Calls in a row without an answer after which the agent counts as unreachable. */
+    private static final int MAX_UNANSWERED_CALLS = 3;
+
     private static final long[] NO_COUNTS = new long[0];
 
     private final AgentTransport transport;
     private final AgentAddress address;
     private final Optional<EngineControl> directEngine;
-    private volatile boolean agentUnreachable;
+    private final AtomicInteger unansweredCalls = new AtomicInteger();
 
     /**
      * Creates a peer.
@@ -38,15 +42,17 @@
         return address.engine();
     }
 
-    /** Returns whether the last call to the agent failed and its engine may be called directly. */
+    /**
+     * Returns whether the agent is unreachable and its engine may be called directly. One call
+     * without an answer does not tell a lost call from an agent that is gone.
+     */
     boolean canQueryEngine() {
-        return agentUnreachable && directEngine.isPresent();
+        return unansweredCalls.get() >= MAX_UNANSWERED_CALLS && directEngine.isPresent();
     }
 
     /** Queries the agent; the future fails if it does not answer in time. */
     CompletableFuture<RankReport> query(RankStatusQuery query, long timeoutMs) {
-        return call(AgentServer.QUERY_PATH, GroupMessages.encode(query), timeoutMs)
-                .whenComplete((report, failure) -> agentUnreachable = failure != null);
+        return call(AgentServer.QUERY_PATH, GroupMessages.encode(query), timeoutMs);
     }
 
     /**
@@ -65,10 +71,8 @@
         }
         return call(AgentServer.COMMAND_PATH, body, timeoutMs)
                 .handle(
-                        (report, failure) -> {
-                            agentUnreachable = failure != null;
-                            return failure == null ? report : withoutState(CommandResult.UNKNOWN);
-                        });
+                        (report, failure) ->
+                                failure == null ? report : withoutState(CommandResult.UNKNOWN));
     }
 
     /**
@@ -100,7 +104,18 @@
     }
 
     private CompletableFuture<RankReport> call(String path, byte[] body, long timeoutMs) {
-        return transport.call(address.agent(), path, body, timeoutMs).thenApply(RankPeer::decode);
+        return transport
+                .call(address.agent(), path, body, timeoutMs)
+                .thenApply(RankPeer::decode)
+                .whenComplete((report, failure) -> countUnanswered(failure != null));
+    }
+
+    private void countUnanswered(boolean failed) {
+        if (failed) {
+            unansweredCalls.incrementAndGet();
+        } else {
+            unansweredCalls.set(0);
+        }
     }
 
     private static RankReport decode(byte[] answer) {
