Bound the connections that a process on the platform opens to one agent, engine or store

Callers: streams came late after a leader had used up its descriptors and with them its lease. Cause: the client opened a connection whenever all others to a server were in use, without a bound, so each call without an answer added one; a side process held up to 1,327 of its 1,494 descriptors. Change: HttpClient.bounded, a fixed pool of eight connections to a server; further calls wait for one, at most 256 of them and two seconds.

--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -45,6 +45,8 @@
     private static final long EXIT_MARGIN_MS = 700;
     private static final long DRAIN_POLL_MS = 50;
 
+    private static final int MAX_CONNECTIONS_PER_SERVER = 8;
+
     private final PlatformSettings settings;
     private final NettyLoops loops = new NettyLoops(1);
     private final ScheduledExecutorService control = ControlThreads.newExecutor();
@@ -72,7 +74,9 @@
                         new HeaderDialect(),
                         metrics,
                         new SplittableRandom());
-        store = new StoreClient(new HttpClient(loops), settings.store());
+        store =
+                new StoreClient(
+                        HttpClient.bounded(loops, MAX_CONNECTIONS_PER_SERVER), settings.store());
         viewPublisher =
                 new ServingViewPublisher(store, settings.bounds(), control, gateway::updateView);
         settings.readinessAddress().ifPresent(this::serveReadiness);
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -45,9 +45,11 @@
     private static final long SHAPE_REFRESH_MS = 60_000;
     private static final long SHAPE_RETRY_MS = 1_500;
 
+    private static final int MAX_CONNECTIONS_PER_SERVER = 8;
+
     private final PlatformSettings settings;
     private final NettyLoops loops = new NettyLoops(1);
-    private final HttpClient http = new HttpClient(loops);
+    private final HttpClient http = HttpClient.bounded(loops, MAX_CONNECTIONS_PER_SERVER);
     private final ScheduledExecutorService control = ControlThreads.newExecutor();
     private final GroupAgent agent;
     private final AgentDirectory directory;
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.pool.AbstractChannelPoolHandler;
 import io.netty.channel.pool.AbstractChannelPoolMap;
+import io.netty.channel.pool.ChannelHealthChecker;
 import io.netty.channel.pool.ChannelPool;
+import io.netty.channel.pool.FixedChannelPool;
 import io.netty.channel.pool.SimpleChannelPool;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -21,20 +23,49 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 
 /** Sends HTTP/1.1 requests over pooled connections. */
 public final class HttpClient implements AutoCloseable {
 
     private static final int CONNECT_TIMEOUT_MS = 2_000;
+    private static final long ACQUIRE_TIMEOUT_MS = 2_000;
+    private static final int MAX_WAITING_CALLS_PER_SERVER = 256;
 
     private final AbstractChannelPoolMap<HttpAddress, ChannelPool> pools;
 
     /**
-     * Creates a client without open connections.
+     * Creates a client that opens a connection whenever all connections to a server are in use.
      *
      * @param loops the event loops on which connections run, not null
      */
     public HttpClient(NettyLoops loops) {
+        this(loops, bootstrap -> new SimpleChannelPool(bootstrap, new PoolHandler()));
+    }
+
+    /**
+     * Creates a client with a bounded number of connections to each server. Further calls wait for
+     * a connection, and fail if none becomes free within two seconds or too many calls wait.
+     *
+     * @param loops the event loops on which connections run, not null
+     * @param maxConnectionsPerServer the maximum number of connections to one server, at least 1
+     * @return the client
+     */
+    public static HttpClient bounded(NettyLoops loops, int maxConnectionsPerServer) {
+        return new HttpClient(
+                loops,
+                bootstrap ->
+                        new FixedChannelPool(
+                                bootstrap,
+                                new PoolHandler(),
+                                ChannelHealthChecker.ACTIVE,
+                                FixedChannelPool.AcquireTimeoutAction.FAIL,
+                                ACQUIRE_TIMEOUT_MS,
+                                maxConnectionsPerServer,
+                                MAX_WAITING_CALLS_PER_SERVER));
+    }
+
+    private HttpClient(NettyLoops loops, Function<Bootstrap, ChannelPool> newPool) {
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loops.group())
@@ -45,9 +76,8 @@
                 new AbstractChannelPoolMap<>() {
                     @Override
                     protected ChannelPool newPool(HttpAddress address) {
-                        return new SimpleChannelPool(
-                                bootstrap.clone().remoteAddress(address.host(), address.port()),
-                                new PoolHandler());
+                        return newPool.apply(
+                                bootstrap.clone().remoteAddress(address.host(), address.port()));
                     }
                 };
     }
