Log an engine that stops answering commands once, not once for each command

Callers: none directly; the log of the leader lost the lines that explain the incident, and writing it took its processor time.

--- a/pollenpath/src/main/java/io/pollenpath/platform/EngineApi.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/EngineApi.java
@@ -21,6 +21,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,6 +38,7 @@
 
     private final HttpClient http;
     private final HttpAddress address;
+    private final AtomicBoolean silent = new AtomicBoolean();
 
     EngineApi(HttpClient http, HttpAddress address) {
         this.http = http;
@@ -130,12 +132,12 @@
         Map<String, String> headers = Map.of("Content-Type", "application/json");
         return http.send(new HttpClient.Request(address, "POST", "/api/order", headers, body))
                 .orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .handle((reply, failure) -> toResult(reply, failure));
+                .handle(this::toResult);
     }
 
-    private static CommandResult toResult(HttpReply reply, Throwable failure) {
+    private CommandResult toResult(HttpReply reply, Throwable failure) {
+        logChange(failure);
         if (failure != null) {
-            LOG.info("{}", LogLine.event("engine_order_unanswered").with("cause", failure));
             return CommandResult.UNKNOWN;
         }
         return switch (reply.status()) {
@@ -146,6 +148,18 @@
         };
     }
 
+    /** Logs the first order without an answer, and the first answer after it. */
+    private void logChange(Throwable failure) {
+        boolean nowSilent = failure != null;
+        if (silent.getAndSet(nowSilent) != nowSilent) {
+            LOG.info(
+                    "{}",
+                    LogLine.event(nowSilent ? "engine_order_unanswered" : "engine_order_answered")
+                            .with("engine", address)
+                            .with("cause", failure));
+        }
+    }
+
     /**
      * Encodes a command as the body of the platform's call {@code /api/order}. The operation {@code
      * go} releases a held step; the other operations are named as in the product.
