Let only one of the agents that miss a leader replace it

Callers: streams came late for seconds, as the group had no leader that stayed. Change: the token is read before the other agents are asked, and the claim is conditional on it. StoreLeaseTest holds the condition in the store.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderElection.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderElection.java
@@ -57,12 +57,17 @@
     }
 
     /**
-     * Restarts the election timeout because another agent reports contact with a leader.
+     * Shortens the silence of the leader to the one that another agent reports. It is never
+     * restarted by that: agents that ask each other would keep a leader alive that is gone.
      *
+     * @param contactAgeMs the time since the leader contacted the other agent, in milliseconds
      * @param nowNanos the current time
      */
-    public void onLeaderSeenByPeer(long nowNanos) {
-        lastContactNanos = nowNanos;
+    public void onLeaderSeenByPeer(long contactAgeMs, long nowNanos) {
+        long contactNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(contactAgeMs);
+        if (contactNanos - lastContactNanos > 0) {
+            lastContactNanos = contactNanos;
+        }
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
@@ -14,6 +14,7 @@
 final class StoreLease implements LeaderLease {
 
     private static final String HOLDER = "Holder";
+    private static final long NO_TOKEN = 0;
     private static final int STATUS_NOT_FOUND = 404;
     private static final long CALL_TIMEOUT_MS = 600;
 
@@ -24,31 +25,38 @@
     }
 
     @Override
-    public CompletableFuture<Long> claim(String group, String holder) {
+    public CompletableFuture<Long> currentToken(String group) {
         return store.read(StoreKinds.LEASES, group, CALL_TIMEOUT_MS)
                 .handle(
                         (object, failure) -> {
                             if (failure == null) {
-                                return replaceHolder(group, holder, object);
+                                return CompletableFuture.completedFuture(revision(object));
                             }
                             return StoreException.hasStatus(failure, STATUS_NOT_FOUND)
-                                    ? store.create(
-                                            StoreKinds.LEASES, group, spec(holder), CALL_TIMEOUT_MS)
-                                    : CompletableFuture.<JsonNode>failedFuture(failure);
+                                    ? CompletableFuture.completedFuture(NO_TOKEN)
+                                    : CompletableFuture.<Long>failedFuture(failure);
                         })
-                .thenCompose(written -> written)
-                .thenApply(StoreLease::revision);
+                .thenCompose(token -> token);
     }
 
-    private CompletableFuture<JsonNode> replaceHolder(
-            String group, String holder, JsonNode object) {
-        boolean alreadyHeld = object.path("Spec").path(HOLDER).asText("").equals(holder);
-        if (alreadyHeld) {
-            // An earlier claim of this process was stored, but the store's answer was lost.
-            return CompletableFuture.completedFuture(object);
-        }
-        return store.replace(
-                StoreKinds.LEASES, group, spec(holder), revision(object), CALL_TIMEOUT_MS);
+    /**
+     * {@inheritDoc}
+     *
+     * <p>A claim whose answer was lost is found by the next one: replacing a holder by itself
+     * leaves the revision as it is.
+     */
+    @Override
+    public CompletableFuture<Long> claim(String group, String holder, long replacedToken) {
+        CompletableFuture<JsonNode> written =
+                replacedToken == NO_TOKEN
+                        ? store.create(StoreKinds.LEASES, group, spec(holder), CALL_TIMEOUT_MS)
+                        : store.replace(
+                                StoreKinds.LEASES,
+                                group,
+                                spec(holder),
+                                replacedToken,
+                                CALL_TIMEOUT_MS);
+        return written.thenApply(StoreLease::revision);
     }
 
     private static ObjectNode spec(String holder) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,7 @@
     private static final long TICK_MS = 30;
     private static final long CLAIM_CHECK_TICKS = 4;
     private static final long LEADER_QUERY_TIMEOUT_MS = 250;
+    private static final long NO_TOKEN = 0;
 
     private final EngineControl engine;
     private final LeaderElection election;
@@ -175,22 +177,43 @@
             return;
         }
         claiming = true;
-        anyAgentSeesLeader(ownStatus.group())
-                .thenCompose(
-                        leaderSeen ->
-                                leaderSeen
-                                        ? CompletableFuture.completedFuture(0L)
-                                        : lease.claim(ownStatus.group(), holder))
+        String group = ownStatus.group();
+        lease.currentToken(group)
+                .thenCompose(token -> claimIfUnseen(group, token))
                 .whenCompleteAsync(
                         (token, failure) -> onClaim(ownStatus, token, failure),
                         scheduler.executor());
     }
 
-    /** Queries the other agents: a leader that does not reach this agent may still reach them. */
-    private CompletableFuture<Boolean> anyAgentSeesLeader(String group) {
+    /**
+     * Claims the lease unless some agent sees a leader. The token was read before the agents are
+     * asked, so that of several agents that miss the same leader only one can replace it.
+     *
+     * @return the fencing token of this agent; 0 if there is a leader
+     */
+    private CompletableFuture<Long> claimIfUnseen(String group, long silentToken) {
+        return leaderContactAgeMs(group)
+                .thenComposeAsync(
+                        ageMs -> {
+                            if (ageMs.isEmpty()) {
+                                return lease.claim(group, holder, silentToken);
+                            }
+                            election.onLeaderSeenByPeer(0, scheduler.nowNanos());
+                            return CompletableFuture.completedFuture(NO_TOKEN);
+                        },
+                        scheduler.executor());
+    }
+
+    /**
+     * Queries the other agents: a leader that does not reach this agent may still reach them.
+     *
+     * @return the time since a live leader contacted the first agent that reports one, in
+     *     milliseconds; empty if no agent does
+     */
+    private CompletableFuture<OptionalLong> leaderContactAgeMs(String group) {
         RankStatusQuery query = new RankStatusQuery(group, 0, false, false);
         long silenceMs = polling().electionTimeoutMs();
-        CompletableFuture<Boolean> leaderSeen = new CompletableFuture<>();
+        CompletableFuture<OptionalLong> contactAgeMs = new CompletableFuture<>();
         List<CompletableFuture<Void>> answers = new ArrayList<>();
         for (RankPeer peer : peers.values()) {
             answers.add(
@@ -199,14 +222,15 @@
                                     (report, failure) -> {
                                         if (failure == null
                                                 && reportsLiveLeader(report, silenceMs)) {
-                                            leaderSeen.complete(true);
+                                            contactAgeMs.complete(
+                                                    OptionalLong.of(report.leaderContactAgeMs()));
                                         }
                                         return null;
                                     }));
         }
         CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
-                .thenRun(() -> leaderSeen.complete(false));
-        return leaderSeen;
+                .thenRun(() -> contactAgeMs.complete(OptionalLong.empty()));
+        return contactAgeMs;
     }
 
     private static boolean reportsLiveLeader(RankReport report, long silenceMs) {
@@ -222,9 +246,9 @@
                     LogLine.event("lease_not_claimed")
                             .with("group", ownStatus.group())
                             .with("cause", failure));
-        } else if (token == 0) {
-            election.onLeaderSeenByPeer(nowNanos);
-        } else if (election.onLeaderCall(token, nowNanos) && shape.isPresent()) {
+        } else if (token != NO_TOKEN
+                && election.onLeaderCall(token, nowNanos)
+                && shape.isPresent()) {
             leader =
                     Optional.of(
                             new GroupLeader(
