Keep agents that ask each other from keeping a lost leader alive

Callers: no map follows the demand while a group has no leader, so streams come late. Cause: an agent that learned from another one that the leader had called restarted its own timeout as if it had been called itself, and reported that to the next agent that asked. The agents of a large group time out 20 to 80 ms apart, so some report was always fresh. Change: the age of the contact goes with the report, and never gets younger. Evidence: LargeGroupElectionTest, seed 5: nobody replaces a leader that is cut off within 2 s on the code before (1 claim, expected 2).

--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -198,7 +198,7 @@
                             if (ageMs.isEmpty()) {
                                 return lease.claim(group, holder, silentToken);
                             }
-                            election.onLeaderSeenByPeer(0, scheduler.nowNanos());
+                            election.onLeaderSeenByPeer(ageMs.getAsLong(), scheduler.nowNanos());
                             return CompletableFuture.completedFuture(NO_TOKEN);
                         },
                         scheduler.executor());
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderElectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderElectionTest.java
@@ -62,4 +62,18 @@
         assertThat(election.leaderSilenceMs(ms(2))).isEqualTo(1);
         assertThat(election.highestToken()).isEqualTo(7);
     }
+
+    @Test
+    void agentsThatAskEachOtherDoNotKeepALostLeaderAlive() {
+        LeaderElection one = new LeaderElection(0);
+        LeaderElection other = new LeaderElection(0);
+        one.onLeaderCall(1, ms(0));
+        other.onLeaderCall(1, ms(100));
+        for (long nowMs = 500; nowMs < 2_000; nowMs += 100) {
+            one.onLeaderSeenByPeer(other.leaderSilenceMs(ms(nowMs)), ms(nowMs));
+            other.onLeaderSeenByPeer(one.leaderSilenceMs(ms(nowMs)), ms(nowMs));
+        }
+        assertThat(one.leaderSilenceMs(ms(2_000))).isEqualTo(1_900);
+        assertThat(other.leaderSilenceMs(ms(2_000))).isEqualTo(1_900);
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupElectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupElectionTest.java
@@ -15,7 +15,7 @@
     private static final long ELECTION_MS = 2_000;
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4})
+    @ValueSource(longs = {1, 2, 3, 4, 5})
     void agentsThatMissTheSameLeaderReplaceItOnce(long seed) {
         LargeGroupFixture group = new LargeGroupFixture(72, SHAPE, CAPACITY, seed);
         group.start();
