--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -4,6 +4,7 @@
 import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.ExpertMap;
 import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.state.group.VersionedMap;
 import io.pollenpath.state.serving.GroupShape;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -211,12 +213,18 @@
     private void endCommit(MapCommit ended, boolean superseded) {
         listener.onCommitEnded(ended, superseded);
         if (ended.phase() == MapCommit.Phase.DONE) {
-            ended.map().ifPresent(map -> mapsByVersion.put(ended.version(), map));
+            ended.map().ifPresent(map -> recordMap(ended.version(), map));
         }
         commit = Optional.empty();
         recovery.ifPresent(MapRecovery::discardStatuses);
     }
 
+    /** Records the next active map, beside the one that the ranks may still report. */
+    private void recordMap(long version, ExpertMap map) {
+        mapsByVersion.keySet().retainAll(Set.of(statuses.get(ownRank).mapVersion()));
+        mapsByVersion.put(version, map);
+    }
+
     private boolean allRanksQuiet() {
         long version = statuses.get(ownRank).mapVersion();
         return statuses.values().stream()
@@ -224,13 +232,13 @@
     }
 
     private List<AddressedCommand> plan(long nowNanos) {
-        Optional<ExpertMap> current = activeMap();
+        Optional<VersionedMap> current = activeMap();
         boolean noNewSample = demand.samples() == samplesAtLastPlan;
         if (noNewSample || current.isEmpty() || !demand.isSteady()) {
             return List.of();
         }
         samplesAtLastPlan = demand.samples();
-        MapPlanner.Plan plan = planner.plan(current.get(), demand.shares());
+        MapPlanner.Plan plan = planner.plan(current.get().map(), demand.shares());
         return RebalanceRule.isWorthwhile(plan, shape) ? startChange(plan, nowNanos) : List.of();
     }
 
@@ -255,21 +263,32 @@
         return started.next(nowNanos);
     }
 
-    private Optional<ExpertMap> activeMap() {
+    /**
+     * Returns the map that the group uses.
+     *
+     * @return the map; empty while it is not known
+     */
+    public Optional<VersionedMap> activeMap() {
         RankStatus own = statuses.get(ownRank);
         if (own == null) {
             return Optional.empty();
         }
         ExpertMap map = mapsByVersion.get(own.mapVersion());
         if (map == null && hostedExperts.size() == own.size()) {
-            List<List<List<Integer>>> byRank = new ArrayList<>();
-            for (int rank = 0; rank < own.size(); rank++) {
-                byRank.add(hostedExperts.get(rank));
-            }
-            map = ExpertMap.ofRanks(byRank);
+            map = hostedMap(own.size());
             mapsByVersion.put(own.mapVersion(), map);
         }
-        return Optional.ofNullable(map);
+        return map == null
+                ? Optional.empty()
+                : Optional.of(new VersionedMap(own.mapVersion(), map));
+    }
+
+    private ExpertMap hostedMap(int ranks) {
+        List<List<List<Integer>>> byRank = new ArrayList<>();
+        for (int rank = 0; rank < ranks; rank++) {
+            byRank.add(hostedExperts.get(rank));
+        }
+        return ExpertMap.ofRanks(byRank);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/state/group/ExpertMap.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/group/ExpertMap.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.zip.CRC32C;
 
 /**
  * An immutable assignment of experts to the ranks of a group. Layers that share a placement form a
@@ -48,4 +49,27 @@
     public int ranks() {
         return layers.get(0).size();
     }
+
+    /**
+     * Returns a checksum of the whole map, by which two VMs find out that they mean the same map.
+     *
+     * @return the CRC-32C of the numbers of ranks and experts and of the experts, in order
+     */
+    public int checksum() {
+        CRC32C crc = new CRC32C();
+        for (List<List<Integer>> ranks : layers) {
+            update(crc, ranks.size());
+            for (List<Integer> experts : ranks) {
+                update(crc, experts.size());
+                experts.forEach(expert -> update(crc, expert));
+            }
+        }
+        return (int) crc.getValue();
+    }
+
+    private static void update(CRC32C crc, int value) {
+        for (int shift = 0; shift < Integer.SIZE; shift += Byte.SIZE) {
+            crc.update(value >>> shift);
+        }
+    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/AgentServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/AgentServer.java
@@ -68,13 +68,11 @@
             return agent.query(GroupMessages.decodeQuery(body));
         }
         RankCommand message = GroupMessages.decodeCommand(body);
-        Optional<EngineCommand> command = GroupMessages.toEngineCommand(message);
-        if (command.isEmpty()) {
-            throw new InvalidProtocolBufferException(
-                    "the command is missing or of an unknown type");
-        }
-        return agent.command(
-                command.get(), message.getGroup(), message.getEpoch(), message.getToken());
+        Optional<EngineCommand> command = GroupMessages.toEngineCommand(message, agent.knownMaps());
+        return command.isPresent()
+                ? agent.command(
+                        command.get(), message.getGroup(), message.getEpoch(), message.getToken())
+                : agent.rejectUnknownBase(message.getGroup(), message.getToken());
     }
 
     private static void respond(HttpExchange exchange, byte[] body) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -54,6 +54,9 @@
     /** Ranks with a command that is not answered yet. */
     private final Set<Integer> pendingCommands = new HashSet<>();
 
+    /** Ranks that refused the present map, whose agents may not know the map that it changes. */
+    private final Set<Integer> ranksWithoutBase = new HashSet<>();
+
     /** Agents with a query that is not answered yet. */
     private final Set<RankPeer> pendingQueries = new HashSet<>();
 
@@ -209,8 +212,9 @@
             return;
         }
         EngineCommand command = addressed.command();
-        byte[] body = encoder.encode(command, state.epoch());
         boolean direct = peer.canQueryEngine();
+        boolean whole = direct || ranksWithoutBase.contains(addressed.rank());
+        byte[] body = encoder.encode(command, state.epoch(), whole);
         int bytes = direct ? DIRECT_SIZE_FACTOR * body.length : body.length;
         if (!window.tryAcquire(bytes)) {
             return;
@@ -235,6 +239,10 @@
         CommandResult result = report.outcome().orElse(CommandResult.UNKNOWN);
         stats.onCommandEnded(result);
         backoff.onOutcome(addressed.rank(), result == CommandResult.ACCEPTED, nowNanos);
+        if (result == CommandResult.REJECTED
+                && addressed.command() instanceof EngineCommand.Prepare) {
+            ranksWithoutBase.add(addressed.rank());
+        }
         state.onOutcome(addressed, result, nowNanos);
         onReport(peer, report, sentNanos);
         advance(nowNanos);
@@ -243,6 +251,8 @@
     @Override
     public void onCommitStarted(MapCommit commit, MapPlanner.Plan plan) {
         commitStartNanos = scheduler.nowNanos();
+        encoder.setBase(state.activeMap());
+        ranksWithoutBase.clear();
         LOG.info(
                 "{}",
                 LogLine.event("commit_started")
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
@@ -6,6 +6,7 @@
 import io.pollenpath.protocol.wire.DisarmMap;
 import io.pollenpath.protocol.wire.ExpertList;
 import io.pollenpath.protocol.wire.HoldStep;
+import io.pollenpath.protocol.wire.LayerChanges;
 import io.pollenpath.protocol.wire.LayerExperts;
 import io.pollenpath.protocol.wire.PrepareMap;
 import io.pollenpath.protocol.wire.RankCommand;
@@ -17,16 +18,21 @@
 import io.pollenpath.state.group.CommandResult;
 import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.ExpertMap;
+import io.pollenpath.state.group.ExpertMapChanges;
 import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.util.LogLine;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Converts the calls between agents to protobuf messages and back. */
 final class GroupMessages {
 
+    private static final Logger LOG = LoggerFactory.getLogger(GroupMessages.class);
     private static final int EMPTY_SLOT = 0;
 
     /** Largest encoded count: the largest varint that takes one byte. */
@@ -73,6 +79,45 @@
         return map.build();
     }
 
+    /**
+     * Encodes a map as its changes from a base map.
+     *
+     * @param prepare the command with the whole map
+     * @param changes the changes of the base map that lead to it
+     * @param baseVersion the version of the base map
+     */
+    static byte[] encodeChanges(
+            EngineCommand.Prepare prepare,
+            ExpertMapChanges changes,
+            long baseVersion,
+            String group,
+            long epoch,
+            long token) {
+        PrepareMap.Builder map =
+                PrepareMap.newBuilder()
+                        .setVersion(prepare.version())
+                        .setBaseVersion(baseVersion)
+                        .setChecksum(prepare.map().checksum());
+        changes.layers().forEach(ranks -> map.addChanges(encodeLayerChanges(ranks)));
+        return RankCommand.newBuilder()
+                .setGroup(group)
+                .setToken(token)
+                .setEpoch(epoch)
+                .setPrepare(map)
+                .build()
+                .toByteArray();
+    }
+
+    private static LayerChanges encodeLayerChanges(List<ExpertMapChanges.RankExperts> ranks) {
+        LayerChanges.Builder layer = LayerChanges.newBuilder();
+        for (ExpertMapChanges.RankExperts change : ranks) {
+            layer.addRankExperts(change.rank())
+                    .addRankExperts(change.experts().size())
+                    .addAllRankExperts(change.experts());
+        }
+        return layer.build();
+    }
+
     private static LayerExperts encodeLayer(List<List<Integer>> ranks) {
         int slots = ranks.stream().mapToInt(List::size).max().orElse(0);
         LayerExperts.Builder layer = LayerExperts.newBuilder().setSlotsPerRank(slots);
@@ -93,10 +138,17 @@
         return RankCommand.parseFrom(bytes);
     }
 
-    /** Returns the command in a message; empty if this version does not know its type. */
-    static Optional<EngineCommand> toEngineCommand(RankCommand message) {
+    /**
+     * Returns the command in a message.
+     *
+     * @param knownMaps the maps to which the changes in a message may refer
+     * @return the command; empty if it needs a base map that is not known
+     * @throws InvalidProtocolBufferException if this version does not know the type of the command
+     */
+    static Optional<EngineCommand> toEngineCommand(RankCommand message, RecentMaps knownMaps)
+            throws InvalidProtocolBufferException {
         return switch (message.getOrderCase()) {
-            case PREPARE -> Optional.of(decodePrepare(message.getPrepare()));
+            case PREPARE -> decodePrepare(message.getPrepare(), knownMaps);
             case HOLD -> Optional.of(new EngineCommand.Hold(message.getHold().getStep()));
             case ARM ->
                     Optional.of(
@@ -104,16 +156,60 @@
                                     message.getArm().getVersion(), message.getArm().getStep()));
             case RELEASE -> Optional.of(new EngineCommand.Release(message.getRelease().getStep()));
             case DISARM -> Optional.of(new EngineCommand.Disarm(message.getDisarm().getVersion()));
-            case ORDER_NOT_SET -> Optional.empty();
+            case ORDER_NOT_SET ->
+                    throw new InvalidProtocolBufferException(
+                            "the command is missing or of an unknown type");
         };
     }
 
-    private static EngineCommand decodePrepare(PrepareMap prepare) {
-        List<List<List<Integer>>> layers = new ArrayList<>();
-        for (LayerExperts layer : prepare.getLayersList()) {
-            layers.add(decodeLayer(layer));
+    private static Optional<EngineCommand> decodePrepare(PrepareMap prepare, RecentMaps knownMaps) {
+        Optional<ExpertMap> map =
+                prepare.hasBaseVersion()
+                        ? applyChanges(prepare, knownMaps)
+                        : Optional.of(decodeWholeMap(prepare));
+        return map.map(decoded -> new EngineCommand.Prepare(prepare.getVersion(), decoded));
+    }
+
+    private static ExpertMap decodeWholeMap(PrepareMap prepare) {
+        return new ExpertMap(
+                prepare.getLayersList().stream().map(GroupMessages::decodeLayer).toList());
+    }
+
+    private static Optional<ExpertMap> applyChanges(PrepareMap prepare, RecentMaps knownMaps) {
+        Optional<ExpertMap> base = knownMaps.find(prepare.getBaseVersion());
+        if (base.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            ExpertMap map = decodeChanges(prepare).applyTo(base.get());
+            return map.checksum() == prepare.getChecksum() ? Optional.of(map) : Optional.empty();
+        } catch (IllegalArgumentException e) {
+            LOG.warn("{}", LogLine.event("map_changes_unreadable").with("cause", e.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private static ExpertMapChanges decodeChanges(PrepareMap prepare) {
+        return new ExpertMapChanges(
+                prepare.getChangesList().stream()
+                        .map(layer -> decodeLayerChanges(layer.getRankExpertsList()))
+                        .toList());
+    }
+
+    private static List<ExpertMapChanges.RankExperts> decodeLayerChanges(List<Integer> numbers) {
+        List<ExpertMapChanges.RankExperts> changes = new ArrayList<>();
+        int next = 0;
+        while (next < numbers.size()) {
+            int first = next + 2;
+            int end = first > numbers.size() ? first : first + numbers.get(next + 1);
+            if (end > numbers.size()) {
+                throw new IllegalArgumentException("the list of changed ranks is cut off");
+            }
+            int rank = numbers.get(next);
+            changes.add(new ExpertMapChanges.RankExperts(rank, numbers.subList(first, end)));
+            next = end;
         }
-        return new EngineCommand.Prepare(prepare.getVersion(), new ExpertMap(layers));
+        return changes;
     }
 
     private static List<List<Integer>> decodeLayer(LayerExperts layer) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
@@ -25,6 +25,7 @@
     private final AgentScheduler scheduler;
     private final LeaderElection election;
     private final CounterDeltas countDeltas = new CounterDeltas();
+    private final RecentMaps knownMaps = new RecentMaps();
     private volatile Optional<String> ownGroup = Optional.empty();
 
     /**
@@ -119,12 +120,43 @@
                 .thenCompose(
                         result -> {
                             logCommand(command, epoch, token, result);
+                            rememberMap(command, result);
                             return readEngine(
                                     new RankStatusQuery(group, token, false, false),
                                     Optional.of(result));
                         });
     }
 
+    private void rememberMap(EngineCommand command, CommandResult result) {
+        boolean accepted = result == CommandResult.ACCEPTED;
+        if (accepted && command instanceof EngineCommand.Prepare prepare) {
+            knownMaps.add(prepare.version(), prepare.map());
+        }
+    }
+
+    /** Returns the maps to which a leader may refer instead of sending them again. */
+    RecentMaps knownMaps() {
+        return knownMaps;
+    }
+
+    /**
+     * Answers a command whose map is given as changes of a map that this agent does not know.
+     *
+     * @param group the group for which the command is valid, not null
+     * @param token the fencing token of the leader
+     * @return the state, with the result {@link CommandResult#REJECTED} unless the token is
+     *     outdated; the future never fails
+     */
+    CompletableFuture<RankReport> rejectUnknownBase(String group, long token) {
+        LOG.info("{}", LogLine.event("base_map_unknown").with("group", group).with("token", token));
+        return query(new RankStatusQuery(group, token, false, false))
+                .thenApply(
+                        report ->
+                                report.outcome().isPresent()
+                                        ? report
+                                        : report.withOutcome(CommandResult.REJECTED));
+    }
+
     private CompletableFuture<Boolean> recordLeader(long token) {
         return CompletableFuture.supplyAsync(
                 () -> token == 0 || election.onLeaderCall(token, scheduler.nowNanos()),
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
@@ -35,6 +35,17 @@
         experts = List.copyOf(experts);
     }
 
+    /**
+     * Returns the same report with the result of a command.
+     *
+     * @param result the result, not null
+     * @return the report
+     */
+    RankReport withOutcome(CommandResult result) {
+        return new RankReport(
+                Optional.of(result), status, counts, experts, leaderToken, leaderContactAgeMs);
+    }
+
     /**
      * Returns whether a leader with a higher token has called the agent or its engine.
      *
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/GroupMessagesTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/GroupMessagesTest.java
@@ -7,6 +7,7 @@
 import io.pollenpath.state.group.CommandResult;
 import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.ExpertMap;
+import io.pollenpath.state.group.ExpertMapChanges;
 import io.pollenpath.state.group.RankStatus;
 import java.util.Collections;
 import java.util.List;
@@ -38,7 +39,7 @@
     @MethodSource("commands")
     void decodedCommandsAreEqual(EngineCommand command) throws InvalidProtocolBufferException {
         var message = GroupMessages.decodeCommand(GroupMessages.encode(command, "g", 3, 4));
-        assertThat(GroupMessages.toEngineCommand(message)).hasValue(command);
+        assertThat(GroupMessages.toEngineCommand(message, new RecentMaps())).hasValue(command);
         assertThat(message.getGroup()).isEqualTo("g");
         assertThat(message.getEpoch()).isEqualTo(3);
         assertThat(message.getToken()).isEqualTo(4);
@@ -112,4 +113,51 @@
         assertThat(decoded.supersedes(5)).isFalse();
         assertThat(decoded.supersedes(4)).isTrue();
     }
+
+    private static ExpertMap mapOf(int firstExpert) {
+        return new ExpertMap(
+                List.of(
+                        List.of(List.of(firstExpert, 2), List.of(1, 3)),
+                        List.of(List.of(1, 3), List.of(0, 2))));
+    }
+
+    private static byte[] encodedChanges(ExpertMap base, ExpertMap target) {
+        return GroupMessages.encodeChanges(
+                new EngineCommand.Prepare(9, target),
+                ExpertMapChanges.between(base, target),
+                8,
+                "g",
+                3,
+                4);
+    }
+
+    @Test
+    void changesOfAKnownMapAreDecodedToTheWholeMap() throws InvalidProtocolBufferException {
+        RecentMaps known = new RecentMaps();
+        known.add(8, mapOf(0));
+        var message = GroupMessages.decodeCommand(encodedChanges(mapOf(0), mapOf(5)));
+        assertThat(GroupMessages.toEngineCommand(message, known))
+                .hasValue(new EngineCommand.Prepare(9, mapOf(5)));
+    }
+
+    @Test
+    void changesOfAnUnknownMapAreNoCommand() throws InvalidProtocolBufferException {
+        var message = GroupMessages.decodeCommand(encodedChanges(mapOf(0), mapOf(5)));
+        assertThat(GroupMessages.toEngineCommand(message, new RecentMaps())).isEmpty();
+    }
+
+    /** A map that differs from the leader's under the same version must never reach an engine. */
+    @Test
+    void changesOfADifferentMapOfTheSameVersionAreNoCommand()
+            throws InvalidProtocolBufferException {
+        RecentMaps known = new RecentMaps();
+        known.add(
+                8,
+                new ExpertMap(
+                        List.of(
+                                List.of(List.of(0, 2), List.of(1, 4)),
+                                List.of(List.of(1, 3), List.of(0, 2)))));
+        var message = GroupMessages.decodeCommand(encodedChanges(mapOf(0), mapOf(5)));
+        assertThat(GroupMessages.toEngineCommand(message, known)).isEmpty();
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupDemandShiftTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupDemandShiftTest.java
@@ -5,6 +5,7 @@
 
 import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.state.serving.GroupShape;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -37,4 +38,19 @@
                 .that(group.onTimeFraction())
                 .isAtLeast(MIN_ON_TIME_FRACTION);
     }
+
+    @Test
+    void agentsThatHaveForgottenTheActiveMapGetTheWholeNextOne() {
+        LargeGroupFixture group = new LargeGroupFixture(RANKS, SHAPE, CAPACITY, 1);
+        group.start();
+        group.run(SETTLE_MS);
+        double balanced = group.imbalanceNow();
+        group.clearAgentState(5);
+        group.clearAgentState(71);
+        group.shiftDemand(SHIFT_FRACTION);
+        assertThat(group.imbalanceNow()).isGreaterThan(2 * balanced);
+        group.run(SHIFT_INTERVAL_MS);
+        assertThat(group.usedMixedMaps()).isFalse();
+        assertThat(group.imbalanceNow()).isLessThan(1.5 * balanced);
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
@@ -135,6 +135,12 @@
         demand.shift(fraction);
     }
 
+    /** Makes the agent of a rank forget what leaders have sent it. */
+    void clearAgentState(int rank) {
+        Member member = members.get(rank);
+        member.rankAgent = new RankAgent(member.engine, member.scheduler, member.election);
+    }
+
     /** Cuts the VM of the present leader off from the other VMs. */
     void cutOffLeader() {
         members.stream()
@@ -170,8 +176,11 @@
     private final class Member {
         private final int rank;
         private final AgentAddress address;
-        private final RankAgent rankAgent;
+        private final LeaderElection election = new LeaderElection(0);
+        private final AgentScheduler scheduler = new AgentScheduler(executor, executor::nowNanos);
+        private final EngineControl engine;
         private final GroupAgent agent;
+        private RankAgent rankAgent;
         private boolean cutOff;
 
         Member(int rank) {
@@ -180,9 +189,7 @@
                     new AgentAddress(
                             new HttpAddress("agent", rank + 1),
                             new HttpAddress("engine", rank + 1));
-            AgentScheduler scheduler = new AgentScheduler(executor, executor::nowNanos);
-            EngineControl engine = new LocalEngine(rank);
-            LeaderElection election = new LeaderElection(0);
+            engine = new LocalEngine(rank);
             rankAgent = new RankAgent(engine, scheduler, election);
             agent =
                     new GroupAgent(
--- a/wire/src/main/java/io/pollenpath/protocol/wire/GroupProto.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/GroupProto.java
@@ -37,6 +37,10 @@
             internal_static_pollenpath_group_PrepareMap_descriptor;
     static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
             internal_static_pollenpath_group_PrepareMap_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_group_LayerChanges_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_group_LayerChanges_fieldAccessorTable;
     static final com.google.protobuf.Descriptors.Descriptor
             internal_static_pollenpath_group_LayerExperts_descriptor;
     static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
@@ -88,34 +92,37 @@
                     + "th.group.ArmMapH\000\0220\n\007release\030\006 \001(\0132\035.pol"
                     + "lenpath.group.ReleaseStepH\000\022-\n\006disarm\030\007 "
                     + "\001(\0132\033.pollenpath.group.DisarmMapH\000\022\r\n\005gr"
-                    + "oup\030\010 \001(\tB\007\n\005order\"M\n\nPrepareMap\022\017\n\007vers"
-                    + "ion\030\001 \001(\003\022.\n\006layers\030\002 \003(\0132\036.pollenpath.g"
-                    + "roup.LayerExperts\";\n\014LayerExperts\022\026\n\016slo"
-                    + "ts_per_rank\030\002 \001(\r\022\r\n\005slots\030\003 \003(\rJ\004\010\001\020\002\"\035"
-                    + "\n\nExpertList\022\017\n\007experts\030\001 \003(\r\"\030\n\010HoldSte"
-                    + "p\022\014\n\004step\030\001 \001(\003\"\'\n\006ArmMap\022\017\n\007version\030\001 \001"
-                    + "(\003\022\014\n\004step\030\002 \001(\003\"\033\n\013ReleaseStep\022\014\n\004step\030"
-                    + "\001 \001(\003\"\034\n\tDisarmMap\022\017\n\007version\030\001 \001(\003\"\362\001\n\t"
-                    + "RankReply\0221\n\007outcome\030\001 \001(\0162 .pollenpath."
-                    + "group.CommandOutcome\022*\n\005state\030\002 \001(\0132\033.po"
-                    + "llenpath.group.RankState\022-\n\007experts\030\004 \003("
-                    + "\0132\034.pollenpath.group.ExpertList\022\024\n\014leade"
-                    + "r_token\030\005 \001(\003\022\027\n\017leader_heard_ms\030\006 \001(\003\022\016"
-                    + "\n\006chosen\030\007 \003(\r\022\022\n\ncount_unit\030\010 \001(\004J\004\010\003\020\004"
-                    + "\"\264\002\n\tRankState\022\r\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002"
-                    + " \001(\003\022\014\n\004rank\030\003 \001(\005\022\014\n\004size\030\004 \001(\005\022\014\n\004open"
-                    + "\030\005 \001(\010\022\014\n\004step\030\006 \001(\003\022\023\n\013map_version\030\007 \001("
-                    + "\003\022\035\n\020prepared_version\030\010 \001(\003H\000\210\001\001\022\032\n\rarme"
-                    + "d_version\030\t \001(\003H\001\210\001\001\022\027\n\narmed_step\030\n \001(\003"
-                    + "H\002\210\001\001\022\026\n\theld_step\030\013 \001(\003H\003\210\001\001\022\014\n\004busy\030\014 "
-                    + "\001(\010B\023\n\021_prepared_versionB\020\n\016_armed_versi"
-                    + "onB\r\n\013_armed_stepB\014\n\n_held_step*\237\001\n\016Comm"
-                    + "andOutcome\022\030\n\024COMMAND_OUTCOME_NONE\020\000\022\034\n\030"
-                    + "COMMAND_OUTCOME_ACCEPTED\020\001\022\034\n\030COMMAND_OU"
-                    + "TCOME_REJECTED\020\002\022\032\n\026COMMAND_OUTCOME_FENC"
-                    + "ED\020\003\022\033\n\027COMMAND_OUTCOME_UNKNOWN\020\004B+\n\033io."
-                    + "pollenpath.protocol.wireB\nGroupProtoP\001b\006"
-                    + "proto3"
+                    + "oup\030\010 \001(\tB\007\n\005order\"\274\001\n\nPrepareMap\022\017\n\007ver"
+                    + "sion\030\001 \001(\003\022.\n\006layers\030\002 \003(\0132\036.pollenpath."
+                    + "group.LayerExperts\022\031\n\014base_version\030\003 \001(\003"
+                    + "H\000\210\001\001\022/\n\007changes\030\004 \003(\0132\036.pollenpath.grou"
+                    + "p.LayerChanges\022\020\n\010checksum\030\005 \001(\007B\017\n\r_bas"
+                    + "e_version\"$\n\014LayerChanges\022\024\n\014rank_expert"
+                    + "s\030\001 \003(\r\";\n\014LayerExperts\022\026\n\016slots_per_ran"
+                    + "k\030\002 \001(\r\022\r\n\005slots\030\003 \003(\rJ\004\010\001\020\002\"\035\n\nExpertLi"
+                    + "st\022\017\n\007experts\030\001 \003(\r\"\030\n\010HoldStep\022\014\n\004step\030"
+                    + "\001 \001(\003\"\'\n\006ArmMap\022\017\n\007version\030\001 \001(\003\022\014\n\004step"
+                    + "\030\002 \001(\003\"\033\n\013ReleaseStep\022\014\n\004step\030\001 \001(\003\"\034\n\tD"
+                    + "isarmMap\022\017\n\007version\030\001 \001(\003\"\362\001\n\tRankReply\022"
+                    + "1\n\007outcome\030\001 \001(\0162 .pollenpath.group.Comm"
+                    + "andOutcome\022*\n\005state\030\002 \001(\0132\033.pollenpath.g"
+                    + "roup.RankState\022-\n\007experts\030\004 \003(\0132\034.pollen"
+                    + "path.group.ExpertList\022\024\n\014leader_token\030\005 "
+                    + "\001(\003\022\027\n\017leader_heard_ms\030\006 \001(\003\022\016\n\006chosen\030\007"
+                    + " \003(\r\022\022\n\ncount_unit\030\010 \001(\004J\004\010\003\020\004\"\264\002\n\tRankS"
+                    + "tate\022\r\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\003\022\014\n\004ra"
+                    + "nk\030\003 \001(\005\022\014\n\004size\030\004 \001(\005\022\014\n\004open\030\005 \001(\010\022\014\n\004"
+                    + "step\030\006 \001(\003\022\023\n\013map_version\030\007 \001(\003\022\035\n\020prepa"
+                    + "red_version\030\010 \001(\003H\000\210\001\001\022\032\n\rarmed_version\030"
+                    + "\t \001(\003H\001\210\001\001\022\027\n\narmed_step\030\n \001(\003H\002\210\001\001\022\026\n\th"
+                    + "eld_step\030\013 \001(\003H\003\210\001\001\022\014\n\004busy\030\014 \001(\010B\023\n\021_pr"
+                    + "epared_versionB\020\n\016_armed_versionB\r\n\013_arm"
+                    + "ed_stepB\014\n\n_held_step*\237\001\n\016CommandOutcome"
+                    + "\022\030\n\024COMMAND_OUTCOME_NONE\020\000\022\034\n\030COMMAND_OU"
+                    + "TCOME_ACCEPTED\020\001\022\034\n\030COMMAND_OUTCOME_REJE"
+                    + "CTED\020\002\022\032\n\026COMMAND_OUTCOME_FENCED\020\003\022\033\n\027CO"
+                    + "MMAND_OUTCOME_UNKNOWN\020\004B+\n\033io.pollenpath"
+                    + ".protocol.wireB\nGroupProtoP\001b\006proto3"
         };
         descriptor =
                 com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
@@ -143,10 +150,18 @@
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_PrepareMap_descriptor,
                         new java.lang.String[] {
-                            "Version", "Layers",
+                            "Version", "Layers", "BaseVersion", "Changes", "Checksum",
                         });
-        internal_static_pollenpath_group_LayerExperts_descriptor =
+        internal_static_pollenpath_group_LayerChanges_descriptor =
                 getDescriptor().getMessageTypes().get(3);
+        internal_static_pollenpath_group_LayerChanges_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_group_LayerChanges_descriptor,
+                        new java.lang.String[] {
+                            "RankExperts",
+                        });
+        internal_static_pollenpath_group_LayerExperts_descriptor =
+                getDescriptor().getMessageTypes().get(4);
         internal_static_pollenpath_group_LayerExperts_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_LayerExperts_descriptor,
@@ -154,7 +169,7 @@
                             "SlotsPerRank", "Slots",
                         });
         internal_static_pollenpath_group_ExpertList_descriptor =
-                getDescriptor().getMessageTypes().get(4);
+                getDescriptor().getMessageTypes().get(5);
         internal_static_pollenpath_group_ExpertList_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_ExpertList_descriptor,
@@ -162,7 +177,7 @@
                             "Experts",
                         });
         internal_static_pollenpath_group_HoldStep_descriptor =
-                getDescriptor().getMessageTypes().get(5);
+                getDescriptor().getMessageTypes().get(6);
         internal_static_pollenpath_group_HoldStep_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_HoldStep_descriptor,
@@ -170,7 +185,7 @@
                             "Step",
                         });
         internal_static_pollenpath_group_ArmMap_descriptor =
-                getDescriptor().getMessageTypes().get(6);
+                getDescriptor().getMessageTypes().get(7);
         internal_static_pollenpath_group_ArmMap_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_ArmMap_descriptor,
@@ -178,7 +193,7 @@
                             "Version", "Step",
                         });
         internal_static_pollenpath_group_ReleaseStep_descriptor =
-                getDescriptor().getMessageTypes().get(7);
+                getDescriptor().getMessageTypes().get(8);
         internal_static_pollenpath_group_ReleaseStep_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_ReleaseStep_descriptor,
@@ -186,7 +201,7 @@
                             "Step",
                         });
         internal_static_pollenpath_group_DisarmMap_descriptor =
-                getDescriptor().getMessageTypes().get(8);
+                getDescriptor().getMessageTypes().get(9);
         internal_static_pollenpath_group_DisarmMap_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_DisarmMap_descriptor,
@@ -194,7 +209,7 @@
                             "Version",
                         });
         internal_static_pollenpath_group_RankReply_descriptor =
-                getDescriptor().getMessageTypes().get(9);
+                getDescriptor().getMessageTypes().get(10);
         internal_static_pollenpath_group_RankReply_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_RankReply_descriptor,
@@ -208,7 +223,7 @@
                             "CountUnit",
                         });
         internal_static_pollenpath_group_RankState_descriptor =
-                getDescriptor().getMessageTypes().get(10);
+                getDescriptor().getMessageTypes().get(11);
         internal_static_pollenpath_group_RankState_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_group_RankState_descriptor,
--- a/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMap.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMap.java
@@ -38,6 +38,7 @@
 
     private PrepareMap() {
         layers_ = java.util.Collections.emptyList();
+        changes_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
@@ -55,6 +56,7 @@
                         io.pollenpath.protocol.wire.PrepareMap.Builder.class);
     }
 
+    private int bitField0_;
     public static final int VERSION_FIELD_NUMBER = 1;
     private long version_ = 0L;
 
@@ -73,37 +75,207 @@
     @SuppressWarnings("serial")
     private java.util.List<io.pollenpath.protocol.wire.LayerExperts> layers_;
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     @java.lang.Override
     public java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList() {
         return layers_;
     }
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     @java.lang.Override
     public java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
             getLayersOrBuilderList() {
         return layers_;
     }
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     @java.lang.Override
     public int getLayersCount() {
         return layers_.size();
     }
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     @java.lang.Override
     public io.pollenpath.protocol.wire.LayerExperts getLayers(int index) {
         return layers_.get(index);
     }
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     @java.lang.Override
     public io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(int index) {
         return layers_.get(index);
     }
 
+    public static final int BASE_VERSION_FIELD_NUMBER = 3;
+    private long baseVersion_ = 0L;
+
+    /**
+     *
+     *
+     * <pre>
+     * Version of the map that the changes apply to; unset if the message has the whole map.
+     * </pre>
+     *
+     * <code>optional int64 base_version = 3;</code>
+     *
+     * @return Whether the baseVersion field is set.
+     */
+    @java.lang.Override
+    public boolean hasBaseVersion() {
+        return ((bitField0_ & 0x00000001) != 0);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Version of the map that the changes apply to; unset if the message has the whole map.
+     * </pre>
+     *
+     * <code>optional int64 base_version = 3;</code>
+     *
+     * @return The baseVersion.
+     */
+    @java.lang.Override
+    public long getBaseVersion() {
+        return baseVersion_;
+    }
+
+    public static final int CHANGES_FIELD_NUMBER = 4;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.LayerChanges> changes_;
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.pollenpath.protocol.wire.LayerChanges> getChangesList() {
+        return changes_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.pollenpath.protocol.wire.LayerChangesOrBuilder>
+            getChangesOrBuilderList() {
+        return changes_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    @java.lang.Override
+    public int getChangesCount() {
+        return changes_.size();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.LayerChanges getChanges(int index) {
+        return changes_.get(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.LayerChangesOrBuilder getChangesOrBuilder(int index) {
+        return changes_.get(index);
+    }
+
+    public static final int CHECKSUM_FIELD_NUMBER = 5;
+    private int checksum_ = 0;
+
+    /**
+     *
+     *
+     * <pre>
+     * CRC-32C of the whole map after the changes.
+     * </pre>
+     *
+     * <code>fixed32 checksum = 5;</code>
+     *
+     * @return The checksum.
+     */
+    @java.lang.Override
+    public int getChecksum() {
+        return checksum_;
+    }
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -124,6 +296,15 @@
         for (int i = 0; i < layers_.size(); i++) {
             output.writeMessage(2, layers_.get(i));
         }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            output.writeInt64(3, baseVersion_);
+        }
+        for (int i = 0; i < changes_.size(); i++) {
+            output.writeMessage(4, changes_.get(i));
+        }
+        if (checksum_ != 0) {
+            output.writeFixed32(5, checksum_);
+        }
         getUnknownFields().writeTo(output);
     }
 
@@ -139,6 +320,15 @@
         for (int i = 0; i < layers_.size(); i++) {
             size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, layers_.get(i));
         }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, baseVersion_);
+        }
+        for (int i = 0; i < changes_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, changes_.get(i));
+        }
+        if (checksum_ != 0) {
+            size += com.google.protobuf.CodedOutputStream.computeFixed32Size(5, checksum_);
+        }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
         return size;
@@ -156,6 +346,12 @@
 
         if (getVersion() != other.getVersion()) return false;
         if (!getLayersList().equals(other.getLayersList())) return false;
+        if (hasBaseVersion() != other.hasBaseVersion()) return false;
+        if (hasBaseVersion()) {
+            if (getBaseVersion() != other.getBaseVersion()) return false;
+        }
+        if (!getChangesList().equals(other.getChangesList())) return false;
+        if (getChecksum() != other.getChecksum()) return false;
         if (!getUnknownFields().equals(other.getUnknownFields())) return false;
         return true;
     }
@@ -173,6 +369,16 @@
             hash = (37 * hash) + LAYERS_FIELD_NUMBER;
             hash = (53 * hash) + getLayersList().hashCode();
         }
+        if (hasBaseVersion()) {
+            hash = (37 * hash) + BASE_VERSION_FIELD_NUMBER;
+            hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getBaseVersion());
+        }
+        if (getChangesCount() > 0) {
+            hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+            hash = (53 * hash) + getChangesList().hashCode();
+        }
+        hash = (37 * hash) + CHECKSUM_FIELD_NUMBER;
+        hash = (53 * hash) + getChecksum();
         hash = (29 * hash) + getUnknownFields().hashCode();
         memoizedHashCode = hash;
         return hash;
@@ -321,6 +527,15 @@
                 layersBuilder_.clear();
             }
             bitField0_ = (bitField0_ & ~0x00000002);
+            baseVersion_ = 0L;
+            if (changesBuilder_ == null) {
+                changes_ = java.util.Collections.emptyList();
+            } else {
+                changes_ = null;
+                changesBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000008);
+            checksum_ = 0;
             return this;
         }
 
@@ -366,6 +581,15 @@
             } else {
                 result.layers_ = layersBuilder_.build();
             }
+            if (changesBuilder_ == null) {
+                if (((bitField0_ & 0x00000008) != 0)) {
+                    changes_ = java.util.Collections.unmodifiableList(changes_);
+                    bitField0_ = (bitField0_ & ~0x00000008);
+                }
+                result.changes_ = changes_;
+            } else {
+                result.changes_ = changesBuilder_.build();
+            }
         }
 
         private void buildPartial0(io.pollenpath.protocol.wire.PrepareMap result) {
@@ -373,6 +597,15 @@
             if (((from_bitField0_ & 0x00000001) != 0)) {
                 result.version_ = version_;
             }
+            int to_bitField0_ = 0;
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                result.baseVersion_ = baseVersion_;
+                to_bitField0_ |= 0x00000001;
+            }
+            if (((from_bitField0_ & 0x00000010) != 0)) {
+                result.checksum_ = checksum_;
+            }
+            result.bitField0_ |= to_bitField0_;
         }
 
         @java.lang.Override
@@ -417,6 +650,39 @@
                     }
                 }
             }
+            if (other.hasBaseVersion()) {
+                setBaseVersion(other.getBaseVersion());
+            }
+            if (changesBuilder_ == null) {
+                if (!other.changes_.isEmpty()) {
+                    if (changes_.isEmpty()) {
+                        changes_ = other.changes_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                    } else {
+                        ensureChangesIsMutable();
+                        changes_.addAll(other.changes_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.changes_.isEmpty()) {
+                    if (changesBuilder_.isEmpty()) {
+                        changesBuilder_.dispose();
+                        changesBuilder_ = null;
+                        changes_ = other.changes_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                        changesBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetChangesFieldBuilder()
+                                        : null;
+                    } else {
+                        changesBuilder_.addAllMessages(other.changes_);
+                    }
+                }
+            }
+            if (other.getChecksum() != 0) {
+                setChecksum(other.getChecksum());
+            }
             this.mergeUnknownFields(other.getUnknownFields());
             onChanged();
             return this;
@@ -463,6 +729,32 @@
                                 }
                                 break;
                             } // case 18
+                        case 24:
+                            {
+                                baseVersion_ = input.readInt64();
+                                bitField0_ |= 0x00000004;
+                                break;
+                            } // case 24
+                        case 34:
+                            {
+                                io.pollenpath.protocol.wire.LayerChanges m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.LayerChanges.parser(),
+                                                extensionRegistry);
+                                if (changesBuilder_ == null) {
+                                    ensureChangesIsMutable();
+                                    changes_.add(m);
+                                } else {
+                                    changesBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 34
+                        case 45:
+                            {
+                                checksum_ = input.readFixed32();
+                                bitField0_ |= 0x00000010;
+                                break;
+                            } // case 45
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -537,7 +829,15 @@
                         io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
                 layersBuilder_;
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList() {
             if (layersBuilder_ == null) {
                 return java.util.Collections.unmodifiableList(layers_);
@@ -546,7 +846,15 @@
             }
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public int getLayersCount() {
             if (layersBuilder_ == null) {
                 return layers_.size();
@@ -555,7 +863,15 @@
             }
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public io.pollenpath.protocol.wire.LayerExperts getLayers(int index) {
             if (layersBuilder_ == null) {
                 return layers_.get(index);
@@ -564,7 +880,15 @@
             }
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder setLayers(int index, io.pollenpath.protocol.wire.LayerExperts value) {
             if (layersBuilder_ == null) {
                 if (value == null) {
@@ -579,7 +903,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder setLayers(
                 int index, io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
             if (layersBuilder_ == null) {
@@ -592,7 +924,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder addLayers(io.pollenpath.protocol.wire.LayerExperts value) {
             if (layersBuilder_ == null) {
                 if (value == null) {
@@ -607,7 +947,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder addLayers(int index, io.pollenpath.protocol.wire.LayerExperts value) {
             if (layersBuilder_ == null) {
                 if (value == null) {
@@ -622,7 +970,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder addLayers(io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
             if (layersBuilder_ == null) {
                 ensureLayersIsMutable();
@@ -634,7 +990,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder addLayers(
                 int index, io.pollenpath.protocol.wire.LayerExperts.Builder builderForValue) {
             if (layersBuilder_ == null) {
@@ -647,7 +1011,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder addAllLayers(
                 java.lang.Iterable<? extends io.pollenpath.protocol.wire.LayerExperts> values) {
             if (layersBuilder_ == null) {
@@ -660,7 +1032,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder clearLayers() {
             if (layersBuilder_ == null) {
                 layers_ = java.util.Collections.emptyList();
@@ -672,7 +1052,15 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public Builder removeLayers(int index) {
             if (layersBuilder_ == null) {
                 ensureLayersIsMutable();
@@ -684,12 +1072,28 @@
             return this;
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public io.pollenpath.protocol.wire.LayerExperts.Builder getLayersBuilder(int index) {
             return internalGetLayersFieldBuilder().getBuilder(index);
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(int index) {
             if (layersBuilder_ == null) {
                 return layers_.get(index);
@@ -698,7 +1102,15 @@
             }
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
                 getLayersOrBuilderList() {
             if (layersBuilder_ != null) {
@@ -708,20 +1120,44 @@
             }
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public io.pollenpath.protocol.wire.LayerExperts.Builder addLayersBuilder() {
             return internalGetLayersFieldBuilder()
                     .addBuilder(io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance());
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public io.pollenpath.protocol.wire.LayerExperts.Builder addLayersBuilder(int index) {
             return internalGetLayersFieldBuilder()
                     .addBuilder(
                             index, io.pollenpath.protocol.wire.LayerExperts.getDefaultInstance());
         }
 
-        /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+        /**
+         *
+         *
+         * <pre>
+         * The whole map, one entry for each set of layers; empty if the message has changes.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+         */
         public java.util.List<io.pollenpath.protocol.wire.LayerExperts.Builder>
                 getLayersBuilderList() {
             return internalGetLayersFieldBuilder().getBuilderList();
@@ -747,6 +1183,506 @@
             return layersBuilder_;
         }
 
+        private long baseVersion_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Version of the map that the changes apply to; unset if the message has the whole map.
+         * </pre>
+         *
+         * <code>optional int64 base_version = 3;</code>
+         *
+         * @return Whether the baseVersion field is set.
+         */
+        @java.lang.Override
+        public boolean hasBaseVersion() {
+            return ((bitField0_ & 0x00000004) != 0);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Version of the map that the changes apply to; unset if the message has the whole map.
+         * </pre>
+         *
+         * <code>optional int64 base_version = 3;</code>
+         *
+         * @return The baseVersion.
+         */
+        @java.lang.Override
+        public long getBaseVersion() {
+            return baseVersion_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Version of the map that the changes apply to; unset if the message has the whole map.
+         * </pre>
+         *
+         * <code>optional int64 base_version = 3;</code>
+         *
+         * @param value The baseVersion to set.
+         * @return This builder for chaining.
+         */
+        public Builder setBaseVersion(long value) {
+
+            baseVersion_ = value;
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Version of the map that the changes apply to; unset if the message has the whole map.
+         * </pre>
+         *
+         * <code>optional int64 base_version = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearBaseVersion() {
+            bitField0_ = (bitField0_ & ~0x00000004);
+            baseVersion_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private java.util.List<io.pollenpath.protocol.wire.LayerChanges> changes_ =
+                java.util.Collections.emptyList();
+
+        private void ensureChangesIsMutable() {
+            if (!((bitField0_ & 0x00000008) != 0)) {
+                changes_ =
+                        new java.util.ArrayList<io.pollenpath.protocol.wire.LayerChanges>(changes_);
+                bitField0_ |= 0x00000008;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.LayerChanges,
+                        io.pollenpath.protocol.wire.LayerChanges.Builder,
+                        io.pollenpath.protocol.wire.LayerChangesOrBuilder>
+                changesBuilder_;
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public java.util.List<io.pollenpath.protocol.wire.LayerChanges> getChangesList() {
+            if (changesBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(changes_);
+            } else {
+                return changesBuilder_.getMessageList();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public int getChangesCount() {
+            if (changesBuilder_ == null) {
+                return changes_.size();
+            } else {
+                return changesBuilder_.getCount();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.LayerChanges getChanges(int index) {
+            if (changesBuilder_ == null) {
+                return changes_.get(index);
+            } else {
+                return changesBuilder_.getMessage(index);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder setChanges(int index, io.pollenpath.protocol.wire.LayerChanges value) {
+            if (changesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureChangesIsMutable();
+                changes_.set(index, value);
+                onChanged();
+            } else {
+                changesBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder setChanges(
+                int index, io.pollenpath.protocol.wire.LayerChanges.Builder builderForValue) {
+            if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                changes_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                changesBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder addChanges(io.pollenpath.protocol.wire.LayerChanges value) {
+            if (changesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureChangesIsMutable();
+                changes_.add(value);
+                onChanged();
+            } else {
+                changesBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder addChanges(int index, io.pollenpath.protocol.wire.LayerChanges value) {
+            if (changesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureChangesIsMutable();
+                changes_.add(index, value);
+                onChanged();
+            } else {
+                changesBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder addChanges(
+                io.pollenpath.protocol.wire.LayerChanges.Builder builderForValue) {
+            if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                changes_.add(builderForValue.build());
+                onChanged();
+            } else {
+                changesBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder addChanges(
+                int index, io.pollenpath.protocol.wire.LayerChanges.Builder builderForValue) {
+            if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                changes_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                changesBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder addAllChanges(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.LayerChanges> values) {
+            if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, changes_);
+                onChanged();
+            } else {
+                changesBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder clearChanges() {
+            if (changesBuilder_ == null) {
+                changes_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000008);
+                onChanged();
+            } else {
+                changesBuilder_.clear();
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public Builder removeChanges(int index) {
+            if (changesBuilder_ == null) {
+                ensureChangesIsMutable();
+                changes_.remove(index);
+                onChanged();
+            } else {
+                changesBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.LayerChanges.Builder getChangesBuilder(int index) {
+            return internalGetChangesFieldBuilder().getBuilder(index);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.LayerChangesOrBuilder getChangesOrBuilder(int index) {
+            if (changesBuilder_ == null) {
+                return changes_.get(index);
+            } else {
+                return changesBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public java.util.List<? extends io.pollenpath.protocol.wire.LayerChangesOrBuilder>
+                getChangesOrBuilderList() {
+            if (changesBuilder_ != null) {
+                return changesBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(changes_);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.LayerChanges.Builder addChangesBuilder() {
+            return internalGetChangesFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.LayerChanges.getDefaultInstance());
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public io.pollenpath.protocol.wire.LayerChanges.Builder addChangesBuilder(int index) {
+            return internalGetChangesFieldBuilder()
+                    .addBuilder(
+                            index, io.pollenpath.protocol.wire.LayerChanges.getDefaultInstance());
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * The changes, one entry for each set of layers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+         */
+        public java.util.List<io.pollenpath.protocol.wire.LayerChanges.Builder>
+                getChangesBuilderList() {
+            return internalGetChangesFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.LayerChanges,
+                        io.pollenpath.protocol.wire.LayerChanges.Builder,
+                        io.pollenpath.protocol.wire.LayerChangesOrBuilder>
+                internalGetChangesFieldBuilder() {
+            if (changesBuilder_ == null) {
+                changesBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.LayerChanges,
+                                io.pollenpath.protocol.wire.LayerChanges.Builder,
+                                io.pollenpath.protocol.wire.LayerChangesOrBuilder>(
+                                changes_,
+                                ((bitField0_ & 0x00000008) != 0),
+                                getParentForChildren(),
+                                isClean());
+                changes_ = null;
+            }
+            return changesBuilder_;
+        }
+
+        private int checksum_;
+
+        /**
+         *
+         *
+         * <pre>
+         * CRC-32C of the whole map after the changes.
+         * </pre>
+         *
+         * <code>fixed32 checksum = 5;</code>
+         *
+         * @return The checksum.
+         */
+        @java.lang.Override
+        public int getChecksum() {
+            return checksum_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * CRC-32C of the whole map after the changes.
+         * </pre>
+         *
+         * <code>fixed32 checksum = 5;</code>
+         *
+         * @param value The checksum to set.
+         * @return This builder for chaining.
+         */
+        public Builder setChecksum(int value) {
+
+            checksum_ = value;
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * CRC-32C of the whole map after the changes.
+         * </pre>
+         *
+         * <code>fixed32 checksum = 5;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearChecksum() {
+            bitField0_ = (bitField0_ & ~0x00000010);
+            checksum_ = 0;
+            onChanged();
+            return this;
+        }
+
         // @@protoc_insertion_point(builder_scope:pollenpath.group.PrepareMap)
     }
 
--- a/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMapOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/PrepareMapOrBuilder.java
@@ -18,19 +18,154 @@
      */
     long getVersion();
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     java.util.List<io.pollenpath.protocol.wire.LayerExperts> getLayersList();
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     io.pollenpath.protocol.wire.LayerExperts getLayers(int index);
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     int getLayersCount();
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     java.util.List<? extends io.pollenpath.protocol.wire.LayerExpertsOrBuilder>
             getLayersOrBuilderList();
 
-    /** <code>repeated .pollenpath.group.LayerExperts layers = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * The whole map, one entry for each set of layers; empty if the message has changes.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerExperts layers = 2;</code>
+     */
     io.pollenpath.protocol.wire.LayerExpertsOrBuilder getLayersOrBuilder(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * Version of the map that the changes apply to; unset if the message has the whole map.
+     * </pre>
+     *
+     * <code>optional int64 base_version = 3;</code>
+     *
+     * @return Whether the baseVersion field is set.
+     */
+    boolean hasBaseVersion();
+
+    /**
+     *
+     *
+     * <pre>
+     * Version of the map that the changes apply to; unset if the message has the whole map.
+     * </pre>
+     *
+     * <code>optional int64 base_version = 3;</code>
+     *
+     * @return The baseVersion.
+     */
+    long getBaseVersion();
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    java.util.List<io.pollenpath.protocol.wire.LayerChanges> getChangesList();
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    io.pollenpath.protocol.wire.LayerChanges getChanges(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    int getChangesCount();
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    java.util.List<? extends io.pollenpath.protocol.wire.LayerChangesOrBuilder>
+            getChangesOrBuilderList();
+
+    /**
+     *
+     *
+     * <pre>
+     * The changes, one entry for each set of layers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.group.LayerChanges changes = 4;</code>
+     */
+    io.pollenpath.protocol.wire.LayerChangesOrBuilder getChangesOrBuilder(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * CRC-32C of the whole map after the changes.
+     * </pre>
+     *
+     * <code>fixed32 checksum = 5;</code>
+     *
+     * @return The checksum.
+     */
+    int getChecksum();
 }
