Hold the next step, not the one after, where steps are long enough to arm all ranks

Callers: after a demand shift, streams stayed late for two more passes although the next map was ready on all ranks. Cause: a step two ahead was held whatever a step takes. Change: StepPace measures the steps; from 100 ms on, the next one is held. Short steps are held two ahead as before, so that arming does not delay them.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -36,6 +36,7 @@
     private final MapPlanner planner;
     private final ExpertDemandEstimator demand;
     private final LeaderListener listener;
+    private final StepPace pace = new StepPace();
     private final Map<Integer, RankStatus> statuses = new HashMap<>();
     private final Map<Integer, List<List<Integer>>> hostedExperts = new HashMap<>();
     private final Map<Long, ExpertMap> mapsByVersion = new HashMap<>();
@@ -79,6 +80,9 @@
             enterEpoch(status.epoch());
         }
         statuses.put(status.rank(), status);
+        if (status.rank() == ownRank) {
+            pace.onStep(status.step(), readNanos);
+        }
         recovery.ifPresent(current -> current.onStatus(status, readNanos));
         commit.ifPresent(current -> current.onStatus(status));
     }
@@ -181,7 +185,7 @@
         commit = current.unfinishedCommit();
         if (commit.isPresent()) {
             listener.onCommitTakenOver(commit.get());
-            return commit.get().next(nowNanos);
+            return commit.get().next(pace.holdAheadSteps(), nowNanos);
         }
         List<AddressedCommand> commands = current.commands();
         commands.forEach(this::recordRelease);
@@ -203,7 +207,7 @@
             endCommit(current, true);
             return List.of();
         }
-        List<AddressedCommand> commands = current.next(nowNanos);
+        List<AddressedCommand> commands = current.next(pace.holdAheadSteps(), nowNanos);
         if (current.hasEnded()) {
             endCommit(current, false);
         }
@@ -260,7 +264,7 @@
         statuses.values().forEach(started::onStatus);
         commit = Optional.of(started);
         listener.onCommitStarted(started, plan);
-        return started.next(nowNanos);
+        return started.next(pace.holdAheadSteps(), nowNanos);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -29,9 +29,6 @@
  */
 public final class MapCommit {
 
-    /** Steps from the newest known step to the held one, so that arming delays no step. */
-    static final int HOLD_AHEAD_STEPS = 2;
-
     /** Time after which a prepare command is resent to a rank that has accepted it. */
     private static final long PREPARE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -181,16 +178,18 @@
     /**
      * Moves to the next phase if the reported statuses and results allow it.
      *
+     * @param holdAheadSteps the steps from the newest known step to the one that is held, at least
+     *     1
      * @param nowNanos the current time
      * @return the commands to send now, at most one for each rank; the caller skips ranks whose
      *     previous command is still in progress
      */
-    public List<AddressedCommand> next(long nowNanos) {
+    public List<AddressedCommand> next(int holdAheadSteps, long nowNanos) {
         if (phase == Phase.PREPARING) {
             advancePreparing(nowNanos);
         }
         if (phase == Phase.HOLDING) {
-            advanceHolding();
+            advanceHolding(holdAheadSteps);
         }
         if (phase == Phase.ARMING && armed.size() == statuses.length) {
             phase = Phase.RELEASING;
@@ -209,7 +208,7 @@
         }
     }
 
-    private void advanceHolding() {
+    private void advanceHolding(int holdAheadSteps) {
         if (holdConfirmed) {
             phase = Phase.ARMING;
             return;
@@ -222,7 +221,7 @@
             holdConfirmed = true;
             phase = Phase.ARMING;
         } else if (step < 0 || newest >= step) {
-            step = Math.max(newest + HOLD_AHEAD_STEPS, firstStep);
+            step = Math.max(newest + holdAheadSteps, firstStep);
         }
     }
 
