Wake the agents of a group less often

Cause: each agent woke 33 times a second whether it led or not, and each poll crossed to the control thread and back twice. Change: agents that do not lead check the leader every 120 ms; LeaderElection is thread-safe, so that a poll is answered on the thread that received it; a new leader starts its first round at once.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderElection.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderElection.java
@@ -5,7 +5,7 @@
 /**
  * Decides when an agent tries to become the leader of its group: after an election timeout without
  * contact from any leader. The timeout grows with the rank, so that the agents of a group do not
- * all claim the lease at the same time.
+ * all claim the lease at the same time. Thread-safe.
  */
 public final class LeaderElection {
 
@@ -47,7 +47,7 @@
      * @param nowNanos the current time
      * @return false if a leader with a higher token has already called
      */
-    public boolean onLeaderCall(long token, long nowNanos) {
+    public synchronized boolean onLeaderCall(long token, long nowNanos) {
         if (token < highestToken) {
             return false;
         }
@@ -63,7 +63,7 @@
      * @param contactAgeMs the time since the leader contacted the other agent, in milliseconds
      * @param nowNanos the current time
      */
-    public void onLeaderSeenByPeer(long contactAgeMs, long nowNanos) {
+    public synchronized void onLeaderSeenByPeer(long contactAgeMs, long nowNanos) {
         long contactNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(contactAgeMs);
         if (contactNanos - lastContactNanos > 0) {
             lastContactNanos = contactNanos;
@@ -79,7 +79,7 @@
      * @param nowNanos the current time
      * @return true if this agent should claim the lease
      */
-    public boolean shouldClaimLease(int rank, long electionTimeoutMs, long nowNanos) {
+    public synchronized boolean shouldClaimLease(int rank, long electionTimeoutMs, long nowNanos) {
         boolean timedOut = leaderSilenceMs(nowNanos) >= electionTimeoutMs + staggerMs(rank);
         if (!timedOut || nowNanos - nextClaimNanos < 0) {
             return false;
@@ -99,7 +99,7 @@
      * @param nowNanos the current time
      * @return the time, in milliseconds; since shortly before startup if there was no contact yet
      */
-    public long leaderSilenceMs(long nowNanos) {
+    public synchronized long leaderSilenceMs(long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - lastContactNanos);
     }
 
@@ -108,7 +108,7 @@
      *
      * @return the token; 0 if no leader has called
      */
-    public long highestToken() {
+    public synchronized long highestToken() {
         return highestToken;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -26,8 +26,8 @@
 public final class GroupAgent {
 
     private static final Logger LOG = LoggerFactory.getLogger(GroupAgent.class);
-    private static final long TICK_MS = 30;
-    private static final long CLAIM_CHECK_TICKS = 4;
+    private static final long LEADER_TICK_MS = 30;
+    private static final long CLAIM_CHECK_MS = 120;
     private static final long LEADER_QUERY_TIMEOUT_MS = 250;
     private static final long NO_TOKEN = 0;
 
@@ -44,7 +44,6 @@
     private Optional<GroupLeader> leader = Optional.empty();
     private int groupSize;
     private boolean claiming;
-    private long ticks;
     private volatile boolean stopping;
     private volatile boolean leading;
 
@@ -82,9 +81,16 @@
 
     /** Starts the periodic work on the control thread. */
     public void start() {
-        scheduler
-                .executor()
-                .scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        scheduleTick(CLAIM_CHECK_MS);
+    }
+
+    private void scheduleTick(long delayMs) {
+        scheduler.executor().schedule(this::runTick, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void runTick() {
+        tick();
+        scheduleTick(leader.isPresent() ? LEADER_TICK_MS : CLAIM_CHECK_MS);
     }
 
     /**
@@ -128,11 +134,10 @@
 
     private void tick() {
         try {
-            ticks++;
             long nowNanos = scheduler.nowNanos();
             if (leader.isPresent()) {
                 runLeader(leader.get(), nowNanos);
-            } else if (!stopping && ticks % CLAIM_CHECK_TICKS == 0) {
+            } else if (!stopping) {
                 claimIfDue(nowNanos);
             }
             leading = leader.isPresent();
@@ -258,6 +263,7 @@
                     LogLine.event("lease_claimed")
                             .with("group", ownStatus.group())
                             .with("token", token));
+            tick();
         }
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankAgent.java
@@ -32,7 +32,7 @@
      * Creates an agent.
      *
      * @param engine the client of the engine, not null
-     * @param scheduler the thread to which the election state is confined, and its clock, not null
+     * @param scheduler the control thread and its clock, not null
      * @param election records contacts of leaders, not null
      */
     public RankAgent(EngineControl engine, AgentScheduler scheduler, LeaderElection election) {
@@ -53,14 +53,12 @@
     }
 
     private CompletableFuture<RankReport> answerOwnGroup(RankStatusQuery query) {
-        return recordLeader(query.token())
-                .thenCompose(
-                        accepted ->
-                                accepted ? readEngine(query, Optional.empty()) : reportFenced());
+        return acceptsLeader(query.token()) ? readEngine(query, Optional.empty()) : reportFenced();
     }
 
     private CompletableFuture<RankReport> reportFenced() {
-        return report(Optional.of(CommandResult.FENCED), Optional.empty(), NO_COUNTS, List.of());
+        return CompletableFuture.completedFuture(
+                report(Optional.of(CommandResult.FENCED), Optional.empty(), NO_COUNTS, List.of()));
     }
 
     /** Reports only the state of the engine: fencing tokens of other groups are not comparable. */
@@ -111,20 +109,17 @@
 
     private CompletableFuture<RankReport> execute(
             EngineCommand command, String group, long epoch, long token) {
-        return recordLeader(token)
-                .thenCompose(
-                        accepted ->
-                                accepted
-                                        ? engine.send(command, epoch, token)
-                                        : CompletableFuture.completedFuture(CommandResult.FENCED))
-                .thenCompose(
-                        result -> {
-                            logCommand(command, epoch, token, result);
-                            rememberMap(command, result);
-                            return readEngine(
-                                    new RankStatusQuery(group, token, false, false),
-                                    Optional.of(result));
-                        });
+        CompletableFuture<CommandResult> sent =
+                acceptsLeader(token)
+                        ? engine.send(command, epoch, token)
+                        : CompletableFuture.completedFuture(CommandResult.FENCED);
+        return sent.thenCompose(
+                result -> {
+                    logCommand(command, epoch, token, result);
+                    rememberMap(command, result);
+                    return readEngine(
+                            new RankStatusQuery(group, token, false, false), Optional.of(result));
+                });
     }
 
     private void rememberMap(EngineCommand command, CommandResult result) {
@@ -157,10 +152,8 @@
                                         : report.withOutcome(CommandResult.REJECTED));
     }
 
-    private CompletableFuture<Boolean> recordLeader(long token) {
-        return CompletableFuture.supplyAsync(
-                () -> token == 0 || election.onLeaderCall(token, scheduler.nowNanos()),
-                scheduler.executor());
+    private boolean acceptsLeader(long token) {
+        return token == 0 || election.onLeaderCall(token, scheduler.nowNanos());
     }
 
     private CompletableFuture<RankReport> readEngine(
@@ -171,7 +164,7 @@
         CompletableFuture<Optional<List<List<Integer>>>> experts =
                 query.withExperts() ? toOptional(engine.experts()) : notRequested();
         return CompletableFuture.allOf(status, counts, experts)
-                .thenCompose(
+                .thenApply(
                         done ->
                                 report(
                                         result,
@@ -198,21 +191,18 @@
                 });
     }
 
-    private CompletableFuture<RankReport> report(
+    private RankReport report(
             Optional<CommandResult> result,
             Optional<RankStatus> status,
             long[] counts,
             List<List<Integer>> experts) {
-        return CompletableFuture.supplyAsync(
-                () ->
-                        new RankReport(
-                                result,
-                                status,
-                                counts,
-                                experts,
-                                election.highestToken(),
-                                election.leaderSilenceMs(scheduler.nowNanos())),
-                scheduler.executor());
+        return new RankReport(
+                result,
+                status,
+                counts,
+                experts,
+                election.highestToken(),
+                election.leaderSilenceMs(scheduler.nowNanos()));
     }
 
     private static void logCommand(
