End quiet watches of the store well within its history

Callers: none seen; 72 agents listed all agents anew in the same tenth of a second, on the links that carry the leader's calls.

--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -77,8 +77,7 @@
         store =
                 new StoreClient(
                         HttpClient.bounded(loops, MAX_CONNECTIONS_PER_SERVER), settings.store());
-        viewPublisher =
-                new ServingViewPublisher(store, settings.bounds(), control, gateway::updateView);
+        viewPublisher = new ServingViewPublisher(store, settings, control, gateway::updateView);
         settings.readinessAddress().ifPresent(this::serveReadiness);
         settings.callerAddress()
                 .ifPresent(
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSettings.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSettings.java
@@ -17,6 +17,7 @@
  *     it does not probe
  * @param firstInternalPort the first port of the range for internal use by the product
  * @param store the address of the platform's store
+ * @param storeHistoryMs how long the store keeps its history of changes, in milliseconds
  * @param engineAddress the address of the engine on the same VM; empty on VMs without one
  * @param engineService the service of that engine; empty on VMs without one
  * @param capacity the processor and network capacity of the VM
@@ -30,6 +31,7 @@
         Optional<HttpAddress> readinessAddress,
         int firstInternalPort,
         HttpAddress store,
+        long storeHistoryMs,
         Optional<HttpAddress> engineAddress,
         Optional<String> engineService,
         VmCapacity capacity,
@@ -41,4 +43,15 @@
         Objects.requireNonNull(store, "store");
         Objects.requireNonNull(bounds, "bounds");
     }
+
+    /**
+     * Returns how long a watch of objects that rarely change waits for a change. It ends well
+     * within the store's history; the store would refuse the next watch from the same revision
+     * otherwise.
+     *
+     * @return the time, in milliseconds
+     */
+    long quietWatchMs() {
+        return storeHistoryMs / 2;
+    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -31,7 +31,6 @@
 final class PlatformSide implements Role {
 
     private static final Logger LOG = LoggerFactory.getLogger(PlatformSide.class);
-    private static final long LONG_POLL_MS = 20_000;
 
     /**
      * Delay that combines the registrations of many agents into few calls: agents start at the same
@@ -116,7 +115,13 @@
 
     private void watchStore(StoreClient store) {
         readShape(store);
-        new KindWatch(store, StoreKinds.AGENTS, LONG_POLL_MS, COALESCE_MS, control, this::onAgents)
+        new KindWatch(
+                        store,
+                        StoreKinds.AGENTS,
+                        settings.quietWatchMs(),
+                        COALESCE_MS,
+                        control,
+                        this::onAgents)
                 .start();
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
@@ -22,8 +22,6 @@
     /** Longer than the grace period of {@link ActiveServers}, so that the check finds it over. */
     private static final long GRACE_CHECK_MS = 2_100;
 
-    private static final long ENTRIES_LONG_POLL_MS = 20_000;
-
     /** Delay that combines the changes of many servers that start or stop at the same time. */
     private static final long SERVERS_COALESCE_MS = 200;
 
@@ -36,14 +34,14 @@
 
     ServingViewPublisher(
             StoreClient store,
-            DeploymentBounds bounds,
+            PlatformSettings settings,
             ScheduledExecutorService control,
             Consumer<ServingView> subscriber) {
         this.subscriber = subscriber;
         this.control = control;
         // At most half the stable window, so that a stalled watch is detected before time limits
         // apply to this VM again.
-        long longPollMs = Math.min(MAX_LONG_POLL_MS, bounds.stableWindowMs() / 2);
+        long longPollMs = Math.min(MAX_LONG_POLL_MS, settings.bounds().stableWindowMs() / 2);
         watches =
                 List.of(
                         new KindWatch(
@@ -58,7 +56,7 @@
                         new KindWatch(
                                 store,
                                 StoreKinds.ENTRIES,
-                                ENTRIES_LONG_POLL_MS,
+                                settings.quietWatchMs(),
                                 0,
                                 control,
                                 this::onEntries));
--- a/pollenpath/src/main/java/io/pollenpath/platform/SettingsFile.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/SettingsFile.java
@@ -14,6 +14,7 @@
 
     private static final double MS_PER_SECOND = 1_000;
     private static final double DEFAULT_GRACE_S = 8;
+    private static final double DEFAULT_HISTORY_S = 20;
     private static final long DEFAULT_STABLE_WINDOW_MS = 3_000;
     private static final long DEFAULT_CONFIG_APPLY_MS = 2_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
@@ -53,6 +54,7 @@
                 root.path("InternalPortRange").path(0).asInt(0),
                 address(root.path("Platform").path("Address"))
                         .orElseThrow(() -> missing("Platform.Address")),
+                ms(root.path("Platform").path("HistoryS").asDouble(DEFAULT_HISTORY_S)),
                 address(root.path("app")),
                 Optional.ofNullable(root.path("Service").asText(null)),
                 capacity(root.path("Limits")),
--- a/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
@@ -219,4 +219,21 @@
                 assertThrows(IllegalArgumentException.class, () -> SettingsFile.read(file));
         assertThat(thrown).hasMessageThat().contains("declare figures above 0");
     }
+
+    @Test
+    void quietWatchesEndBeforeTheHistoryOfTheStore(@TempDir Path folder) throws IOException {
+        String text =
+                """
+                Node: "side-1"
+                Zone: "zone-a"
+                Ip: "127.0.0.1"
+                Platform:
+                  Address: "127.0.0.1:8223"
+                  HistoryS: 6
+                """;
+        Path file = Files.writeString(folder.resolve("node.yaml"), text);
+        assertThat(SettingsFile.read(file).quietWatchMs()).isEqualTo(3_000);
+        Files.writeString(file, text.replace("  HistoryS: 6\n", ""));
+        assertThat(SettingsFile.read(file).quietWatchMs()).isEqualTo(10_000);
+    }
 }
