Bound what a leader that is cut off keeps open: one direct query to an engine at a time

Callers: none seen. Cause: while an agent did not answer, its engine was queried in each round whether or not the last query had ended, and eight connections to each of 72 agents and 72 engines are 1,152 of the 1,294 descriptors that the platform leaves for sockets. Change: one direct query to an engine at a time, four connections to a server in a side process. Evidence: from reading the code, no run showed it; GroupAgentTest and LargeGroup tests pass as before.

--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -44,7 +44,8 @@
     private static final long SHAPE_REFRESH_MS = 60_000;
     private static final long SHAPE_RETRY_MS = 1_500;
 
-    private static final int MAX_CONNECTIONS_PER_SERVER = 8;
+    /** A leader that is cut off waits for this many connections to each agent and each engine. */
+    private static final int MAX_CONNECTIONS_PER_SERVER = 4;
 
     private final PlatformSettings settings;
     private final NettyLoops loops = new NettyLoops(1);
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -60,6 +60,9 @@
     /** Agents with a query that is not answered yet. */
     private final Set<RankPeer> pendingQueries = new HashSet<>();
 
+    /** Agents whose engine has a query that is not answered yet. */
+    private final Set<RankPeer> pendingEngineQueries = new HashSet<>();
+
     /** Peers whose engine did not answer the last direct query, so that this is logged once. */
     private final Set<RankPeer> unreachableEngines = new HashSet<>();
 
@@ -141,10 +144,14 @@
     }
 
     private void pollEngine(RankPeer peer) {
+        if (!pendingEngineQueries.add(peer)) {
+            return;
+        }
         long sentNanos = scheduler.nowNanos();
         peer.queryEngine()
                 .whenCompleteAsync(
                         (report, failure) -> {
+                            pendingEngineQueries.remove(peer);
                             if (failure == null) {
                                 unreachableEngines.remove(peer);
                                 onReport(peer, report, sentNanos - MAX_ENGINE_STATE_AGE_NANOS);
