Split the sending of commands and the log lines out of GroupLeader

No change of behaviour is meant: CommandSender has the window, the delays and the choice of message, LeaderLog the lines.

--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -1,15 +1,8 @@
 package io.pollenpath.transport.group;
 
 import io.pollenpath.coordination.group.AddressedCommand;
-import io.pollenpath.coordination.group.CommandBackoff;
-import io.pollenpath.coordination.group.LeaderListener;
 import io.pollenpath.coordination.group.LeaderPolling;
 import io.pollenpath.coordination.group.LeaderState;
-import io.pollenpath.coordination.group.MapCommit;
-import io.pollenpath.coordination.group.MapPlanner;
-import io.pollenpath.coordination.group.SendWindow;
-import io.pollenpath.state.group.CommandResult;
-import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.RankStatus;
 import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.state.serving.GroupShape;
@@ -27,7 +20,7 @@
  * Runs the leader of a group: polls the agents, passes their reports to the leader's state, and
  * sends the resulting commands. Must be called on the control thread only.
  */
-final class GroupLeader implements LeaderListener {
+final class GroupLeader {
 
     private static final Logger LOG = LoggerFactory.getLogger(GroupLeader.class);
     private static final long MIN_QUERY_TIMEOUT_MS = 250;
@@ -38,9 +31,6 @@
     /** Greatest age of the state that an engine reports to any client other than its own agent. */
     private static final long MAX_ENGINE_STATE_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** Size of a command in the text of the engines' API, in multiples of an agent's message. */
-    private static final int DIRECT_SIZE_FACTOR = 4;
-
     private final long token;
     private final String group;
     private final AgentScheduler scheduler;
@@ -51,12 +41,6 @@
     /** Time of the next poll of each agent of another group, by the clock of the scheduler. */
     private final Map<RankPeer, Long> nextForeignPolls = new HashMap<>();
 
-    /** Ranks with a command that is not answered yet. */
-    private final Set<Integer> pendingCommands = new HashSet<>();
-
-    /** Ranks that refused the present map, whose agents may not know the map that it changes. */
-    private final Set<Integer> ranksWithoutBase = new HashSet<>();
-
     /** Agents with a query that is not answered yet. */
     private final Set<RankPeer> pendingQueries = new HashSet<>();
 
@@ -67,12 +51,9 @@
     private final Set<RankPeer> unreachableEngines = new HashSet<>();
 
     private final LeaderCallStats stats;
-    private final SendWindow window;
-    private final CommandEncoder encoder;
-    private final CommandBackoff backoff = new CommandBackoff();
+    private final CommandSender commands;
     private boolean steppedDown;
     private long nextPollNanos;
-    private long commitStartNanos;
 
     GroupLeader(
             long token,
@@ -84,11 +65,10 @@
         this.token = token;
         this.scheduler = scheduler;
         group = ownStatus.group();
-        state = new LeaderState(token, ownStatus.rank(), shape, this);
+        state = new LeaderState(token, ownStatus.rank(), shape, new LeaderLog(group, scheduler));
         nextPollNanos = nowNanos;
         stats = new LeaderCallStats(nowNanos);
-        window = new SendWindow(capacity.linkBytesPerSecond());
-        encoder = new CommandEncoder(group, token);
+        commands = new CommandSender(group, token, state, capacity, scheduler, stats);
     }
 
     boolean hasSteppedDown() {
@@ -136,8 +116,7 @@
                             pendingQueries.remove(peer);
                             stats.onQuery(failure == null);
                             if (failure == null) {
-                                onReport(peer, report, sentNanos);
-                                advance(scheduler.nowNanos());
+                                onAnswer(peer, report, sentNanos);
                             }
                         },
                         scheduler.executor());
@@ -154,8 +133,7 @@
                             pendingEngineQueries.remove(peer);
                             if (failure == null) {
                                 unreachableEngines.remove(peer);
-                                onReport(peer, report, sentNanos - MAX_ENGINE_STATE_AGE_NANOS);
-                                advance(scheduler.nowNanos());
+                                onAnswer(peer, report, sentNanos - MAX_ENGINE_STATE_AGE_NANOS);
                             } else if (unreachableEngines.add(peer)) {
                                 LOG.info(
                                         "{}",
@@ -209,106 +187,15 @@
         }
     }
 
-    /** Sends a command, unless the rank has one in progress, or its delay or the window forbid. */
     private void send(AddressedCommand addressed, long nowNanos) {
         RankPeer peer = peersByRank.get(addressed.rank());
-        boolean blocked =
-                pendingCommands.contains(addressed.rank())
-                        || !backoff.isDue(addressed.rank(), nowNanos);
-        if (peer == null || blocked) {
-            return;
+        if (peer != null) {
+            commands.send(addressed, peer, nowNanos, this::onAnswer);
         }
-        EngineCommand command = addressed.command();
-        boolean direct = peer.canQueryEngine();
-        boolean whole = direct || ranksWithoutBase.contains(addressed.rank());
-        byte[] body = encoder.encode(command, state.epoch(), whole);
-        int bytes = direct ? DIRECT_SIZE_FACTOR * body.length : body.length;
-        if (!window.tryAcquire(bytes)) {
-            return;
-        }
-        pendingCommands.add(addressed.rank());
-        stats.onCommandSent(bytes, direct);
-        peer.command(command, body, state.epoch(), token, window.timeoutMs())
-                .whenCompleteAsync(
-                        (report, failure) -> {
-                            pendingCommands.remove(addressed.rank());
-                            window.release(bytes);
-                            if (failure == null) {
-                                onOutcome(peer, addressed, report, nowNanos);
-                            }
-                        },
-                        scheduler.executor());
     }
 
-    private void onOutcome(
-            RankPeer peer, AddressedCommand addressed, RankReport report, long sentNanos) {
-        long nowNanos = scheduler.nowNanos();
-        CommandResult result = report.outcome().orElse(CommandResult.UNKNOWN);
-        stats.onCommandEnded(result);
-        backoff.onOutcome(addressed.rank(), result == CommandResult.ACCEPTED, nowNanos);
-        if (result == CommandResult.REJECTED
-                && addressed.command() instanceof EngineCommand.Prepare) {
-            ranksWithoutBase.add(addressed.rank());
-        }
-        state.onOutcome(addressed, result, nowNanos);
+    private void onAnswer(RankPeer peer, RankReport report, long sentNanos) {
         onReport(peer, report, sentNanos);
-        advance(nowNanos);
-    }
-
-    @Override
-    public void onCommitStarted(MapCommit commit, MapPlanner.Plan plan) {
-        commitStartNanos = scheduler.nowNanos();
-        encoder.setBase(state.activeMap());
-        ranksWithoutBase.clear();
-        LOG.info(
-                "{}",
-                LogLine.event("commit_started")
-                        .with("group", group)
-                        .with("version", commit.version())
-                        .with("excess_now", plan.imbalanceNow())
-                        .with("excess_then", plan.imbalanceThen())
-                        .with("fetches", plan.fetches()));
-    }
-
-    @Override
-    public void onCommitTakenOver(MapCommit commit) {
-        commitStartNanos = scheduler.nowNanos();
-        logCommit("commit_taken_over", commit);
-    }
-
-    @Override
-    public void onCommitEnded(MapCommit commit, boolean superseded) {
-        logCommit(superseded ? "commit_superseded" : "commit_over", commit);
-    }
-
-    private void logCommit(String event, MapCommit commit) {
-        LOG.info(
-                "{}",
-                LogLine.event(event)
-                        .with("group", group)
-                        .with("version", commit.version())
-                        .with("step", commit.step())
-                        .with("phase", commit.phase())
-                        .with("prepared", commit.preparedRanks())
-                        .with("armed", commit.armedRanks())
-                        .with(
-                                "took_ms",
-                                TimeUnit.NANOSECONDS.toMillis(
-                                        scheduler.nowNanos() - commitStartNanos)));
-    }
-
-    @Override
-    public void onRecovered(long epoch) {
-        LOG.info("{}", LogLine.event("group_settled").with("group", group).with("epoch", epoch));
-    }
-
-    @Override
-    public void onEpochChanged(long epoch, long previousEpoch) {
-        LOG.info(
-                "{}",
-                LogLine.event("group_epoch")
-                        .with("group", group)
-                        .with("epoch", epoch)
-                        .with("before", previousEpoch));
+        advance(scheduler.nowNanos());
     }
 }
