--- a/pollenpath/src/test/java/io/pollenpath/transport/PrometheusTextTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/PrometheusTextTest.java
@@ -88,7 +88,7 @@
     @Test
     void processMetricsAreNumbers() {
         ProcessMetrics.register(metrics);
-        assertThat(metrics.getGauges()).hasSize(9);
+        assertThat(metrics.getGauges()).hasSize(10);
         metrics.getGauges()
                 .forEach((name, gauge) -> assertThat(gauge.getValue()).isInstanceOf(Number.class));
     }
