--- a/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
@@ -7,6 +7,7 @@
 import io.pollenpath.util.LogLine;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -91,17 +92,20 @@
 
     private void onServers(Map<String, StoredObject> objects, long outageMs) {
         long nowNanos = System.nanoTime();
+        Set<String> previousIds = view.serverIds();
         publish(
                 view.withServers(
                         activeServers.update(registrations.decode(objects), outageMs, nowNanos)));
         if (activeServers.isInGracePeriod()) {
             control.schedule(this::checkGraceEnd, GRACE_CHECK_MS, TimeUnit.MILLISECONDS);
         }
-        LOG.info(
-                "{}",
-                LogLine.event("servers_changed")
-                        .with("known", objects.size())
-                        .with("in_use", view.serverIds().size()));
+        if (!view.serverIds().equals(previousIds)) {
+            LOG.info(
+                    "{}",
+                    LogLine.event("servers_changed")
+                            .with("known", objects.size())
+                            .with("in_use", view.serverIds().size()));
+        }
     }
 
     private void checkGraceEnd() {
