--- a/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
@@ -34,9 +34,6 @@
     private static final long FIRST_TOKEN = 101;
     private static final long HELD_STEP_RETRY_MS = 1;
     private static final int HTTP_HEADER_BYTES = 200;
-    private static final int JSON_REPORT_BYTES = 250;
-    private static final int JSON_BYTES_PER_SLOT = 4;
-    private static final int JSON_BYTES_PER_RANK = 3;
     private static final double SELECTIONS_PER_PASS_AND_LAYER = 300;
 
     private final VirtualExecutor executor = new VirtualExecutor();
@@ -346,7 +343,7 @@
 
         @Override
         public CompletableFuture<RankStatus> status() {
-            return call(0, JSON_REPORT_BYTES, () -> group.status(rank));
+            return call(0, EngineMessageSizes.REPORT_BYTES, () -> group.status(rank));
         }
 
         @Override
@@ -363,7 +360,10 @@
         @Override
         public CompletableFuture<CommandResult> send(
                 EngineCommand command, long epoch, long token) {
-            return call(jsonBytes(command), 0, () -> group.execute(rank, command, epoch, token))
+            return call(
+                            EngineMessageSizes.commandBytes(command),
+                            0,
+                            () -> group.execute(rank, command, epoch, token))
                     .exceptionally(failure -> CommandResult.UNKNOWN);
         }
 
@@ -385,17 +385,4 @@
             return answer;
         }
     }
-
-    private static int jsonBytes(EngineCommand command) {
-        if (!(command instanceof EngineCommand.Prepare prepare)) {
-            return 0;
-        }
-        int bytes = 0;
-        for (List<List<Integer>> layer : prepare.map().layers()) {
-            for (List<Integer> experts : layer) {
-                bytes += JSON_BYTES_PER_RANK + JSON_BYTES_PER_SLOT * experts.size();
-            }
-        }
-        return bytes;
-    }
 }
