Log which attempts are one request, and whether a server ended when a connection broke

What is missing: after the incident of repeated crashes the logs could not tell whether one caller's request came again under new identities, our own sends went wrong, or servers ended for another reason. A broken send names only the attempt, and a broken connection only itself.

Change: send_failed bears a fingerprint (digest of account, method, host, path and body). After a connection breaks under a request, the entry opens one connection to the server: a refused one shows that the server ended. server_checked says so, with the fingerprints in flight; the metric server_checks_total counts the results. An accepted connection goes to the pool.

No decision changes.

--- a/pollenpath/src/main/java/io/pollenpath/state/serving/ServerInstance.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/serving/ServerInstance.java
@@ -45,6 +45,15 @@
         }
     }
 
+    /**
+     * Returns what distinguishes this process from others that had the same identity.
+     *
+     * @return the identity and the incarnation, separated by an at sign
+     */
+    public String incarnationId() {
+        return id + "@" + incarnation;
+    }
+
     /**
      * Returns the address at which the server listens.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -200,14 +200,19 @@
         listener = null;
         boolean reusable = keepAlive && channel.isActive() && writeFuture.isDone();
         if (reusable) {
-            idleSinceNanos = System.nanoTime();
-            pool.release(this);
+            becomeIdle();
         } else {
             close();
         }
         completed.onEnd();
     }
 
+    /** Puts the connection into the pool. */
+    void becomeIdle() {
+        idleSinceNanos = System.nanoTime();
+        pool.release(this);
+    }
+
     private void fail(SendOutcome outcome, String cause) {
         BackendListener completed = listener;
         listener = null;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
@@ -68,7 +68,21 @@
             use.accept(pooled);
             return;
         }
-        open(server, use, failed);
+        open(server, use, cause -> failed.accept(SendOutcome.NOT_SENT + ": " + cause));
+    }
+
+    /**
+     * Checks whether a server accepts connections, by opening one. An accepted connection stays in
+     * the pool.
+     */
+    void check(ServerInstance server, Consumer<Reachability> result) {
+        open(
+                server,
+                opened -> {
+                    opened.becomeIdle();
+                    result.accept(Reachability.LISTENING);
+                },
+                cause -> result.accept(Reachability.of(cause)));
     }
 
     private BackendConnection takeIdle(String serverId, boolean mayRetry, long nowNanos) {
@@ -89,7 +103,7 @@
     }
 
     private void open(
-            ServerInstance server, Consumer<BackendConnection> use, Consumer<String> failed) {
+            ServerInstance server, Consumer<BackendConnection> use, Consumer<Throwable> failed) {
         BackendConnection connection = new BackendConnection(this, server.id(), dialect);
         ChannelFuture connecting =
                 bootstrap
@@ -107,7 +121,7 @@
                     if (future.isSuccess()) {
                         use.accept(connection);
                     } else {
-                        failed.accept(SendOutcome.NOT_SENT + ": " + future.cause());
+                        failed.accept(future.cause());
                     }
                 });
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -37,6 +37,7 @@
     private final Supplier<ServingView> view;
     private final BackendConnectionPool connections;
     private final RequestLog log;
+    private final CrashGuard crashGuard;
     private final RandomGenerator random;
     private final ServerSelector serverSelector;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
@@ -48,11 +49,13 @@
             Supplier<ServingView> view,
             BackendConnectionPool connections,
             RequestLog log,
+            CrashGuard crashGuard,
             RandomGenerator random) {
         this.settings = settings;
         this.view = view;
         this.connections = connections;
         this.log = log;
+        this.crashGuard = crashGuard;
         this.random = random;
         serverSelector = new ServerSelector(settings.zone(), random);
     }
@@ -179,6 +182,9 @@
             String cause,
             long nowNanos) {
         recordFailure(server, outcome, nowNanos);
+        if (outcome == SendOutcome.UNKNOWN && server != null) {
+            crashGuard.onConnectionBroken(server, request, requestsOn(server));
+        }
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
         long timeLeftMs = request.timeLeftMs(nowNanos);
@@ -206,6 +212,10 @@
         sendQueued(request.context().service(), nowNanos);
     }
 
+    private List<ForwardedRequest> requestsOn(ServerInstance server) {
+        return inFlight.stream().filter(request -> request.isSentTo(server)).toList();
+    }
+
     private void recordFailure(ServerInstance server, SendOutcome outcome, long nowNanos) {
         if (server == null) {
             return;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.pollenpath.coordination.serving.SendOutcome;
+import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
 import java.io.ByteArrayOutputStream;
@@ -38,6 +39,7 @@
     private final EventSplitter splitter = new EventSplitter();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+    private RequestFingerprint fingerprint;
     private int selections;
     private int sends;
     private boolean mayHaveRun;
@@ -70,6 +72,14 @@
         return context.route();
     }
 
+    /** Returns what identifies all attempts of this request, computed on the first call. */
+    RequestFingerprint fingerprint() {
+        if (fingerprint == null) {
+            fingerprint = context.fingerprint();
+        }
+        return fingerprint;
+    }
+
     Set<String> triedServerIds() {
         return triedServerIds;
     }
@@ -113,6 +123,13 @@
         return TimeUnit.NANOSECONDS.toMillis(end - context.arrivedNanos());
     }
 
+    /** Returns whether the request was written to a server, which has not answered it yet. */
+    boolean isSentTo(ServerInstance target) {
+        return connection != null
+                && server != null
+                && server.incarnationId().equals(target.incarnationId());
+    }
+
     /** Returns the time since the current server last sent bytes; 0 if no server is selected. */
     long silenceMs(long nowNanos) {
         return server == null ? 0 : TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -72,7 +72,8 @@
         this.random = random;
         log = new RequestLog(metrics);
         backends = new BackendConnectionPool(loop, dialect);
-        dispatcher = new Dispatcher(settings, this::view, backends, log, random);
+        CrashGuard crashGuard = new CrashGuard(backends, new CrashLog(metrics));
+        dispatcher = new Dispatcher(settings, this::view, backends, log, crashGuard, random);
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
@@ -1,7 +1,9 @@
 package io.pollenpath.transport.serving;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.state.serving.ClientAccount;
+import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.state.serving.Route;
 import java.util.Optional;
 
@@ -33,6 +35,15 @@
         long arrivedNanos,
         long deadlineNanos) {
 
+    RequestFingerprint fingerprint() {
+        return RequestFingerprint.of(
+                account.map(ClientAccount::name).orElse(""),
+                method,
+                headers.get(HttpHeaderNames.HOST, ""),
+                uri,
+                body);
+    }
+
     int priority() {
         return account.map(known -> known.priorityOn(route)).orElse(route.priority());
     }
