Reproduce the incident: a request that crashes servers is sent on by every entry

The engine that begins the request ends 50 ms later.

The engine stand-in can crash and name a limit; an entry can be ended at once in tests.

--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -28,7 +28,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Runs an entry on the platform: a gateway whose view comes from the platform's store. */
-final class PlatformEntry implements Role {
+final class PlatformEntry implements Role, AutoCloseable {
 
     private static final Logger LOG = LoggerFactory.getLogger(PlatformEntry.class);
     private static final int STATUS_OK = 200;
@@ -154,6 +154,13 @@
         return gateway.openRequests() == 0;
     }
 
+    /** Ends at once all that the entry does, without a graceful stop. */
+    @Override
+    public void close() {
+        control.shutdownNow();
+        loops.close();
+    }
+
     private static long elapsedMs(long startNanos) {
         return (System.nanoTime() - startNanos) / 1_000_000;
     }
--- a/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
@@ -15,6 +15,9 @@
     /** Executes the request and closes the connection without an answer. */
     ANSWER_LOST,
 
+    /** Begins to execute the request, and the process of the engine ends. */
+    CRASHES,
+
     /** Executes the request and answers with a signed 500. */
     FAILS,
 
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 /**
  * Stands in for an engine of the platform. It writes HTTP to plain sockets, so that it can also
@@ -32,7 +34,8 @@
 
     private final String id;
     private final ServerSocket listener;
-    private final Queue<EngineFault> faults;
+    private final Function<ReceivedRequest, EngineFault> faults;
+    private volatile String namedLimit = "";
     private final Queue<ReceivedRequest> received = new ConcurrentLinkedQueue<>();
     private final AtomicInteger resetCount = new AtomicInteger();
     private final Queue<Socket> openConnections = new ConcurrentLinkedQueue<>();
@@ -68,12 +71,43 @@
      * @throws IOException if no free port is available
      */
     public PlatformEngineStandin(String id, Queue<EngineFault> faults) throws IOException {
+        this(
+                id,
+                0,
+                request -> {
+                    EngineFault fault = faults.poll();
+                    return fault == null ? EngineFault.NONE : fault;
+                });
+    }
+
+    /**
+     * Creates an engine and starts listening on the loopback address.
+     *
+     * @param id the identity of the engine, which starts the body of its answers, not null
+     * @param port the port to listen on; 0 for any free one
+     * @param faults the work on a request; returns after the time that it takes, with the fault of
+     *     the answer; called on the thread of the connection, not null
+     * @throws IOException if the port is in use
+     */
+    public PlatformEngineStandin(String id, int port, Function<ReceivedRequest, EngineFault> faults)
+            throws IOException {
         this.id = id;
         this.faults = faults;
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         startThread(this::acceptAll);
     }
 
+    /**
+     * Names in later answers the rate of requests that this engine takes from all entries together.
+     *
+     * @param perSecond the value of the header; empty to name none, not null
+     */
+    public void nameLimit(String perSecond) {
+        namedLimit = perSecond.isEmpty() ? "" : "Server-Limit: " + perSecond + "\r\n";
+    }
+
     private static void startThread(Runnable task) {
         Thread thread = new Thread(task, "engine-standin");
         thread.setDaemon(true);
@@ -126,8 +160,7 @@
             while (reusable) {
                 ReceivedRequest request = read(in);
                 received.add(request);
-                EngineFault fault = faults.poll();
-                reusable = answer(socket, request, fault == null ? EngineFault.NONE : fault);
+                reusable = answer(socket, request, faults.apply(request));
             }
         } catch (IOException e) {
             // The caller closed the connection, so nobody waits for an answer.
@@ -191,6 +224,10 @@
             case ANSWER_LOST -> {
                 return false;
             }
+            case CRASHES -> {
+                crash();
+                return false;
+            }
             case SILENT -> {
                 awaitDisconnect(socket);
                 return false;
@@ -278,7 +315,7 @@
                         + "part");
     }
 
-    private static void writeStreamHead(Socket socket, ReceivedRequest request) throws IOException {
+    private void writeStreamHead(Socket socket, ReceivedRequest request) throws IOException {
         write(
                 socket,
                 responseHead(
@@ -305,17 +342,18 @@
         return events.toString();
     }
 
-    private static String responseHeadWithLength(
+    private String responseHeadWithLength(
             int status, String requestId, String headers, int length) {
         return responseHead(status, requestId, headers + "Content-Length: " + length + "\r\n");
     }
 
-    private static String responseHead(int status, String requestId, String headers) {
+    private String responseHead(int status, String requestId, String headers) {
         return "HTTP/1.1 "
                 + status
                 + " Status\r\nRequest-Id: "
                 + requestId
                 + "\r\nKeep-Alive: timeout=30\r\n"
+                + namedLimit
                 + headers
                 + "\r\n";
     }
@@ -338,6 +376,22 @@
         }
     }
 
+    /**
+     * Ends the engine as the end of its process does: nothing listens any more and all connections
+     * are reset.
+     *
+     * @throws IOException if a socket can't be closed
+     */
+    public void crash() throws IOException {
+        listener.close();
+        for (Socket socket : openConnections) {
+            if (!socket.isClosed()) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- /dev/null
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -0,0 +1,180 @@
+package io.pollenpath.platform;
+
+import io.pollenpath.standin.platform.PlatformFixtures;
+import io.pollenpath.standin.platform.PlatformStoreStandin;
+import io.pollenpath.state.group.VmCapacity;
+import io.pollenpath.transport.HttpAddress;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.HttpReply;
+import io.pollenpath.transport.NettyLoops;
+import io.pollenpath.util.Pause;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Entries of one deployment with a store and engines that restart, each entry on its own IP. */
+final class EntryFleet implements AutoCloseable {
+
+    private static final String SERVICE = "drafts";
+    private static final int PAGE_SIZE = 100;
+    private static final int ANSWER_TIMEOUT_MS = 5_000;
+    private static final long READY_TIMEOUT_MS = 5_000;
+    private static final DeploymentBounds BOUNDS =
+            new DeploymentBounds(8_000, 3_000, 2_000, 0.2, 10_000, 90, 1_500, true);
+
+    private final NettyLoops loops = new NettyLoops(1);
+    private final HttpClient client = new HttpClient(loops);
+    private final PlatformStoreStandin store = new PlatformStoreStandin(PAGE_SIZE);
+    private final List<RestartingEngine> engines = new ArrayList<>();
+    private final List<PlatformSettings> settings = new ArrayList<>();
+    private final List<PlatformEntry> entries = new ArrayList<>();
+
+    /**
+     * The answer to one attempt of a caller.
+     *
+     * @param requestId the ID of the attempt
+     * @param sentNanos the time at which the caller sent it, in nanoseconds
+     * @param status the HTTP status; 0 if there was no answer
+     * @param body the body; empty if there was no answer
+     * @param retryAfter the time after which to come back, in seconds; empty if none was named
+     * @param elapsedMs the time until the answer, in milliseconds
+     */
+    record Answer(
+            String requestId,
+            long sentNanos,
+            int status,
+            String body,
+            String retryAfter,
+            long elapsedMs) {}
+
+    EntryFleet(int entryCount, int engineCount) throws IOException {
+        store.put(
+                StoreKinds.CONFIG, StoreKinds.NEWEST_CONFIG, PlatformFixtures.manifest(1, SERVICE));
+        for (int i = 0; i < engineCount; i++) {
+            engines.add(new RestartingEngine("engine-" + i, SERVICE, store));
+        }
+        int port = freePort();
+        for (int i = 0; i < entryCount; i++) {
+            settings.add(settings(i, "127.0.1." + (i + 1), port));
+        }
+        for (PlatformSettings entry : settings) {
+            entries.add(new PlatformEntry(Path.of("unused.yaml"), entry));
+        }
+        awaitReady();
+    }
+
+    private PlatformSettings settings(int index, String ip, int port) {
+        return new PlatformSettings(
+                "entry-" + index,
+                "zone-a",
+                ip,
+                Optional.of(new HttpAddress(ip, port)),
+                Optional.empty(),
+                port + 1,
+                new HttpAddress("127.0.0.1", store.port()),
+                20_000,
+                Optional.empty(),
+                Optional.empty(),
+                new VmCapacity(1, 1_000_000),
+                BOUNDS);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.1.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private void awaitReady() {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
+        for (int i = 0; i < settings.size(); i++) {
+            while (call(i, "ready-" + i, "/plain/ready").status() != 200) {
+                if (System.nanoTime() > endNanos) {
+                    throw new IllegalStateException("entry " + i + " serves nothing in time");
+                }
+                Pause.forMs(20);
+            }
+        }
+    }
+
+    /** Sends one attempt to an entry and waits for its answer. */
+    Answer call(int entry, String requestId, String path) {
+        long sentNanos = System.nanoTime();
+        HttpClient.Request request =
+                new HttpClient.Request(
+                        settings.get(entry).callerAddress().orElseThrow(),
+                        "POST",
+                        path,
+                        Map.of(
+                                "Host",
+                                PlatformFixtures.HOST,
+                                "Request-Id",
+                                requestId,
+                                "Authorization",
+                                "Bearer " + PlatformFixtures.API_KEY,
+                                "Deadline-Ms",
+                                "3000"),
+                        "{}".getBytes(StandardCharsets.UTF_8));
+        try {
+            HttpReply reply = client.send(request).get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            return new Answer(
+                    requestId,
+                    sentNanos,
+                    reply.status(),
+                    new String(reply.body(), StandardCharsets.UTF_8),
+                    reply.headers().get("Retry-After", ""),
+                    elapsedMs(sentNanos));
+        } catch (ExecutionException | TimeoutException e) {
+            return new Answer(requestId, sentNanos, 0, "", "", elapsedMs(sentNanos));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("interrupted while waiting for an answer", e);
+        }
+    }
+
+    private static long elapsedMs(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
+    /** Ends an entry as a kill of its process does and starts it again. */
+    void restartEntry(int entry) {
+        entries.get(entry).close();
+        entries.set(entry, new PlatformEntry(Path.of("unused.yaml"), settings.get(entry)));
+    }
+
+    PlatformStoreStandin store() {
+        return store;
+    }
+
+    List<RestartingEngine> engines() {
+        return engines;
+    }
+
+    /** Returns the arrivals of a path at all engines, oldest first. */
+    List<RestartingEngine.Arrival> arrivals(String path) {
+        return engines.stream()
+                .flatMap(engine -> engine.arrivals().stream())
+                .filter(arrival -> arrival.path().equals(path))
+                .sorted((a, b) -> Long.compare(a.nanos() - b.nanos(), 0))
+                .toList();
+    }
+
+    @Override
+    public void close() throws IOException {
+        entries.forEach(PlatformEntry::close);
+        client.close();
+        loops.close();
+        for (RestartingEngine engine : engines) {
+            engine.close();
+        }
+        store.close();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
@@ -0,0 +1,130 @@
+package io.pollenpath.platform;
+
+import io.pollenpath.standin.platform.EngineFault;
+import io.pollenpath.standin.platform.PlatformEngineStandin;
+import io.pollenpath.standin.platform.PlatformFixtures;
+import io.pollenpath.standin.platform.PlatformStoreStandin;
+import io.pollenpath.util.Pause;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An engine that starts again after its process ended, at the same address and with a new identity,
+ * and registers itself in the store. The path of a request tells what the request does.
+ */
+final class RestartingEngine implements AutoCloseable {
+
+    /** Requests with this path end the process of the engine that runs them. */
+    static final String CRASHING_PATH = "/plain/crash";
+
+    /** Requests with this path take {@link #LONG_WORK_MS}. */
+    static final String LONG_PATH = "/plain/long";
+
+    /** The work on a request with {@link #LONG_PATH}, in milliseconds. */
+    static final long LONG_WORK_MS = 450;
+
+    private static final long SHORT_WORK_MS = 10;
+    private static final long CRASH_DELAY_MS = 50;
+    private static final long RESTART_MS = 1_000;
+
+    private final String name;
+    private final String service;
+    private final PlatformStoreStandin store;
+    private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
+    private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
+    private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
+    private final int port;
+    private volatile PlatformEngineStandin process;
+    private volatile String limit = "";
+    private int boots;
+
+    /**
+     * A request that the engine received.
+     *
+     * @param nanos the time, in nanoseconds
+     * @param requestId the ID that the caller gave to the attempt
+     * @param path the path
+     */
+    record Arrival(long nanos, String requestId, String path) {}
+
+    RestartingEngine(String name, String service, PlatformStoreStandin store) throws IOException {
+        this.name = name;
+        this.service = service;
+        this.store = store;
+        process = new PlatformEngineStandin(id(), 0, this::work);
+        port = process.port();
+        store.put(StoreKinds.SERVERS, id(), PlatformFixtures.serverEntry(service, port));
+    }
+
+    private String id() {
+        return name + "-" + boots;
+    }
+
+    private EngineFault work(PlatformEngineStandin.ReceivedRequest request) {
+        arrivals.add(new Arrival(System.nanoTime(), request.header("request-id"), request.path()));
+        switch (pathOnly(request.path())) {
+            case CRASHING_PATH -> {
+                Pause.forMs(CRASH_DELAY_MS);
+                onEnd();
+                return EngineFault.CRASHES;
+            }
+            case LONG_PATH -> Pause.forMs(LONG_WORK_MS);
+            default -> Pause.forMs(SHORT_WORK_MS);
+        }
+        return EngineFault.NONE;
+    }
+
+    private static String pathOnly(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private synchronized void onEnd() {
+        crashNanos.add(System.nanoTime());
+        restarts.schedule(this::restart, RESTART_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void restart() {
+        store.delete(StoreKinds.SERVERS, id());
+        boots++;
+        try {
+            process = new PlatformEngineStandin(id(), port, this::work);
+            process.nameLimit(limit);
+        } catch (IOException e) {
+            throw new IllegalStateException("the engine can't listen again on port " + port, e);
+        }
+        store.put(StoreKinds.SERVERS, id(), PlatformFixtures.serverEntry(service, port));
+    }
+
+    /** Ends the process from outside; it starts again after a while. */
+    void kill() throws IOException {
+        process.crash();
+        onEnd();
+    }
+
+    /** Names a limit in later answers; an empty text names none. */
+    void nameLimit(String perSecond) {
+        limit = perSecond;
+        process.nameLimit(perSecond);
+    }
+
+    /** Returns the requests that reached the engine, oldest first. */
+    List<Arrival> arrivals() {
+        return arrivals;
+    }
+
+    /** Returns the times at which the process ended, in nanoseconds, oldest first. */
+    List<Long> crashNanos() {
+        return crashNanos;
+    }
+
+    @Override
+    public void close() throws IOException {
+        restarts.shutdownNow();
+        process.close();
+    }
+}
