Stop sending a request that crashes the servers that run it, at every entry

Cause: nothing remembers a request between two attempts. ResendPolicy decides from one attempt's own sends, ServerHealth and the retry budget from one server's and service's; each repeat has a new identity and comes at any entry, so each is a first attempt everywhere. The class of the fault: a judgement that concerns all entries and all attempts together, kept by one attempt alone.

Evidence: in the record 20 sends with "connection closed before the answer", under at least nine identities and all four entries, never more than two sends under one identity; the servers ended within 100 ms of the send. The reproduction shows the same with logs that name the fingerprint: each break is followed by server_checked REFUSED, and one fingerprint is in flight each time.

Why this works: the fingerprint is the same for all attempts. A server has crashed if a connection to it broke under a request and a new one is refused, unless it had announced its end. Entries tell each other directly within milliseconds, also without the store. From the third server on the request is refused at once, with a status that is true about whether it ran. Other requests that were in flight are cleared by their first complete answer, and are not blamed where one request explains the crashes. A wrongly blocked request is tried again after 1, 2.5 and 30 s while servers also crash without it.

The registration of an entry bears its address and is repeated until the store has it; it was tried once and its failure only logged, which also counted one entry too few for shared budgets.

Test: CrashingRequestTest failed before in its four cases (42 late arrivals, 3 allowed) and passes (0, with three crashes in all); the kill wave from outside passed before and passes. CrashHistoryTest, SuspectPolicyTest and EntryMessagesTest are new.

--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -0,0 +1,94 @@
+package io.pollenpath.coordination.serving;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides whether a request that is suspected of crashing servers may be sent.
+ *
+ * <p>A request that has crashed several servers is blocked. It gets a few trials at growing delays,
+ * because servers may also have crashed under it for another reason; a complete answer to a trial
+ * clears it of these crashes. The delays are long if it is the only explanation of the crashes of
+ * the service, because each further crash costs others their requests.
+ */
+public final class SuspectPolicy {
+
+    /** The largest number of trials of one request. */
+    static final int MAX_TRIALS = 3;
+
+    /**
+     * The time from the latest crash or trial to the next trial if servers also crash without the
+     * request, in milliseconds.
+     */
+    private static final long[] CONTESTED_DELAYS_MS = {1_000, 2_500, 30_000};
+
+    /** The same time if the request is the only explanation, in milliseconds. */
+    private static final long[] SOLE_CAUSE_DELAYS_MS = {30_000, 60_000, 120_000};
+
+    /** How long a caller is told to wait when no trial is left, in milliseconds. */
+    static final long BLOCKED_RETRY_AFTER_MS = 60_000;
+
+    /** How long a caller is told to wait for the check of a server, in milliseconds. */
+    static final long CHECK_RETRY_AFTER_MS = 500;
+
+    /** The verdict on a request without suspicion. */
+    public static final Verdict SEND = new Verdict(Decision.SEND, 0);
+
+    private SuspectPolicy() {}
+
+    /** What to do with a request. */
+    public enum Decision {
+        /** Send it as usual. */
+        SEND,
+        /** Send it to one server, as a trial. */
+        TRIAL,
+        /** Refuse it without sending it. */
+        REFUSE
+    }
+
+    /**
+     * A decision.
+     *
+     * @param decision what to do with the request
+     * @param retryAfterMs when the caller may come back if it is refused, in milliseconds
+     */
+    public record Verdict(Decision decision, long retryAfterMs) {
+
+        /**
+         * Returns whether the request is refused.
+         *
+         * @return true if it must not be sent
+         */
+        public boolean isRefused() {
+            return decision == Decision.REFUSE;
+        }
+    }
+
+    /**
+     * Decides about one send of a request.
+     *
+     * @param suspicion the suspicion against the request, not null
+     * @param unconfirmedCrashes the number of servers that broke the connection of the request and
+     *     are being checked
+     * @param nowNanos the current time, in nanoseconds
+     * @return the decision
+     */
+    public static Verdict decide(
+            CrashHistory.Suspicion suspicion, int unconfirmedCrashes, long nowNanos) {
+        int crashes = suspicion.crashes() + unconfirmedCrashes;
+        if (crashes < CrashHistory.BLOCKING_CRASHES) {
+            return SEND;
+        }
+        if (unconfirmedCrashes > 0) {
+            return new Verdict(Decision.REFUSE, CHECK_RETRY_AFTER_MS);
+        }
+        if (suspicion.trials() >= MAX_TRIALS) {
+            return new Verdict(Decision.REFUSE, BLOCKED_RETRY_AFTER_MS);
+        }
+        long sinceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - suspicion.lastEventNanos());
+        long[] delaysMs = suspicion.contested() ? CONTESTED_DELAYS_MS : SOLE_CAUSE_DELAYS_MS;
+        long remainingMs = delaysMs[suspicion.trials()] - sinceMs;
+        return remainingMs <= 0
+                ? new Verdict(Decision.TRIAL, 0)
+                : new Verdict(Decision.REFUSE, remainingMs);
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -14,10 +14,10 @@
 import io.pollenpath.transport.HttpServer;
 import io.pollenpath.transport.NettyLoops;
 import io.pollenpath.transport.ProcessMetrics;
+import io.pollenpath.transport.serving.EntryServer;
 import io.pollenpath.transport.serving.Gateway;
 import io.pollenpath.transport.serving.GatewayServer;
 import io.pollenpath.transport.serving.GatewaySettings;
-import io.pollenpath.util.Json;
 import io.pollenpath.util.LogLine;
 import io.pollenpath.util.Pause;
 import java.nio.file.Path;
@@ -33,7 +33,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(PlatformEntry.class);
     private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
-    private static final long STORE_CALL_TIMEOUT_MS = 1_000;
     private static final long STALL_MARGIN_MS = 200;
 
     /**
@@ -53,6 +52,7 @@
     private final StoreClient store;
     private final Gateway gateway;
     private final ServingViewPublisher viewPublisher;
+    private final EntryDirectory directory;
     private volatile boolean stopping;
 
     /**
@@ -74,9 +74,11 @@
                         new HeaderDialect(),
                         metrics,
                         new SplittableRandom());
-        store =
-                new StoreClient(
-                        HttpClient.bounded(loops, MAX_CONNECTIONS_PER_SERVER), settings.store());
+        HttpClient http = HttpClient.bounded(loops, MAX_CONNECTIONS_PER_SERVER);
+        store = new StoreClient(http, settings.store());
+        HttpAddress peerAddress = new HttpAddress(settings.ip(), settings.firstInternalPort() + 1);
+        new EntryServer(loops, peerAddress.host(), peerAddress.port(), gateway);
+        gateway.connectEntries(http, settings.node());
         viewPublisher = new ServingViewPublisher(store, settings, control, gateway::updateView);
         settings.readinessAddress().ifPresent(this::serveReadiness);
         settings.callerAddress()
@@ -85,7 +87,8 @@
                                 new GatewayServer(loop, address.host(), address.port(), gateway));
         new AdminServer(loops, settings.ip(), settings.firstInternalPort(), this::isReady, metrics);
         viewPublisher.start();
-        register();
+        directory = new EntryDirectory(store, control, settings.node());
+        directory.register(peerAddress);
         new SettingsReload(file, settings, newSettings -> store.setAddress(newSettings.store()))
                 .start(control);
         LOG.info(
@@ -120,29 +123,11 @@
         return !stopping && gateway.view().isComplete();
     }
 
-    private void register() {
-        store.create(StoreKinds.ENTRIES, settings.node(), Json.object(), STORE_CALL_TIMEOUT_MS)
-                .whenComplete(
-                        (object, failure) -> {
-                            if (failure != null) {
-                                LOG.info(
-                                        "{}",
-                                        LogLine.event("announce_failed").with("cause", failure));
-                            }
-                        });
-    }
-
     @Override
     public boolean stop() {
         stopping = true;
         gateway.closeConnectionsAfterAnswer();
-        store.delete(StoreKinds.ENTRIES, settings.node(), STORE_CALL_TIMEOUT_MS)
-                .whenComplete(
-                        (deleted, failure) ->
-                                LOG.info(
-                                        "{}",
-                                        LogLine.event("announcement_withdrawn")
-                                                .with("failure", failure)));
+        directory.withdraw();
         long startNanos = System.nanoTime();
         sleepUntil(startNanos, READINESS_LAG_MS);
         gateway.refuseNewRequests();
--- a/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
@@ -117,7 +117,7 @@
     }
 
     private void onEntries(Map<String, StoredObject> objects, long outageMs) {
-        publish(view.withLiveEntries(Math.max(1, objects.size())));
+        publish(view.withEntries(EntryDirectory.decode(objects)));
     }
 
     private void publish(ServingView newView) {
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
@@ -91,6 +91,15 @@
         return call("PUT", path(kind, name), Json.bytes(object), timeoutMs);
     }
 
+    /** Replaces an object, whatever its revision. */
+    CompletableFuture<JsonNode> overwrite(
+            String kind, String name, ObjectNode spec, long timeoutMs) {
+        ObjectNode object = Json.object();
+        object.putObject("Metadata").put("Name", name);
+        object.set("Spec", spec);
+        return call("PUT", path(kind, name), Json.bytes(object), timeoutMs);
+    }
+
     /** Deletes an object. */
     CompletableFuture<JsonNode> delete(String kind, String name, long timeoutMs) {
         return call("DELETE", path(kind, name), NO_BODY, timeoutMs);
--- a/pollenpath/src/main/java/io/pollenpath/state/serving/ServingView.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/serving/ServingView.java
@@ -8,37 +8,35 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * The last known configuration, backend servers and number of entries, as cached by one entry.
+ * The last known configuration, backend servers and entries, as cached by one entry.
  *
  * @param config the newest configuration; empty before the first one is known
  * @param servers the backend servers of each service, except draining ones, not null
  * @param outdated the identities of servers at whose address another server has registered later,
  *     so that they have most likely terminated though their registration has not expired, not null
  * @param serversKnown whether the list of servers has been read at least once
- * @param liveEntries the number of entries that share budgets, including this one, at least 1
+ * @param entries the running entries, this one included once it is registered, not null
  */
 public record ServingView(
         Optional<ServingConfig> config,
         Map<String, List<ServerInstance>> servers,
         Set<String> outdated,
         boolean serversKnown,
-        int liveEntries) {
+        List<EntryInstance> entries) {
 
     /** The view of a process that has read nothing yet. */
     public static final ServingView EMPTY =
-            new ServingView(Optional.empty(), Map.of(), Set.of(), false, 1);
+            new ServingView(Optional.empty(), Map.of(), Set.of(), false, List.of());
 
     /** Checks the components. */
     public ServingView {
         Objects.requireNonNull(config, "config");
         servers = Map.copyOf(servers);
         outdated = Set.copyOf(outdated);
-        if (liveEntries < 1) {
-            throw new IllegalArgumentException(
-                    "liveEntries is " + liveEntries + "; set it to at least 1");
-        }
+        entries = List.copyOf(entries);
     }
 
     /**
@@ -51,7 +49,7 @@
         boolean older = config.map(present -> newer.version() < present.version()).orElse(false);
         return older
                 ? this
-                : new ServingView(Optional.of(newer), servers, outdated, serversKnown, liveEntries);
+                : new ServingView(Optional.of(newer), servers, outdated, serversKnown, entries);
     }
 
     /**
@@ -67,7 +65,7 @@
                 byService.computeIfAbsent(server.service(), name -> new ArrayList<>()).add(server);
             }
         }
-        return new ServingView(config, byService, outdatedOf(all), true, liveEntries);
+        return new ServingView(config, byService, outdatedOf(all), true, entries);
     }
 
     private static Set<String> outdatedOf(Iterable<ServerInstance> all) {
@@ -85,13 +83,35 @@
     }
 
     /**
-     * Returns a view with another number of live entries.
+     * Returns a view with other entries.
      *
-     * @param entries the number, at least 1
+     * @param running the running entries, not null
      * @return the changed view
      */
-    public ServingView withLiveEntries(int entries) {
-        return new ServingView(config, servers, outdated, serversKnown, entries);
+    public ServingView withEntries(List<EntryInstance> running) {
+        return new ServingView(config, servers, outdated, serversKnown, running);
+    }
+
+    /**
+     * Returns the number of entries that share budgets and limits.
+     *
+     * @return the number of running entries, at least 1
+     */
+    public int liveEntries() {
+        return Math.max(1, entries.size());
+    }
+
+    /**
+     * Returns where the other entries receive calls.
+     *
+     * @param ownName the name of this entry, not null
+     * @return the addresses of the entries that receive calls, without this one
+     */
+    public Set<String> otherEntryAddresses(String ownName) {
+        return entries.stream()
+                .filter(entry -> !entry.name().equals(ownName) && !entry.address().isEmpty())
+                .map(EntryInstance::address)
+                .collect(Collectors.toSet());
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -1,5 +1,8 @@
 package io.pollenpath.transport.serving;
 
+import io.pollenpath.coordination.serving.CrashHistory;
+import io.pollenpath.coordination.serving.CrashReport;
+import io.pollenpath.coordination.serving.SuspectPolicy;
 import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.state.serving.ServerInstance;
 import java.util.Collection;
@@ -7,20 +10,59 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /**
- * Checks whether a server still listens after a connection broke under a request. All calls are
- * made on one event loop.
+ * Keeps requests that crash the servers that run them from crashing more. When a connection breaks
+ * under a request, it checks whether the server still listens; if not, all requests in flight on
+ * that server are suspects. All calls are made on one event loop.
  */
 final class CrashGuard {
 
+    private final CrashHistory history = new CrashHistory();
     private final Map<String, Set<RequestFingerprint>> checking = new HashMap<>();
     private final BackendConnectionPool connections;
     private final CrashLog log;
+    private final RandomGenerator random;
+    private Runnable onChange = () -> {};
 
-    CrashGuard(BackendConnectionPool connections, CrashLog log) {
+    CrashGuard(BackendConnectionPool connections, CrashLog log, RandomGenerator random) {
         this.connections = connections;
         this.log = log;
+        this.random = random;
+    }
+
+    /** Sets what to do after this entry has learned something that other entries should know. */
+    void setOnChange(Runnable newOnChange) {
+        onChange = newOnChange;
+    }
+
+    /** Decides whether a request may be sent. */
+    SuspectPolicy.Verdict verdict(ForwardedRequest request, long nowNanos) {
+        if (history.isEmpty() && checking.isEmpty()) {
+            return SuspectPolicy.SEND;
+        }
+        RequestFingerprint fingerprint = request.fingerprint();
+        int unconfirmed = 0;
+        for (Set<RequestFingerprint> suspects : checking.values()) {
+            unconfirmed += suspects.contains(fingerprint) ? 1 : 0;
+        }
+        return SuspectPolicy.decide(history.suspicion(fingerprint), unconfirmed, nowNanos);
+    }
+
+    /** Logs that a request is refused because of a verdict. */
+    void onRefused(ForwardedRequest request, SuspectPolicy.Verdict verdict) {
+        log.blocked(request, history.suspicion(request.fingerprint()), verdict);
+    }
+
+    /** Records that a request is written to a server; a blocked one is sent only as a trial. */
+    void onSending(ForwardedRequest request, long nowNanos) {
+        if (verdict(request, nowNanos).decision() == SuspectPolicy.Decision.TRIAL) {
+            RequestFingerprint fingerprint = request.fingerprint();
+            history.recordTrial(fingerprint, random.nextLong(), nowNanos);
+            log.trial(request, history.suspicion(fingerprint));
+            onChange.run();
+        }
     }
 
     /**
@@ -30,7 +72,10 @@
      * @param others the other requests in flight on the server
      */
     void onConnectionBroken(
-            ServerInstance server, ForwardedRequest broken, Collection<ForwardedRequest> others) {
+            ServerInstance server,
+            ForwardedRequest broken,
+            Collection<ForwardedRequest> others,
+            long nowNanos) {
         Set<RequestFingerprint> suspects = checking.get(server.incarnationId());
         boolean checkInProgress = suspects != null;
         if (!checkInProgress) {
@@ -42,12 +87,46 @@
             suspects.add(request.fingerprint());
         }
         if (!checkInProgress) {
-            connections.check(server, result -> onChecked(server, result));
+            connections.check(server, result -> onChecked(server, result, nowNanos));
         }
     }
 
-    private void onChecked(ServerInstance server, Reachability result) {
+    private void onChecked(ServerInstance server, Reachability result, long brokenNanos) {
         Set<RequestFingerprint> suspects = checking.remove(server.incarnationId());
         log.checked(server, result, suspects);
+        if (result == Reachability.REFUSED
+                && history.recordCrash(
+                        server.incarnationId(), server.service(), suspects, brokenNanos)) {
+            onChange.run();
+        }
+    }
+
+    /** Records a complete answer, which clears a suspect. */
+    void onAnswered(ForwardedRequest request, long nowNanos) {
+        if (history.isEmpty()) {
+            return;
+        }
+        RequestFingerprint fingerprint = request.fingerprint();
+        if (history.recordAnswer(fingerprint, nowNanos)) {
+            log.cleared(request);
+            onChange.run();
+        }
+    }
+
+    /** Forgets what is too old. */
+    void expire(long nowNanos) {
+        history.expire(nowNanos);
+    }
+
+    /** Merges what another entry knows. */
+    void merge(CrashReport report, long nowNanos) {
+        if (history.merge(report, nowNanos)) {
+            log.learned(report);
+        }
+    }
+
+    /** Returns what this entry knows. */
+    CrashReport report(long nowNanos) {
+        return history.report(nowNanos);
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -1,6 +1,9 @@
 package io.pollenpath.transport.serving;
 
 import com.codahale.metrics.MetricRegistry;
+import io.pollenpath.coordination.serving.CrashHistory;
+import io.pollenpath.coordination.serving.CrashReport;
+import io.pollenpath.coordination.serving.SuspectPolicy;
 import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.transport.MetricNames;
@@ -35,6 +38,57 @@
                         .with("fingerprints", listed(inFlight)));
     }
 
+    /** Logs the trial of a blocked request. */
+    void trial(ForwardedRequest request, CrashHistory.Suspicion suspicion) {
+        MetricNames.count(metrics, "suspects_total", "event", "trial");
+        LOG.info(
+                "{}",
+                LogLine.event("suspect_trial")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("fingerprint", request.fingerprint())
+                        .with("crashes", suspicion.crashes())
+                        .with("contested", suspicion.contested())
+                        .with("trial", suspicion.trials()));
+    }
+
+    /** Logs the refusal of a blocked request. */
+    void blocked(
+            ForwardedRequest request,
+            CrashHistory.Suspicion suspicion,
+            SuspectPolicy.Verdict verdict) {
+        MetricNames.count(metrics, "suspects_total", "event", "blocked");
+        LOG.info(
+                "{}",
+                LogLine.event("suspect_blocked")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("fingerprint", request.fingerprint())
+                        .with("crashes", suspicion.crashes())
+                        .with("contested", suspicion.contested())
+                        .with("trials", suspicion.trials())
+                        .with("may_have_run", request.mayHaveRun())
+                        .with("retry_after_ms", verdict.retryAfterMs()));
+    }
+
+    /** Logs that a complete answer cleared a suspect. */
+    void cleared(ForwardedRequest request) {
+        MetricNames.count(metrics, "suspects_total", "event", "cleared");
+        LOG.info(
+                "{}",
+                LogLine.event("suspect_cleared")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("fingerprint", request.fingerprint()));
+    }
+
+    /** Logs that another entry told something new. */
+    void learned(CrashReport report) {
+        LOG.info(
+                "{}",
+                LogLine.event("crashes_learned")
+                        .with("crashes", report.crashes().size())
+                        .with("clearances", report.clearances().size())
+                        .with("trials", report.trials().size()));
+    }
+
     private static String listed(Set<RequestFingerprint> fingerprints) {
         return fingerprints.stream()
                 .limit(MAX_LISTED_SUSPECTS)
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -6,6 +6,7 @@
 import io.pollenpath.coordination.serving.ServerHealth;
 import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.coordination.serving.SharedRetryBudget;
+import io.pollenpath.coordination.serving.SuspectPolicy;
 import io.pollenpath.coordination.serving.WaitingRequests.QueuedRequest;
 import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.EnginePerformance;
@@ -33,6 +34,9 @@
 
     private static final int RESEND_PRIORITY = -1;
 
+    /** The reason in answers and logs for a request that crashes servers. */
+    private static final String CRASHES = "crashes_servers";
+
     private final GatewaySettings settings;
     private final Supplier<ServingView> view;
     private final BackendConnectionPool connections;
@@ -64,6 +68,9 @@
     void submit(ForwardedRequest request, boolean retried, long nowNanos) {
         ServiceTraffic service = traffic(request.context().service());
         service.retryBudget().onRequest(nowNanos);
+        if (refuseIfBlocked(request, nowNanos)) {
+            return;
+        }
         long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
         if (service.expectedWaitMs() > waitMs) {
             answerWithProblem(request, "queue_too_long", nowNanos);
@@ -73,6 +80,29 @@
         sendQueued(request.context().service(), nowNanos);
     }
 
+    /** Answers a request that is suspected of crashing servers and must not be sent now. */
+    private boolean refuseIfBlocked(ForwardedRequest request, long nowNanos) {
+        SuspectPolicy.Verdict verdict = crashGuard.verdict(request, nowNanos);
+        if (!verdict.isRefused()) {
+            return false;
+        }
+        crashGuard.onRefused(request, verdict);
+        Problem problem =
+                request.mayHaveRun()
+                        ? GatewayProblems.unknownOutcome(GatewayProblems.BAD_GATEWAY, CRASHES)
+                        : GatewayProblems.crashesServers(verdict.retryAfterMs());
+        answer(request, problem, CRASHES);
+        return true;
+    }
+
+    private static void answer(ForwardedRequest request, Problem problem, String reason) {
+        request.fail(
+                problem.status(),
+                GatewayProblems.headers(problem),
+                problem.toJson(request.context().callerHeaders().requestId()),
+                reason);
+    }
+
     private void enqueue(
             ServiceTraffic service,
             ForwardedRequest request,
@@ -120,6 +150,9 @@
         ServingView current = view.get();
         List<ServerInstance> servers = current.serversOf(name);
         ForwardedRequest request = queued.request();
+        if (refuseIfBlocked(request, nowNanos)) {
+            return true;
+        }
         boolean resend = request.sends() > 0;
         if (!resend && !admits(name, service, servers, current)) {
             return false;
@@ -182,8 +215,8 @@
             String cause,
             long nowNanos) {
         recordFailure(server, outcome, nowNanos);
-        if (outcome == SendOutcome.UNKNOWN && server != null) {
-            crashGuard.onConnectionBroken(server, request, requestsOn(server));
+        if (outcome == SendOutcome.UNKNOWN && isInUse(server)) {
+            crashGuard.onConnectionBroken(server, request, requestsOn(server), nowNanos);
         }
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
@@ -197,6 +230,7 @@
                         timeLeftMs);
         boolean resend =
                 decision == ResendPolicy.Decision.RESEND
+                        && !crashGuard.verdict(request, nowNanos).isRefused()
                         && (request.sends() == 0
                                 || service.retryBudget()
                                         .tryRetry(view.get().liveEntries(), nowNanos));
@@ -212,6 +246,13 @@
         sendQueued(request.context().service(), nowNanos);
     }
 
+    /** Returns false for a server that has announced its end, which is no crash. */
+    private boolean isInUse(ServerInstance server) {
+        return server != null
+                && view.get().serversOf(server.service()).stream()
+                        .anyMatch(known -> known.id().equals(server.id()));
+    }
+
     private List<ForwardedRequest> requestsOn(ServerInstance server) {
         return inFlight.stream().filter(request -> request.isSentTo(server)).toList();
     }
@@ -236,12 +277,7 @@
 
     /** Answers a request that is not sent again with an error. */
     private void answerWithProblem(ForwardedRequest request, String reason, long nowNanos) {
-        Problem problem = problemFor(request, reason, nowNanos);
-        request.fail(
-                problem.status(),
-                GatewayProblems.headers(problem),
-                problem.toJson(request.context().callerHeaders().requestId()),
-                reason);
+        answer(request, problemFor(request, reason, nowNanos), reason);
     }
 
     private Problem problemFor(ForwardedRequest request, String reason, long nowNanos) {
@@ -270,6 +306,7 @@
         ServerInstance server = request.server();
         if (server != null) {
             if (answered) {
+                crashGuard.onAnswered(request, nowNanos);
                 healthOf(server.id()).onSuccess();
                 traffic(name).onProgress(nowNanos);
             }
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
@@ -0,0 +1,87 @@
+package io.pollenpath.transport.serving;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.pollenpath.coordination.serving.CrashReport;
+import io.pollenpath.protocol.wire.CrashNotice;
+import io.pollenpath.protocol.wire.RequestClearance;
+import io.pollenpath.protocol.wire.RequestTrial;
+import io.pollenpath.protocol.wire.ServerCrash;
+import io.pollenpath.state.serving.RequestFingerprint;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Encodes and decodes the messages between entries. */
+final class EntryMessages {
+
+    private EntryMessages() {}
+
+    static byte[] encode(CrashReport report) {
+        CrashNotice.Builder notice = CrashNotice.newBuilder();
+        for (CrashReport.Crash crash : report.crashes()) {
+            ServerCrash.Builder message =
+                    notice.addCrashesBuilder()
+                            .setServer(crash.server())
+                            .setService(crash.service())
+                            .setAgeMs(crash.ageMs());
+            crash.suspects().forEach(suspect -> message.addSuspects(encode(suspect)));
+        }
+        for (CrashReport.Clearance clearance : report.clearances()) {
+            notice.addClearancesBuilder()
+                    .setRequest(encode(clearance.request()))
+                    .setAgeMs(clearance.ageMs());
+        }
+        for (CrashReport.Trial trial : report.trials()) {
+            notice.addTrialsBuilder()
+                    .setRequest(encode(trial.request()))
+                    .setId(trial.id())
+                    .setAgeMs(trial.ageMs());
+        }
+        return notice.build().toByteArray();
+    }
+
+    private static ByteString encode(RequestFingerprint request) {
+        return ByteString.copyFrom(request.encode());
+    }
+
+    /**
+     * Decodes a report.
+     *
+     * @throws IllegalArgumentException if the bytes are no valid report
+     */
+    static CrashReport decode(byte[] bytes) {
+        CrashNotice notice;
+        try {
+            notice = CrashNotice.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException("the message of another entry is unreadable", e);
+        }
+        List<CrashReport.Crash> crashes = new ArrayList<>();
+        for (ServerCrash crash : notice.getCrashesList()) {
+            Set<RequestFingerprint> suspects = new HashSet<>();
+            crash.getSuspectsList().forEach(suspect -> suspects.add(decode(suspect)));
+            crashes.add(
+                    new CrashReport.Crash(
+                            crash.getServer(), crash.getService(), suspects, crash.getAgeMs()));
+        }
+        List<CrashReport.Clearance> clearances = new ArrayList<>();
+        for (RequestClearance clearance : notice.getClearancesList()) {
+            clearances.add(
+                    new CrashReport.Clearance(
+                            decode(clearance.getRequest()), clearance.getAgeMs()));
+        }
+        List<CrashReport.Trial> trials = new ArrayList<>();
+        for (RequestTrial trial : notice.getTrialsList()) {
+            trials.add(
+                    new CrashReport.Trial(
+                            decode(trial.getRequest()), trial.getId(), trial.getAgeMs()));
+        }
+        return new CrashReport(crashes, clearances, trials);
+    }
+
+    private static RequestFingerprint decode(ByteString request) {
+        return RequestFingerprint.decode(request.toByteArray());
+    }
+}
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -0,0 +1,136 @@
+package io.pollenpath.transport.serving;
+
+import io.netty.channel.EventLoop;
+import io.pollenpath.transport.HttpAddress;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.util.LogLine;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Exchanges what entries know about crashed servers directly between them, so that it spreads also
+ * while the store is away. An entry calls each other entry once when it learns of it, and after
+ * each change of what it knows itself, with retries until the other has answered; the answer
+ * carries what the other entry knows. All calls are made on one event loop.
+ */
+final class EntryPeers {
+
+    private static final Logger LOG = LoggerFactory.getLogger(EntryPeers.class);
+    private static final Map<String, String> HEADERS =
+            Map.of("Content-Type", EntryServer.MEDIA_TYPE);
+    private static final int STATUS_OK = 200;
+    private static final long CALL_TIMEOUT_MS = 400;
+    private static final long MIN_RETRY_MS = 100;
+    private static final long MAX_RETRY_MS = 2_000;
+
+    private final EventLoop loop;
+    private final HttpClient http;
+    private final CrashGuard guard;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private long version;
+
+    /** Another entry, and the version of the local knowledge that it has. */
+    private static final class Peer {
+
+        private final String address;
+        private long acknowledgedVersion = -1;
+        private boolean inProgress;
+        private long retryMs = MIN_RETRY_MS;
+
+        private Peer(String address) {
+            this.address = address;
+        }
+    }
+
+    EntryPeers(EventLoop loop, HttpClient http, CrashGuard guard) {
+        this.loop = loop;
+        this.http = http;
+        this.guard = guard;
+    }
+
+    /** Replaces the addresses of the other entries. */
+    void setAddresses(Set<String> addresses) {
+        peers.keySet().retainAll(addresses);
+        for (String address : addresses) {
+            call(peers.computeIfAbsent(address, Peer::new));
+        }
+    }
+
+    /** Tells the other entries that this one has learned something. */
+    void onChange() {
+        version++;
+        List.copyOf(peers.values()).forEach(this::call);
+    }
+
+    private void call(Peer peer) {
+        boolean removed = peers.get(peer.address) != peer;
+        if (removed || peer.inProgress || peer.acknowledgedVersion == version) {
+            return;
+        }
+        peer.inProgress = true;
+        long sentVersion = version;
+        byte[] body = EntryMessages.encode(guard.report(System.nanoTime()));
+        HttpClient.Request request =
+                new HttpClient.Request(
+                        HttpAddress.parse(peer.address), "POST", EntryServer.PATH, HEADERS, body);
+        CompletableFuture<byte[]> reply =
+                http.send(request)
+                        .orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                        .thenApply(
+                                answer -> {
+                                    if (answer.status() != STATUS_OK) {
+                                        throw new IllegalStateException(
+                                                "answered with status " + answer.status());
+                                    }
+                                    return answer.body();
+                                });
+        reply.whenCompleteAsync(
+                (answer, failure) -> onReply(peer, sentVersion, answer, failure), loop);
+    }
+
+    private void onReply(Peer peer, long sentVersion, byte[] answer, Throwable failure) {
+        peer.inProgress = false;
+        if (failure != null) {
+            logFailure(peer, failure);
+            loop.schedule(() -> call(peer), peer.retryMs, TimeUnit.MILLISECONDS);
+            peer.retryMs = Math.min(MAX_RETRY_MS, 2 * peer.retryMs);
+            return;
+        }
+        peer.acknowledgedVersion = sentVersion;
+        peer.retryMs = MIN_RETRY_MS;
+        receive(answer);
+        call(peer);
+    }
+
+    private void logFailure(Peer peer, Throwable failure) {
+        if (peer.retryMs == MIN_RETRY_MS) {
+            LOG.info(
+                    "{}",
+                    LogLine.event("entry_unreachable")
+                            .with("entry", peer.address)
+                            .with("cause", failure));
+        }
+    }
+
+    /** Merges a message of another entry, and returns whether it was readable. */
+    boolean receive(byte[] message) {
+        try {
+            guard.merge(EntryMessages.decode(message), System.nanoTime());
+            return true;
+        } catch (IllegalArgumentException e) {
+            LOG.warn("{}", LogLine.event("entry_message_unreadable").with("cause", e));
+            return false;
+        }
+    }
+
+    /** Returns what this entry knows, as a message. */
+    byte[] message() {
+        return EntryMessages.encode(guard.report(System.nanoTime()));
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -170,6 +170,7 @@
         }
         long nowNanos = System.nanoTime();
         connection = opened;
+        gateway.onSending(this);
         sends++;
         triedServerIds.add(target.id());
         lastProgressNanos = nowNanos;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -14,12 +14,14 @@
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingConfig;
 import io.pollenpath.state.serving.ServingView;
+import io.pollenpath.transport.HttpClient;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -45,12 +47,15 @@
     private final RequestLog log;
     private final Dispatcher dispatcher;
     private final BackendConnectionPool backends;
+    private final CrashGuard crashGuard;
     private final RandomGenerator random;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Map<String, Long> longestCallerTimeoutMs = new HashMap<>();
     private volatile ServingView view = ServingView.EMPTY;
     private volatile boolean stopping;
     private boolean refusing;
+    private EntryPeers peers;
+    private String ownName = "";
 
     /**
      * Creates a gateway and starts its timers.
@@ -72,7 +77,7 @@
         this.random = random;
         log = new RequestLog(metrics);
         backends = new BackendConnectionPool(loop, dialect);
-        CrashGuard crashGuard = new CrashGuard(backends, new CrashLog(metrics));
+        crashGuard = new CrashGuard(backends, new CrashLog(metrics), random);
         dispatcher = new Dispatcher(settings, this::view, backends, log, crashGuard, random);
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
@@ -91,6 +96,7 @@
     private void housekeep() {
         long nowNanos = System.nanoTime();
         backends.closeStale(nowNanos);
+        crashGuard.expire(nowNanos);
         long limitNanos = TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMs());
         List.copyOf(connections)
                 .forEach(connection -> connection.closeIfIdle(nowNanos, limitNanos));
@@ -106,10 +112,47 @@
         loop.execute(
                 () -> {
                     dispatcher.retainServers(newView.serverIds());
+                    updatePeers(newView);
                     tick();
                 });
     }
 
+    private void updatePeers(ServingView newView) {
+        if (peers != null) {
+            peers.setAddresses(newView.otherEntryAddresses(ownName));
+        }
+    }
+
+    /**
+     * Starts to exchange with the other entries of the view what is known about crashed servers.
+     *
+     * @param http calls the other entries, not null
+     * @param name the name of this entry, not null
+     */
+    public void connectEntries(HttpClient http, String name) {
+        loop.execute(
+                () -> {
+                    ownName = name;
+                    peers = new EntryPeers(loop, http, crashGuard);
+                    crashGuard.setOnChange(peers::onChange);
+                    updatePeers(view);
+                });
+    }
+
+    /**
+     * Merges the message of another entry.
+     *
+     * @return what this entry knows; empty if the message is unreadable or no entry is connected
+     */
+    CompletableFuture<Optional<byte[]>> exchange(byte[] message) {
+        return CompletableFuture.supplyAsync(
+                () ->
+                        peers != null && peers.receive(message)
+                                ? Optional.of(peers.message())
+                                : Optional.empty(),
+                loop);
+    }
+
     /**
      * Returns the current view of configuration and servers.
      *
@@ -257,6 +300,10 @@
         dispatcher.onEventGap(request, gapNanos, nowNanos);
     }
 
+    void onSending(ForwardedRequest request) {
+        crashGuard.onSending(request, System.nanoTime());
+    }
+
     void onSendFailed(
             ForwardedRequest request, ServerInstance server, SendOutcome outcome, String cause) {
         dispatcher.onSendFailed(request, server, outcome, cause, System.nanoTime());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayProblems.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayProblems.java
@@ -36,6 +36,13 @@
         return new Problem(UNAVAILABLE, code, detail, Executed.NO, (int) retryAfterMs);
     }
 
+    static Problem crashesServers(long retryAfterMs) {
+        return notExecuted(
+                "crashes_servers",
+                "servers ended while they ran this request; change it, or retry it later",
+                retryAfterMs);
+    }
+
     static Problem unknownOutcome(int status, String code) {
         return new Problem(
                 status,
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
@@ -0,0 +1,114 @@
+package io.pollenpath.coordination.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.pollenpath.state.serving.RequestFingerprint;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Tests which requests a history of crashes holds under suspicion. */
+class CrashHistoryTest {
+
+    private static final String SERVICE = "drafts";
+    private static final RequestFingerprint CULPRIT = new RequestFingerprint(1, 1);
+    private static final RequestFingerprint BYSTANDER = new RequestFingerprint(2, 2);
+
+    private final CrashHistory history = new CrashHistory();
+
+    private static long ms(long ms) {
+        return TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
+    private void crash(String server, long atMs, RequestFingerprint... suspects) {
+        history.recordCrash(server, SERVICE, Set.of(suspects), ms(atMs));
+    }
+
+    @Test
+    void countsOneCrashOfAServerOnce() {
+        crash("a@1", 100, CULPRIT);
+        crash("a@1", 101, CULPRIT, BYSTANDER);
+        assertThat(history.suspicion(CULPRIT).crashes()).isEqualTo(1);
+        assertThat(history.suspicion(BYSTANDER).crashes()).isEqualTo(1);
+        assertThat(history.suspicion(CULPRIT).lastEventNanos()).isEqualTo(ms(100));
+    }
+
+    @Test
+    void blamesTheRequestThatExplainsMostCrashes() {
+        crash("a@1", 100, CULPRIT, BYSTANDER);
+        crash("b@1", 200, CULPRIT, BYSTANDER);
+        crash("c@1", 300, CULPRIT, BYSTANDER);
+        crash("d@1", 400, CULPRIT);
+        assertThat(history.suspicion(CULPRIT).crashes()).isEqualTo(4);
+        assertThat(history.suspicion(BYSTANDER).crashes()).isEqualTo(0);
+    }
+
+    @Test
+    void blamesBothOfTwoRequestsThatExplainTheSame() {
+        crash("a@1", 100, CULPRIT, BYSTANDER);
+        crash("b@1", 200, CULPRIT, BYSTANDER);
+        crash("c@1", 300, CULPRIT, BYSTANDER);
+        assertThat(history.suspicion(CULPRIT).crashes()).isEqualTo(3);
+        assertThat(history.suspicion(BYSTANDER).crashes()).isEqualTo(3);
+    }
+
+    @Test
+    void completeAnswerClearsOfEarlierCrashesOnly() {
+        crash("a@1", 100, CULPRIT);
+        crash("b@1", 200, CULPRIT);
+        assertThat(history.recordAnswer(CULPRIT, ms(300))).isTrue();
+        assertThat(history.recordAnswer(BYSTANDER, ms(300))).isFalse();
+        assertThat(history.suspicion(CULPRIT).crashes()).isEqualTo(0);
+        crash("c@1", 400, CULPRIT);
+        assertThat(history.suspicion(CULPRIT).crashes()).isEqualTo(1);
+    }
+
+    @Test
+    void isContestedOnceAServerOfTheServiceCrashedWithoutTheRequest() {
+        crash("a@1", 100, BYSTANDER);
+        crash("b@1", 200, CULPRIT);
+        crash("c@1", 300, CULPRIT);
+        assertThat(history.suspicion(CULPRIT).contested()).isFalse();
+        history.recordCrash("x@1", "other", Set.of(BYSTANDER), ms(350));
+        assertThat(history.suspicion(CULPRIT).contested()).isFalse();
+        crash("d@1", 400, BYSTANDER);
+        assertThat(history.suspicion(CULPRIT).contested()).isTrue();
+    }
+
+    @Test
+    void reportsMergeInAnyOrderAndMoreThanOnce() {
+        crash("a@1", 1_000, CULPRIT, BYSTANDER);
+        crash("b@1", 2_000, CULPRIT);
+        history.recordAnswer(BYSTANDER, ms(2_500));
+        history.recordTrial(CULPRIT, 7, ms(3_000));
+        CrashHistory other = new CrashHistory();
+        other.recordCrash("c@1", SERVICE, Set.of(CULPRIT), ms(900));
+
+        CrashReport first = history.report(ms(4_000));
+        CrashReport second = other.report(ms(4_000));
+        CrashHistory merged = new CrashHistory();
+        for (CrashReport report : List.of(second, first, second)) {
+            merged.merge(report, ms(4_000));
+        }
+        history.merge(second, ms(4_000));
+
+        assertThat(merged.suspicion(CULPRIT)).isEqualTo(history.suspicion(CULPRIT));
+        assertThat(merged.suspicion(CULPRIT).crashes()).isEqualTo(3);
+        assertThat(merged.suspicion(CULPRIT).trials()).isEqualTo(1);
+        assertThat(merged.suspicion(CULPRIT).lastEventNanos()).isEqualTo(ms(3_000));
+        assertThat(merged.suspicion(BYSTANDER).crashes()).isEqualTo(0);
+        assertThat(merged.merge(first, ms(4_000))).isFalse();
+    }
+
+    @Test
+    void forgetsOldCrashesAndKeepsABoundedNumber() {
+        crash("a@1", 0, CULPRIT);
+        history.expire(ms(CrashHistory.RETENTION_MS + 1));
+        assertThat(history.isEmpty()).isTrue();
+        for (int i = 0; i <= CrashHistory.MAX_CRASHES; i++) {
+            crash("s" + i + "@1", i, CULPRIT);
+        }
+        assertThat(history.suspicion(CULPRIT).crashes()).isEqualTo(CrashHistory.MAX_CRASHES);
+    }
+}
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
@@ -0,0 +1,50 @@
+package io.pollenpath.coordination.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.pollenpath.coordination.serving.SuspectPolicy.Decision;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Tests when a suspected request is sent, tried or refused. */
+class SuspectPolicyTest {
+
+    private static SuspectPolicy.Verdict decide(
+            int crashes, boolean contested, int trials, int unconfirmed, long sinceMs) {
+        CrashHistory.Suspicion suspicion =
+                new CrashHistory.Suspicion(crashes, contested, trials, 0);
+        return SuspectPolicy.decide(
+                suspicion, unconfirmed, TimeUnit.MILLISECONDS.toNanos(sinceMs));
+    }
+
+    @Test
+    void sendsUntilThirdCrash() {
+        assertThat(decide(0, false, 0, 0, 0).decision()).isEqualTo(Decision.SEND);
+        assertThat(decide(2, false, 0, 0, 0).decision()).isEqualTo(Decision.SEND);
+        assertThat(decide(3, false, 0, 0, 0).decision()).isEqualTo(Decision.REFUSE);
+    }
+
+    @Test
+    void refusesWhileTheCheckOfTheThirdServerIsUnderWay() {
+        SuspectPolicy.Verdict verdict = decide(2, false, 0, 1, 0);
+        assertThat(verdict.decision()).isEqualTo(Decision.REFUSE);
+        assertThat(verdict.retryAfterMs()).isEqualTo(SuspectPolicy.CHECK_RETRY_AFTER_MS);
+    }
+
+    @Test
+    void triesSoonIfThereIsAnotherCauseAndLateIfNot() {
+        assertThat(decide(3, true, 0, 0, 999).retryAfterMs()).isEqualTo(1);
+        assertThat(decide(3, true, 0, 0, 1_000).decision()).isEqualTo(Decision.TRIAL);
+        assertThat(decide(3, false, 0, 0, 1_000).retryAfterMs()).isEqualTo(29_000);
+        assertThat(decide(3, false, 0, 0, 30_000).decision()).isEqualTo(Decision.TRIAL);
+    }
+
+    @Test
+    void neverTriesMoreThanThreeTimes() {
+        for (boolean contested : new boolean[] {false, true}) {
+            SuspectPolicy.Verdict verdict = decide(6, contested, 3, 0, 500_000);
+            assertThat(verdict.decision()).isEqualTo(Decision.REFUSE);
+            assertThat(verdict.retryAfterMs()).isEqualTo(SuspectPolicy.BLOCKED_RETRY_AFTER_MS);
+        }
+    }
+}
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
@@ -0,0 +1,37 @@
+package io.pollenpath.transport.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.pollenpath.coordination.serving.CrashReport;
+import io.pollenpath.state.serving.RequestFingerprint;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Tests the messages between entries. */
+class EntryMessagesTest {
+
+    private static final RequestFingerprint REQUEST = new RequestFingerprint(5, -6);
+
+    @Test
+    void reportSurvivesEncoding() {
+        CrashReport report =
+                new CrashReport(
+                        List.of(
+                                new CrashReport.Crash(
+                                        "engine-1@17", "drafts", Set.of(REQUEST), 30)),
+                        List.of(new CrashReport.Clearance(REQUEST, 20)),
+                        List.of(new CrashReport.Trial(REQUEST, -9, 10)));
+        assertThat(EntryMessages.decode(EntryMessages.encode(report))).isEqualTo(report);
+    }
+
+    @Test
+    void rejectsUnreadableMessages() {
+        assertThrows(
+                IllegalArgumentException.class, () -> EntryMessages.decode(new byte[] {9, 9, 9}));
+        byte[] shortFingerprint = {0x12, 0x03, 0x0a, 0x01, 0x07};
+        assertThrows(
+                IllegalArgumentException.class, () -> EntryMessages.decode(shortFingerprint));
+    }
+}
