Log the limits that servers name, and when they change or are lifted

What is missing: after the incident of the named limit the logs could not tell whether an entry had seen the limit, which, and when. server_limit says so, with the attempt whose answer bore it, the limit before and now; server_limit_unreadable tells of one that is no number. server_limits_total counts them. ServerLimits keeps what is known. No decision changes.

--- a/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
@@ -6,6 +6,7 @@
 import io.pollenpath.transport.serving.ForwardHeaders;
 import io.pollenpath.transport.serving.WireDialect;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /** Translates the headers and HTTP statuses that the platform's callers and engines use. */
@@ -30,6 +31,9 @@
     /** Set by an engine that did not run the request. */
     private static final String NOT_RUN = "Not-Executed";
 
+    /** The requests a second that an engine takes from all machines together. */
+    private static final String SERVER_LIMIT = "Server-Limit";
+
     private static final String BEARER = "Bearer ";
     private static final int MISDIRECTED = 421;
     private static final int REQUEST_TIMEOUT = 408;
@@ -95,6 +99,19 @@
         return impliesNotRun ? ReplyKind.UNPROVEN : ReplyKind.ANSWER;
     }
 
+    @Override
+    public OptionalDouble serverLimitPerSecond(HttpHeaders headers) {
+        String value = headers.get(SERVER_LIMIT);
+        if (value == null) {
+            return OptionalDouble.empty();
+        }
+        double perSecond = Double.parseDouble(value.trim());
+        if (!Double.isFinite(perSecond) || perSecond < 0) {
+            throw new NumberFormatException("not a rate: " + value);
+        }
+        return OptionalDouble.of(perSecond);
+    }
+
     @Override
     public boolean belongsTo(HttpHeaders headers, String requestId) {
         String echoed = headers.get(REQUEST_ID);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -4,6 +4,7 @@
 import io.pollenpath.coordination.serving.ResendPolicy;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.coordination.serving.ServerHealth;
+import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.SuspectPolicy;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -41,7 +43,9 @@
     private final Supplier<ServingView> view;
     private final BackendConnectionPool connections;
     private final RequestLog log;
+    private final LimitLog limitLog;
     private final CrashGuard crashGuard;
+    private final ServerLimits serverLimits = new ServerLimits();
     private final RandomGenerator random;
     private final ServerSelector serverSelector;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
@@ -53,12 +57,14 @@
             Supplier<ServingView> view,
             BackendConnectionPool connections,
             RequestLog log,
+            LimitLog limitLog,
             CrashGuard crashGuard,
             RandomGenerator random) {
         this.settings = settings;
         this.view = view;
         this.connections = connections;
         this.log = log;
+        this.limitLog = limitLog;
         this.crashGuard = crashGuard;
         this.random = random;
         serverSelector = new ServerSelector(settings.zone(), random);
@@ -207,6 +213,14 @@
         }
     }
 
+    /** Records the limit that an answer of a server names; empty if it names none. */
+    void onServerLimit(String serverId, String requestId, OptionalDouble perSecond) {
+        OptionalDouble before = serverLimits.limitOf(serverId);
+        if (serverLimits.onAnswer(serverId, perSecond)) {
+            limitLog.changed(requestId, serverId, before, perSecond);
+        }
+    }
+
     /** Resends a request after a failed send, or answers it. */
     void onSendFailed(
             ForwardedRequest request,
@@ -376,6 +390,7 @@
                     }
                 });
         serverHealth.keySet().retainAll(inUse);
+        serverLimits.retainServers(inUse);
         connections.retainServers(serverIds);
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -204,6 +204,9 @@
         if (replyKind == WireDialect.ReplyKind.ANSWER) {
             mayHaveRun = true;
         }
+        if (replyKind != WireDialect.ReplyKind.OTHER_SERVER) {
+            gateway.onAnswerHead(this, headers);
+        }
         String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
         isStream =
                 context.route().streaming() && status == STATUS_OK && type.startsWith(EVENT_STREAM);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -45,6 +45,7 @@
     private final EventLoop loop;
     private final WireDialect dialect;
     private final RequestLog log;
+    private final LimitLog limitLog;
     private final Dispatcher dispatcher;
     private final BackendConnectionPool backends;
     private final CrashGuard crashGuard;
@@ -76,9 +77,11 @@
         this.dialect = dialect;
         this.random = random;
         log = new RequestLog(metrics);
+        limitLog = new LimitLog(metrics);
         backends = new BackendConnectionPool(loop, dialect);
         crashGuard = new CrashGuard(backends, new CrashLog(metrics), random);
-        dispatcher = new Dispatcher(settings, this::view, backends, log, crashGuard, random);
+        dispatcher =
+                new Dispatcher(settings, this::view, backends, log, limitLog, crashGuard, random);
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
@@ -304,6 +307,16 @@
         crashGuard.onSending(request, System.nanoTime());
     }
 
+    void onAnswerHead(ForwardedRequest request, HttpHeaders headers) {
+        String serverId = request.server().id();
+        String requestId = request.context().callerHeaders().requestId();
+        try {
+            dispatcher.onServerLimit(serverId, requestId, dialect.serverLimitPerSecond(headers));
+        } catch (NumberFormatException e) {
+            limitLog.unreadable(requestId, serverId, e);
+        }
+    }
+
     void onSendFailed(
             ForwardedRequest request, ServerInstance server, SendOutcome outcome, String cause) {
         dispatcher.onSendFailed(request, server, outcome, cause, System.nanoTime());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/WireDialect.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/WireDialect.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.serving;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.OptionalDouble;
 
 /** Maps the HTTP headers and statuses of callers and backend servers to their meaning. */
 public interface WireDialect {
@@ -42,6 +43,15 @@
      */
     ReplyKind classify(int status, HttpHeaders headers);
 
+    /**
+     * Returns the rate of requests that a server takes from all entries together.
+     *
+     * @param headers the headers of an answer of the server, not null
+     * @return the rate in requests a second, not negative; empty if the answer names none
+     * @throws NumberFormatException if the answer names one that is no such number
+     */
+    OptionalDouble serverLimitPerSecond(HttpHeaders headers);
+
     /**
      * Returns whether an answer belongs to a request.
      *
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
@@ -13,8 +13,7 @@
             int crashes, boolean contested, int trials, int unconfirmed, long sinceMs) {
         CrashHistory.Suspicion suspicion =
                 new CrashHistory.Suspicion(crashes, contested, trials, 0);
-        return SuspectPolicy.decide(
-                suspicion, unconfirmed, TimeUnit.MILLISECONDS.toNanos(sinceMs));
+        return SuspectPolicy.decide(suspicion, unconfirmed, TimeUnit.MILLISECONDS.toNanos(sinceMs));
     }
 
     @Test
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
@@ -31,7 +31,6 @@
         assertThrows(
                 IllegalArgumentException.class, () -> EntryMessages.decode(new byte[] {9, 9, 9}));
         byte[] shortFingerprint = {0x12, 0x03, 0x0a, 0x01, 0x07};
-        assertThrows(
-                IllegalArgumentException.class, () -> EntryMessages.decode(shortFingerprint));
+        assertThrows(IllegalArgumentException.class, () -> EntryMessages.decode(shortFingerprint));
     }
 }
