--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -3,9 +3,6 @@
 import io.pollenpath.coordination.serving.QueueTimeouts;
 import io.pollenpath.coordination.serving.ResendPolicy;
 import io.pollenpath.coordination.serving.SendOutcome;
-import io.pollenpath.coordination.serving.ServerHealth;
-import io.pollenpath.coordination.serving.ServerLimits;
-import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.SuspectPolicy;
 import io.pollenpath.coordination.serving.WaitingRequests.QueuedRequest;
@@ -19,7 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -43,31 +39,27 @@
     private final Supplier<ServingView> view;
     private final BackendConnectionPool connections;
     private final RequestLog log;
-    private final LimitLog limitLog;
     private final CrashGuard crashGuard;
-    private final ServerLimits serverLimits = new ServerLimits();
     private final RandomGenerator random;
-    private final ServerSelector serverSelector;
+    private final BackendServers servers;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
-    private final Map<String, ServerHealth> serverHealth = new HashMap<>();
     private final Set<ForwardedRequest> inFlight = new HashSet<>();
 
     Dispatcher(
             GatewaySettings settings,
             Supplier<ServingView> view,
             BackendConnectionPool connections,
+            BackendServers servers,
             RequestLog log,
-            LimitLog limitLog,
             CrashGuard crashGuard,
             RandomGenerator random) {
         this.settings = settings;
         this.view = view;
         this.connections = connections;
         this.log = log;
-        this.limitLog = limitLog;
+        this.servers = servers;
         this.crashGuard = crashGuard;
         this.random = random;
-        serverSelector = new ServerSelector(settings.zone(), random);
     }
 
     /** Queues a new request, or refuses it if the expected wait is too long. */
@@ -135,10 +127,6 @@
                                         settings.retryWindowMs())));
     }
 
-    private ServerHealth healthOf(String serverId) {
-        return serverHealth.computeIfAbsent(serverId, id -> new ServerHealth());
-    }
-
     /** Sends queued requests of a service while there is free capacity. */
     private void sendQueued(String name, long nowNanos) {
         ServiceTraffic service = traffic(name);
@@ -154,41 +142,30 @@
             QueuedRequest<ForwardedRequest> queued,
             long nowNanos) {
         ServingView current = view.get();
-        List<ServerInstance> servers = current.serversOf(name);
         ForwardedRequest request = queued.request();
         if (refuseIfBlocked(request, nowNanos)) {
             return true;
         }
         boolean resend = request.sends() > 0;
-        if (!resend && !admits(name, service, servers, current)) {
+        if (!resend && !admits(name, service, current)) {
             return false;
         }
-        Optional<ServerInstance> server =
-                serverSelector.choose(
-                        servers,
-                        current.outdated(),
-                        this::healthOf,
-                        request.triedServerIds(),
-                        !resend,
-                        nowNanos);
+        Optional<ServerInstance> server = servers.choose(current, name, request, nowNanos);
         if (server.isEmpty()) {
             return false;
         }
         service.queue().remove(request);
         service.onSent();
         inFlight.add(request);
-        healthOf(server.get().id()).onSent();
+        servers.onSent(server.get());
         request.send(server.get(), connections, nowNanos);
         return true;
     }
 
-    private boolean admits(
-            String name,
-            ServiceTraffic service,
-            List<ServerInstance> servers,
-            ServingView current) {
+    private boolean admits(String name, ServiceTraffic service, ServingView current) {
         Optional<EnginePerformance> performance = performanceOf(current, name);
-        double equalShare = (double) ServiceTraffic.totalSlots(servers) / current.liveEntries();
+        int totalSlots = ServiceTraffic.totalSlots(current.serversOf(name));
+        double equalShare = (double) totalSlots / current.liveEntries();
         return performance.isEmpty()
                 || service.concurrencyLimit(performance.get())
                         .admits(service.inFlight(), equalShare);
@@ -213,14 +190,6 @@
         }
     }
 
-    /** Records the limit that an answer of a server names; empty if it names none. */
-    void onServerLimit(String serverId, String requestId, OptionalDouble perSecond) {
-        OptionalDouble before = serverLimits.limitOf(serverId);
-        if (serverLimits.onAnswer(serverId, perSecond)) {
-            limitLog.changed(requestId, serverId, before, perSecond);
-        }
-    }
-
     /** Resends a request after a failed send, or answers it. */
     void onSendFailed(
             ForwardedRequest request,
@@ -228,7 +197,9 @@
             SendOutcome outcome,
             String cause,
             long nowNanos) {
-        recordFailure(server, outcome, nowNanos);
+        if (server != null) {
+            servers.onFailed(server, outcome, nowNanos);
+        }
         if (outcome == SendOutcome.UNKNOWN && isInUse(server)) {
             crashGuard.onConnectionBroken(server, request, requestsOn(server), nowNanos);
         }
@@ -271,21 +242,10 @@
         return inFlight.stream().filter(request -> request.isSentTo(server)).toList();
     }
 
-    private void recordFailure(ServerInstance server, SendOutcome outcome, long nowNanos) {
-        if (server == null) {
-            return;
-        }
-        ServerHealth health = healthOf(server.id());
-        switch (outcome) {
-            case NOT_SENT, UNKNOWN, OTHER_SERVER -> health.onConnectionFailure(nowNanos);
-            case NOT_RUN, RUN_AND_FAILED -> health.onFailure();
-        }
-    }
-
     private void releaseServer(ForwardedRequest request, ServerInstance server, long nowNanos) {
         if (inFlight.remove(request)) {
             traffic(request.context().service()).onEnded(nowNanos);
-            healthOf(server.id()).onEnded();
+            servers.onEnded(server);
         }
     }
 
@@ -321,7 +281,7 @@
         if (server != null) {
             if (answered) {
                 crashGuard.onAnswered(request, nowNanos);
-                healthOf(server.id()).onSuccess();
+                servers.onAnswered(server);
                 traffic(name).onProgress(nowNanos);
             }
             releaseServer(request, server, nowNanos);
@@ -389,8 +349,7 @@
                         inUse.add(request.server().id());
                     }
                 });
-        serverHealth.keySet().retainAll(inUse);
-        serverLimits.retainServers(inUse);
+        servers.retain(inUse);
         connections.retainServers(serverIds);
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.coordination.serving.SendOutcome;
+import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.CallerLimits;
 import io.pollenpath.state.serving.ClientAccount;
@@ -48,6 +49,7 @@
     private final LimitLog limitLog;
     private final Dispatcher dispatcher;
     private final BackendConnectionPool backends;
+    private final BackendServers servers;
     private final CrashGuard crashGuard;
     private final RandomGenerator random;
     private final Set<CallerConnection> connections = new HashSet<>();
@@ -80,8 +82,9 @@
         limitLog = new LimitLog(metrics);
         backends = new BackendConnectionPool(loop, dialect);
         crashGuard = new CrashGuard(backends, new CrashLog(metrics), random);
+        servers = new BackendServers(new ServerSelector(settings.zone(), random), limitLog);
         dispatcher =
-                new Dispatcher(settings, this::view, backends, log, limitLog, crashGuard, random);
+                new Dispatcher(settings, this::view, backends, servers, log, crashGuard, random);
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
@@ -311,7 +314,7 @@
         String serverId = request.server().id();
         String requestId = request.context().callerHeaders().requestId();
         try {
-            dispatcher.onServerLimit(serverId, requestId, dialect.serverLimitPerSecond(headers));
+            servers.onLimit(serverId, requestId, dialect.serverLimitPerSecond(headers));
         } catch (NumberFormatException e) {
             limitLog.unreadable(requestId, serverId, e);
         }
