--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
@@ -26,21 +26,25 @@
     private static final double TIE_BREAK_WEIGHT = 0.005;
 
     private final String zone;
+    private final ServerLimits limits;
     private final RandomGenerator random;
 
     /**
      * Creates a selector for one entry.
      *
      * @param zone the availability zone of this entry, not null
+     * @param limits the limits that servers have named, not null
      * @param random the random source that breaks ties, not null
      */
-    public ServerSelector(String zone, RandomGenerator random) {
+    public ServerSelector(String zone, ServerLimits limits, RandomGenerator random) {
         this.zone = zone;
+        this.limits = limits;
         this.random = random;
     }
 
     /**
-     * Chooses one of the servers. Draining, avoided and already tried servers are excluded.
+     * Chooses one of the servers. Draining, avoided and already tried servers are excluded, and
+     * those that take no more requests now by the limit that they have named.
      *
      * @param servers the servers of the service, not null
      * @param outdated the ids of the servers whose address another server has taken over, not null
@@ -65,6 +69,7 @@
             if (server.draining()
                     || tried.contains(server.id())
                     || serverHealth.isAvoided(nowNanos)
+                    || limits.waitNanos(server.id(), nowNanos) > 0
                     || (requireFreeSlot && full)) {
                 continue;
             }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -78,7 +78,7 @@
         store = new StoreClient(http, settings.store());
         HttpAddress peerAddress = new HttpAddress(settings.ip(), settings.firstInternalPort() + 1);
         new EntryServer(loops, peerAddress.host(), peerAddress.port(), gateway);
-        gateway.connectEntries(http, settings.node());
+        gateway.connectEntries(http);
         viewPublisher = new ServingViewPublisher(store, settings, control, gateway::updateView);
         settings.readinessAddress().ifPresent(this::serveReadiness);
         settings.callerAddress()
@@ -102,6 +102,7 @@
     private GatewaySettings gatewaySettings() {
         DeploymentBounds bounds = settings.bounds();
         return new GatewaySettings(
+                settings.node(),
                 settings.zone(),
                 bounds.retryRatio(),
                 bounds.retryAllowance(),
--- a/pollenpath/src/main/java/io/pollenpath/state/serving/ServingView.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/serving/ServingView.java
@@ -101,6 +101,15 @@
         return Math.max(1, entries.size());
     }
 
+    /**
+     * Returns the names of the running entries.
+     *
+     * @return the names, in no particular order
+     */
+    public List<String> entryNames() {
+        return entries.stream().map(EntryInstance::name).toList();
+    }
+
     /**
      * Returns where the other entries receive calls.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
@@ -1,5 +1,6 @@
 package io.pollenpath.transport.serving;
 
+import io.pollenpath.coordination.serving.LimitReport;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.coordination.serving.ServerHealth;
 import io.pollenpath.coordination.serving.ServerLimits;
@@ -7,6 +8,7 @@
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingView;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -19,15 +21,22 @@
 final class BackendServers {
 
     private final Map<String, ServerHealth> health = new HashMap<>();
-    private final ServerLimits limits = new ServerLimits();
+    private final ServerLimits limits;
     private final ServerSelector selector;
     private final LimitLog limitLog;
+    private Runnable onLimitChange = () -> {};
 
-    BackendServers(ServerSelector selector, LimitLog limitLog) {
+    BackendServers(ServerLimits limits, ServerSelector selector, LimitLog limitLog) {
+        this.limits = limits;
         this.selector = selector;
         this.limitLog = limitLog;
     }
 
+    /** Sets what to do after this entry has learned a limit that other entries should know. */
+    void setOnLimitChange(Runnable newOnLimitChange) {
+        onLimitChange = newOnLimitChange;
+    }
+
     private ServerHealth healthOf(String serverId) {
         return health.computeIfAbsent(serverId, id -> new ServerHealth());
     }
@@ -45,7 +54,19 @@
                 nowNanos);
     }
 
-    void onSent(ServerInstance server) {
+    /**
+     * Returns how long a further request waits, if all servers of a service limit what they take.
+     *
+     * @param queued the number of requests that wait already
+     * @return the time, in milliseconds; 0 if a server has no limit
+     */
+    double limitedWaitMs(ServingView view, String service, int queued, long nowNanos) {
+        List<String> ids = view.serversOf(service).stream().map(ServerInstance::id).toList();
+        return limits.expectedWaitMs(ids, queued, nowNanos);
+    }
+
+    void onSent(ServerInstance server, long nowNanos) {
+        limits.onSent(server.id(), nowNanos);
         healthOf(server.id()).onSent();
     }
 
@@ -66,13 +87,29 @@
     }
 
     /** Records the limit that an answer of a server names; empty if it names none. */
-    void onLimit(String serverId, String requestId, OptionalDouble perSecond) {
+    void onLimit(String serverId, String requestId, OptionalDouble perSecond, long nowNanos) {
         OptionalDouble before = limits.limitOf(serverId);
-        if (limits.onAnswer(serverId, perSecond)) {
+        if (limits.onAnswer(serverId, perSecond, nowNanos)) {
             limitLog.changed(requestId, serverId, before, perSecond);
+            onLimitChange.run();
         }
     }
 
+    /** Merges the limits that another entry knows. */
+    void merge(List<LimitReport> reports, long nowNanos) {
+        limits.merge(reports, nowNanos);
+    }
+
+    /** Returns the limits that this entry knows. */
+    List<LimitReport> limits(long nowNanos) {
+        return limits.report(nowNanos);
+    }
+
+    /** Replaces the names of the entries that share limits. */
+    void setEntries(List<String> names) {
+        limits.setEntries(names);
+    }
+
     /** Forgets all servers except the given ones. */
     void retain(Set<String> serverIds) {
         health.keySet().retainAll(serverIds);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -70,7 +70,7 @@
             return;
         }
         long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
-        if (service.expectedWaitMs() > waitMs) {
+        if (expectedWaitMs(request.context().service(), nowNanos) > waitMs) {
             answerWithProblem(request, "queue_too_long", nowNanos);
             return;
         }
@@ -78,6 +78,13 @@
         sendQueued(request.context().service(), nowNanos);
     }
 
+    private double expectedWaitMs(String name, long nowNanos) {
+        ServiceTraffic service = traffic(name);
+        double limitedWaitMs =
+                servers.limitedWaitMs(view.get(), name, service.queue().size(), nowNanos);
+        return Math.max(service.expectedWaitMs(), limitedWaitMs);
+    }
+
     /** Answers a request that is suspected of crashing servers and must not be sent now. */
     private boolean refuseIfBlocked(ForwardedRequest request, long nowNanos) {
         SuspectPolicy.Verdict verdict = crashGuard.verdict(request, nowNanos);
@@ -157,7 +164,7 @@
         service.queue().remove(request);
         service.onSent();
         inFlight.add(request);
-        servers.onSent(server.get());
+        servers.onSent(server.get(), nowNanos);
         request.send(server.get(), connections, nowNanos);
         return true;
     }
@@ -263,7 +270,7 @@
         ServiceTraffic service = traffic(request.context().service());
         long retryAfterMs =
                 QueueTimeouts.retryAfterMs(
-                        service.expectedWaitMs(),
+                        expectedWaitMs(request.context().service(), nowNanos),
                         service.silenceMs(nowNanos),
                         request.timeLeftMs(nowNanos),
                         random);
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryKnowledge.java
@@ -0,0 +1,41 @@
+package io.pollenpath.transport.serving;
+
+import io.pollenpath.coordination.serving.CrashReport;
+import io.pollenpath.coordination.serving.LimitReport;
+import java.util.List;
+
+/** What this entry knows of servers that other entries should know too. */
+final class EntryKnowledge {
+
+    private final CrashGuard crashGuard;
+    private final BackendServers servers;
+
+    /**
+     * What one entry knows.
+     *
+     * @param crashes the servers that crashed, not null
+     * @param limits the limits that servers have named, not null
+     */
+    record Report(CrashReport crashes, List<LimitReport> limits) {
+
+        Report {
+            limits = List.copyOf(limits);
+        }
+    }
+
+    EntryKnowledge(CrashGuard crashGuard, BackendServers servers) {
+        this.crashGuard = crashGuard;
+        this.servers = servers;
+    }
+
+    /** Returns all that this entry knows. */
+    Report report(long nowNanos) {
+        return new Report(crashGuard.report(nowNanos), servers.limits(nowNanos));
+    }
+
+    /** Merges what another entry knows. */
+    void merge(Report report, long nowNanos) {
+        crashGuard.merge(report.crashes(), nowNanos);
+        servers.merge(report.limits(), nowNanos);
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
@@ -3,7 +3,9 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.pollenpath.coordination.serving.CrashReport;
-import io.pollenpath.protocol.wire.CrashNotice;
+import io.pollenpath.coordination.serving.LimitReport;
+import io.pollenpath.protocol.wire.EntryNotice;
+import io.pollenpath.protocol.wire.NamedLimit;
 import io.pollenpath.protocol.wire.RequestClearance;
 import io.pollenpath.protocol.wire.RequestTrial;
 import io.pollenpath.protocol.wire.ServerCrash;
@@ -11,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** Encodes and decodes the messages between entries. */
@@ -18,8 +21,18 @@
 
     private EntryMessages() {}
 
-    static byte[] encode(CrashReport report) {
-        CrashNotice.Builder notice = CrashNotice.newBuilder();
+    static byte[] encode(EntryKnowledge.Report report) {
+        EntryNotice.Builder notice = EntryNotice.newBuilder();
+        encode(report.crashes(), notice);
+        for (LimitReport limit : report.limits()) {
+            NamedLimit.Builder message =
+                    notice.addLimitsBuilder().setServer(limit.serverId()).setAgeMs(limit.ageMs());
+            limit.perSecond().ifPresent(message::setPerSecond);
+        }
+        return notice.build().toByteArray();
+    }
+
+    private static void encode(CrashReport report, EntryNotice.Builder notice) {
         for (CrashReport.Crash crash : report.crashes()) {
             ServerCrash.Builder message =
                     notice.addCrashesBuilder()
@@ -39,7 +52,6 @@
                     .setId(trial.id())
                     .setAgeMs(trial.ageMs());
         }
-        return notice.build().toByteArray();
     }
 
     private static ByteString encode(RequestFingerprint request) {
@@ -51,13 +63,28 @@
      *
      * @throws IllegalArgumentException if the bytes are no valid report
      */
-    static CrashReport decode(byte[] bytes) {
-        CrashNotice notice;
+    static EntryKnowledge.Report decode(byte[] bytes) {
         try {
-            notice = CrashNotice.parseFrom(bytes);
+            EntryNotice notice = EntryNotice.parseFrom(bytes);
+            return new EntryKnowledge.Report(decodeCrashes(notice), decodeLimits(notice));
         } catch (InvalidProtocolBufferException e) {
             throw new IllegalArgumentException("the message of another entry is unreadable", e);
         }
+    }
+
+    private static List<LimitReport> decodeLimits(EntryNotice notice) {
+        List<LimitReport> limits = new ArrayList<>();
+        for (NamedLimit limit : notice.getLimitsList()) {
+            OptionalDouble perSecond =
+                    limit.hasPerSecond()
+                            ? OptionalDouble.of(limit.getPerSecond())
+                            : OptionalDouble.empty();
+            limits.add(new LimitReport(limit.getServer(), perSecond, limit.getAgeMs()));
+        }
+        return limits;
+    }
+
+    private static CrashReport decodeCrashes(EntryNotice notice) {
         List<CrashReport.Crash> crashes = new ArrayList<>();
         for (ServerCrash crash : notice.getCrashesList()) {
             Set<RequestFingerprint> suspects = new HashSet<>();
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -14,10 +14,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Exchanges what entries know about crashed servers directly between them, so that it spreads also
- * while the store is away. An entry calls each other entry once when it learns of it, and after
- * each change of what it knows itself, with retries until the other has answered; the answer
- * carries what the other entry knows. All calls are made on one event loop.
+ * Exchanges what entries know about servers directly between them, so that it spreads also while
+ * the store is away. An entry calls each other entry once when it learns of it, and after each
+ * change of what it knows itself, with retries until the other has answered; the answer carries
+ * what the other entry knows. All calls are made on one event loop.
  */
 final class EntryPeers {
 
@@ -31,7 +31,7 @@
 
     private final EventLoop loop;
     private final HttpClient http;
-    private final CrashGuard guard;
+    private final EntryKnowledge knowledge;
     private final Map<String, Peer> peers = new HashMap<>();
     private long version;
 
@@ -48,10 +48,10 @@
         }
     }
 
-    EntryPeers(EventLoop loop, HttpClient http, CrashGuard guard) {
+    EntryPeers(EventLoop loop, HttpClient http, EntryKnowledge knowledge) {
         this.loop = loop;
         this.http = http;
-        this.guard = guard;
+        this.knowledge = knowledge;
     }
 
     /** Replaces the addresses of the other entries. */
@@ -75,7 +75,7 @@
         }
         peer.inProgress = true;
         long sentVersion = version;
-        byte[] body = EntryMessages.encode(guard.report(System.nanoTime()));
+        byte[] body = EntryMessages.encode(knowledge.report(System.nanoTime()));
         HttpClient.Request request =
                 new HttpClient.Request(
                         HttpAddress.parse(peer.address), "POST", EntryServer.PATH, HEADERS, body);
@@ -121,7 +121,7 @@
     /** Merges a message of another entry, and returns whether it was readable. */
     boolean receive(byte[] message) {
         try {
-            guard.merge(EntryMessages.decode(message), System.nanoTime());
+            knowledge.merge(EntryMessages.decode(message), System.nanoTime());
             return true;
         } catch (IllegalArgumentException e) {
             LOG.warn("{}", LogLine.event("entry_message_unreadable").with("cause", e));
@@ -131,6 +131,6 @@
 
     /** Returns what this entry knows, as a message. */
     byte[] message() {
-        return EntryMessages.encode(guard.report(System.nanoTime()));
+        return EntryMessages.encode(knowledge.report(System.nanoTime()));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryServer.java
@@ -10,8 +10,8 @@
 /** Receives the calls of other entries. */
 public final class EntryServer implements AutoCloseable {
 
-    /** Path of the exchange of crash reports. */
-    static final String PATH = "/entry/crashes";
+    /** Path of the exchange of what entries know. */
+    static final String PATH = "/entry/knowledge";
 
     /** Media type of requests and responses. */
     static final String MEDIA_TYPE = "application/x-protobuf";
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.coordination.serving.SendOutcome;
+import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.CallerLimits;
@@ -47,6 +48,7 @@
     private final WireDialect dialect;
     private final RequestLog log;
     private final LimitLog limitLog;
+    private final String ownName;
     private final Dispatcher dispatcher;
     private final BackendConnectionPool backends;
     private final BackendServers servers;
@@ -58,7 +60,6 @@
     private volatile boolean stopping;
     private boolean refusing;
     private EntryPeers peers;
-    private String ownName = "";
 
     /**
      * Creates a gateway and starts its timers.
@@ -82,7 +83,11 @@
         limitLog = new LimitLog(metrics);
         backends = new BackendConnectionPool(loop, dialect);
         crashGuard = new CrashGuard(backends, new CrashLog(metrics), random);
-        servers = new BackendServers(new ServerSelector(settings.zone(), random), limitLog);
+        ownName = settings.entry();
+        ServerLimits limits = new ServerLimits(ownName, random);
+        servers =
+                new BackendServers(
+                        limits, new ServerSelector(settings.zone(), limits, random), limitLog);
         dispatcher =
                 new Dispatcher(settings, this::view, backends, servers, log, crashGuard, random);
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -118,6 +123,7 @@
         loop.execute(
                 () -> {
                     dispatcher.retainServers(newView.serverIds());
+                    servers.setEntries(newView.entryNames());
                     updatePeers(newView);
                     tick();
                 });
@@ -130,17 +136,16 @@
     }
 
     /**
-     * Starts to exchange with the other entries of the view what is known about crashed servers.
+     * Starts to exchange with the other entries of the view what is known about servers.
      *
      * @param http calls the other entries, not null
-     * @param name the name of this entry, not null
      */
-    public void connectEntries(HttpClient http, String name) {
+    public void connectEntries(HttpClient http) {
         loop.execute(
                 () -> {
-                    ownName = name;
-                    peers = new EntryPeers(loop, http, crashGuard);
+                    peers = new EntryPeers(loop, http, new EntryKnowledge(crashGuard, servers));
                     crashGuard.setOnChange(peers::onChange);
+                    servers.setOnLimitChange(peers::onChange);
                     updatePeers(view);
                 });
     }
@@ -314,7 +319,8 @@
         String serverId = request.server().id();
         String requestId = request.context().callerHeaders().requestId();
         try {
-            servers.onLimit(serverId, requestId, dialect.serverLimitPerSecond(headers));
+            servers.onLimit(
+                    serverId, requestId, dialect.serverLimitPerSecond(headers), System.nanoTime());
         } catch (NumberFormatException e) {
             limitLog.unreadable(requestId, serverId, e);
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewaySettings.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewaySettings.java
@@ -5,6 +5,7 @@
 /**
  * Settings of the deployment for forwarding requests.
  *
+ * @param entry the name of this entry
  * @param zone the availability zone of this process
  * @param retryRatio the resends allowed per request, on average
  * @param retryAllowance the additional resends allowed in a window, over all entries
@@ -13,10 +14,16 @@
  *     stalled, in milliseconds, above 0
  */
 public record GatewaySettings(
-        String zone, double retryRatio, double retryAllowance, long retryWindowMs, long silenceMs) {
+        String entry,
+        String zone,
+        double retryRatio,
+        double retryAllowance,
+        long retryWindowMs,
+        long silenceMs) {
 
     /** Checks the components. */
     public GatewaySettings {
+        Objects.requireNonNull(entry, "entry");
         Objects.requireNonNull(zone, "zone");
         if (retryWindowMs < 1 || silenceMs < 1) {
             throw new IllegalArgumentException("set retryWindowMs and silenceMs above 0");
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServerSelectorTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServerSelectorTest.java
@@ -18,7 +18,8 @@
     private static final List<ServerInstance> BOTH = List.of(OTHER_ZONE, SAME_ZONE);
 
     private final Map<String, ServerHealth> healthById = new HashMap<>();
-    private final ServerSelector selector = new ServerSelector("zone-a", new Random(1));
+    private final ServerLimits limits = new ServerLimits("entry-1", new Random(1));
+    private final ServerSelector selector = new ServerSelector("zone-a", limits, new Random(1));
 
     private ServerHealth health(String id) {
         return healthById.computeIfAbsent(id, key -> new ServerHealth());
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.pollenpath.coordination.serving.CrashReport;
+import io.pollenpath.coordination.serving.LimitReport;
 import io.pollenpath.state.serving.RequestFingerprint;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +25,13 @@
                                         "engine-1@17", "drafts", Set.of(REQUEST), 30)),
                         List.of(new CrashReport.Clearance(REQUEST, 20)),
                         List.of(new CrashReport.Trial(REQUEST, -9, 10)));
-        assertThat(EntryMessages.decode(EntryMessages.encode(report))).isEqualTo(report);
+        EntryKnowledge.Report knowledge =
+                new EntryKnowledge.Report(
+                        report,
+                        List.of(
+                                new LimitReport("engine-1", OptionalDouble.of(0.5), 7),
+                                new LimitReport("engine-2", OptionalDouble.empty(), 8)));
+        assertThat(EntryMessages.decode(EntryMessages.encode(knowledge))).isEqualTo(knowledge);
     }
 
     @Test
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -109,7 +109,7 @@
         first = new PlatformEngineStandin("engine-1", faults);
         second = new PlatformEngineStandin("engine-2", faults);
         EventLoop loop = loops.group().next();
-        GatewaySettings settings = new GatewaySettings("zone-a", 0.2, 90, 10_000, 1_000);
+        GatewaySettings settings = new GatewaySettings("entry-1", "zone-a", 0.2, 90, 10_000, 1_000);
         gateway =
                 new Gateway(
                         loop,
--- a/wire/src/main/java/io/pollenpath/protocol/wire/CrashNotice.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryNotice.java
@@ -9,16 +9,16 @@
  *
  *
  * <pre>
- * What an entry knows about servers that crashed. The receiver replies with the same message.
+ * What an entry knows about servers. The receiver replies with the same message.
  * </pre>
  *
- * Protobuf type {@code pollenpath.entry.CrashNotice}
+ * Protobuf type {@code pollenpath.entry.EntryNotice}
  */
 @com.google.protobuf.Generated
-public final class CrashNotice extends com.google.protobuf.GeneratedMessage
+public final class EntryNotice extends com.google.protobuf.GeneratedMessage
         implements
-        // @@protoc_insertion_point(message_implements:pollenpath.entry.CrashNotice)
-        CrashNoticeOrBuilder {
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.EntryNotice)
+        EntryNoticeOrBuilder {
     private static final long serialVersionUID = 0L;
 
     static {
@@ -28,33 +28,34 @@
                 /* minor= */ 31,
                 /* patch= */ 1,
                 /* suffix= */ "",
-                CrashNotice.class.getName());
+                EntryNotice.class.getName());
     }
 
-    // Use CrashNotice.newBuilder() to construct.
-    private CrashNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use EntryNotice.newBuilder() to construct.
+    private EntryNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
         super(builder);
     }
 
-    private CrashNotice() {
+    private EntryNotice() {
         crashes_ = java.util.Collections.emptyList();
         clearances_ = java.util.Collections.emptyList();
         trials_ = java.util.Collections.emptyList();
+        limits_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
         return io.pollenpath.protocol.wire.EntryProto
-                .internal_static_pollenpath_entry_CrashNotice_descriptor;
+                .internal_static_pollenpath_entry_EntryNotice_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
             internalGetFieldAccessorTable() {
         return io.pollenpath.protocol.wire.EntryProto
-                .internal_static_pollenpath_entry_CrashNotice_fieldAccessorTable
+                .internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable
                 .ensureFieldAccessorsInitialized(
-                        io.pollenpath.protocol.wire.CrashNotice.class,
-                        io.pollenpath.protocol.wire.CrashNotice.Builder.class);
+                        io.pollenpath.protocol.wire.EntryNotice.class,
+                        io.pollenpath.protocol.wire.EntryNotice.Builder.class);
     }
 
     public static final int CRASHES_FIELD_NUMBER = 1;
@@ -165,6 +166,42 @@
         return trials_.get(index);
     }
 
+    public static final int LIMITS_FIELD_NUMBER = 4;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.NamedLimit> limits_;
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList() {
+        return limits_;
+    }
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+            getLimitsOrBuilderList() {
+        return limits_;
+    }
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public int getLimitsCount() {
+        return limits_.size();
+    }
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.NamedLimit getLimits(int index) {
+        return limits_.get(index);
+    }
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(int index) {
+        return limits_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -188,6 +225,9 @@
         for (int i = 0; i < trials_.size(); i++) {
             output.writeMessage(3, trials_.get(i));
         }
+        for (int i = 0; i < limits_.size(); i++) {
+            output.writeMessage(4, limits_.get(i));
+        }
         getUnknownFields().writeTo(output);
     }
 
@@ -206,6 +246,9 @@
         for (int i = 0; i < trials_.size(); i++) {
             size += com.google.protobuf.CodedOutputStream.computeMessageSize(3, trials_.get(i));
         }
+        for (int i = 0; i < limits_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, limits_.get(i));
+        }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
         return size;
@@ -216,15 +259,16 @@
         if (obj == this) {
             return true;
         }
-        if (!(obj instanceof io.pollenpath.protocol.wire.CrashNotice)) {
+        if (!(obj instanceof io.pollenpath.protocol.wire.EntryNotice)) {
             return super.equals(obj);
         }
-        io.pollenpath.protocol.wire.CrashNotice other =
-                (io.pollenpath.protocol.wire.CrashNotice) obj;
+        io.pollenpath.protocol.wire.EntryNotice other =
+                (io.pollenpath.protocol.wire.EntryNotice) obj;
 
         if (!getCrashesList().equals(other.getCrashesList())) return false;
         if (!getClearancesList().equals(other.getClearancesList())) return false;
         if (!getTrialsList().equals(other.getTrialsList())) return false;
+        if (!getLimitsList().equals(other.getLimitsList())) return false;
         if (!getUnknownFields().equals(other.getUnknownFields())) return false;
         return true;
     }
@@ -248,76 +292,80 @@
             hash = (37 * hash) + TRIALS_FIELD_NUMBER;
             hash = (53 * hash) + getTrialsList().hashCode();
         }
+        if (getLimitsCount() > 0) {
+            hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+            hash = (53 * hash) + getLimitsList().hashCode();
+        }
         hash = (29 * hash) + getUnknownFields().hashCode();
         memoizedHashCode = hash;
         return hash;
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(java.nio.ByteBuffer data)
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(java.nio.ByteBuffer data)
             throws com.google.protobuf.InvalidProtocolBufferException {
         return PARSER.parseFrom(data);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
             java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
             throws com.google.protobuf.InvalidProtocolBufferException {
         return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
             com.google.protobuf.ByteString data)
             throws com.google.protobuf.InvalidProtocolBufferException {
         return PARSER.parseFrom(data);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
             com.google.protobuf.ByteString data,
             com.google.protobuf.ExtensionRegistryLite extensionRegistry)
             throws com.google.protobuf.InvalidProtocolBufferException {
         return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(byte[] data)
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(byte[] data)
             throws com.google.protobuf.InvalidProtocolBufferException {
         return PARSER.parseFrom(data);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
             byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
             throws com.google.protobuf.InvalidProtocolBufferException {
         return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(java.io.InputStream input)
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(java.io.InputStream input)
             throws java.io.IOException {
         return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
             java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
             throws java.io.IOException {
         return com.google.protobuf.GeneratedMessage.parseWithIOException(
                 PARSER, input, extensionRegistry);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseDelimitedFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseDelimitedFrom(
             java.io.InputStream input) throws java.io.IOException {
         return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseDelimitedFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseDelimitedFrom(
             java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
             throws java.io.IOException {
         return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
                 PARSER, input, extensionRegistry);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
             com.google.protobuf.CodedInputStream input) throws java.io.IOException {
         return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice parseFrom(
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
             com.google.protobuf.CodedInputStream input,
             com.google.protobuf.ExtensionRegistryLite extensionRegistry)
             throws java.io.IOException {
@@ -334,7 +382,7 @@
         return DEFAULT_INSTANCE.toBuilder();
     }
 
-    public static Builder newBuilder(io.pollenpath.protocol.wire.CrashNotice prototype) {
+    public static Builder newBuilder(io.pollenpath.protocol.wire.EntryNotice prototype) {
         return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
 
@@ -353,31 +401,31 @@
      *
      *
      * <pre>
-     * What an entry knows about servers that crashed. The receiver replies with the same message.
+     * What an entry knows about servers. The receiver replies with the same message.
      * </pre>
      *
-     * Protobuf type {@code pollenpath.entry.CrashNotice}
+     * Protobuf type {@code pollenpath.entry.EntryNotice}
      */
     public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
             implements
-            // @@protoc_insertion_point(builder_implements:pollenpath.entry.CrashNotice)
-            io.pollenpath.protocol.wire.CrashNoticeOrBuilder {
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.EntryNotice)
+            io.pollenpath.protocol.wire.EntryNoticeOrBuilder {
         public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
             return io.pollenpath.protocol.wire.EntryProto
-                    .internal_static_pollenpath_entry_CrashNotice_descriptor;
+                    .internal_static_pollenpath_entry_EntryNotice_descriptor;
         }
 
         @java.lang.Override
         protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
                 internalGetFieldAccessorTable() {
             return io.pollenpath.protocol.wire.EntryProto
-                    .internal_static_pollenpath_entry_CrashNotice_fieldAccessorTable
+                    .internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable
                     .ensureFieldAccessorsInitialized(
-                            io.pollenpath.protocol.wire.CrashNotice.class,
-                            io.pollenpath.protocol.wire.CrashNotice.Builder.class);
+                            io.pollenpath.protocol.wire.EntryNotice.class,
+                            io.pollenpath.protocol.wire.EntryNotice.Builder.class);
         }
 
-        // Construct using io.pollenpath.protocol.wire.CrashNotice.newBuilder()
+        // Construct using io.pollenpath.protocol.wire.EntryNotice.newBuilder()
         private Builder() {}
 
         private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
@@ -409,23 +457,30 @@
                 trialsBuilder_.clear();
             }
             bitField0_ = (bitField0_ & ~0x00000004);
+            if (limitsBuilder_ == null) {
+                limits_ = java.util.Collections.emptyList();
+            } else {
+                limits_ = null;
+                limitsBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000008);
             return this;
         }
 
         @java.lang.Override
         public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
             return io.pollenpath.protocol.wire.EntryProto
-                    .internal_static_pollenpath_entry_CrashNotice_descriptor;
+                    .internal_static_pollenpath_entry_EntryNotice_descriptor;
         }
 
         @java.lang.Override
-        public io.pollenpath.protocol.wire.CrashNotice getDefaultInstanceForType() {
-            return io.pollenpath.protocol.wire.CrashNotice.getDefaultInstance();
+        public io.pollenpath.protocol.wire.EntryNotice getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.EntryNotice.getDefaultInstance();
         }
 
         @java.lang.Override
-        public io.pollenpath.protocol.wire.CrashNotice build() {
-            io.pollenpath.protocol.wire.CrashNotice result = buildPartial();
+        public io.pollenpath.protocol.wire.EntryNotice build() {
+            io.pollenpath.protocol.wire.EntryNotice result = buildPartial();
             if (!result.isInitialized()) {
                 throw newUninitializedMessageException(result);
             }
@@ -433,9 +488,9 @@
         }
 
         @java.lang.Override
-        public io.pollenpath.protocol.wire.CrashNotice buildPartial() {
-            io.pollenpath.protocol.wire.CrashNotice result =
-                    new io.pollenpath.protocol.wire.CrashNotice(this);
+        public io.pollenpath.protocol.wire.EntryNotice buildPartial() {
+            io.pollenpath.protocol.wire.EntryNotice result =
+                    new io.pollenpath.protocol.wire.EntryNotice(this);
             buildPartialRepeatedFields(result);
             if (bitField0_ != 0) {
                 buildPartial0(result);
@@ -444,7 +499,7 @@
             return result;
         }
 
-        private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.CrashNotice result) {
+        private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.EntryNotice result) {
             if (crashesBuilder_ == null) {
                 if (((bitField0_ & 0x00000001) != 0)) {
                     crashes_ = java.util.Collections.unmodifiableList(crashes_);
@@ -472,24 +527,33 @@
             } else {
                 result.trials_ = trialsBuilder_.build();
             }
+            if (limitsBuilder_ == null) {
+                if (((bitField0_ & 0x00000008) != 0)) {
+                    limits_ = java.util.Collections.unmodifiableList(limits_);
+                    bitField0_ = (bitField0_ & ~0x00000008);
+                }
+                result.limits_ = limits_;
+            } else {
+                result.limits_ = limitsBuilder_.build();
+            }
         }
 
-        private void buildPartial0(io.pollenpath.protocol.wire.CrashNotice result) {
+        private void buildPartial0(io.pollenpath.protocol.wire.EntryNotice result) {
             int from_bitField0_ = bitField0_;
         }
 
         @java.lang.Override
         public Builder mergeFrom(com.google.protobuf.Message other) {
-            if (other instanceof io.pollenpath.protocol.wire.CrashNotice) {
-                return mergeFrom((io.pollenpath.protocol.wire.CrashNotice) other);
+            if (other instanceof io.pollenpath.protocol.wire.EntryNotice) {
+                return mergeFrom((io.pollenpath.protocol.wire.EntryNotice) other);
             } else {
                 super.mergeFrom(other);
                 return this;
             }
         }
 
-        public Builder mergeFrom(io.pollenpath.protocol.wire.CrashNotice other) {
-            if (other == io.pollenpath.protocol.wire.CrashNotice.getDefaultInstance()) return this;
+        public Builder mergeFrom(io.pollenpath.protocol.wire.EntryNotice other) {
+            if (other == io.pollenpath.protocol.wire.EntryNotice.getDefaultInstance()) return this;
             if (crashesBuilder_ == null) {
                 if (!other.crashes_.isEmpty()) {
                     if (crashes_.isEmpty()) {
@@ -571,6 +635,33 @@
                     }
                 }
             }
+            if (limitsBuilder_ == null) {
+                if (!other.limits_.isEmpty()) {
+                    if (limits_.isEmpty()) {
+                        limits_ = other.limits_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                    } else {
+                        ensureLimitsIsMutable();
+                        limits_.addAll(other.limits_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.limits_.isEmpty()) {
+                    if (limitsBuilder_.isEmpty()) {
+                        limitsBuilder_.dispose();
+                        limitsBuilder_ = null;
+                        limits_ = other.limits_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                        limitsBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetLimitsFieldBuilder()
+                                        : null;
+                    } else {
+                        limitsBuilder_.addAllMessages(other.limits_);
+                    }
+                }
+            }
             this.mergeUnknownFields(other.getUnknownFields());
             onChanged();
             return this;
@@ -640,6 +731,20 @@
                                 }
                                 break;
                             } // case 26
+                        case 34:
+                            {
+                                io.pollenpath.protocol.wire.NamedLimit m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.NamedLimit.parser(),
+                                                extensionRegistry);
+                                if (limitsBuilder_ == null) {
+                                    ensureLimitsIsMutable();
+                                    limits_.add(m);
+                                } else {
+                                    limitsBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 34
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1348,24 +1453,249 @@
             return trialsBuilder_;
         }
 
-        // @@protoc_insertion_point(builder_scope:pollenpath.entry.CrashNotice)
+        private java.util.List<io.pollenpath.protocol.wire.NamedLimit> limits_ =
+                java.util.Collections.emptyList();
+
+        private void ensureLimitsIsMutable() {
+            if (!((bitField0_ & 0x00000008) != 0)) {
+                limits_ = new java.util.ArrayList<io.pollenpath.protocol.wire.NamedLimit>(limits_);
+                bitField0_ |= 0x00000008;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.NamedLimit,
+                        io.pollenpath.protocol.wire.NamedLimit.Builder,
+                        io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+                limitsBuilder_;
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList() {
+            if (limitsBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(limits_);
+            } else {
+                return limitsBuilder_.getMessageList();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public int getLimitsCount() {
+            if (limitsBuilder_ == null) {
+                return limits_.size();
+            } else {
+                return limitsBuilder_.getCount();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit getLimits(int index) {
+            if (limitsBuilder_ == null) {
+                return limits_.get(index);
+            } else {
+                return limitsBuilder_.getMessage(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder setLimits(int index, io.pollenpath.protocol.wire.NamedLimit value) {
+            if (limitsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLimitsIsMutable();
+                limits_.set(index, value);
+                onChanged();
+            } else {
+                limitsBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder setLimits(
+                int index, io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                limitsBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(io.pollenpath.protocol.wire.NamedLimit value) {
+            if (limitsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLimitsIsMutable();
+                limits_.add(value);
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(int index, io.pollenpath.protocol.wire.NamedLimit value) {
+            if (limitsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLimitsIsMutable();
+                limits_.add(index, value);
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(builderForValue.build());
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(
+                int index, io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addAllLimits(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.NamedLimit> values) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, limits_);
+                onChanged();
+            } else {
+                limitsBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder clearLimits() {
+            if (limitsBuilder_ == null) {
+                limits_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000008);
+                onChanged();
+            } else {
+                limitsBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder removeLimits(int index) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.remove(index);
+                onChanged();
+            } else {
+                limitsBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit.Builder getLimitsBuilder(int index) {
+            return internalGetLimitsFieldBuilder().getBuilder(index);
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(int index) {
+            if (limitsBuilder_ == null) {
+                return limits_.get(index);
+            } else {
+                return limitsBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+                getLimitsOrBuilderList() {
+            if (limitsBuilder_ != null) {
+                return limitsBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(limits_);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit.Builder addLimitsBuilder() {
+            return internalGetLimitsFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit.Builder addLimitsBuilder(int index) {
+            return internalGetLimitsFieldBuilder()
+                    .addBuilder(index, io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.NamedLimit.Builder>
+                getLimitsBuilderList() {
+            return internalGetLimitsFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.NamedLimit,
+                        io.pollenpath.protocol.wire.NamedLimit.Builder,
+                        io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+                internalGetLimitsFieldBuilder() {
+            if (limitsBuilder_ == null) {
+                limitsBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.NamedLimit,
+                                io.pollenpath.protocol.wire.NamedLimit.Builder,
+                                io.pollenpath.protocol.wire.NamedLimitOrBuilder>(
+                                limits_,
+                                ((bitField0_ & 0x00000008) != 0),
+                                getParentForChildren(),
+                                isClean());
+                limits_ = null;
+            }
+            return limitsBuilder_;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.EntryNotice)
     }
 
-    // @@protoc_insertion_point(class_scope:pollenpath.entry.CrashNotice)
-    private static final io.pollenpath.protocol.wire.CrashNotice DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.EntryNotice)
+    private static final io.pollenpath.protocol.wire.EntryNotice DEFAULT_INSTANCE;
 
     static {
-        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.CrashNotice();
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.EntryNotice();
     }
 
-    public static io.pollenpath.protocol.wire.CrashNotice getDefaultInstance() {
+    public static io.pollenpath.protocol.wire.EntryNotice getDefaultInstance() {
         return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<CrashNotice> PARSER =
-            new com.google.protobuf.AbstractParser<CrashNotice>() {
+    private static final com.google.protobuf.Parser<EntryNotice> PARSER =
+            new com.google.protobuf.AbstractParser<EntryNotice>() {
                 @java.lang.Override
-                public CrashNotice parsePartialFrom(
+                public EntryNotice parsePartialFrom(
                         com.google.protobuf.CodedInputStream input,
                         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
                         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1385,17 +1715,17 @@
                 }
             };
 
-    public static com.google.protobuf.Parser<CrashNotice> parser() {
+    public static com.google.protobuf.Parser<EntryNotice> parser() {
         return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<CrashNotice> getParserForType() {
+    public com.google.protobuf.Parser<EntryNotice> getParserForType() {
         return PARSER;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.CrashNotice getDefaultInstanceForType() {
+    public io.pollenpath.protocol.wire.EntryNotice getDefaultInstanceForType() {
         return DEFAULT_INSTANCE;
     }
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/CrashNoticeOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryNoticeOrBuilder.java
@@ -6,9 +6,9 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface CrashNoticeOrBuilder
+public interface EntryNoticeOrBuilder
         extends
-        // @@protoc_insertion_point(interface_extends:pollenpath.entry.CrashNotice)
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.EntryNotice)
         com.google.protobuf.MessageOrBuilder {
 
     /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
@@ -58,4 +58,20 @@
 
     /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
     io.pollenpath.protocol.wire.RequestTrialOrBuilder getTrialsOrBuilder(int index);
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList();
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    io.pollenpath.protocol.wire.NamedLimit getLimits(int index);
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    int getLimitsCount();
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+            getLimitsOrBuilderList();
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(int index);
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/EntryProto.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryProto.java
@@ -26,9 +26,13 @@
     }
 
     static final com.google.protobuf.Descriptors.Descriptor
-            internal_static_pollenpath_entry_CrashNotice_descriptor;
+            internal_static_pollenpath_entry_EntryNotice_descriptor;
     static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
-            internal_static_pollenpath_entry_CrashNotice_fieldAccessorTable;
+            internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_NamedLimit_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable;
     static final com.google.protobuf.Descriptors.Descriptor
             internal_static_pollenpath_entry_ServerCrash_descriptor;
     static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
@@ -50,32 +54,43 @@
 
     static {
         java.lang.String[] descriptorData = {
-            "\n\013entry.proto\022\020pollenpath.entry\"\245\001\n\013Cras"
-                    + "hNotice\022.\n\007crashes\030\001 \003(\0132\035.pollenpath.en"
+            "\n\013entry.proto\022\020pollenpath.entry\"\323\001\n\013Entr"
+                    + "yNotice\022.\n\007crashes\030\001 \003(\0132\035.pollenpath.en"
                     + "try.ServerCrash\0226\n\nclearances\030\002 \003(\0132\".po"
                     + "llenpath.entry.RequestClearance\022.\n\006trial"
-                    + "s\030\003 \003(\0132\036.pollenpath.entry.RequestTrial\""
-                    + "P\n\013ServerCrash\022\016\n\006server\030\001 \001(\t\022\017\n\007servic"
-                    + "e\030\002 \001(\t\022\020\n\010suspects\030\003 \003(\014\022\016\n\006age_ms\030\004 \001("
-                    + "\003\"3\n\020RequestClearance\022\017\n\007request\030\001 \001(\014\022\016"
-                    + "\n\006age_ms\030\002 \001(\003\";\n\014RequestTrial\022\017\n\007reques"
-                    + "t\030\001 \001(\014\022\n\n\002id\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003B+\n\033i"
-                    + "o.pollenpath.protocol.wireB\nEntryProtoP\001"
-                    + "b\006proto3"
+                    + "s\030\003 \003(\0132\036.pollenpath.entry.RequestTrial\022"
+                    + ",\n\006limits\030\004 \003(\0132\034.pollenpath.entry.Named"
+                    + "Limit\"T\n\nNamedLimit\022\016\n\006server\030\001 \001(\t\022\027\n\np"
+                    + "er_second\030\002 \001(\001H\000\210\001\001\022\016\n\006age_ms\030\003 \001(\003B\r\n\013"
+                    + "_per_second\"P\n\013ServerCrash\022\016\n\006server\030\001 \001"
+                    + "(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010suspects\030\003 \003(\014\022\016\n"
+                    + "\006age_ms\030\004 \001(\003\"3\n\020RequestClearance\022\017\n\007req"
+                    + "uest\030\001 \001(\014\022\016\n\006age_ms\030\002 \001(\003\";\n\014RequestTri"
+                    + "al\022\017\n\007request\030\001 \001(\014\022\n\n\002id\030\002 \001(\003\022\016\n\006age_m"
+                    + "s\030\003 \001(\003B+\n\033io.pollenpath.protocol.wireB\n"
+                    + "EntryProtoP\001b\006proto3"
         };
         descriptor =
                 com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
                         descriptorData, new com.google.protobuf.Descriptors.FileDescriptor[] {});
-        internal_static_pollenpath_entry_CrashNotice_descriptor =
+        internal_static_pollenpath_entry_EntryNotice_descriptor =
                 getDescriptor().getMessageTypes().get(0);
-        internal_static_pollenpath_entry_CrashNotice_fieldAccessorTable =
+        internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-                        internal_static_pollenpath_entry_CrashNotice_descriptor,
+                        internal_static_pollenpath_entry_EntryNotice_descriptor,
                         new java.lang.String[] {
-                            "Crashes", "Clearances", "Trials",
+                            "Crashes", "Clearances", "Trials", "Limits",
                         });
-        internal_static_pollenpath_entry_ServerCrash_descriptor =
+        internal_static_pollenpath_entry_NamedLimit_descriptor =
                 getDescriptor().getMessageTypes().get(1);
+        internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_NamedLimit_descriptor,
+                        new java.lang.String[] {
+                            "Server", "PerSecond", "AgeMs",
+                        });
+        internal_static_pollenpath_entry_ServerCrash_descriptor =
+                getDescriptor().getMessageTypes().get(2);
         internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_entry_ServerCrash_descriptor,
@@ -83,7 +98,7 @@
                             "Server", "Service", "Suspects", "AgeMs",
                         });
         internal_static_pollenpath_entry_RequestClearance_descriptor =
-                getDescriptor().getMessageTypes().get(2);
+                getDescriptor().getMessageTypes().get(3);
         internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_entry_RequestClearance_descriptor,
@@ -91,7 +106,7 @@
                             "Request", "AgeMs",
                         });
         internal_static_pollenpath_entry_RequestTrial_descriptor =
-                getDescriptor().getMessageTypes().get(3);
+                getDescriptor().getMessageTypes().get(4);
         internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable =
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_entry_RequestTrial_descriptor,
