--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
@@ -152,6 +152,50 @@
         assertThat(served).isAtLeast((long) (0.98 * sent));
     }
 
+    @Test
+    void goesOnSendingRequestWhoseAnswersAreLostByServersThatLive() throws Exception {
+        start(ENGINES);
+        List<EntryFleet.Answer> answers =
+                repeat("lost", RestartingEngine.LOST_PATH, REPEAT_MS, 8).get();
+        assertThat(fleet.arrivals(RestartingEngine.LOST_PATH).size()).isAtLeast(8);
+        assertNeverBlocked(answers);
+    }
+
+    @Test
+    void goesOnSendingRequestThatWasOnServersWithAnAnnouncedEnd() throws Exception {
+        start(ENGINES);
+        CompletableFuture<List<EntryFleet.Answer>> repeats =
+                repeat("long", RestartingEngine.LONG_PATH, 0, Integer.MAX_VALUE);
+        int ends = 2 * BLOCKING_CRASHES;
+        for (int i = 0; i < ends; i++) {
+            RestartingEngine running = awaitNextRun();
+            running.announceEnd();
+            Pause.forMs(RestartingEngine.LONG_WORK_MS * 2 / 3);
+            running.kill();
+        }
+        ended.set(true);
+        assertNeverBlocked(repeats.get());
+    }
+
+    private static void assertNeverBlocked(List<EntryFleet.Answer> answers) {
+        for (EntryFleet.Answer answer : answers) {
+            assertThat(answer.body()).doesNotContain("crashes_servers");
+        }
+    }
+
+    /** Waits for the next arrival of a long request and returns the engine that runs it. */
+    private RestartingEngine awaitNextRun() {
+        int before = fleet.arrivals(RestartingEngine.LONG_PATH).size();
+        while (fleet.arrivals(RestartingEngine.LONG_PATH).size() == before) {
+            Pause.forMs(5);
+        }
+        long latest = fleet.arrivals(RestartingEngine.LONG_PATH).get(before).nanos();
+        return fleet.engines().stream()
+                .filter(engine -> engine.arrivals().stream().anyMatch(a -> a.nanos() == latest))
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Test
     void servesRepeatedRequestsAfterServersWereKilledFromOutside() throws Exception {
         start(ENGINES);
--- a/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
@@ -21,6 +21,9 @@
     /** Requests with this path end the process of the engine that runs them. */
     static final String CRASHING_PATH = "/plain/crash";
 
+    /** Requests with this path are run and get no answer; the engine goes on. */
+    static final String LOST_PATH = "/plain/lost";
+
     /** Requests with this path take {@link #LONG_WORK_MS}. */
     static final String LONG_PATH = "/plain/long";
 
@@ -72,6 +75,9 @@
                 onEnd();
                 return EngineFault.CRASHES;
             }
+            case LOST_PATH -> {
+                return EngineFault.ANSWER_LOST;
+            }
             case LONG_PATH -> Pause.forMs(LONG_WORK_MS);
             default -> Pause.forMs(SHORT_WORK_MS);
         }
@@ -106,6 +112,14 @@
         onEnd();
     }
 
+    /** Announces the end of the engine, as before a planned stop. */
+    void announceEnd() {
+        store.put(
+                StoreKinds.SERVERS,
+                id(),
+                PlatformFixtures.serverEntry(service, port).put("State", "draining"));
+    }
+
     /** Names a limit in later answers; an empty text names none. */
     void nameLimit(String perSecond) {
         limit = perSecond;
