Let other requests pass a resend that finds no server

Found while looking at how a used-up limit acts on the queue. Resends stand first in the queue, and the first request that can't be sent stops the queue. A resend excludes the servers that it was sent to; if the only other one is full, avoided or at its limit, all requests of the service waited up to 1.5 s while servers were free for them.

Change: a resend that finds no server is passed over; a first send that finds none still stops the queue, as none behind it would find one either.

Test: resendThatFindsNoServerDoesNotHoldUpOtherRequests failed before (the other request waited until the resend had gone to the limited server) and passes; GatewayFaultsTest and WaitingRequestsTest pass.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
@@ -124,6 +124,16 @@
         return queue.isEmpty() ? Optional.empty() : Optional.of(queue.first());
     }
 
+    /**
+     * Returns the request that is served next after a given one, without removing it.
+     *
+     * @param queued the given request, which may have been removed, not null
+     * @return the queued request; empty if no other follows
+     */
+    public Optional<QueuedRequest<T>> after(QueuedRequest<T> queued) {
+        return Optional.ofNullable(queue.higher(queued));
+    }
+
     /**
      * Removes the requests whose queue timeout has passed.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -134,12 +134,20 @@
                                         settings.retryWindowMs())));
     }
 
-    /** Sends queued requests of a service while there is free capacity. */
+    /**
+     * Sends queued requests of a service while there is free capacity. A resend that finds no
+     * server other than those it was sent to holds up no other request.
+     */
     private void sendQueued(String name, long nowNanos) {
         ServiceTraffic service = traffic(name);
         Optional<QueuedRequest<ForwardedRequest>> next = service.queue().first();
-        while (next.isPresent() && trySend(name, service, next.get(), nowNanos)) {
-            next = service.queue().first();
+        while (next.isPresent()) {
+            QueuedRequest<ForwardedRequest> current = next.get();
+            boolean resend = current.request().sends() > 0;
+            if (!trySend(name, service, current, nowNanos) && !resend) {
+                return;
+            }
+            next = service.queue().after(current);
         }
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -27,6 +27,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -289,6 +290,22 @@
         await(() -> first.resetCount() + second.resetCount() == 1);
     }
 
+    @Test
+    void resendThatFindsNoServerDoesNotHoldUpOtherRequests() throws Exception {
+        second.nameLimit("0");
+        gateway.updateView(gateway.view().withServers(List.of(instance("engine-2", second))));
+        assertThat(send("plain", Map.of()).status()).isEqualTo(200);
+        addSecondEngine();
+        faults.add(EngineFault.NOT_RUN);
+        CompletableFuture<HttpReply> refusedOnce = client.send(request("plain", Map.of()));
+        int sentToLimited = second.received().size();
+        await(() -> first.received().size() == 1);
+        HttpReply other = client.send(request("once", Map.of())).get(TIMEOUT_S, TimeUnit.SECONDS);
+        assertThat(other.status()).isEqualTo(200);
+        assertThat(second.received().size()).isEqualTo(sentToLimited);
+        assertThat(refusedOnce.get(TIMEOUT_S, TimeUnit.SECONDS).status()).isAnyOf(200, 503);
+    }
+
     private static void await(BooleanSupplier condition) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(500);
         while (!condition.getAsBoolean() && System.nanoTime() < endNanos) {
