--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -1,7 +1,6 @@
 package io.pollenpath.standin.platform;
 
 import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -10,10 +9,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -158,56 +155,28 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             boolean reusable = true;
             while (reusable) {
-                ReceivedRequest request = read(in);
+                ReceivedRequest request = RequestReader.read(in);
                 received.add(request);
-                reusable = answer(socket, request, faults.apply(request));
+                reusable =
+                        request.path().startsWith(CONTROL_PREFIX)
+                                ? answerControl(socket, request)
+                                : answer(socket, request, faults.apply(request));
             }
         } catch (IOException e) {
             // The caller closed the connection, so nobody waits for an answer.
         }
     }
 
-    private static ReceivedRequest read(InputStream in) throws IOException {
-        String[] requestLine = readLine(in).split(" ", 3);
-        Map<String, String> headers = new TreeMap<>();
-        String header = readLine(in);
-        while (!header.isEmpty()) {
-            int colon = header.indexOf(':');
-            String name = header.substring(0, colon).toLowerCase(Locale.ROOT);
-            headers.put(name, header.substring(colon + 1).trim());
-            header = readLine(in);
-        }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
-        return new ReceivedRequest(requestLine[0], requestLine[1], headers, body);
-    }
-
-    private static String readLine(InputStream in) throws IOException {
-        ByteArrayOutputStream line = new ByteArrayOutputStream();
-        int next = in.read();
-        while (next != '\n') {
-            if (next < 0) {
-                throw new IOException("the caller closed the connection");
-            }
-            if (next != '\r') {
-                line.write(next);
-            }
-            next = in.read();
-        }
-        return line.toString(StandardCharsets.UTF_8);
+    private boolean answerControl(Socket socket, ReceivedRequest request) throws IOException {
+        String json = controlAnswer(request.path());
+        write(socket, responseHead(200, "", "Content-Length: " + json.length() + "\r\n") + json);
+        return true;
     }
 
     /** Answers a request; returns whether the connection can serve another one. */
     private boolean answer(Socket socket, ReceivedRequest request, EngineFault fault)
             throws IOException {
         String requestId = request.header("request-id");
-        if (request.path().startsWith(CONTROL_PREFIX)) {
-            String json = controlAnswer(request.path());
-            write(
-                    socket,
-                    responseHead(200, "", "Content-Length: " + json.length() + "\r\n") + json);
-            return true;
-        }
         switch (fault) {
             case NOT_RUN ->
                     write(socket, responseHeadWithLength(503, requestId, "Not-Executed: 1\r\n", 0));
