Reproduce what a store that comes back from an older copy does to us

The stand-in of the store can keep a copy, go back to it (era raised, revisions repeated) and name other eras.

--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
@@ -65,6 +65,20 @@
         return manifest;
     }
 
+    /**
+     * Returns the manifest of {@link #manifest} with a further idempotent route.
+     *
+     * @param version the manifest version
+     * @param service the name of the service that all routes lead to, not null
+     * @param route the name of the further route, which is also its path, not null
+     * @return the manifest
+     */
+    public static ObjectNode manifestWithRoute(long version, String service, String route) {
+        ObjectNode manifest = manifest(version, service);
+        manifest.withArray("Routes").add(route(route, "idempotent", service));
+        return manifest;
+    }
+
     private static ObjectNode engine() {
         return Json.object()
                 .put("Slots", 8)
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformStore.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformStore.java
@@ -20,6 +20,8 @@
     private final int pageSize;
     private long revision = FIRST_REVISION;
     private long lastDroppedRevision;
+    private long era = 1;
+    private Copy copy;
 
     /**
      * A change of an object.
@@ -30,6 +32,18 @@
      */
     private record Change(String kind, long revision, ObjectNode event) {}
 
+    /**
+     * The state of the store at one time.
+     *
+     * @param objectsByKind the objects by kind and name
+     * @param history the changes
+     * @param revision the revision
+     */
+    private record Copy(
+            Map<String, Map<String, ObjectNode>> objectsByKind,
+            List<Change> history,
+            long revision) {}
+
     PlatformStore(int pageSize) {
         this.pageSize = pageSize;
     }
@@ -58,7 +72,7 @@
 
     /** Returns the changes after a revision; empty if the history no longer has all of them. */
     synchronized Optional<ObjectNode> changes(String kind, long afterRevision) {
-        if (afterRevision < lastDroppedRevision) {
+        if (afterRevision < lastDroppedRevision || afterRevision > revision) {
             return Optional.empty();
         }
         ObjectNode answer = Json.object();
@@ -130,6 +144,38 @@
         history.add(new Change(kind, revision, event));
     }
 
+    /** Keeps a copy of the present state for {@link #restoreCopy}. */
+    synchronized void keepCopy() {
+        copy = new Copy(deepCopy(objectsByKind), List.copyOf(history), revision);
+    }
+
+    /** Goes back to the state of the copy: later changes are gone, and revisions repeat. */
+    synchronized void restoreCopy() {
+        objectsByKind.clear();
+        objectsByKind.putAll(deepCopy(copy.objectsByKind()));
+        history.clear();
+        history.addAll(copy.history());
+        revision = copy.revision();
+        era++;
+    }
+
+    private static Map<String, Map<String, ObjectNode>> deepCopy(
+            Map<String, Map<String, ObjectNode>> source) {
+        Map<String, Map<String, ObjectNode>> copied = new TreeMap<>();
+        source.forEach(
+                (kind, objects) -> {
+                    Map<String, ObjectNode> copies = new TreeMap<>();
+                    objects.forEach((name, object) -> copies.put(name, object.deepCopy()));
+                    copied.put(kind, copies);
+                });
+        return copied;
+    }
+
+    /** Returns how often the store has gone back to a copy, plus 1. */
+    synchronized long era() {
+        return era;
+    }
+
     /** Drops all changes so far, so that watches from an earlier revision fail with 410. */
     synchronized void dropHistory() {
         revision++;
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformStoreStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformStoreStandin.java
@@ -31,6 +31,7 @@
     private final HttpServer server;
     private final AtomicLong callCount = new AtomicLong();
     private volatile StoreFault fault = StoreFault.NONE;
+    private volatile String forcedEra = "";
 
     /**
      * Starts listening on the loopback address.
@@ -84,6 +85,28 @@
         store.dropHistory();
     }
 
+    /** Keeps a copy of the present state, to which {@link #restoreCopy} goes back. */
+    public void keepCopy() {
+        store.keepCopy();
+    }
+
+    /**
+     * Goes back to the kept copy, as a store does that lost what it had acknowledged since: its era
+     * rises, and revisions are given out again.
+     */
+    public void restoreCopy() {
+        store.restoreCopy();
+    }
+
+    /**
+     * Names an era in later answers that is not the store's.
+     *
+     * @param text the value of the header; empty for the store's own era, not null
+     */
+    public void forceEra(String text) {
+        forcedEra = text;
+    }
+
     /**
      * Creates or replaces an object, whatever its revision.
      *
@@ -182,14 +205,19 @@
         }
     }
 
-    private static void respondWith(
+    private void respondWith(
             HttpExchange exchange, Optional<ObjectNode> object, int statusIfEmpty) {
         int status = object.isPresent() ? STATUS_OK : statusIfEmpty;
         respond(exchange, status, object.orElseGet(Json::object));
     }
 
-    private static void respond(HttpExchange exchange, int status, JsonNode body) {
-        exchange.respond(status, "application/json", Map.of(), Json.bytes(body));
+    private void respond(HttpExchange exchange, int status, JsonNode body) {
+        Map<String, String> headers = Map.of("Store-Era", eraText());
+        exchange.respond(status, "application/json", headers, Json.bytes(body));
+    }
+
+    private String eraText() {
+        return forcedEra.isEmpty() ? Long.toString(store.era()) : forcedEra;
     }
 
     @Override
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -24,7 +24,9 @@
 /** Entries of one deployment with a store and engines that restart, each entry on its own IP. */
 final class EntryFleet implements AutoCloseable {
 
-    private static final String SERVICE = "drafts";
+    /** The service of all engines. */
+    static final String SERVICE = "drafts";
+
     private static final int PAGE_SIZE = 100;
     private static final int ANSWER_TIMEOUT_MS = 5_000;
     private static final long READY_TIMEOUT_MS = 5_000;
--- a/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that a watch mirrors the objects of a kind through each fault of the store. */
 class KindWatchTest {
@@ -130,6 +131,57 @@
         awaitObjectNames("a");
     }
 
+    private void restoreWhileUnreachable(Runnable changes) throws InterruptedException {
+        store.setFault(StoreFault.UNAVAILABLE);
+        Thread.sleep(2 * LONG_POLL_MS);
+        store.restoreCopy();
+        changes.run();
+        store.setFault(StoreFault.NONE);
+    }
+
+    @Test
+    void mirrorsAnOlderCopyOfTheStore() throws InterruptedException {
+        put("a");
+        store.keepCopy();
+        watch.start();
+        put("b");
+        awaitObjectNames("a", "b");
+        restoreWhileUnreachable(() -> {});
+        awaitObjectNames("a");
+    }
+
+    @Test
+    void mirrorsAnOlderCopyWhoseRevisionsWereGivenOutAgain() throws InterruptedException {
+        put("a");
+        store.keepCopy();
+        watch.start();
+        put("b");
+        awaitObjectNames("a", "b");
+        restoreWhileUnreachable(
+                () -> {
+                    put("c");
+                    for (int i = 0; i < 5; i++) {
+                        store.put("others", "x" + i, Json.object());
+                    }
+                });
+        awaitObjectNames("a", "c");
+        put("d");
+        awaitObjectNames("a", "c", "d");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"soon", "-4", "0"})
+    void goesOnIfTheEraIsNoNumberOrGoesBack(String era) throws InterruptedException {
+        put("a");
+        watch.start();
+        awaitObjectNames("a");
+        store.forceEra(era);
+        Thread.sleep(2 * LONG_POLL_MS);
+        store.forceEra("");
+        put("b");
+        awaitObjectNames("a", "b");
+    }
+
     @Test
     void coalescesBurstOfChanges() throws InterruptedException {
         watch = create(2 * LONG_POLL_MS);
--- a/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
@@ -60,6 +60,11 @@
         this.store = store;
         process = new PlatformEngineStandin(id(), 0, this::work);
         port = process.port();
+        register();
+    }
+
+    /** Writes the registration of the engine to the store. */
+    void register() {
         store.put(StoreKinds.SERVERS, id(), PlatformFixtures.serverEntry(service, port));
     }
 
@@ -103,7 +108,7 @@
         } catch (IOException e) {
             throw new IllegalStateException("the engine can't listen again on port " + port, e);
         }
-        store.put(StoreKinds.SERVERS, id(), PlatformFixtures.serverEntry(service, port));
+        register();
     }
 
     /** Ends the process from outside; it starts again after a while. */
--- a/standins/src/test/java/io/pollenpath/platform/StoreLeaseTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/StoreLeaseTest.java
@@ -75,6 +75,32 @@
                 () -> lease.claim(GROUP, "b", 0).get(5, TimeUnit.SECONDS));
     }
 
+    @Test
+    void tokenIsHigherThanAnyBeforeAnOlderCopyOfTheStore() throws Exception {
+        long first = claim("a");
+        store.keepCopy();
+        long second = claim("b");
+        long third = claim("c");
+        store.restoreCopy();
+        long afterDrill = claim("d");
+        assertThat(second).isGreaterThan(first);
+        assertThat(afterDrill).isGreaterThan(third);
+    }
+
+    @Test
+    void claimFailsIfTheReplacedTokenWasReadBeforeTheStoreWentBack() throws Exception {
+        store.keepCopy();
+        claim("a");
+        long silentToken = claim("b");
+        store.restoreCopy();
+        lease.claim(GROUP, "c", 0).get(5, TimeUnit.SECONDS);
+        long current = lease.currentToken(GROUP).get(5, TimeUnit.SECONDS);
+        lease.claim(GROUP, "d", current).get(5, TimeUnit.SECONDS);
+        assertThrows(
+                ExecutionException.class,
+                () -> lease.claim(GROUP, "e", silentToken).get(5, TimeUnit.SECONDS));
+    }
+
     @Test
     void claimFailsWhileStoreIsUnavailable() {
         store.setFault(StoreFault.UNAVAILABLE);
