Follow the era of the store: list anew, register again, never repeat a fencing token

What was seen: after the store comes back from a copy some seconds old, a watch whose revision has been given out again misses what was written, so a configuration never comes into force; entries are not registered any more; a server that has left gets requests; and a lease gets a fencing token that was given out before.

Cause: revisions of the store were taken as always rising, and what it had acknowledged as kept. Nothing read the era that its answers name.

Why this works: StoreEra sees a new era on whatever answer comes first. Each watch then starts anew with a list that replaces what it held, and ignores calls that were under way. A token is the revision raised by the era, and a claim that spans a change fails.

In StoreLeaseTest the lost answer's token is compared with the stored revision raised by the era, and the claim after the copy reads the lease first, as an agent does.

--- a/pollenpath/src/main/java/io/pollenpath/platform/AgentDirectory.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/AgentDirectory.java
@@ -36,13 +36,18 @@
     }
 
     /**
-     * Registers an agent, with retries until the store has the registration. A registration that
-     * exists already is left as it is.
+     * Registers an agent, with retries until the store has the registration, and again each time
+     * the store comes back from an older copy. A registration that exists already is left as it is.
      *
      * @param node the name of the VM, which also names the stored object
      * @param address where the agent and its engine listen
      */
     void register(String node, AgentAddress address) {
+        store.era().onChange(() -> RegistrationDelay.schedule(control, () -> write(node, address)));
+        write(node, address);
+    }
+
+    private void write(String node, AgentAddress address) {
         ObjectNode spec =
                 Json.object()
                         .put(AGENT, address.agent().toString())
@@ -54,7 +59,7 @@
                             if (failure != null
                                     && !StoreException.hasStatus(failure, STATUS_CONFLICT)) {
                                 control.schedule(
-                                        () -> register(node, address),
+                                        () -> write(node, address),
                                         RETRY_DELAY_MS,
                                         TimeUnit.MILLISECONDS);
                             }
--- a/pollenpath/src/main/java/io/pollenpath/platform/EntryDirectory.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/EntryDirectory.java
@@ -36,12 +36,21 @@
     }
 
     /**
-     * Registers this entry, with retries until the store has the registration. A registration that
-     * an earlier process left behind is replaced.
+     * Registers this entry, with retries until the store has the registration, and again each time
+     * the store comes back from an older copy. A registration that an earlier process left behind
+     * is replaced.
      *
      * @param address where this entry receives calls of other entries
      */
     void register(HttpAddress address) {
+        store.era().onChange(() -> RegistrationDelay.schedule(control, () -> write(address)));
+        write(address);
+    }
+
+    private void write(HttpAddress address) {
+        if (withdrawn) {
+            return;
+        }
         ObjectNode spec = Json.object().put(ADDRESS, address.toString());
         store.create(StoreKinds.ENTRIES, name, spec, CALL_TIMEOUT_MS)
                 .handle((created, failure) -> overwriteOnConflict(spec, created, failure))
@@ -64,7 +73,7 @@
             return;
         }
         LOG.info("{}", LogLine.event("announce_failed").with("cause", failure));
-        control.schedule(() -> register(address), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+        control.schedule(() -> write(address), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Removes the registration of this entry. */
--- a/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,7 +14,7 @@
 /**
  * Mirrors all objects of one kind of the store: lists them page by page, then long-polls for
  * changes, and lists them again when the store no longer has the history since the last known
- * revision.
+ * revision or has come back from an older copy.
  */
 final class KindWatch {
 
@@ -26,6 +27,9 @@
     private static final long MIN_RETRY_MS = 100;
     private static final long MAX_RETRY_MS = 800;
 
+    /** Spreads the lists of all processes after the store has come back from an older copy. */
+    private static final long MAX_RELIST_DELAY_MS = 300;
+
     private final StoreClient store;
     private final String kind;
     private final long longPollMs;
@@ -41,6 +45,10 @@
     private long lastContactNanos;
     private boolean unreachable;
     private boolean stopped;
+    private boolean olderCopy;
+
+    /** Counts the restarts of this watch; what an earlier one has asked for is ignored. */
+    private int generation;
 
     /** Receives the objects of the kind, on the control thread. */
     interface Listener {
@@ -49,10 +57,9 @@
          * Handles a change of the objects.
          *
          * @param objects all objects by name; the watch reuses the map, so copy it to keep it
-         * @param outageMs how long the store was unreachable immediately before, in milliseconds; 0
-         *     if it was not
+         * @param gap what happened to the store since the last call
          */
-        void onObjects(Map<String, StoredObject> objects, long outageMs);
+        void onObjects(Map<String, StoredObject> objects, StoreGap gap);
     }
 
     /**
@@ -85,6 +92,7 @@
     /** Starts watching. */
     void start() {
         lastContactNanos = System.nanoTime();
+        store.era().onChange(() -> control.execute(this::onEraChange));
         control.execute(() -> list(""));
     }
 
@@ -93,16 +101,36 @@
         control.execute(() -> stopped = true);
     }
 
+    private void onEraChange() {
+        if (stopped) {
+            return;
+        }
+        generation++;
+        olderCopy = true;
+        LOG.info(
+                "{}",
+                LogLine.event("store_relisted")
+                        .with("kind", kind)
+                        .with("revision", revision)
+                        .with("objects", objects.size()));
+        long delayMs = ThreadLocalRandom.current().nextLong(MAX_RELIST_DELAY_MS);
+        scheduleForGeneration(() -> list(""), delayMs);
+    }
+
     private void list(String afterName) {
         if (stopped) {
             return;
         }
+        int current = generation;
         if (afterName.isEmpty()) {
             pendingObjects = new HashMap<>();
         }
         store.list(kind, afterName, CALL_TIMEOUT_MS)
                 .whenCompleteAsync(
                         (page, failure) -> {
+                            if (current != generation) {
+                                return;
+                            }
                             if (failure == null) {
                                 onPage(page, afterName.isEmpty());
                             } else {
@@ -137,9 +165,13 @@
         if (stopped) {
             return;
         }
+        int current = generation;
         store.watch(kind, revision, longPollMs, longPollMs + CALL_TIMEOUT_MS / 2)
                 .whenCompleteAsync(
                         (response, failure) -> {
+                            if (current != generation) {
+                                return;
+                            }
                             if (failure == null) {
                                 onEvents(response);
                             } else {
@@ -157,7 +189,7 @@
         revision = Math.max(revision, response.path("CurrentRev").asLong(revision));
         onSuccess(changed);
         if (changed && coalesceMs > 0) {
-            control.schedule(this::watch, coalesceMs, TimeUnit.MILLISECONDS);
+            scheduleForGeneration(this::watch, coalesceMs);
         } else {
             watch();
         }
@@ -208,7 +240,9 @@
         retryMs = MIN_RETRY_MS;
         lastContactNanos = nowNanos;
         if (changed) {
-            listener.onObjects(objects, outageMs);
+            StoreGap gap = new StoreGap(outageMs, olderCopy);
+            olderCopy = false;
+            listener.onObjects(objects, gap);
         }
     }
 
@@ -229,7 +263,19 @@
         unreachable = true;
         long delayMs = retryMs;
         retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
+        boolean listNext = !initialListDone || olderCopy;
+        scheduleForGeneration(listNext ? () -> list("") : this::watch, delayMs);
+    }
+
+    private void scheduleForGeneration(Runnable call, long delayMs) {
+        int current = generation;
         control.schedule(
-                initialListDone ? this::watch : () -> list(""), delayMs, TimeUnit.MILLISECONDS);
+                () -> {
+                    if (current == generation) {
+                        call.run();
+                    }
+                },
+                delayMs,
+                TimeUnit.MILLISECONDS);
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformSide.java
@@ -126,7 +126,7 @@
                 .start();
     }
 
-    private void onAgents(Map<String, StoredObject> objects, long outageMs) {
+    private void onAgents(Map<String, StoredObject> objects, StoreGap gap) {
         agent.setAgents(directory.decode(objects));
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
@@ -23,6 +23,8 @@
     /** Longer than the grace period of {@link ActiveServers}, so that the check finds it over. */
     private static final long GRACE_CHECK_MS = 2_100;
 
+    private static final long TIMER_MARGIN_MS = 100;
+
     /** Delay that combines the changes of many servers that start or stop at the same time. */
     private static final long SERVERS_COALESCE_MS = 200;
 
@@ -68,7 +70,7 @@
         watches.forEach(KindWatch::start);
     }
 
-    private void onConfig(Map<String, StoredObject> objects, long outageMs) {
+    private void onConfig(Map<String, StoredObject> objects, StoreGap gap) {
         StoredObject newest = objects.get(StoreKinds.NEWEST_CONFIG);
         if (newest == null) {
             return;
@@ -90,15 +92,25 @@
         }
     }
 
-    private void onServers(Map<String, StoredObject> objects, long outageMs) {
+    private void onServers(Map<String, StoredObject> objects, StoreGap gap) {
         long nowNanos = System.nanoTime();
         Set<String> previousIds = view.serverIds();
         publish(
                 view.withServers(
-                        activeServers.update(registrations.decode(objects), outageMs, nowNanos)));
+                        activeServers.update(
+                                registrations.decode(objects),
+                                gap.outageMs(),
+                                gap.olderCopy(),
+                                nowNanos)));
         if (activeServers.isInGracePeriod()) {
             control.schedule(this::checkGraceEnd, GRACE_CHECK_MS, TimeUnit.MILLISECONDS);
         }
+        if (gap.olderCopy()) {
+            control.schedule(
+                    this::publishServers,
+                    ActiveServers.DEPARTED_MS + TIMER_MARGIN_MS,
+                    TimeUnit.MILLISECONDS);
+        }
         if (!view.serverIds().equals(previousIds)) {
             LOG.info(
                     "{}",
@@ -116,7 +128,11 @@
         }
     }
 
-    private void onEntries(Map<String, StoredObject> objects, long outageMs) {
+    private void publishServers() {
+        publish(view.withServers(activeServers.current(System.nanoTime())));
+    }
+
+    private void onEntries(Map<String, StoredObject> objects, StoreGap gap) {
         publish(view.withEntries(EntryDirectory.decode(objects)));
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
@@ -20,7 +20,10 @@
     private static final int STATUS_OK = 200;
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
 
+    private static final String ERA = "Store-Era";
+
     private final HttpClient http;
+    private final StoreEra era = new StoreEra();
     private volatile HttpAddress address;
 
     /**
@@ -34,6 +37,11 @@
         this.address = address;
     }
 
+    /** Returns the era of the store, as its latest answers name it. */
+    StoreEra era() {
+        return era;
+    }
+
     /** Changes the address to which later calls are sent. */
     void setAddress(HttpAddress newAddress) {
         address = newAddress;
@@ -123,7 +131,11 @@
                 .thenApply(response -> decode(response, method + " " + path));
     }
 
-    private static JsonNode decode(HttpReply reply, String call) {
+    private JsonNode decode(HttpReply reply, String call) {
+        if (!era.onAnswer(reply.headers().get(ERA), call, System.nanoTime())) {
+            throw new IllegalStateException(
+                    call + " was answered before the store came back from a copy; repeat it");
+        }
         if (reply.status() < STATUS_OK || reply.status() >= FIRST_NON_SUCCESS_STATUS) {
             throw new StoreException(reply.status(), call);
         }
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
@@ -8,8 +8,10 @@
 
 /**
  * Stores the leader of each rank group in one object of the store. The revision of the write that
- * names a new leader is the leader's fencing token. Each write is conditional on the revision that
- * was read before, so that only one of several concurrent claims succeeds.
+ * names a new leader, raised by the era of the store, is the leader's fencing token: a store that
+ * comes back from an older copy gives out revisions again, but in a later era. Each write is
+ * conditional on the revision that was read before, so that only one of several concurrent claims
+ * succeeds.
  */
 final class StoreLease implements LeaderLease {
 
@@ -18,6 +20,9 @@
     private static final int STATUS_NOT_FOUND = 404;
     private static final long CALL_TIMEOUT_MS = 600;
 
+    /** How much the era raises a token; far above the revisions that a store can lose. */
+    static final long REVISIONS_PER_ERA = 1L << 24;
+
     private final StoreClient store;
 
     StoreLease(StoreClient store) {
@@ -30,7 +35,7 @@
                 .handle(
                         (object, failure) -> {
                             if (failure == null) {
-                                return CompletableFuture.completedFuture(revision(object));
+                                return CompletableFuture.completedFuture(token(object));
                             }
                             return StoreException.hasStatus(failure, STATUS_NOT_FOUND)
                                     ? CompletableFuture.completedFuture(NO_TOKEN)
@@ -47,6 +52,13 @@
      */
     @Override
     public CompletableFuture<Long> claim(String group, String holder, long replacedToken) {
+        long era = store.era().current();
+        long replacedRevision = replacedToken - era * REVISIONS_PER_ERA;
+        if (replacedToken != NO_TOKEN && replacedRevision <= 0) {
+            return CompletableFuture.failedFuture(
+                    new IllegalStateException(
+                            "the replaced token is from before the store came back from a copy; read it again"));
+        }
         CompletableFuture<JsonNode> written =
                 replacedToken == NO_TOKEN
                         ? store.create(StoreKinds.LEASES, group, spec(holder), CALL_TIMEOUT_MS)
@@ -54,20 +66,28 @@
                                 StoreKinds.LEASES,
                                 group,
                                 spec(holder),
-                                replacedToken,
+                                replacedRevision,
                                 CALL_TIMEOUT_MS);
-        return written.thenApply(StoreLease::revision);
+        return written.thenApply(object -> tokenInEra(object, era));
+    }
+
+    /** Returns the token of a claim; fails if the store has come back from a copy meanwhile. */
+    private long tokenInEra(JsonNode object, long era) {
+        if (era != store.era().current() && era != StoreEra.NONE) {
+            throw new IllegalStateException("the store came back from a copy during the claim");
+        }
+        return token(object);
     }
 
     private static ObjectNode spec(String holder) {
         return Json.object().put(HOLDER, holder);
     }
 
-    private static long revision(JsonNode object) {
+    private long token(JsonNode object) {
         long revision = object.path("Metadata").path("Revision").asLong(0);
         if (revision <= 0) {
             throw new IllegalStateException("the store returned a lease without a revision");
         }
-        return revision;
+        return store.era().current() * REVISIONS_PER_ERA + revision;
     }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ActiveServersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ActiveServersTest.java
@@ -26,35 +26,73 @@
 
     @Test
     void removesAServerThatIsNoLongerRegistered() {
-        activeServers.update(List.of(ONE, TWO), 0, 0);
-        assertThat(activeServers.update(List.of(ONE), 0, ms(1))).containsExactly(ONE);
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        assertThat(activeServers.update(List.of(ONE), 0, false, ms(1))).containsExactly(ONE);
     }
 
     @Test
     void keepsAServerWhoseRegistrationExpiredInAnOutageForTheGracePeriod() {
-        activeServers.update(List.of(ONE, TWO), 0, 0);
-        assertThat(activeServers.update(List.of(ONE), OUTAGE_MS, ms(1))).containsExactly(ONE, TWO);
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        assertThat(activeServers.update(List.of(ONE), OUTAGE_MS, false, ms(1)))
+                .containsExactly(ONE, TWO);
         assertThat(activeServers.current(ms(1_900))).containsExactly(ONE, TWO);
         assertThat(activeServers.current(ms(2_100))).containsExactly(ONE);
     }
 
     @Test
     void doesNotKeepADrainingServer() {
-        activeServers.update(List.of(ONE, DRAINING), 0, 0);
-        assertThat(activeServers.update(List.of(ONE), OUTAGE_MS, ms(1))).containsExactly(ONE);
+        activeServers.update(List.of(ONE, DRAINING), 0, false, 0);
+        assertThat(activeServers.update(List.of(ONE), OUTAGE_MS, false, ms(1)))
+                .containsExactly(ONE);
     }
 
     @Test
     void doesNotKeepAServerWhoseAddressWasTakenOver() {
-        activeServers.update(List.of(ONE, TWO), 0, 0);
-        assertThat(activeServers.update(List.of(ONE, SUCCESSOR), OUTAGE_MS, ms(1)))
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        assertThat(activeServers.update(List.of(ONE, SUCCESSOR), OUTAGE_MS, false, ms(1)))
                 .containsExactly(ONE, SUCCESSOR);
     }
 
     @Test
     void keepsAServerWhoseRegistrationExpiresInTheGracePeriod() {
-        activeServers.update(List.of(ONE, TWO), 0, 0);
-        activeServers.update(List.of(ONE, TWO), OUTAGE_MS, ms(1));
-        assertThat(activeServers.update(List.of(ONE), 0, ms(500))).containsExactly(ONE, TWO);
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        activeServers.update(List.of(ONE, TWO), OUTAGE_MS, false, ms(1));
+        assertThat(activeServers.update(List.of(ONE), 0, false, ms(500))).containsExactly(ONE, TWO);
+    }
+
+    @Test
+    void keepsAServerThatAnOlderCopyOfTheStoreLacksForTheGracePeriod() {
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        assertThat(activeServers.update(List.of(ONE), 0, true, ms(1))).containsExactly(ONE, TWO);
+        assertThat(activeServers.current(ms(2_100))).containsExactly(ONE);
+    }
+
+    @Test
+    void ignoresAServerThatLeftThoughAnOlderCopyOfTheStoreHasIt() {
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        activeServers.update(List.of(ONE), 0, false, ms(1_000));
+        assertThat(activeServers.update(List.of(ONE, TWO), 0, true, ms(2_000)))
+                .containsExactly(ONE);
+        assertThat(activeServers.update(List.of(ONE, TWO), 0, false, ms(3_000)))
+                .containsExactly(ONE);
+        long endMs = 2_000 + ActiveServers.DEPARTED_MS;
+        assertThat(activeServers.current(ms(endMs))).containsExactly(ONE, TWO);
+    }
+
+    @Test
+    void ignoresADrainingServerThoughAnOlderCopyOfTheStoreHasItReady() {
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        activeServers.update(List.of(ONE, DRAINING), 0, false, ms(1_000));
+        assertThat(activeServers.update(List.of(ONE, TWO), 0, true, ms(2_000)))
+                .containsExactly(ONE);
+    }
+
+    @Test
+    void usesAServerAgainThatRegisteredAgainBeforeTheStoreWentBack() {
+        activeServers.update(List.of(ONE, TWO), 0, false, 0);
+        activeServers.update(List.of(ONE), 0, false, ms(1_000));
+        activeServers.update(List.of(ONE, TWO), 0, false, ms(2_000));
+        assertThat(activeServers.update(List.of(ONE, TWO), 0, true, ms(3_000)))
+                .containsExactly(ONE, TWO);
     }
 }
--- a/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
@@ -50,9 +50,9 @@
                 LONG_POLL_MS,
                 coalesceMs,
                 control,
-                (objects, outageMs) -> {
+                (objects, gap) -> {
                     objectNames = new TreeSet<>(objects.keySet());
-                    maxOutageMs.accumulateAndGet(outageMs, Math::max);
+                    maxOutageMs.accumulateAndGet(gap.outageMs(), Math::max);
                 });
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/StoreLeaseTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/StoreLeaseTest.java
@@ -49,13 +49,13 @@
         assertThrows(ExecutionException.class, () -> claim("a"));
         store.setFault(StoreFault.NONE);
         long token = claim("a");
-        assertThat(token)
-                .isEqualTo(
-                        store.read("leases", GROUP)
-                                .orElseThrow()
-                                .path("Metadata")
-                                .path("Revision")
-                                .asLong());
+        long storedRevision =
+                store.read("leases", GROUP)
+                        .orElseThrow()
+                        .path("Metadata")
+                        .path("Revision")
+                        .asLong();
+        assertThat(token).isEqualTo(StoreLease.REVISIONS_PER_ERA + storedRevision);
     }
 
     @Test
@@ -93,6 +93,7 @@
         claim("a");
         long silentToken = claim("b");
         store.restoreCopy();
+        assertThat(lease.currentToken(GROUP).get(5, TimeUnit.SECONDS)).isEqualTo(0);
         lease.claim(GROUP, "c", 0).get(5, TimeUnit.SECONDS);
         long current = lease.currentToken(GROUP).get(5, TimeUnit.SECONDS);
         lease.claim(GROUP, "d", current).get(5, TimeUnit.SECONDS);
