Notice the first change of the store's era also where it is 0 or was not named before

Cause: 0 stood both for an era that is not named and for the first one, so the first rise from 0 to 1 was no change and nothing was listed anew. A claim compares the number of changes, not eras, so that the first answer of a process is no change.

Test: secondEraIsAChangeAlsoIfTheFirstIsZeroOrWasNotNamed is new; StoreLeaseTest, StoreRestoredTest and KindWatchTest pass.

--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreEra.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreEra.java
@@ -2,6 +2,7 @@
 
 import io.pollenpath.util.LogLine;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -13,8 +14,10 @@
  */
 final class StoreEra {
 
-    /** The era of a store that names none. */
-    static final long NONE = 0;
+    /** The era of a store that names none, which is also the first one. */
+    static final long FIRST = 0;
+
+    private static final long UNKNOWN = -1;
 
     /**
      * How long answers of the highest era must be missing before a lower one is taken as the
@@ -26,7 +29,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(StoreEra.class);
 
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
-    private long current = NONE;
+    private long current = UNKNOWN;
+    private boolean answeredWithoutEra;
+    private int changes;
     private long lastCurrentNanos;
     private boolean invalidLogged;
     private boolean lowerLogged;
@@ -38,9 +43,14 @@
         listeners.add(listener);
     }
 
-    /** Returns the era of the store; {@link #NONE} if it has named none. */
+    /** Returns the era of the store; {@link #FIRST} if it has named none. */
     synchronized long current() {
-        return current;
+        return Math.max(FIRST, current);
+    }
+
+    /** Returns how often the era has changed since this process started. */
+    synchronized int changeCount() {
+        return changes;
     }
 
     /**
@@ -52,49 +62,70 @@
      * @return false if the answer is from before the store came back, so that it must not be used
      */
     boolean onAnswer(String text, String call, long nowNanos) {
-        long era = parse(text);
-        if (era == NONE) {
+        OptionalLong era = parse(text);
+        if (era.isEmpty()) {
+            recordMissing();
             return true;
         }
-        boolean changed;
-        synchronized (this) {
-            boolean stale = era < current && !isSilent(nowNanos);
-            if (stale) {
-                logLower(era, call);
-                return false;
-            }
-            lastCurrentNanos = nowNanos;
-            changed = current != NONE && era != current;
-            if (era != current) {
-                LOG.info(
-                        "{}",
-                        LogLine.event("store_era")
-                                .with("before", current)
-                                .with("era", era)
-                                .with("call", call));
-            }
-            current = era;
-        }
-        if (changed) {
+        Verdict verdict = recordEra(era.getAsLong(), call, nowNanos);
+        if (verdict == Verdict.CHANGED) {
             listeners.forEach(Runnable::run);
         }
-        return true;
+        return verdict != Verdict.OUTDATED;
+    }
+
+    private enum Verdict {
+        CURRENT,
+        CHANGED,
+        OUTDATED
+    }
+
+    private synchronized void recordMissing() {
+        answeredWithoutEra = true;
+    }
+
+    private synchronized Verdict recordEra(long era, String call, long nowNanos) {
+        if (era < current && !isSilent(nowNanos)) {
+            logLower(era, call);
+            return Verdict.OUTDATED;
+        }
+        lastCurrentNanos = nowNanos;
+        if (era == current) {
+            return Verdict.CURRENT;
+        }
+        LOG.info(
+                "{}",
+                LogLine.event("store_era")
+                        .with("before", current == UNKNOWN ? "none" : current)
+                        .with("era", era)
+                        .with("call", call));
+        boolean first = current == UNKNOWN && !answeredWithoutEra;
+        current = era;
+        if (first) {
+            return Verdict.CURRENT;
+        }
+        changes++;
+        return Verdict.CHANGED;
     }
 
     private boolean isSilent(long nowNanos) {
         return nowNanos - lastCurrentNanos > TimeUnit.MILLISECONDS.toNanos(LOWER_ERA_DELAY_MS);
     }
 
-    private long parse(String text) {
+    private OptionalLong parse(String text) {
         if (text == null) {
-            return NONE;
+            return OptionalLong.empty();
         }
         try {
-            return Math.max(NONE, Long.parseLong(text.trim()));
+            long era = Long.parseLong(text.trim());
+            if (era >= FIRST) {
+                return OptionalLong.of(era);
+            }
         } catch (NumberFormatException e) {
-            logInvalid(text);
-            return NONE;
+            // Handled as any other text that names no era.
         }
+        logInvalid(text);
+        return OptionalLong.empty();
     }
 
     private synchronized void logInvalid(String text) {
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreLease.java
@@ -52,8 +52,8 @@
      */
     @Override
     public CompletableFuture<Long> claim(String group, String holder, long replacedToken) {
-        long era = store.era().current();
-        long replacedRevision = replacedToken - era * REVISIONS_PER_ERA;
+        int changesBefore = store.era().changeCount();
+        long replacedRevision = replacedToken - store.era().current() * REVISIONS_PER_ERA;
         if (replacedToken != NO_TOKEN && replacedRevision <= 0) {
             return CompletableFuture.failedFuture(
                     new IllegalStateException(
@@ -68,12 +68,12 @@
                                 spec(holder),
                                 replacedRevision,
                                 CALL_TIMEOUT_MS);
-        return written.thenApply(object -> tokenInEra(object, era));
+        return written.thenApply(object -> tokenUnlessChanged(object, changesBefore));
     }
 
     /** Returns the token of a claim; fails if the store has come back from a copy meanwhile. */
-    private long tokenInEra(JsonNode object, long era) {
-        if (era != store.era().current() && era != StoreEra.NONE) {
+    private long tokenUnlessChanged(JsonNode object, int changesBefore) {
+        if (store.era().changeCount() != changesBefore) {
             throw new IllegalStateException("the store came back from a copy during the claim");
         }
         return token(object);
--- a/standins/src/test/java/io/pollenpath/platform/StoreEraTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/StoreEraTest.java
@@ -30,6 +30,18 @@
         assertThat(era.current()).isEqualTo(3);
     }
 
+    @Test
+    void secondEraIsAChangeAlsoIfTheFirstIsZeroOrWasNotNamed() {
+        answer("0", 0);
+        answer("1", 1);
+        assertThat(changes.get()).isEqualTo(1);
+        StoreEra unnamed = new StoreEra();
+        unnamed.onChange(changes::incrementAndGet);
+        unnamed.onAnswer(null, "GET /x", 0);
+        unnamed.onAnswer("1", "GET /x", 1);
+        assertThat(changes.get()).isEqualTo(2);
+    }
+
     @Test
     void higherEraIsAChangeAndEarlierAnswersAreNotUsed() {
         answer("3", 0);
