--- a/bench/src/main/java/io/pollenpath/bench/prove/WholeAnswerCases.java
+++ b/bench/src/main/java/io/pollenpath/bench/prove/WholeAnswerCases.java
@@ -213,6 +213,11 @@
             Pause.forMs(READER_PAUSE_MS);
             long unreadBytes = backend.emittedBytes() - caller.byteCount();
             boolean bounded = unreadBytes < MAX_KERNEL_BUFFER_BYTES && backend.pauses() > 0;
+            if (!bounded) {
+                System.err.printf(
+                        "event=slow_reader_not_bounded emitted=%d unread=%d pauses=%d%n",
+                        backend.emittedBytes(), unreadBytes, backend.pauses());
+            }
             caller.setReading(true);
             return violationUnless(isWhole(backend, body, caller, true)) + violationUnless(bounded);
         }
