Wait for the retry before calling an entry that failed again

Cause: each change of the view called every entry that had not answered yet, and each failed call added a timer of its own, so calls to an entry that is gone multiplied with the changes of servers.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -41,6 +41,7 @@
         private final String address;
         private long acknowledgedVersion = -1;
         private boolean inProgress;
+        private boolean retryScheduled;
         private long retryMs = MIN_RETRY_MS;
 
         private Peer(String address) {
@@ -70,7 +71,8 @@
 
     private void call(Peer peer) {
         boolean removed = peers.get(peer.address) != peer;
-        if (removed || peer.inProgress || peer.acknowledgedVersion == version) {
+        boolean busy = peer.inProgress || peer.retryScheduled;
+        if (removed || busy || peer.acknowledgedVersion == version) {
             return;
         }
         peer.inProgress = true;
@@ -98,8 +100,7 @@
         peer.inProgress = false;
         if (failure != null) {
             logFailure(peer, failure);
-            loop.schedule(() -> call(peer), peer.retryMs, TimeUnit.MILLISECONDS);
-            peer.retryMs = Math.min(MAX_RETRY_MS, 2 * peer.retryMs);
+            scheduleRetry(peer);
             return;
         }
         peer.acknowledgedVersion = sentVersion;
@@ -108,6 +109,18 @@
         call(peer);
     }
 
+    private void scheduleRetry(Peer peer) {
+        peer.retryScheduled = true;
+        loop.schedule(
+                () -> {
+                    peer.retryScheduled = false;
+                    call(peer);
+                },
+                peer.retryMs,
+                TimeUnit.MILLISECONDS);
+        peer.retryMs = Math.min(MAX_RETRY_MS, 2 * peer.retryMs);
+    }
+
     private void logFailure(Peer peer, Throwable failure) {
         if (peer.retryMs == MIN_RETRY_MS) {
             LOG.info(
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -0,0 +1,84 @@
+package io.pollenpath.transport.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.pollenpath.coordination.serving.ServerLimits;
+import io.pollenpath.coordination.serving.ServerSelector;
+import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.HttpLimits;
+import io.pollenpath.transport.HttpServer;
+import io.pollenpath.transport.NettyLoops;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests how often an entry calls the others. */
+class EntryPeersTest {
+
+    private static final int SETTLE_MS = 600;
+
+    private final NettyLoops loops = new NettyLoops(1);
+    private final EventLoop loop = loops.group().next();
+    private final HttpClient http = new HttpClient(loops);
+    private final AtomicInteger calls = new AtomicInteger();
+    private final ServerLimits limits = new ServerLimits("entry-1", new Random(1));
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final CrashGuard guard =
+            new CrashGuard(
+                    new BackendConnectionPool(loop, null), new CrashLog(metrics), new Random(1));
+    private final BackendServers servers =
+            new BackendServers(
+                    limits,
+                    new ServerSelector("zone-a", limits, new Random(1)),
+                    new LimitLog(metrics));
+    private final EntryPeers peers = new EntryPeers(loop, http, new EntryKnowledge(guard, servers));
+    private volatile int status = 200;
+    private final HttpServer other =
+            new HttpServer(
+                    loops,
+                    "127.0.0.1",
+                    0,
+                    HttpLimits.DEFAULT,
+                    (call, exchange) -> {
+                        calls.incrementAndGet();
+                        exchange.respond(status, EntryServer.MEDIA_TYPE, Map.of(), new byte[0]);
+                    });
+
+    @AfterEach
+    void stop() {
+        other.close();
+        http.close();
+        loops.close();
+    }
+
+    private void setAddressesOften() throws Exception {
+        Set<String> addresses = Set.of("127.0.0.1:" + other.port());
+        for (int i = 0; i < 30; i++) {
+            loop.submit(() -> peers.setAddresses(addresses)).sync();
+            Thread.sleep(SETTLE_MS / 30);
+        }
+    }
+
+    @Test
+    void callsAnotherEntryOnceUntilSomethingChanges() throws Exception {
+        setAddressesOften();
+        assertThat(calls.get()).isEqualTo(1);
+        servers.onLimit("engine-1", "r", OptionalDouble.of(1), System.nanoTime());
+        loop.submit(peers::onChange).sync();
+        Thread.sleep(SETTLE_MS / 3);
+        assertThat(calls.get()).isEqualTo(2);
+    }
+
+    @Test
+    void callsAnEntryThatFailsRarelyThoughTheViewChangesOften() throws Exception {
+        status = 500;
+        setAddressesOften();
+        assertThat(calls.get()).isAtMost(4);
+    }
+}
