Keep the travel time of reports from moving the time of a clearance

Entries tell ages, so each exchange made a clearance younger by the time that the message took, which counted as news each time and could in the end clear a request of a later crash. A clearance must be younger by more than 500 ms now. travelTimeOfReportsMovesNoClearance is new. CrashReport.isEmpty, which nothing used, is gone.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -34,6 +34,9 @@
     /** The largest number of suspects of one crash. */
     static final int MAX_SUSPECTS = 256;
 
+    /** How much younger a report may make an event than it is: the time that the report travels. */
+    private static final long AGE_ERROR_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final Suspicion NONE = new Suspicion(0, false, 0, 0);
 
     private final Map<String, CrashRecord> crashes = new LinkedHashMap<>();
@@ -125,11 +128,7 @@
         }
         for (CrashReport.Clearance clearance : report.clearances()) {
             long nanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(clearance.ageMs());
-            Long known = clearedNanos.get(clearance.request());
-            if (known == null || nanos - known > 0) {
-                clearedNanos.put(clearance.request(), nanos);
-                changed = true;
-            }
+            changed |= addClearance(clearance.request(), nanos);
         }
         for (CrashReport.Trial trial : report.trials()) {
             long nanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(trial.ageMs());
@@ -226,6 +225,15 @@
         return suspects.stream().limit(MAX_SUSPECTS).collect(Collectors.toUnmodifiableSet());
     }
 
+    private boolean addClearance(RequestFingerprint request, long nanos) {
+        Long known = clearedNanos.get(request);
+        boolean newer = known == null || nanos - known > AGE_ERROR_NANOS;
+        if (newer) {
+            clearedNanos.put(request, nanos);
+        }
+        return newer;
+    }
+
     private boolean addTrial(RequestFingerprint request, long id, long nanos) {
         return trialNanos.computeIfAbsent(request, key -> new HashMap<>()).putIfAbsent(id, nanos)
                 == null;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashReport.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashReport.java
@@ -22,15 +22,6 @@
         trials = List.copyOf(trials);
     }
 
-    /**
-     * Returns whether the report says nothing.
-     *
-     * @return true if all lists are empty
-     */
-    public boolean isEmpty() {
-        return crashes.isEmpty() && clearances.isEmpty() && trials.isEmpty();
-    }
-
     /**
      * A crash of one incarnation of a backend server.
      *
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
@@ -101,6 +101,19 @@
         assertThat(merged.merge(first, ms(4_000))).isFalse();
     }
 
+    @Test
+    void travelTimeOfReportsMovesNoClearance() {
+        crash("a@1", 1_000, CULPRIT);
+        history.recordAnswer(CULPRIT, ms(1_100));
+        CrashHistory other = new CrashHistory();
+        for (long atMs = 1_200; atMs < 3_000; atMs += 200) {
+            other.merge(history.report(ms(atMs)), ms(atMs + 50));
+            assertThat(history.merge(other.report(ms(atMs + 60)), ms(atMs + 110))).isFalse();
+        }
+        crash("b@1", 1_200, CULPRIT);
+        assertThat(history.suspicion(CULPRIT).crashes()).isEqualTo(1);
+    }
+
     @Test
     void forgetsOldCrashesAndKeepsABoundedNumber() {
         crash("a@1", 0, CULPRIT);
