Test drills of the store at random moments under load

No request fails, a configuration that a caller has seen stays in force, and the one written again is in force at all entries within 2 s.

--- a/standins/src/test/java/io/pollenpath/platform/StoreRestoredTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/StoreRestoredTest.java
@@ -9,11 +9,20 @@
 import io.pollenpath.util.Json;
 import io.pollenpath.util.Pause;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what entries do when the store comes back from a copy that is some seconds old. */
 class StoreRestoredTest {
@@ -108,6 +117,55 @@
         assertThat(holdsWithin(WITHIN_MS, () -> servedByAll("newer"))).isTrue();
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void drillsAtRandomMomentsCostNoRequestAndNoConfiguration(long seed) throws Exception {
+        Random random = new Random(seed);
+        AtomicBoolean ended = new AtomicBoolean();
+        Queue<EntryFleet.Answer> failures = new ConcurrentLinkedQueue<>();
+        List<CompletableFuture<Void>> callers = new ArrayList<>();
+        for (int i = 0; i < ENTRIES; i++) {
+            int entry = i;
+            callers.add(
+                    CompletableFuture.runAsync(
+                            () -> {
+                                while (!ended.get()) {
+                                    EntryFleet.Answer answer =
+                                            fleet.call(entry, "load", "/plain/load");
+                                    if (answer.status() != 200) {
+                                        failures.add(answer);
+                                    }
+                                    Pause.forMs(10);
+                                }
+                            }));
+        }
+        long version = 10;
+        for (int drill = 0; drill < 4; drill++) {
+            store.keepCopy();
+            Pause.forMs(random.nextInt(800));
+            version += 1 + random.nextInt(5);
+            String route = "r" + version;
+            writeConfig(version, route);
+            boolean seen = random.nextBoolean() && holdsWithin(WITHIN_MS, () -> servedByAll(route));
+            store.setFault(random.nextBoolean() ? StoreFault.UNAVAILABLE : StoreFault.SILENT);
+            Pause.forMs(200 + random.nextInt(1_200));
+            store.restoreCopy();
+            store.setFault(StoreFault.NONE);
+            Pause.forMs(random.nextInt(600));
+            if (seen) {
+                assertThat(servedByAll(route)).isTrue();
+            }
+            fleet.engines().forEach(RestartingEngine::register);
+            writeConfig(version, route);
+            assertThat(holdsWithin(WITHIN_MS, () -> servedByAll(route))).isTrue();
+        }
+        ended.set(true);
+        for (CompletableFuture<Void> caller : callers) {
+            caller.get();
+        }
+        assertThat(failures).isEmpty();
+    }
+
     @Test
     void entriesAreRegisteredAgain() {
         for (int entry = 0; entry < ENTRIES; entry++) {
