Try a blocked request sooner, and soon where another one explains the crashes as well

What a caller would have seen: a request that comes so often that it is always in flight was blocked with the one that ended the servers, or after a wave of crashes, as their only explanation, and waited 30 s for its first trial although any answer clears it.

Change: a request is contested also while another one was on all the same servers, and so tried after 1 s; the first trial of a sole suspect comes after 5 s instead of 30 s, at the price of one server more under a request that does end them. The number of trials stays.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -48,8 +48,8 @@
      * The suspicion against one request.
      *
      * @param crashes the number of servers that the request is held to have crashed
-     * @param contested whether servers of the same service have crashed in the same time without
-     *     the request, so that there must be another cause too
+     * @param contested whether there may be another cause: servers of the same service have crashed
+     *     in the same time without the request, or another request was on all the same servers
      * @param trials the number of its test runs
      * @param lastEventNanos the time of the latest of these crashes and trials, in nanoseconds; 0
      *     if there is none
@@ -278,6 +278,10 @@
     }
 
     private boolean isContested(RequestFingerprint request, List<CrashRecord> own) {
+        return hasCrashWithout(request, own) || hasRival(request, own);
+    }
+
+    private boolean hasCrashWithout(RequestFingerprint request, List<CrashRecord> own) {
         long first =
                 own.stream()
                         .mapToLong(CrashRecord::nanos)
@@ -288,6 +292,13 @@
                 .anyMatch(crash -> crash.service().equals(own.get(0).service()));
     }
 
+    /** Returns whether another request was in flight on all servers that crashed under this one. */
+    private boolean hasRival(RequestFingerprint request, List<CrashRecord> own) {
+        return own.get(0).suspects().stream()
+                .filter(other -> !other.equals(request))
+                .anyMatch(other -> own.stream().allMatch(crash -> isSuspect(other, crash)));
+    }
+
     private static long later(long a, long b) {
         return a - b > 0 ? a : b;
     }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -7,7 +7,7 @@
  *
  * <p>A request that has crashed several servers is blocked. It gets a few trials at growing delays,
  * because servers may also have crashed under it for another reason; a complete answer to a trial
- * clears it of these crashes. The delays are long if it is the only explanation of the crashes of
+ * clears it of these crashes. The delays are longer if it is the only explanation of the crashes of
  * the service, because each further crash costs others their requests.
  */
 public final class SuspectPolicy {
@@ -16,13 +16,13 @@
     static final int MAX_TRIALS = 3;
 
     /**
-     * The time from the latest crash or trial to the next trial if servers also crash without the
-     * request, in milliseconds.
+     * The time from the latest crash or trial to the next trial if there may be another cause, in
+     * milliseconds.
      */
     private static final long[] CONTESTED_DELAYS_MS = {1_000, 2_500, 30_000};
 
     /** The same time if the request is the only explanation, in milliseconds. */
-    private static final long[] SOLE_CAUSE_DELAYS_MS = {30_000, 60_000, 120_000};
+    private static final long[] SOLE_CAUSE_DELAYS_MS = {5_000, 60_000, 120_000};
 
     /** How long a caller is told to wait when no trial is left, in milliseconds. */
     static final long BLOCKED_RETRY_AFTER_MS = 60_000;
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
@@ -76,6 +76,18 @@
         assertThat(history.suspicion(CULPRIT).contested()).isTrue();
     }
 
+    @Test
+    void isContestedWhileAnotherRequestExplainsTheSameCrashes() {
+        crash("a@1", 100, CULPRIT, BYSTANDER);
+        crash("b@1", 200, CULPRIT, BYSTANDER);
+        crash("c@1", 300, CULPRIT, BYSTANDER);
+        assertThat(history.suspicion(BYSTANDER).contested()).isTrue();
+        assertThat(history.suspicion(CULPRIT).contested()).isTrue();
+        crash("d@1", 400, CULPRIT);
+        assertThat(history.suspicion(CULPRIT).contested()).isFalse();
+        assertThat(history.suspicion(BYSTANDER).crashes()).isEqualTo(0);
+    }
+
     @Test
     void reportsMergeInAnyOrderAndMoreThanOnce() {
         crash("a@1", 1_000, CULPRIT, BYSTANDER);
