Log each send of a suspect, and reproduce several crashing requests that are sent on

suspect_sent and suspect_blocked now tell on how many crashed servers a request was in flight beside how many it is blamed for.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -37,7 +38,7 @@
     /** How much younger a report may make an event than it is: the time that the report travels. */
     private static final long AGE_ERROR_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    private static final Suspicion NONE = new Suspicion(0, false, 0, 0);
+    private static final Suspicion NONE = new Suspicion(0, 0, false, 0, 0);
 
     private final Map<String, CrashRecord> crashes = new LinkedHashMap<>();
     private final Map<RequestFingerprint, Long> clearedNanos = new HashMap<>();
@@ -48,13 +49,16 @@
      * The suspicion against one request.
      *
      * @param crashes the number of servers that the request is held to have crashed
+     * @param inFlightCrashes the number of servers that crashed while the request was in flight on
+     *     them, whatever explains these crashes
      * @param contested whether there may be another cause: servers of the same service have crashed
      *     in the same time without the request, or another request was on all the same servers
      * @param trials the number of its test runs
      * @param lastEventNanos the time of the latest of these crashes and trials, in nanoseconds; 0
      *     if there is none
      */
-    public record Suspicion(int crashes, boolean contested, int trials, long lastEventNanos) {}
+    public record Suspicion(
+            int crashes, int inFlightCrashes, boolean contested, int trials, long lastEventNanos) {}
 
     private record CrashRecord(long nanos, String service, Set<RequestFingerprint> suspects) {}
 
@@ -260,13 +264,19 @@
         }
         Map<RequestFingerprint, Integer> counts = CrashBlame.assign(unexplained, BLOCKING_CRASHES);
         Map<RequestFingerprint, Suspicion> updated = new HashMap<>();
-        counts.forEach((request, count) -> updated.put(request, suspicionOf(request, count)));
+        for (RequestFingerprint request : mentioned) {
+            suspicionOf(request, counts.getOrDefault(request, 0))
+                    .ifPresent(suspicion -> updated.put(request, suspicion));
+        }
         suspicions = updated;
     }
 
-    private Suspicion suspicionOf(RequestFingerprint request, int count) {
+    private Optional<Suspicion> suspicionOf(RequestFingerprint request, int count) {
         List<CrashRecord> own =
                 crashes.values().stream().filter(crash -> isSuspect(request, crash)).toList();
+        if (own.isEmpty()) {
+            return Optional.empty();
+        }
         Collection<Long> starts = trialNanos.getOrDefault(request, Map.of()).values();
         long last =
                 LongStream.concat(
@@ -274,7 +284,8 @@
                                 starts.stream().mapToLong(Long::longValue))
                         .reduce(CrashHistory::later)
                         .orElse(0);
-        return new Suspicion(count, isContested(request, own), starts.size(), last);
+        return Optional.of(
+                new Suspicion(count, own.size(), isContested(request, own), starts.size(), last));
     }
 
     private boolean isContested(RequestFingerprint request, List<CrashRecord> own) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -63,6 +63,17 @@
             log.trial(request, history.suspicion(fingerprint));
             onChange.run();
         }
+        logSend(request);
+    }
+
+    private void logSend(ForwardedRequest request) {
+        if (history.isEmpty()) {
+            return;
+        }
+        CrashHistory.Suspicion suspicion = history.suspicion(request.fingerprint());
+        if (suspicion.inFlightCrashes() > 0) {
+            log.sent(request, suspicion);
+        }
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -38,6 +38,21 @@
                         .with("fingerprints", listed(inFlight)));
     }
 
+    /** Logs one send of a suspect. */
+    void sent(ForwardedRequest request, CrashHistory.Suspicion suspicion) {
+        MetricNames.count(metrics, "suspects_total", "event", "sent");
+        LOG.info(
+                "{}",
+                LogLine.event("suspect_sent")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("fingerprint", request.fingerprint())
+                        .with("server", request.server().incarnationId())
+                        .with("crashes", suspicion.crashes())
+                        .with("in_flight_crashes", suspicion.inFlightCrashes())
+                        .with("contested", suspicion.contested())
+                        .with("trials", suspicion.trials()));
+    }
+
     /** Logs the trial of a blocked request. */
     void trial(ForwardedRequest request, CrashHistory.Suspicion suspicion) {
         MetricNames.count(metrics, "suspects_total", "event", "trial");
@@ -63,6 +78,7 @@
                         .with("request", request.context().callerHeaders().requestId())
                         .with("fingerprint", request.fingerprint())
                         .with("crashes", suspicion.crashes())
+                        .with("in_flight_crashes", suspicion.inFlightCrashes())
                         .with("contested", suspicion.contested())
                         .with("trials", suspicion.trials())
                         .with("may_have_run", request.mayHaveRun())
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
@@ -12,7 +12,7 @@
     private static SuspectPolicy.Verdict decide(
             int crashes, boolean contested, int trials, int unconfirmed, long sinceMs) {
         CrashHistory.Suspicion suspicion =
-                new CrashHistory.Suspicion(crashes, contested, trials, 0);
+                new CrashHistory.Suspicion(crashes, crashes, contested, trials, 0);
         return SuspectPolicy.decide(suspicion, unconfirmed, TimeUnit.MILLISECONDS.toNanos(sinceMs));
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -110,38 +111,47 @@
 
     /** Sends one attempt to an entry and waits for its answer. */
     Answer call(int entry, String requestId, String path) {
+        return call(entry, requestId, path, ANSWER_TIMEOUT_MS);
+    }
+
+    /** Sends one attempt to an entry and closes the connection if the answer takes too long. */
+    Answer call(int entry, String requestId, String path, long patienceMs) {
         long sentNanos = System.nanoTime();
-        HttpClient.Request request =
-                new HttpClient.Request(
-                        settings.get(entry).callerAddress().orElseThrow(),
-                        "POST",
-                        path,
-                        Map.of(
-                                "Host",
-                                PlatformFixtures.HOST,
-                                "Request-Id",
-                                requestId,
-                                "Authorization",
-                                "Bearer " + PlatformFixtures.API_KEY,
-                                "Deadline-Ms",
-                                "3000"),
-                        "{}".getBytes(StandardCharsets.UTF_8));
+        CompletableFuture<HttpReply> reply = client.send(request(entry, requestId, path));
         try {
-            HttpReply reply = client.send(request).get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            HttpReply answer = reply.get(patienceMs, TimeUnit.MILLISECONDS);
             return new Answer(
                     requestId,
                     sentNanos,
-                    reply.status(),
-                    new String(reply.body(), StandardCharsets.UTF_8),
-                    reply.headers().get("Retry-After", ""),
+                    answer.status(),
+                    new String(answer.body(), StandardCharsets.UTF_8),
+                    answer.headers().get("Retry-After", ""),
                     elapsedMs(sentNanos));
         } catch (ExecutionException | TimeoutException e) {
+            reply.cancel(true);
             return new Answer(requestId, sentNanos, 0, "", "", elapsedMs(sentNanos));
         } catch (InterruptedException e) {
             throw new IllegalStateException("interrupted while waiting for an answer", e);
         }
     }
 
+    private HttpClient.Request request(int entry, String requestId, String path) {
+        return new HttpClient.Request(
+                settings.get(entry).callerAddress().orElseThrow(),
+                "POST",
+                path,
+                Map.of(
+                        "Host",
+                        PlatformFixtures.HOST,
+                        "Request-Id",
+                        requestId,
+                        "Authorization",
+                        "Bearer " + PlatformFixtures.API_KEY,
+                        "Deadline-Ms",
+                        "3000"),
+                "{}".getBytes(StandardCharsets.UTF_8));
+    }
+
     private static long elapsedMs(long startNanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
--- a/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
@@ -7,10 +7,12 @@
 import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * An engine that starts again after its process ended, at the same address and with a new identity,
@@ -32,19 +34,30 @@
 
     private static final long SHORT_WORK_MS = 10;
     private static final long CRASH_DELAY_MS = 50;
-    private static final long RESTART_MS = 1_000;
+    private static final long DEFAULT_RESTART_MS = 1_000;
 
     private final String name;
     private final String service;
     private final PlatformStoreStandin store;
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
+    private final List<End> ends = new CopyOnWriteArrayList<>();
+    private final List<String> runningPaths = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
     private final int port;
     private volatile PlatformEngineStandin process;
     private volatile String limit = "";
+    private volatile LongSupplier restartDelayMs = () -> DEFAULT_RESTART_MS;
     private int boots;
 
+    /**
+     * The end of one process of the engine.
+     *
+     * @param nanos the time, in nanoseconds
+     * @param runningPaths the paths of the requests that it was running
+     */
+    record End(long nanos, Set<String> runningPaths) {}
+
     /**
      * A request that the engine received.
      *
@@ -74,6 +87,15 @@
 
     private EngineFault work(PlatformEngineStandin.ReceivedRequest request) {
         arrivals.add(new Arrival(System.nanoTime(), request.header("request-id"), request.path()));
+        runningPaths.add(request.path());
+        try {
+            return run(request);
+        } finally {
+            runningPaths.remove(request.path());
+        }
+    }
+
+    private EngineFault run(PlatformEngineStandin.ReceivedRequest request) {
         switch (pathOnly(request.path())) {
             case CRASHING_PATH -> {
                 Pause.forMs(CRASH_DELAY_MS);
@@ -95,8 +117,10 @@
     }
 
     private synchronized void onEnd() {
-        crashNanos.add(System.nanoTime());
-        restarts.schedule(this::restart, RESTART_MS, TimeUnit.MILLISECONDS);
+        long nowNanos = System.nanoTime();
+        crashNanos.add(nowNanos);
+        ends.add(new End(nowNanos, Set.copyOf(runningPaths)));
+        restarts.schedule(this::restart, restartDelayMs.getAsLong(), TimeUnit.MILLISECONDS);
     }
 
     private synchronized void restart() {
@@ -131,6 +155,16 @@
         process.nameLimit(perSecond);
     }
 
+    /** Replaces the source of the times after which ended processes start again. */
+    void setRestartDelayMs(LongSupplier newRestartDelayMs) {
+        restartDelayMs = newRestartDelayMs;
+    }
+
+    /** Returns the ends of processes, oldest first. */
+    List<End> ends() {
+        return ends;
+    }
+
     /** Returns the requests that reached the engine, oldest first. */
     List<Arrival> arrivals() {
         return arrivals;
