Keep a request blocked when another one explains its crashes

Callers of other requests lost their answers to 3 to 11 ends of servers under each of five crashing requests, and each went on being sent: 5, 6 and 6 times later than 3 s after its third crash (3 allowed). Cause: the count that blocks a request was what CrashBlame leaves it after others have explained their part, computed anew at each crash. It falls when another request explains more, and below three the request was sent as if nothing had been. Class: a verdict that later evidence about others can lower. Evidence: suspect_sent showed 35 of 68 sends with in_flight_crashes >= 3 and crashes 0, 1 or 2. Now the servers that crashed while the request was in flight block it; only a complete answer lowers that. What others explain decides how soon its trials come, so a good request beside a crashing one is tried at once. CrashingRequestTest passes as before.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -5,10 +5,11 @@
 /**
  * Decides whether a request that is suspected of crashing servers may be sent.
  *
- * <p>A request that has crashed several servers is blocked. It gets a few trials at growing delays,
- * because servers may also have crashed under it for another reason; a complete answer to a trial
- * clears it of these crashes. The delays are longer if it is the only explanation of the crashes of
- * the service, because each further crash costs others their requests.
+ * <p>A request that was in flight on several servers when they crashed is blocked, and stays so
+ * until a complete answer clears it, whatever else explains these crashes. It gets a few trials at
+ * growing delays, because servers may also have crashed under it for another reason. The delays are
+ * short if another request explains the crashes, and long if it is the only explanation of the
+ * crashes of the service, because each further crash costs others their requests.
  */
 public final class SuspectPolicy {
 
@@ -16,9 +17,12 @@
     static final int MAX_TRIALS = 3;
 
     /**
-     * The time from the latest crash or trial to the next trial if there may be another cause, in
-     * milliseconds.
+     * The time from the latest crash or trial to the next trial if another request explains the
+     * crashes, in milliseconds.
      */
+    private static final long[] EXPLAINED_DELAYS_MS = {0, 2_500, 30_000};
+
+    /** The same time if there may be another cause, in milliseconds. */
     private static final long[] CONTESTED_DELAYS_MS = {1_000, 2_500, 30_000};
 
     /** The same time if the request is the only explanation, in milliseconds. */
@@ -74,7 +78,7 @@
      */
     public static Verdict decide(
             CrashHistory.Suspicion suspicion, int unconfirmedCrashes, long nowNanos) {
-        int crashes = suspicion.crashes() + unconfirmedCrashes;
+        int crashes = suspicion.inFlightCrashes() + unconfirmedCrashes;
         if (crashes < CrashHistory.BLOCKING_CRASHES) {
             return SEND;
         }
@@ -85,10 +89,16 @@
             return new Verdict(Decision.REFUSE, BLOCKED_RETRY_AFTER_MS);
         }
         long sinceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - suspicion.lastEventNanos());
-        long[] delaysMs = suspicion.contested() ? CONTESTED_DELAYS_MS : SOLE_CAUSE_DELAYS_MS;
-        long remainingMs = delaysMs[suspicion.trials()] - sinceMs;
+        long remainingMs = delaysMs(suspicion)[suspicion.trials()] - sinceMs;
         return remainingMs <= 0
                 ? new Verdict(Decision.TRIAL, 0)
                 : new Verdict(Decision.REFUSE, remainingMs);
     }
+
+    private static long[] delaysMs(CrashHistory.Suspicion suspicion) {
+        if (suspicion.crashes() < CrashHistory.BLOCKING_CRASHES) {
+            return EXPLAINED_DELAYS_MS;
+        }
+        return suspicion.contested() ? CONTESTED_DELAYS_MS : SOLE_CAUSE_DELAYS_MS;
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
@@ -44,6 +44,18 @@
         assertThat(history.suspicion(BYSTANDER).crashes()).isEqualTo(0);
     }
 
+    @Test
+    void countsCrashesInFlightWhateverExplainsThem() {
+        crash("a@1", 100, CULPRIT, BYSTANDER);
+        crash("b@1", 200, CULPRIT, BYSTANDER);
+        crash("c@1", 300, CULPRIT, BYSTANDER);
+        crash("d@1", 400, CULPRIT);
+        assertThat(history.suspicion(BYSTANDER).inFlightCrashes()).isEqualTo(3);
+        history.recordAnswer(BYSTANDER, ms(500));
+        assertThat(history.suspicion(BYSTANDER).inFlightCrashes()).isEqualTo(0);
+        assertThat(history.suspicion(CULPRIT).inFlightCrashes()).isEqualTo(4);
+    }
+
     @Test
     void blamesBothOfTwoRequestsThatExplainTheSame() {
         crash("a@1", 100, CULPRIT, BYSTANDER);
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
@@ -39,6 +39,18 @@
         assertThat(decide(4, false, 1, 0, 5_000).retryAfterMs()).isEqualTo(55_000);
     }
 
+    @Test
+    void staysBlockedWhenAnotherRequestExplainsTheCrashes() {
+        CrashHistory.Suspicion first = new CrashHistory.Suspicion(0, 3, true, 0, 0);
+        assertThat(SuspectPolicy.decide(first, 0, 0).decision()).isEqualTo(Decision.TRIAL);
+        CrashHistory.Suspicion tried = new CrashHistory.Suspicion(1, 4, true, 1, 0);
+        assertThat(SuspectPolicy.decide(tried, 0, 0).decision()).isEqualTo(Decision.REFUSE);
+        CrashHistory.Suspicion exhausted = new CrashHistory.Suspicion(2, 6, true, 3, 0);
+        SuspectPolicy.Verdict verdict =
+                SuspectPolicy.decide(exhausted, 0, TimeUnit.MILLISECONDS.toNanos(500_000));
+        assertThat(verdict.decision()).isEqualTo(Decision.REFUSE);
+    }
+
     @Test
     void neverTriesMoreThanThreeTimes() {
         for (boolean contested : new boolean[] {false, true}) {
