Decide on a suspect again when it is written to its server

Callers of one crashing request that come back at the same moment ended a server each: with 24 of them at three entries, 6 sends reached servers later than 3 s after the third crash (3 allowed). Cause: the verdict was taken when a server is chosen; until a connection is open, other requests with the same fingerprint pass with the same verdict, and one that is refused by then was written all the same. Only the first counted as a trial. Class: a check at one moment, used at a later one. Now the verdict is taken where the request is written; what may not be sent is answered or queued, and its connection kept. SeveralCrashingRequestsTest.sendsRequestOfManyCallersAtOnceAtMostThreeTimesMore failed before (6) and passes.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -55,15 +55,23 @@
         log.blocked(request, history.suspicion(request.fingerprint()), verdict);
     }
 
-    /** Records that a request is written to a server; a blocked one is sent only as a trial. */
-    void onSending(ForwardedRequest request, long nowNanos) {
-        if (verdict(request, nowNanos).decision() == SuspectPolicy.Decision.TRIAL) {
+    /**
+     * Decides whether a request may be written to its server, and records the trial if it is one.
+     * The verdict may have changed since a server was chosen.
+     */
+    boolean maySend(ForwardedRequest request, long nowNanos) {
+        SuspectPolicy.Verdict verdict = verdict(request, nowNanos);
+        if (verdict.isRefused()) {
+            return false;
+        }
+        if (verdict.decision() == SuspectPolicy.Decision.TRIAL) {
             RequestFingerprint fingerprint = request.fingerprint();
             history.recordTrial(fingerprint, random.nextLong(), nowNanos);
             log.trial(request, history.suspicion(fingerprint));
             onChange.run();
         }
         logSend(request);
+        return true;
     }
 
     private void logSend(ForwardedRequest request) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -205,6 +205,17 @@
         }
     }
 
+    /** Answers or queues a request that was not written to the server chosen for it. */
+    void onWithheld(ForwardedRequest request, ServerInstance server, long nowNanos) {
+        releaseServer(request, server, nowNanos);
+        if (!refuseIfBlocked(request, nowNanos)) {
+            ServiceTraffic service = traffic(request.context().service());
+            long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
+            enqueue(service, request, request.context().priority(), true, waitMs, nowNanos);
+        }
+        sendQueued(request.context().service(), nowNanos);
+    }
+
     /** Resends a request after a failed send, or answers it. */
     void onSendFailed(
             ForwardedRequest request,
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -168,15 +168,25 @@
             opened.close();
             return;
         }
+        if (!gateway.maySend(this)) {
+            opened.becomeIdle();
+            withhold();
+            return;
+        }
         long nowNanos = System.nanoTime();
         connection = opened;
-        gateway.onSending(this);
         sends++;
         triedServerIds.add(target.id());
         lastProgressNanos = nowNanos;
         opened.send(toHttpRequest(nowNanos), context.callerHeaders().requestId(), this);
     }
 
+    private void withhold() {
+        ServerInstance unused = server;
+        server = null;
+        gateway.onWithheld(this, unused);
+    }
+
     private FullHttpRequest toHttpRequest(long nowNanos) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -311,8 +311,14 @@
         dispatcher.onEventGap(request, gapNanos, nowNanos);
     }
 
-    void onSending(ForwardedRequest request) {
-        crashGuard.onSending(request, System.nanoTime());
+    /** Decides on a request that is about to be written to its server. */
+    boolean maySend(ForwardedRequest request) {
+        return crashGuard.maySend(request, System.nanoTime());
+    }
+
+    /** Answers or queues a request that was not written to the server chosen for it. */
+    void onWithheld(ForwardedRequest request, ServerInstance server) {
+        dispatcher.onWithheld(request, server, System.nanoTime());
     }
 
     void onAnswerHead(ForwardedRequest request, HttpHeaders headers) {
--- a/standins/src/test/java/io/pollenpath/platform/SeveralCrashingRequestsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/SeveralCrashingRequestsTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -38,6 +39,9 @@
     private static final int BYSTANDERS = 4;
     private static final long BYSTANDER_PAUSE_MS = 55;
     private static final long BYSTANDER_PATIENCE_MS = 5_000;
+    private static final int SIMULTANEOUS_CALLERS = 24;
+    private static final long SIMULTANEOUS_PAUSE_MS = 10;
+    private static final long SIMULTANEOUS_RUN_MS = 15_000;
     private static final double MIN_SERVED = 0.98;
 
     private final ExecutorService callers = Executors.newCachedThreadPool();
@@ -64,7 +68,7 @@
         List<EntryFleet.Answer> answers = new ArrayList<>();
         while (!ended.get()) {
             int entry = random.nextInt(ENTRIES);
-            String requestId = caller.path() + "#" + answers.size();
+            String requestId = caller.path() + "#" + caller.seed() + "-" + answers.size();
             entryOfRequest.put(requestId, entry);
             long patienceMs = caller.patienceMs()[random.nextInt(caller.patienceMs().length)];
             answers.add(fleet.call(entry, requestId, caller.path(), patienceMs));
@@ -128,6 +132,19 @@
         }
     }
 
+    @Test
+    void sendsRequestOfManyCallersAtOnceAtMostThreeTimesMore() throws Exception {
+        fleet = new EntryFleet(ENTRIES, ENGINES);
+        String path = crashingPath(0);
+        for (int i = 0; i < SIMULTANEOUS_CALLERS; i++) {
+            start(new Caller(path, SIMULTANEOUS_PAUSE_MS, new long[] {BYSTANDER_PATIENCE_MS}, i));
+        }
+        Pause.forMs(SIMULTANEOUS_RUN_MS);
+        ended.set(true);
+        long blockedFromNanos = thirdCrashNanos(path) + STABLE_NANOS;
+        assertThat(countLate(path, blockedFromNanos, blockedFromNanos)).isAtMost(MAX_LATE_ARRIVALS);
+    }
+
     private static long[] parse(String numbers) {
         return Arrays.stream(numbers.split(" ")).mapToLong(Long::parseLong).toArray();
     }
