Let an engine of the tests that ends under two requests end once

Two requests that end the engine at the same moment ended it twice in the books and started it twice; the second start failed on its port and left the engine without a registration, and one end counted as two.

--- a/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
@@ -48,6 +48,7 @@
     private volatile PlatformEngineStandin process;
     private volatile String limit = "";
     private volatile LongSupplier restartDelayMs = () -> DEFAULT_RESTART_MS;
+    private boolean ended;
     private int boots;
 
     /**
@@ -117,6 +118,10 @@
     }
 
     private synchronized void onEnd() {
+        if (ended) {
+            return;
+        }
+        ended = true;
         long nowNanos = System.nanoTime();
         crashNanos.add(nowNanos);
         ends.add(new End(nowNanos, Set.copyOf(runningPaths)));
@@ -125,6 +130,7 @@
 
     private synchronized void restart() {
         store.delete(StoreKinds.SERVERS, id());
+        ended = false;
         boots++;
         try {
             process = new PlatformEngineStandin(id(), port, this::work);
