Run trials of a blocked request only with the agreement of a majority of entries

Each entry counted and gave trials by itself, so entries that have the request at the same moment each run the same trial, and each costs callers a server with all that runs there. Class: a bound for all entries together that each keeps alone. An entry now asks all others for their vote in the exchange that they have already. Votes are leases longer than a permit, so a claimant that is lost holds up nobody for long, and no two claimants have a majority at once. CrashingRequestTest, GatewayFaultsTest and SeveralCrashingRequestsTest pass.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -37,6 +37,12 @@
     /** The verdict on a request without suspicion. */
     public static final Verdict SEND = new Verdict(Decision.SEND, 0);
 
+    /** The verdict on a blocked request whose trial is due. */
+    public static final Verdict TRIAL = new Verdict(Decision.TRIAL, 0);
+
+    /** The verdict on a blocked request to whose trial the other entries have not agreed yet. */
+    public static final Verdict AWAIT_PERMIT = new Verdict(Decision.AWAIT_PERMIT, 0);
+
     private SuspectPolicy() {}
 
     /** What to do with a request. */
@@ -45,6 +51,8 @@
         SEND,
         /** Send it to one server, as a trial. */
         TRIAL,
+        /** Keep it until the other entries have agreed to a trial. */
+        AWAIT_PERMIT,
         /** Refuse it without sending it. */
         REFUSE
     }
@@ -65,6 +73,15 @@
         public boolean isRefused() {
             return decision == Decision.REFUSE;
         }
+
+        /**
+         * Returns whether the request may be sent now.
+         *
+         * @return true if it is sent as usual or as a trial
+         */
+        public boolean maySend() {
+            return decision == Decision.SEND || decision == Decision.TRIAL;
+        }
     }
 
     /**
@@ -83,16 +100,24 @@
             return SEND;
         }
         if (unconfirmedCrashes > 0) {
-            return new Verdict(Decision.REFUSE, CHECK_RETRY_AFTER_MS);
+            return refuse(CHECK_RETRY_AFTER_MS);
         }
         if (suspicion.trials() >= MAX_TRIALS) {
-            return new Verdict(Decision.REFUSE, BLOCKED_RETRY_AFTER_MS);
+            return refuse(BLOCKED_RETRY_AFTER_MS);
         }
         long sinceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - suspicion.lastEventNanos());
         long remainingMs = delaysMs(suspicion)[suspicion.trials()] - sinceMs;
-        return remainingMs <= 0
-                ? new Verdict(Decision.TRIAL, 0)
-                : new Verdict(Decision.REFUSE, remainingMs);
+        return remainingMs <= 0 ? TRIAL : refuse(remainingMs);
+    }
+
+    /**
+     * Returns the verdict that refuses a request.
+     *
+     * @param retryAfterMs when the caller may come back, in milliseconds
+     * @return the verdict
+     */
+    public static Verdict refuse(long retryAfterMs) {
+        return new Verdict(Decision.REFUSE, retryAfterMs);
     }
 
     private static long[] delaysMs(CrashHistory.Suspicion suspicion) {
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
@@ -0,0 +1,114 @@
+package io.pollenpath.coordination.serving;
+
+import io.pollenpath.state.serving.RequestFingerprint;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** The trials of blocked requests that one entry has asked all entries to agree to. */
+public final class TrialPermits {
+
+    /**
+     * The time from the question to the end of its permit, in milliseconds. It is shorter than the
+     * lease of the votes, so that a permit ends before another entry can get one.
+     */
+    static final long PERMIT_MS = 700;
+
+    /** The shortest time from a refusal to the next question, in milliseconds. */
+    static final long MIN_BACKOFF_MS = 1_000;
+
+    /** The longest time from a refusal to the next question, in milliseconds. */
+    static final long MAX_BACKOFF_MS = 4_000;
+
+    private final Map<RequestFingerprint, Permit> permits = new HashMap<>();
+    private final RandomGenerator random;
+
+    /** The state of the permit for one trial. */
+    public enum State {
+        /** The other entries have not been asked. */
+        NONE,
+        /** They have been asked. */
+        ASKED,
+        /** A majority agrees. */
+        GRANTED,
+        /** There was no majority; ask again later. */
+        REFUSED
+    }
+
+    private record Permit(int number, State state, long endNanos) {}
+
+    /**
+     * Creates the permits of an entry that has asked for none.
+     *
+     * @param random the source of random delays, which keep two claimants from asking at the same
+     *     moments again, not null
+     */
+    public TrialPermits(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /**
+     * Returns the state of the permit for a trial.
+     *
+     * @param request the request, not null
+     * @param number the number of earlier trials of the request
+     * @param nowNanos the current time, in nanoseconds
+     * @return the state
+     */
+    public State state(RequestFingerprint request, int number, long nowNanos) {
+        permits.values().removeIf(permit -> nowNanos - permit.endNanos() >= 0);
+        Permit permit = permits.get(request);
+        return permit == null || permit.number() != number ? State.NONE : permit.state();
+    }
+
+    /**
+     * Returns the time until the state of a permit ends.
+     *
+     * @param request the request, not null
+     * @param nowNanos the current time, in nanoseconds
+     * @return the time, in milliseconds; 0 if there is no permit
+     */
+    public long remainingMs(RequestFingerprint request, long nowNanos) {
+        Permit permit = permits.get(request);
+        return permit == null
+                ? 0
+                : Math.max(0, TimeUnit.NANOSECONDS.toMillis(permit.endNanos() - nowNanos));
+    }
+
+    /**
+     * Records that the other entries are asked.
+     *
+     * @param request the request, not null
+     * @param number the number of earlier trials of the request
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onAsked(RequestFingerprint request, int number, long nowNanos) {
+        long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(PERMIT_MS);
+        permits.put(request, new Permit(number, State.ASKED, endNanos));
+    }
+
+    /**
+     * Records the result of the vote. One that comes after the permit would have ended is ignored.
+     *
+     * @param request the request, not null
+     * @param number the number of earlier trials that was asked about
+     * @param agreed whether a majority agrees
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onResult(RequestFingerprint request, int number, boolean agreed, long nowNanos) {
+        if (state(request, number, nowNanos) != State.ASKED) {
+            return;
+        }
+        long askedEndNanos = permits.get(request).endNanos();
+        long backoffMs = random.nextLong(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
+        permits.put(
+                request,
+                agreed
+                        ? new Permit(number, State.GRANTED, askedEndNanos)
+                        : new Permit(
+                                number,
+                                State.REFUSED,
+                                nowNanos + TimeUnit.MILLISECONDS.toNanos(backoffMs)));
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -3,6 +3,9 @@
 import io.pollenpath.coordination.serving.CrashHistory;
 import io.pollenpath.coordination.serving.CrashReport;
 import io.pollenpath.coordination.serving.SuspectPolicy;
+import io.pollenpath.coordination.serving.TrialClaim;
+import io.pollenpath.coordination.serving.TrialPermits;
+import io.pollenpath.coordination.serving.TrialVotes;
 import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.state.serving.ServerInstance;
 import java.util.Collection;
@@ -10,6 +13,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 /**
@@ -24,12 +28,29 @@
     private final BackendConnectionPool connections;
     private final CrashLog log;
     private final RandomGenerator random;
+    private final String ownName;
+    private final TrialVotes votes;
+    private final TrialPermits permits;
+    private TrialVoters voters = claim -> CompletableFuture.completedFuture(true);
     private Runnable onChange = () -> {};
 
-    CrashGuard(BackendConnectionPool connections, CrashLog log, RandomGenerator random) {
+    CrashGuard(
+            String ownName,
+            BackendConnectionPool connections,
+            CrashLog log,
+            RandomGenerator random,
+            long startNanos) {
+        this.ownName = ownName;
         this.connections = connections;
         this.log = log;
         this.random = random;
+        votes = new TrialVotes(startNanos);
+        permits = new TrialPermits(random);
+    }
+
+    /** Sets who else must agree to trials; without them this entry decides alone. */
+    void setVoters(TrialVoters newVoters) {
+        voters = newVoters;
     }
 
     /** Sets what to do after this entry has learned something that other entries should know. */
@@ -37,7 +58,10 @@
         onChange = newOnChange;
     }
 
-    /** Decides whether a request may be sent. */
+    /**
+     * Decides whether a request may be sent. Where a trial is due, it asks the other entries to
+     * agree to it first.
+     */
     SuspectPolicy.Verdict verdict(ForwardedRequest request, long nowNanos) {
         if (history.isEmpty() && checking.isEmpty()) {
             return SuspectPolicy.SEND;
@@ -47,7 +71,46 @@
         for (Set<RequestFingerprint> suspects : checking.values()) {
             unconfirmed += suspects.contains(fingerprint) ? 1 : 0;
         }
-        return SuspectPolicy.decide(history.suspicion(fingerprint), unconfirmed, nowNanos);
+        CrashHistory.Suspicion suspicion = history.suspicion(fingerprint);
+        SuspectPolicy.Verdict verdict = SuspectPolicy.decide(suspicion, unconfirmed, nowNanos);
+        boolean trial = verdict.decision() == SuspectPolicy.Decision.TRIAL;
+        return trial ? trialVerdict(fingerprint, suspicion.trials(), nowNanos) : verdict;
+    }
+
+    private SuspectPolicy.Verdict trialVerdict(
+            RequestFingerprint request, int number, long nowNanos) {
+        if (permits.state(request, number, nowNanos) == TrialPermits.State.NONE) {
+            askForPermit(new TrialClaim(request, number, ownName), nowNanos);
+        }
+        return switch (permits.state(request, number, nowNanos)) {
+            case GRANTED -> SuspectPolicy.TRIAL;
+            case NONE, ASKED -> SuspectPolicy.AWAIT_PERMIT;
+            case REFUSED -> SuspectPolicy.refuse(permits.remainingMs(request, nowNanos));
+        };
+    }
+
+    private void askForPermit(TrialClaim claim, long nowNanos) {
+        permits.onAsked(claim.request(), claim.number(), nowNanos);
+        if (!vote(claim, nowNanos)) {
+            onPermitResult(claim, false);
+            return;
+        }
+        voters.ask(claim).thenAccept(agreed -> onPermitResult(claim, agreed));
+    }
+
+    private void onPermitResult(TrialClaim claim, boolean agreed) {
+        log.voted(claim, agreed);
+        permits.onResult(claim.request(), claim.number(), agreed, System.nanoTime());
+    }
+
+    /** Votes on a trial that an entry wants to run. */
+    boolean vote(TrialClaim claim, long nowNanos) {
+        return votes.vote(claim, history.suspicion(claim.request()).trials(), nowNanos);
+    }
+
+    /** Returns whether a request must wait until the other entries have agreed to its trial. */
+    boolean awaitsPermit(ForwardedRequest request, long nowNanos) {
+        return verdict(request, nowNanos).decision() == SuspectPolicy.Decision.AWAIT_PERMIT;
     }
 
     /** Logs that a request is refused because of a verdict. */
@@ -61,7 +124,7 @@
      */
     boolean maySend(ForwardedRequest request, long nowNanos) {
         SuspectPolicy.Verdict verdict = verdict(request, nowNanos);
-        if (verdict.isRefused()) {
+        if (!verdict.maySend()) {
             return false;
         }
         if (verdict.decision() == SuspectPolicy.Decision.TRIAL) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -4,6 +4,7 @@
 import io.pollenpath.coordination.serving.CrashHistory;
 import io.pollenpath.coordination.serving.CrashReport;
 import io.pollenpath.coordination.serving.SuspectPolicy;
+import io.pollenpath.coordination.serving.TrialClaim;
 import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.transport.MetricNames;
@@ -53,6 +54,17 @@
                         .with("trials", suspicion.trials()));
     }
 
+    /** Logs whether a majority of the entries agrees to a trial. */
+    void voted(TrialClaim claim, boolean agreed) {
+        MetricNames.count(metrics, "suspects_total", "event", agreed ? "agreed" : "not_agreed");
+        LOG.info(
+                "{}",
+                LogLine.event("suspect_trial_voted")
+                        .with("fingerprint", claim.request())
+                        .with("trials", claim.number())
+                        .with("agreed", agreed));
+    }
+
     /** Logs the trial of a blocked request. */
     void trial(ForwardedRequest request, CrashHistory.Suspicion suspicion) {
         MetricNames.count(metrics, "suspects_total", "event", "trial");
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -135,16 +135,19 @@
     }
 
     /**
-     * Sends queued requests of a service while there is free capacity. A resend that finds no
-     * server other than those it was sent to holds up no other request.
+     * Sends queued requests of a service while there is free capacity. No other request is held up
+     * by a resend that finds no server other than those it was sent to, or by a request that must
+     * not be sent yet.
      */
     private void sendQueued(String name, long nowNanos) {
         ServiceTraffic service = traffic(name);
         Optional<QueuedRequest<ForwardedRequest>> next = service.queue().first();
         while (next.isPresent()) {
             QueuedRequest<ForwardedRequest> current = next.get();
-            boolean resend = current.request().sends() > 0;
-            if (!trySend(name, service, current, nowNanos) && !resend) {
+            boolean mayBePassed =
+                    current.request().sends() > 0
+                            || crashGuard.awaitsPermit(current.request(), nowNanos);
+            if (!trySend(name, service, current, nowNanos) && !mayBePassed) {
                 return;
             }
             next = service.queue().after(current);
@@ -161,6 +164,9 @@
         if (refuseIfBlocked(request, nowNanos)) {
             return true;
         }
+        if (crashGuard.awaitsPermit(request, nowNanos)) {
+            return false;
+        }
         boolean resend = request.sends() > 0;
         if (!resend && !admits(name, service, current)) {
             return false;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryKnowledge.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryKnowledge.java
@@ -2,6 +2,7 @@
 
 import io.pollenpath.coordination.serving.CrashReport;
 import io.pollenpath.coordination.serving.LimitReport;
+import io.pollenpath.coordination.serving.TrialClaim;
 import java.util.List;
 
 /** What this entry knows of servers that other entries should know too. */
@@ -38,4 +39,9 @@
         crashGuard.merge(report.crashes(), nowNanos);
         servers.merge(report.limits(), nowNanos);
     }
+
+    /** Votes on a trial that another entry wants to run. */
+    boolean vote(TrialClaim claim, long nowNanos) {
+        return crashGuard.vote(claim, nowNanos);
+    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.pollenpath.coordination.serving.CrashReport;
 import io.pollenpath.coordination.serving.LimitReport;
+import io.pollenpath.coordination.serving.TrialClaim;
 import io.pollenpath.protocol.wire.EntryNotice;
 import io.pollenpath.protocol.wire.NamedLimit;
 import io.pollenpath.protocol.wire.RequestClearance;
@@ -13,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 
@@ -21,15 +23,28 @@
 
     private EntryMessages() {}
 
-    static byte[] encode(EntryKnowledge.Report report) {
-        EntryNotice.Builder notice = EntryNotice.newBuilder();
-        encode(report.crashes(), notice);
-        for (LimitReport limit : report.limits()) {
+    static byte[] encode(EntryMessage message) {
+        EntryNotice.Builder notice = EntryNotice.newBuilder().setAgreed(message.agreed());
+        message.claim().ifPresent(claim -> notice.setClaim(encode(claim)));
+        encode(message.knowledge().crashes(), notice);
+        encode(message.knowledge().limits(), notice);
+        return notice.build().toByteArray();
+    }
+
+    private static io.pollenpath.protocol.wire.TrialClaim encode(TrialClaim claim) {
+        return io.pollenpath.protocol.wire.TrialClaim.newBuilder()
+                .setRequest(encode(claim.request()))
+                .setNumber(claim.number())
+                .setClaimant(claim.claimant())
+                .build();
+    }
+
+    private static void encode(List<LimitReport> limits, EntryNotice.Builder notice) {
+        for (LimitReport limit : limits) {
             NamedLimit.Builder message =
                     notice.addLimitsBuilder().setServer(limit.serverId()).setAgeMs(limit.ageMs());
             limit.perSecond().ifPresent(message::setPerSecond);
         }
-        return notice.build().toByteArray();
     }
 
     private static void encode(CrashReport report, EntryNotice.Builder notice) {
@@ -59,19 +74,30 @@
     }
 
     /**
-     * Decodes a report.
+     * Decodes a message.
      *
-     * @throws IllegalArgumentException if the bytes are no valid report
+     * @throws IllegalArgumentException if the bytes are no valid message
      */
-    static EntryKnowledge.Report decode(byte[] bytes) {
+    static EntryMessage decode(byte[] bytes) {
         try {
             EntryNotice notice = EntryNotice.parseFrom(bytes);
-            return new EntryKnowledge.Report(decodeCrashes(notice), decodeLimits(notice));
+            EntryKnowledge.Report knowledge =
+                    new EntryKnowledge.Report(decodeCrashes(notice), decodeLimits(notice));
+            return new EntryMessage(knowledge, decodeClaim(notice), notice.getAgreed());
         } catch (InvalidProtocolBufferException e) {
             throw new IllegalArgumentException("the message of another entry is unreadable", e);
         }
     }
 
+    private static Optional<TrialClaim> decodeClaim(EntryNotice notice) {
+        if (!notice.hasClaim()) {
+            return Optional.empty();
+        }
+        io.pollenpath.protocol.wire.TrialClaim claim = notice.getClaim();
+        return Optional.of(
+                new TrialClaim(decode(claim.getRequest()), claim.getNumber(), claim.getClaimant()));
+    }
+
     private static List<LimitReport> decodeLimits(EntryNotice notice) {
         List<LimitReport> limits = new ArrayList<>();
         for (NamedLimit limit : notice.getLimitsList()) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -1,12 +1,15 @@
 package io.pollenpath.transport.serving;
 
 import io.netty.channel.EventLoop;
+import io.pollenpath.coordination.serving.TrialClaim;
 import io.pollenpath.transport.HttpAddress;
 import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.HttpReply;
 import io.pollenpath.util.LogLine;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,9 +20,10 @@
  * Exchanges what entries know about servers directly between them, so that it spreads also while
  * the store is away. An entry calls each other entry once when it learns of it, and after each
  * change of what it knows itself, with retries until the other has answered; the answer carries
- * what the other entry knows. All calls are made on one event loop.
+ * what the other entry knows. A call may also ask for a vote, which is not retried. All calls are
+ * made on one event loop.
  */
-final class EntryPeers {
+final class EntryPeers implements TrialVoters {
 
     private static final Logger LOG = LoggerFactory.getLogger(EntryPeers.class);
     private static final Map<String, String> HEADERS =
@@ -77,26 +81,28 @@
         }
         peer.inProgress = true;
         long sentVersion = version;
-        byte[] body = EntryMessages.encode(knowledge.report(System.nanoTime()));
+        send(peer, message(Optional.empty(), false))
+                .whenCompleteAsync(
+                        (answer, failure) -> onReply(peer, sentVersion, answer, failure), loop);
+    }
+
+    private CompletableFuture<EntryMessage> send(Peer peer, byte[] body) {
         HttpClient.Request request =
                 new HttpClient.Request(
                         HttpAddress.parse(peer.address), "POST", EntryServer.PATH, HEADERS, body);
-        CompletableFuture<byte[]> reply =
-                http.send(request)
-                        .orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                        .thenApply(
-                                answer -> {
-                                    if (answer.status() != STATUS_OK) {
-                                        throw new IllegalStateException(
-                                                "answered with status " + answer.status());
-                                    }
-                                    return answer.body();
-                                });
-        reply.whenCompleteAsync(
-                (answer, failure) -> onReply(peer, sentVersion, answer, failure), loop);
+        return http.send(request)
+                .orTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .thenApply(EntryPeers::readReply);
     }
 
-    private void onReply(Peer peer, long sentVersion, byte[] answer, Throwable failure) {
+    private static EntryMessage readReply(HttpReply reply) {
+        if (reply.status() != STATUS_OK) {
+            throw new IllegalStateException("answered with status " + reply.status());
+        }
+        return EntryMessages.decode(reply.body());
+    }
+
+    private void onReply(Peer peer, long sentVersion, EntryMessage answer, Throwable failure) {
         peer.inProgress = false;
         if (failure != null) {
             logFailure(peer, failure);
@@ -105,7 +111,7 @@
         }
         peer.acknowledgedVersion = sentVersion;
         peer.retryMs = MIN_RETRY_MS;
-        receive(answer);
+        merge(answer);
         call(peer);
     }
 
@@ -131,19 +137,50 @@
         }
     }
 
-    /** Merges a message of another entry, and returns whether it was readable. */
-    boolean receive(byte[] message) {
+    @Override
+    public CompletableFuture<Boolean> ask(TrialClaim claim) {
+        byte[] body = message(Optional.of(claim), false);
+        MajorityVote vote = new MajorityVote(peers.size());
+        for (Peer peer : peers.values()) {
+            send(peer, body)
+                    .whenCompleteAsync((answer, failure) -> onVote(vote, answer, failure), loop);
+        }
+        return vote.result();
+    }
+
+    private void onVote(MajorityVote vote, EntryMessage answer, Throwable failure) {
+        if (failure == null) {
+            merge(answer);
+        }
+        vote.onVote(failure == null && answer.agreed());
+    }
+
+    private void merge(EntryMessage message) {
+        knowledge.merge(message.knowledge(), System.nanoTime());
+    }
+
+    /**
+     * Handles a message of another entry.
+     *
+     * @return the reply; empty if the message is unreadable
+     */
+    Optional<byte[]> receive(byte[] bytes) {
         try {
-            knowledge.merge(EntryMessages.decode(message), System.nanoTime());
-            return true;
+            EntryMessage message = EntryMessages.decode(bytes);
+            merge(message);
+            boolean agreed =
+                    message.claim()
+                            .map(claim -> knowledge.vote(claim, System.nanoTime()))
+                            .orElse(false);
+            return Optional.of(message(Optional.empty(), agreed));
         } catch (IllegalArgumentException e) {
             LOG.warn("{}", LogLine.event("entry_message_unreadable").with("cause", e));
-            return false;
+            return Optional.empty();
         }
     }
 
-    /** Returns what this entry knows, as a message. */
-    byte[] message() {
-        return EntryMessages.encode(knowledge.report(System.nanoTime()));
+    private byte[] message(Optional<TrialClaim> claim, boolean agreed) {
+        return EntryMessages.encode(
+                new EntryMessage(knowledge.report(System.nanoTime()), claim, agreed));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -82,8 +82,9 @@
         log = new RequestLog(metrics);
         limitLog = new LimitLog(metrics);
         backends = new BackendConnectionPool(loop, dialect);
-        crashGuard = new CrashGuard(backends, new CrashLog(metrics), random);
         ownName = settings.entry();
+        crashGuard =
+                new CrashGuard(ownName, backends, new CrashLog(metrics), random, System.nanoTime());
         ServerLimits limits = new ServerLimits(ownName, random);
         servers =
                 new BackendServers(
@@ -145,23 +146,20 @@
                 () -> {
                     peers = new EntryPeers(loop, http, new EntryKnowledge(crashGuard, servers));
                     crashGuard.setOnChange(peers::onChange);
+                    crashGuard.setVoters(peers);
                     servers.setOnLimitChange(peers::onChange);
                     updatePeers(view);
                 });
     }
 
     /**
-     * Merges the message of another entry.
+     * Handles the message of another entry.
      *
-     * @return what this entry knows; empty if the message is unreadable or no entry is connected
+     * @return the reply; empty if the message is unreadable or no entry is connected
      */
     CompletableFuture<Optional<byte[]>> exchange(byte[] message) {
         return CompletableFuture.supplyAsync(
-                () ->
-                        peers != null && peers.receive(message)
-                                ? Optional.of(peers.message())
-                                : Optional.empty(),
-                loop);
+                () -> Optional.ofNullable(peers).flatMap(entry -> entry.receive(message)), loop);
     }
 
     /**
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
@@ -5,8 +5,10 @@
 
 import io.pollenpath.coordination.serving.CrashReport;
 import io.pollenpath.coordination.serving.LimitReport;
+import io.pollenpath.coordination.serving.TrialClaim;
 import io.pollenpath.state.serving.RequestFingerprint;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -31,7 +33,11 @@
                         List.of(
                                 new LimitReport("engine-1", OptionalDouble.of(0.5), 7),
                                 new LimitReport("engine-2", OptionalDouble.empty(), 8)));
-        assertThat(EntryMessages.decode(EntryMessages.encode(knowledge))).isEqualTo(knowledge);
+        TrialClaim claim = new TrialClaim(REQUEST, 2, "entry-1");
+        EntryMessage question = new EntryMessage(knowledge, Optional.of(claim), false);
+        assertThat(EntryMessages.decode(EntryMessages.encode(question))).isEqualTo(question);
+        EntryMessage reply = new EntryMessage(knowledge, Optional.empty(), true);
+        assertThat(EntryMessages.decode(EntryMessages.encode(reply))).isEqualTo(reply);
     }
 
     @Test
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -31,7 +31,11 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final CrashGuard guard =
             new CrashGuard(
-                    new BackendConnectionPool(loop, null), new CrashLog(metrics), new Random(1));
+                    "entry-1",
+                    new BackendConnectionPool(loop, null),
+                    new CrashLog(metrics),
+                    new Random(1),
+                    System.nanoTime());
     private final BackendServers servers =
             new BackendServers(
                     limits,
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -162,6 +162,10 @@
         entries.set(entry, new PlatformEntry(Path.of("unused.yaml"), settings.get(entry)));
     }
 
+    int entryCount() {
+        return entries.size();
+    }
+
     PlatformStoreStandin store() {
         return store;
     }
--- a/standins/src/test/java/io/pollenpath/platform/SeveralCrashingRequestsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/SeveralCrashingRequestsTest.java
@@ -19,14 +19,15 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what several entries do with requests that end servers, several of them at once. */
 class SeveralCrashingRequestsTest {
 
     private static final int ENTRIES = 3;
+    private static final int MANY_ENTRIES = 8;
     private static final int ENGINES = 6;
     private static final int CRASHING_REQUESTS = 5;
     private static final int BLOCKING_CRASHES = 3;
@@ -39,7 +40,7 @@
     private static final int BYSTANDERS = 4;
     private static final long BYSTANDER_PAUSE_MS = 55;
     private static final long BYSTANDER_PATIENCE_MS = 5_000;
-    private static final int SIMULTANEOUS_CALLERS = 24;
+    private static final int SIMULTANEOUS_CALLERS = 40;
     private static final long SIMULTANEOUS_PAUSE_MS = 10;
     private static final long SIMULTANEOUS_RUN_MS = 15_000;
     private static final double MIN_SERVED = 0.98;
@@ -67,7 +68,7 @@
         RandomGenerator random = new SplittableRandom(caller.seed());
         List<EntryFleet.Answer> answers = new ArrayList<>();
         while (!ended.get()) {
-            int entry = random.nextInt(ENTRIES);
+            int entry = random.nextInt(fleet.entryCount());
             String requestId = caller.path() + "#" + caller.seed() + "-" + answers.size();
             entryOfRequest.put(requestId, entry);
             long patienceMs = caller.patienceMs()[random.nextInt(caller.patienceMs().length)];
@@ -132,9 +133,10 @@
         }
     }
 
-    @Test
-    void sendsRequestOfManyCallersAtOnceAtMostThreeTimesMore() throws Exception {
-        fleet = new EntryFleet(ENTRIES, ENGINES);
+    @ParameterizedTest
+    @ValueSource(ints = {ENTRIES, MANY_ENTRIES})
+    void sendsRequestOfManyCallersAtOnceAtMostThreeTimesMore(int entries) throws Exception {
+        fleet = new EntryFleet(entries, ENGINES);
         String path = crashingPath(0);
         for (int i = 0; i < SIMULTANEOUS_CALLERS; i++) {
             start(new Caller(path, SIMULTANEOUS_PAUSE_MS, new long[] {BYSTANDER_PATIENCE_MS}, i));
--- a/wire/src/main/java/io/pollenpath/protocol/wire/EntryNotice.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryNotice.java
@@ -58,6 +58,7 @@
                         io.pollenpath.protocol.wire.EntryNotice.Builder.class);
     }
 
+    private int bitField0_;
     public static final int CRASHES_FIELD_NUMBER = 1;
 
     @SuppressWarnings("serial")
@@ -202,6 +203,78 @@
         return limits_.get(index);
     }
 
+    public static final int CLAIM_FIELD_NUMBER = 5;
+    private io.pollenpath.protocol.wire.TrialClaim claim_;
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return Whether the claim field is set.
+     */
+    @java.lang.Override
+    public boolean hasClaim() {
+        return ((bitField0_ & 0x00000001) != 0);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return The claim.
+     */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.TrialClaim getClaim() {
+        return claim_ == null
+                ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                : claim_;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder() {
+        return claim_ == null
+                ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                : claim_;
+    }
+
+    public static final int AGREED_FIELD_NUMBER = 6;
+    private boolean agreed_ = false;
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a reply that agrees to the claim of the call.
+     * </pre>
+     *
+     * <code>bool agreed = 6;</code>
+     *
+     * @return The agreed.
+     */
+    @java.lang.Override
+    public boolean getAgreed() {
+        return agreed_;
+    }
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -228,6 +301,12 @@
         for (int i = 0; i < limits_.size(); i++) {
             output.writeMessage(4, limits_.get(i));
         }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            output.writeMessage(5, getClaim());
+        }
+        if (agreed_ != false) {
+            output.writeBool(6, agreed_);
+        }
         getUnknownFields().writeTo(output);
     }
 
@@ -249,6 +328,12 @@
         for (int i = 0; i < limits_.size(); i++) {
             size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, limits_.get(i));
         }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(5, getClaim());
+        }
+        if (agreed_ != false) {
+            size += com.google.protobuf.CodedOutputStream.computeBoolSize(6, agreed_);
+        }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
         return size;
@@ -269,6 +354,11 @@
         if (!getClearancesList().equals(other.getClearancesList())) return false;
         if (!getTrialsList().equals(other.getTrialsList())) return false;
         if (!getLimitsList().equals(other.getLimitsList())) return false;
+        if (hasClaim() != other.hasClaim()) return false;
+        if (hasClaim()) {
+            if (!getClaim().equals(other.getClaim())) return false;
+        }
+        if (getAgreed() != other.getAgreed()) return false;
         if (!getUnknownFields().equals(other.getUnknownFields())) return false;
         return true;
     }
@@ -296,6 +386,12 @@
             hash = (37 * hash) + LIMITS_FIELD_NUMBER;
             hash = (53 * hash) + getLimitsList().hashCode();
         }
+        if (hasClaim()) {
+            hash = (37 * hash) + CLAIM_FIELD_NUMBER;
+            hash = (53 * hash) + getClaim().hashCode();
+        }
+        hash = (37 * hash) + AGREED_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getAgreed());
         hash = (29 * hash) + getUnknownFields().hashCode();
         memoizedHashCode = hash;
         return hash;
@@ -426,10 +522,23 @@
         }
 
         // Construct using io.pollenpath.protocol.wire.EntryNotice.newBuilder()
-        private Builder() {}
+        private Builder() {
+            maybeForceBuilderInitialization();
+        }
 
         private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
             super(parent);
+            maybeForceBuilderInitialization();
+        }
+
+        private void maybeForceBuilderInitialization() {
+            if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
+                internalGetCrashesFieldBuilder();
+                internalGetClearancesFieldBuilder();
+                internalGetTrialsFieldBuilder();
+                internalGetLimitsFieldBuilder();
+                internalGetClaimFieldBuilder();
+            }
         }
 
         @java.lang.Override
@@ -464,6 +573,12 @@
                 limitsBuilder_.clear();
             }
             bitField0_ = (bitField0_ & ~0x00000008);
+            claim_ = null;
+            if (claimBuilder_ != null) {
+                claimBuilder_.dispose();
+                claimBuilder_ = null;
+            }
+            agreed_ = false;
             return this;
         }
 
@@ -540,6 +655,15 @@
 
         private void buildPartial0(io.pollenpath.protocol.wire.EntryNotice result) {
             int from_bitField0_ = bitField0_;
+            int to_bitField0_ = 0;
+            if (((from_bitField0_ & 0x00000010) != 0)) {
+                result.claim_ = claimBuilder_ == null ? claim_ : claimBuilder_.build();
+                to_bitField0_ |= 0x00000001;
+            }
+            if (((from_bitField0_ & 0x00000020) != 0)) {
+                result.agreed_ = agreed_;
+            }
+            result.bitField0_ |= to_bitField0_;
         }
 
         @java.lang.Override
@@ -662,6 +786,12 @@
                     }
                 }
             }
+            if (other.hasClaim()) {
+                mergeClaim(other.getClaim());
+            }
+            if (other.getAgreed() != false) {
+                setAgreed(other.getAgreed());
+            }
             this.mergeUnknownFields(other.getUnknownFields());
             onChanged();
             return this;
@@ -745,6 +875,20 @@
                                 }
                                 break;
                             } // case 34
+                        case 42:
+                            {
+                                input.readMessage(
+                                        internalGetClaimFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                bitField0_ |= 0x00000010;
+                                break;
+                            } // case 42
+                        case 48:
+                            {
+                                agreed_ = input.readBool();
+                                bitField0_ |= 0x00000020;
+                                break;
+                            } // case 48
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1678,6 +1822,256 @@
             return limitsBuilder_;
         }
 
+        private io.pollenpath.protocol.wire.TrialClaim claim_;
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.TrialClaim,
+                        io.pollenpath.protocol.wire.TrialClaim.Builder,
+                        io.pollenpath.protocol.wire.TrialClaimOrBuilder>
+                claimBuilder_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         *
+         * @return Whether the claim field is set.
+         */
+        public boolean hasClaim() {
+            return ((bitField0_ & 0x00000010) != 0);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         *
+         * @return The claim.
+         */
+        public io.pollenpath.protocol.wire.TrialClaim getClaim() {
+            if (claimBuilder_ == null) {
+                return claim_ == null
+                        ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                        : claim_;
+            } else {
+                return claimBuilder_.getMessage();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder setClaim(io.pollenpath.protocol.wire.TrialClaim value) {
+            if (claimBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                claim_ = value;
+            } else {
+                claimBuilder_.setMessage(value);
+            }
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder setClaim(io.pollenpath.protocol.wire.TrialClaim.Builder builderForValue) {
+            if (claimBuilder_ == null) {
+                claim_ = builderForValue.build();
+            } else {
+                claimBuilder_.setMessage(builderForValue.build());
+            }
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder mergeClaim(io.pollenpath.protocol.wire.TrialClaim value) {
+            if (claimBuilder_ == null) {
+                if (((bitField0_ & 0x00000010) != 0)
+                        && claim_ != null
+                        && claim_ != io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()) {
+                    getClaimBuilder().mergeFrom(value);
+                } else {
+                    claim_ = value;
+                }
+            } else {
+                claimBuilder_.mergeFrom(value);
+            }
+            if (claim_ != null) {
+                bitField0_ |= 0x00000010;
+                onChanged();
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder clearClaim() {
+            bitField0_ = (bitField0_ & ~0x00000010);
+            claim_ = null;
+            if (claimBuilder_ != null) {
+                claimBuilder_.dispose();
+                claimBuilder_ = null;
+            }
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public io.pollenpath.protocol.wire.TrialClaim.Builder getClaimBuilder() {
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return internalGetClaimFieldBuilder().getBuilder();
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder() {
+            if (claimBuilder_ != null) {
+                return claimBuilder_.getMessageOrBuilder();
+            } else {
+                return claim_ == null
+                        ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                        : claim_;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.TrialClaim,
+                        io.pollenpath.protocol.wire.TrialClaim.Builder,
+                        io.pollenpath.protocol.wire.TrialClaimOrBuilder>
+                internalGetClaimFieldBuilder() {
+            if (claimBuilder_ == null) {
+                claimBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.TrialClaim,
+                                io.pollenpath.protocol.wire.TrialClaim.Builder,
+                                io.pollenpath.protocol.wire.TrialClaimOrBuilder>(
+                                getClaim(), getParentForChildren(), isClean());
+                claim_ = null;
+            }
+            return claimBuilder_;
+        }
+
+        private boolean agreed_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a reply that agrees to the claim of the call.
+         * </pre>
+         *
+         * <code>bool agreed = 6;</code>
+         *
+         * @return The agreed.
+         */
+        @java.lang.Override
+        public boolean getAgreed() {
+            return agreed_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a reply that agrees to the claim of the call.
+         * </pre>
+         *
+         * <code>bool agreed = 6;</code>
+         *
+         * @param value The agreed to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAgreed(boolean value) {
+
+            agreed_ = value;
+            bitField0_ |= 0x00000020;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a reply that agrees to the claim of the call.
+         * </pre>
+         *
+         * <code>bool agreed = 6;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearAgreed() {
+            bitField0_ = (bitField0_ & ~0x00000020);
+            agreed_ = false;
+            onChanged();
+            return this;
+        }
+
         // @@protoc_insertion_point(builder_scope:pollenpath.entry.EntryNotice)
     }
 
--- a/wire/src/main/java/io/pollenpath/protocol/wire/EntryNoticeOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryNoticeOrBuilder.java
@@ -74,4 +74,54 @@
 
     /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
     io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return Whether the claim field is set.
+     */
+    boolean hasClaim();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return The claim.
+     */
+    io.pollenpath.protocol.wire.TrialClaim getClaim();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     */
+    io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a reply that agrees to the claim of the call.
+     * </pre>
+     *
+     * <code>bool agreed = 6;</code>
+     *
+     * @return The agreed.
+     */
+    boolean getAgreed();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/EntryProto.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryProto.java
@@ -45,6 +45,10 @@
             internal_static_pollenpath_entry_RequestTrial_descriptor;
     static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
             internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_TrialClaim_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable;
 
     public static com.google.protobuf.Descriptors.FileDescriptor getDescriptor() {
         return descriptor;
@@ -54,21 +58,25 @@
 
     static {
         java.lang.String[] descriptorData = {
-            "\n\013entry.proto\022\020pollenpath.entry\"\323\001\n\013Entr"
+            "\n\013entry.proto\022\020pollenpath.entry\"\237\002\n\013Entr"
                     + "yNotice\022.\n\007crashes\030\001 \003(\0132\035.pollenpath.en"
                     + "try.ServerCrash\0226\n\nclearances\030\002 \003(\0132\".po"
                     + "llenpath.entry.RequestClearance\022.\n\006trial"
                     + "s\030\003 \003(\0132\036.pollenpath.entry.RequestTrial\022"
                     + ",\n\006limits\030\004 \003(\0132\034.pollenpath.entry.Named"
-                    + "Limit\"T\n\nNamedLimit\022\016\n\006server\030\001 \001(\t\022\027\n\np"
-                    + "er_second\030\002 \001(\001H\000\210\001\001\022\016\n\006age_ms\030\003 \001(\003B\r\n\013"
-                    + "_per_second\"P\n\013ServerCrash\022\016\n\006server\030\001 \001"
-                    + "(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010suspects\030\003 \003(\014\022\016\n"
-                    + "\006age_ms\030\004 \001(\003\"3\n\020RequestClearance\022\017\n\007req"
-                    + "uest\030\001 \001(\014\022\016\n\006age_ms\030\002 \001(\003\";\n\014RequestTri"
-                    + "al\022\017\n\007request\030\001 \001(\014\022\n\n\002id\030\002 \001(\003\022\016\n\006age_m"
-                    + "s\030\003 \001(\003B+\n\033io.pollenpath.protocol.wireB\n"
-                    + "EntryProtoP\001b\006proto3"
+                    + "Limit\0220\n\005claim\030\005 \001(\0132\034.pollenpath.entry."
+                    + "TrialClaimH\000\210\001\001\022\016\n\006agreed\030\006 \001(\010B\010\n\006_clai"
+                    + "m\"T\n\nNamedLimit\022\016\n\006server\030\001 \001(\t\022\027\n\nper_s"
+                    + "econd\030\002 \001(\001H\000\210\001\001\022\016\n\006age_ms\030\003 \001(\003B\r\n\013_per"
+                    + "_second\"P\n\013ServerCrash\022\016\n\006server\030\001 \001(\t\022\017"
+                    + "\n\007service\030\002 \001(\t\022\020\n\010suspects\030\003 \003(\014\022\016\n\006age"
+                    + "_ms\030\004 \001(\003\"3\n\020RequestClearance\022\017\n\007request"
+                    + "\030\001 \001(\014\022\016\n\006age_ms\030\002 \001(\003\";\n\014RequestTrial\022\017"
+                    + "\n\007request\030\001 \001(\014\022\n\n\002id\030\002 \001(\003\022\016\n\006age_ms\030\003 "
+                    + "\001(\003\"?\n\nTrialClaim\022\017\n\007request\030\001 \001(\014\022\016\n\006nu"
+                    + "mber\030\002 \001(\005\022\020\n\010claimant\030\003 \001(\tB+\n\033io.polle"
+                    + "npath.protocol.wireB\nEntryProtoP\001b\006proto"
+                    + "3"
         };
         descriptor =
                 com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
@@ -79,7 +87,7 @@
                 new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
                         internal_static_pollenpath_entry_EntryNotice_descriptor,
                         new java.lang.String[] {
-                            "Crashes", "Clearances", "Trials", "Limits",
+                            "Crashes", "Clearances", "Trials", "Limits", "Claim", "Agreed",
                         });
         internal_static_pollenpath_entry_NamedLimit_descriptor =
                 getDescriptor().getMessageTypes().get(1);
@@ -113,6 +121,14 @@
                         new java.lang.String[] {
                             "Request", "Id", "AgeMs",
                         });
+        internal_static_pollenpath_entry_TrialClaim_descriptor =
+                getDescriptor().getMessageTypes().get(5);
+        internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_TrialClaim_descriptor,
+                        new java.lang.String[] {
+                            "Request", "Number", "Claimant",
+                        });
         descriptor.resolveAllFeaturesImmutable();
     }
 
