Pass on to other entries what one of them told

An entry that is killed after it told some others of a crash left the rest without it, and after its own start no entry told them: each sends what it knows only after it has learned something itself. Until then the rest sent the request on. Class: knowledge of all entries kept by one. What a message adds is now a change like any other, told to all once; a message that adds nothing is not passed on. EntryPeersTest.passesOnWhatAnotherEntryTold failed before (1 call, 2 expected).

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -200,10 +200,14 @@
         history.expire(nowNanos);
     }
 
-    /** Merges what another entry knows. */
+    /**
+     * Merges what another entry knows. What is new is passed on, because the entry that told it may
+     * not reach all others or may be gone.
+     */
     void merge(CrashReport report, long nowNanos) {
         if (history.merge(report, nowNanos)) {
             log.learned(report);
+            onChange.run();
         }
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -4,13 +4,17 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import io.pollenpath.coordination.serving.CrashHistory;
 import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
+import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.HttpLimits;
 import io.pollenpath.transport.HttpServer;
 import io.pollenpath.transport.NettyLoops;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
@@ -79,6 +83,27 @@
         assertThat(calls.get()).isEqualTo(2);
     }
 
+    @Test
+    void passesOnWhatAnotherEntryTold() throws Exception {
+        guard.setOnChange(peers::onChange);
+        setAddressesOften();
+        CrashHistory history = new CrashHistory();
+        Set<RequestFingerprint> suspects = Set.of(new RequestFingerprint(1, 1));
+        history.recordCrash("engine-1@1", "drafts", suspects, System.nanoTime());
+        byte[] message =
+                EntryMessages.encode(
+                        new EntryMessage(
+                                new EntryKnowledge.Report(
+                                        history.report(System.nanoTime()), List.of()),
+                                Optional.empty(),
+                                false));
+        for (int i = 0; i < 3; i++) {
+            loop.submit(() -> peers.receive(message)).sync();
+            Thread.sleep(SETTLE_MS / 3);
+        }
+        assertThat(calls.get()).isEqualTo(2);
+    }
+
     @Test
     void callsAnEntryThatFailsRarelyThoughTheViewChangesOften() throws Exception {
         status = 500;
