Let no failure answer clear a request of the crashes under it

A request that a server fails now and then, and that ends its server otherwise, was cleared with each failure and went on ending servers: 22 sends later than 3 s after the third crash (3 allowed). Cause: took a failure that a server answered as proof that the request ends no server; the server may have failed before it ran what crashes it (an error of its own, the time limit in its queue). Class: evidence taken for more than it shows. Now only an answer that is no failure clears. A good request that its servers fail keeps its three trials, and gets their answers. CrashingRequestTest.sendsRequestThatServersFailNowAndThenAtMostThreeTimesMore failed before (22) and passes.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -234,8 +234,6 @@
         }
         if (outcome == SendOutcome.UNKNOWN && isInUse(server)) {
             crashGuard.onConnectionBroken(server, request, requestsOn(server), nowNanos);
-        } else if (outcome == SendOutcome.RUN_AND_FAILED) {
-            crashGuard.onAnswered(request, nowNanos);
         }
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
@@ -126,6 +126,18 @@
         }
     }
 
+    @Test
+    void sendsRequestThatServersFailNowAndThenAtMostThreeTimesMore() throws Exception {
+        start(ENGINES);
+        repeat("fail", RestartingEngine.FAILING_OR_CRASHING_PATH, REPEAT_MS, REPEATS).get();
+        long blockedFromNanos = blockedFromNanos();
+        long late =
+                fleet.arrivals(RestartingEngine.FAILING_OR_CRASHING_PATH).stream()
+                        .filter(arrival -> arrival.nanos() - blockedFromNanos > 0)
+                        .count();
+        assertThat(late).isAtMost(MAX_LATE_ARRIVALS);
+    }
+
     private static void assertRefusalsAreTrueAndAtOnce(
             List<EntryFleet.Answer> answers, List<RestartingEngine.Arrival> arrivals) {
         Set<String> sent =
--- a/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
@@ -23,6 +23,11 @@
     /** Requests with this path end the process of the engine that runs them. */
     static final String CRASHING_PATH = "/plain/crash";
 
+    /**
+     * Like {@link #CRASHING_PATH}, but half of the requests are answered with a failure at once.
+     */
+    static final String FAILING_OR_CRASHING_PATH = "/plain/fail-or-crash";
+
     /** Requests with this path are run and get no answer; the engine goes on. */
     static final String LOST_PATH = "/plain/lost";
 
@@ -99,9 +104,10 @@
     private EngineFault run(PlatformEngineStandin.ReceivedRequest request) {
         switch (pathOnly(request.path())) {
             case CRASHING_PATH -> {
-                Pause.forMs(CRASH_DELAY_MS);
-                onEnd();
-                return EngineFault.CRASHES;
+                return crashWhileRunning();
+            }
+            case FAILING_OR_CRASHING_PATH -> {
+                return arrivals.size() % 2 == 0 ? EngineFault.FAILS : crashWhileRunning();
             }
             case LOST_PATH -> {
                 return EngineFault.ANSWER_LOST;
@@ -112,6 +118,12 @@
         return EngineFault.NONE;
     }
 
+    private EngineFault crashWhileRunning() {
+        Pause.forMs(CRASH_DELAY_MS);
+        onEnd();
+        return EngineFault.CRASHES;
+    }
+
     private static String pathOnly(String uri) {
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
