Suspect also requests that were given up shortly before their server ended

Cause: only requests in flight were suspects, and only a connection that breaks under one led to a check. Class: what may have caused an event is forgotten before the event is seen. Now what was given up in the last second counts as in flight; a connection that can't be opened, another process at the address or the report of another entry shows the crash.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -72,6 +72,16 @@
         return crashes.isEmpty();
     }
 
+    /**
+     * Returns whether the crash of a server is remembered.
+     *
+     * @param server the incarnation of the server, not null
+     * @return true if it has crashed
+     */
+    public boolean hasCrashed(String server) {
+        return crashes.containsKey(server);
+    }
+
     /**
      * Records a crash.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -9,9 +9,9 @@
 import io.pollenpath.state.serving.RequestFingerprint;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingView;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,6 +33,7 @@
     private final CrashHistory history = new CrashHistory();
     private final Map<String, Set<RequestFingerprint>> checking = new HashMap<>();
     private final Map<String, BrokenServer> listening = new HashMap<>();
+    private final AbandonedRequests abandoned = new AbandonedRequests();
     private final BackendConnectionPool connections;
     private final CrashLog log;
     private final RandomGenerator random;
@@ -176,19 +177,33 @@
             ForwardedRequest broken,
             Collection<ForwardedRequest> others,
             long nowNanos) {
-        Set<RequestFingerprint> suspects = checking.get(server.incarnationId());
-        boolean checkInProgress = suspects != null;
-        if (!checkInProgress) {
-            suspects = new HashSet<>();
-            checking.put(server.incarnationId(), suspects);
-        }
+        Set<RequestFingerprint> suspects = abandoned.on(server, nowNanos);
         suspects.add(broken.fingerprint());
-        for (ForwardedRequest request : others) {
-            suspects.add(request.fingerprint());
+        others.forEach(request -> suspects.add(request.fingerprint()));
+        check(server, suspects, nowNanos);
+    }
+
+    /** Checks a server to which no connection could be opened, if it may have crashed. */
+    void onConnectFailed(ServerInstance server, long nowNanos) {
+        Set<RequestFingerprint> suspects = abandoned.on(server, nowNanos);
+        if (!suspects.isEmpty()) {
+            check(server, suspects, nowNanos);
         }
-        if (!checkInProgress) {
-            connections.check(server, result -> onChecked(server, result, nowNanos));
+    }
+
+    /** Records that a request was given up while a server was at work on it. */
+    void onAbandoned(ForwardedRequest request, ServerInstance server, long nowNanos) {
+        abandoned.add(server, request.fingerprint(), nowNanos);
+    }
+
+    private void check(ServerInstance server, Set<RequestFingerprint> suspects, long nowNanos) {
+        Set<RequestFingerprint> inProgress = checking.get(server.incarnationId());
+        if (inProgress != null) {
+            inProgress.addAll(suspects);
+            return;
         }
+        checking.put(server.incarnationId(), suspects);
+        connections.check(server, result -> onChecked(server, result, nowNanos));
     }
 
     private void onChecked(ServerInstance server, Reachability result, long brokenNanos) {
@@ -199,7 +214,7 @@
             case REFUSED -> recordCrash(broken);
             case LISTENING -> {
                 listening.put(server.incarnationId(), broken);
-                onView(view);
+                onView(view, System.nanoTime());
             }
             case UNREACHABLE -> {}
         }
@@ -214,21 +229,25 @@
     }
 
     /** Records that another process listens at the address of a server. */
-    void onReplaced(ServerInstance server) {
+    void onReplaced(ServerInstance server, long nowNanos) {
         BrokenServer broken = listening.remove(server.incarnationId());
+        Set<RequestFingerprint> suspects = abandoned.on(server, nowNanos);
         if (broken != null) {
-            log.restarted(server, broken.suspects());
-            recordCrash(broken);
+            suspects.addAll(broken.suspects());
+        }
+        if (!suspects.isEmpty()) {
+            log.restarted(server, suspects);
+            long brokenNanos = broken == null ? nowNanos : broken.nanos();
+            recordCrash(new BrokenServer(server, suspects, brokenNanos));
         }
     }
 
-    /** Looks for servers that listened after a connection broke and have been replaced since. */
-    void onView(ServingView newView) {
+    /** Looks for servers that have been replaced since a request was on them. */
+    void onView(ServingView newView, long nowNanos) {
         view = newView;
-        List.copyOf(listening.values()).stream()
-                .map(BrokenServer::server)
-                .filter(view::isReplaced)
-                .forEach(this::onReplaced);
+        List<ServerInstance> servers = new ArrayList<>(abandoned.servers(nowNanos));
+        listening.values().forEach(broken -> servers.add(broken.server()));
+        servers.stream().filter(view::isReplaced).forEach(server -> onReplaced(server, nowNanos));
     }
 
     /**
@@ -266,12 +285,32 @@
      * not reach all others or may be gone.
      */
     void merge(CrashReport report, long nowNanos) {
-        if (history.merge(report, nowNanos)) {
+        boolean changed = history.merge(report, nowNanos);
+        if (changed) {
             log.learned(report);
+        }
+        changed |= addAbandoned(nowNanos);
+        if (changed) {
             onChange.run();
         }
     }
 
+    /** Adds the requests that this entry gave up to the crashes that another one saw. */
+    private boolean addAbandoned(long nowNanos) {
+        boolean changed = false;
+        for (ServerInstance server : abandoned.servers(nowNanos)) {
+            if (history.hasCrashed(server.incarnationId())) {
+                changed |=
+                        history.recordCrash(
+                                server.incarnationId(),
+                                server.service(),
+                                abandoned.on(server, nowNanos),
+                                nowNanos);
+            }
+        }
+        return changed;
+    }
+
     /** Returns what this entry knows. */
     CrashReport report(long nowNanos) {
         return history.report(nowNanos);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -272,10 +272,10 @@
                     crashGuard.onConnectionBroken(server, request, requestsOn(server), nowNanos);
                 }
             }
-            case OTHER_SERVER -> crashGuard.onReplaced(server);
+            case OTHER_SERVER -> crashGuard.onReplaced(server, nowNanos);
             case NOT_RUN, RUN_AND_FAILED ->
                     crashGuard.onServerAnswered(server, request.sentNanos());
-            case NOT_SENT -> {}
+            case NOT_SENT -> crashGuard.onConnectFailed(server, nowNanos);
         }
     }
 
@@ -333,6 +333,8 @@
                 crashGuard.onServerAnswered(server, request.sentNanos());
                 servers.onAnswered(server);
                 traffic(name).onProgress(nowNanos);
+            } else if (isInUse(server) && request.triedServerIds().contains(server.id())) {
+                crashGuard.onAbandoned(request, server, nowNanos);
             }
             releaseServer(request, server, nowNanos);
             sendQueued(name, nowNanos);
--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
@@ -31,6 +31,10 @@
     private static final long LEARN_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long REPEAT_MS = 300;
     private static final int REPEATS = 30;
+
+    /** Less than the time after which a server ends under a request. */
+    private static final long SHORT_PATIENCE_MS = 30;
+
     private static final int BYSTANDERS = 4;
     private static final long BYSTANDER_PAUSE_MS = 60;
     private static final int LONG_CALLERS = 12;
@@ -139,6 +143,27 @@
         assertThat(late).isAtMost(MAX_LATE_ARRIVALS);
     }
 
+    @Test
+    void sendsRequestWhoseCallerLeavesBeforeItsServerEndsAtMostThreeTimesMore() throws Exception {
+        start(ENGINES);
+        CompletableFuture<?> bystander =
+                repeat("bystander", "/plain/bystander", BYSTANDER_PAUSE_MS, Integer.MAX_VALUE);
+        RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+        for (int i = 0; i < 2 * REPEATS; i++) {
+            int entry = random.nextInt(ENTRIES);
+            fleet.call(entry, "leave-" + i, RestartingEngine.CRASHING_PATH, SHORT_PATIENCE_MS);
+            Pause.forMs(REPEAT_MS);
+        }
+        ended.set(true);
+        bystander.get();
+        long blockedFromNanos = blockedFromNanos();
+        long late =
+                fleet.arrivals(RestartingEngine.CRASHING_PATH).stream()
+                        .filter(arrival -> arrival.nanos() - blockedFromNanos > 0)
+                        .count();
+        assertThat(late).isAtMost(MAX_LATE_ARRIVALS);
+    }
+
     @Test
     void sendsRequestThatServersFailNowAndThenAtMostThreeTimesMore() throws Exception {
         start(ENGINES);
