Split the detection of crashes out of CrashGuard and Dispatcher

No change of behaviour, but that a request that was given up is compared with the view of the detector.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -13,7 +13,6 @@
 import io.pollenpath.state.serving.ServingView;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -232,8 +231,8 @@
             long nowNanos) {
         if (server != null) {
             servers.onFailed(server, outcome, nowNanos);
+            crashGuard.detector().onSendFailed(request, server, outcome, inFlight, nowNanos);
         }
-        reportToGuard(request, server, outcome, nowNanos);
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
         long timeLeftMs = request.timeLeftMs(nowNanos);
@@ -262,36 +261,6 @@
         sendQueued(request.context().service(), nowNanos);
     }
 
-    private void reportToGuard(
-            ForwardedRequest request, ServerInstance server, SendOutcome outcome, long nowNanos) {
-        if (server == null) {
-            return;
-        }
-        switch (outcome) {
-            case UNKNOWN -> {
-                if (isInUse(server)) {
-                    crashGuard.onConnectionBroken(server, request, requestsOn(server), nowNanos);
-                }
-            }
-            case OTHER_SERVER -> crashGuard.onReplaced(server, nowNanos);
-            case NOT_RUN, RUN_AND_FAILED ->
-                    crashGuard.onServerAnswered(server, request.sentNanos());
-            case NOT_SENT -> crashGuard.onConnectFailed(server, nowNanos);
-        }
-    }
-
-    /** Returns false for a server that has announced its end, which is no crash. */
-    private boolean isInUse(ServerInstance server) {
-        ServingView current = view.get();
-        return current.isReplaced(server)
-                || current.serversOf(server.service()).stream()
-                        .anyMatch(known -> known.id().equals(server.id()));
-    }
-
-    private List<ForwardedRequest> requestsOn(ServerInstance server) {
-        return inFlight.stream().filter(request -> request.isSentTo(server)).toList();
-    }
-
     private void releaseServer(ForwardedRequest request, ServerInstance server, long nowNanos) {
         if (inFlight.remove(request)) {
             traffic(request.context().service()).onEnded(nowNanos);
@@ -331,11 +300,11 @@
         if (server != null) {
             if (answered) {
                 crashGuard.onAnswered(request, nowNanos);
-                crashGuard.onServerAnswered(server, request.sentNanos());
+                crashGuard.detector().onAnswered(server, request.sentNanos());
                 servers.onAnswered(server);
                 traffic(name).onProgress(nowNanos);
-            } else if (isInUse(server) && request.triedServerIds().contains(server.id())) {
-                crashGuard.onAbandoned(request, server, nowNanos);
+            } else {
+                crashGuard.detector().onAbandoned(request, server, nowNanos);
             }
             releaseServer(request, server, nowNanos);
             sendQueued(name, nowNanos);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -125,7 +125,7 @@
                 () -> {
                     dispatcher.retainServers(newView.serverIds());
                     servers.setEntries(newView.entryNames());
-                    crashGuard.onView(newView, System.nanoTime());
+                    crashGuard.detector().onView(newView, System.nanoTime());
                     updatePeers(newView);
                     tick();
                 });
