--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -27,6 +27,7 @@
     private final TrialPermits permits;
     private TrialVoters voters = claim -> CompletableFuture.completedFuture(true);
     private Runnable onChange = () -> {};
+    private Runnable onLearned = () -> {};
 
     CrashGuard(
             String ownName,
@@ -57,6 +58,11 @@
         onChange = newOnChange;
     }
 
+    /** Sets what to do after another entry has told this one something new. */
+    void setOnLearned(Runnable newOnLearned) {
+        onLearned = newOnLearned;
+    }
+
     /**
      * Decides whether a request may be sent. Where a trial is due, it asks the other entries to
      * agree to it first.
@@ -177,7 +183,7 @@
             log.learned(report);
         }
         if (changed) {
-            onChange.run();
+            onLearned.run();
         }
         detector.reportAbandoned(history::hasCrashed, nowNanos);
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -6,6 +6,8 @@
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.HttpReply;
 import io.pollenpath.util.LogLine;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,8 +22,8 @@
  * Exchanges what entries know about servers directly between them, so that it spreads also while
  * the store is away. An entry calls each other entry once when it learns of it, and after each
  * change of what it knows itself, with retries until the other has answered; the answer carries
- * what the other entry knows. A call may also ask for a vote, which is not retried. All calls are
- * made on one event loop.
+ * what the other entry knows. What it learned from another entry it passes on to a few. A call may
+ * also ask for a vote, which is not retried. All calls are made on one event loop.
  */
 final class EntryPeers implements TrialVoters {
 
@@ -33,16 +35,20 @@
     private static final long MIN_RETRY_MS = 100;
     private static final long MAX_RETRY_MS = 2_000;
 
+    /** The number of entries to which this one passes on what another one told. */
+    private static final int RELAYS = 3;
+
     private final EventLoop loop;
     private final HttpClient http;
     private final EntryKnowledge knowledge;
     private final Map<String, Peer> peers = new HashMap<>();
     private long version;
 
-    /** Another entry, and the version of the local knowledge that it has. */
+    /** Another entry, and the versions of the local knowledge that it should have and has. */
     private static final class Peer {
 
         private final String address;
+        private long wantedVersion;
         private long acknowledgedVersion = -1;
         private boolean inProgress;
         private boolean retryScheduled;
@@ -70,13 +76,28 @@
     /** Tells the other entries that this one has learned something. */
     void onChange() {
         version++;
-        List.copyOf(peers.values()).forEach(this::call);
+        tell(List.copyOf(peers.values()));
+    }
+
+    /** Passes on to some other entries what this one has learned from another. */
+    void onLearned() {
+        version++;
+        List<Peer> others = new ArrayList<>(peers.values());
+        Collections.shuffle(others);
+        tell(others.subList(0, Math.min(RELAYS, others.size())));
+    }
+
+    private void tell(List<Peer> told) {
+        for (Peer peer : told) {
+            peer.wantedVersion = version;
+            call(peer);
+        }
     }
 
     private void call(Peer peer) {
         boolean removed = peers.get(peer.address) != peer;
         boolean busy = peer.inProgress || peer.retryScheduled;
-        if (removed || busy || peer.acknowledgedVersion == version) {
+        if (removed || busy || peer.acknowledgedVersion >= peer.wantedVersion) {
             return;
         }
         peer.inProgress = true;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -147,6 +147,7 @@
                 () -> {
                     peers = new EntryPeers(loop, http, new EntryKnowledge(crashGuard, servers));
                     crashGuard.setOnChange(peers::onChange);
+                    crashGuard.setOnLearned(peers::onLearned);
                     crashGuard.setVoters(peers);
                     servers.setOnLimitChange(peers::onChange);
                     updatePeers(view);
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -85,7 +85,7 @@
 
     @Test
     void passesOnWhatAnotherEntryTold() throws Exception {
-        guard.setOnChange(peers::onChange);
+        guard.setOnLearned(peers::onLearned);
         setAddressesOften();
         CrashHistory history = new CrashHistory();
         Set<RequestFingerprint> suspects = Set.of(new RequestFingerprint(1, 1));
