End an answer that begins with interim answers without end

A server that sends 100 Continue again and again kept its callers until their time limit, with 19 MB read in 0.6 s of one connection and 37 MB seen until the limit, where other endless answers end at once. Cause: Netty's codec bounds heads, fields, chunk sizes and trailers; nothing bounds the number of interim answers. Now the seventeenth ends the connection, as any other bytes that are no answer.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -30,6 +30,10 @@
 
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d+)");
     private static final long DEFAULT_MAX_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    /** The number of interim answers (100 Continue and the like) before a final one. */
+    private static final int MAX_INTERIM_ANSWERS = 16;
+
     private static final double KEEP_ALIVE_FRACTION = 0.7;
 
     private final BackendConnectionPool pool;
@@ -40,6 +44,7 @@
     private String requestId = "";
     private ChannelFuture writeFuture;
     private boolean ignoringResponse;
+    private int interimAnswers;
     private boolean inAnswer;
     private boolean keepAlive;
     private boolean receivedResponse;
@@ -77,6 +82,7 @@
         listener = newListener;
         requestId = newRequestId;
         ignoringResponse = false;
+        interimAnswers = 0;
         inAnswer = false;
         receivedResponse = false;
         if (!channel.isActive()) {
@@ -152,7 +158,7 @@
 
     private void onHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            ignoringResponse = true;
+            onInterimAnswer();
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(head);
@@ -164,6 +170,15 @@
         }
     }
 
+    private void onInterimAnswer() {
+        ignoringResponse = true;
+        interimAnswers++;
+        if (interimAnswers > MAX_INTERIM_ANSWERS) {
+            fail(SendOutcome.UNKNOWN, "more interim answers than " + MAX_INTERIM_ANSWERS);
+            close();
+        }
+    }
+
     private static long maxIdleNanosOf(HttpHeaders headers) {
         String value = headers.get("Keep-Alive");
         if (value == null) {
