Keep the part of an entry that left out of the retry allowance of the others

When an entry withdraws before a planned stop, the others divided the allowance among fewer at once, though it may have used its part within the same window: 60 retries in the model where 40 are allowed. Now each part is that of the largest number of entries in the window. SharedRetryBudgetTest.givesThePartOfAnEntryThatLeftToNobodyWithinTheWindow fails with the old division (60) and passes.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
@@ -1,5 +1,6 @@
 package io.pollenpath.coordination.serving;
 
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -11,8 +12,9 @@
  * window covers only partly counts in full for retries and not at all for requests, which errs
  * towards fewer retries.
  *
- * <p>A process that has just started has no part of the allowance for one window, because an
- * earlier process in its place may have used it.
+ * <p>An entry that has left may have used its part in the same window, so the parts are those of
+ * the largest number of entries in the window. A process that has just started has no part of the
+ * allowance for one window, because an earlier process in its place may have used it.
  */
 public final class SharedRetryBudget {
 
@@ -23,6 +25,7 @@
     private final long sliceNanos;
     private final int[] requests = new int[SLICES + 1];
     private final int[] retries = new int[SLICES + 1];
+    private final int[] mostEntries = new int[SLICES + 1];
     private final long allowedFromNanos;
     private long currentSlice = Long.MIN_VALUE;
 
@@ -47,6 +50,18 @@
         allowedFromNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(windowMs);
     }
 
+    /**
+     * Records the number of entries that share the allowance.
+     *
+     * @param liveEntries the live entries; less than 1 counts as 1
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onEntries(int liveEntries, long nowNanos) {
+        advance(nowNanos);
+        int index = index(currentSlice);
+        mostEntries[index] = Math.max(mostEntries[index], Math.max(1, liveEntries));
+    }
+
     /**
      * Counts the first attempt of a request.
      *
@@ -65,9 +80,10 @@
      * @return true if the request may be retried
      */
     public boolean tryRetry(int liveEntries, long nowNanos) {
-        advance(nowNanos);
+        onEntries(liveEntries, nowNanos);
+        boolean justStarted = nowNanos - allowedFromNanos < 0;
         double ownAllowance =
-                nowNanos - allowedFromNanos < 0 ? 0 : allowance / Math.max(1, liveEntries);
+                justStarted ? 0 : allowance / Arrays.stream(mostEntries).max().getAsInt();
         double allowed = ratio * requestsInWindow() + ownAllowance;
         if (sum(retries) + 1 > allowed) {
             return false;
@@ -86,6 +102,7 @@
             int index = index(slice - newSlices + offset);
             requests[index] = 0;
             retries[index] = 0;
+            mostEntries[index] = 0;
         }
         currentSlice = Math.max(currentSlice, slice);
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -316,6 +316,7 @@
      */
     void tick(long nowNanos) {
         for (Map.Entry<String, ServiceTraffic> entry : Map.copyOf(traffic).entrySet()) {
+            entry.getValue().retryBudget().onEntries(view.get().liveEntries(), nowNanos);
             entry.getValue().queue().demoteLate(nowNanos);
             for (QueuedRequest<ForwardedRequest> expired :
                     entry.getValue().queue().removeExpired(nowNanos)) {
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SharedRetryBudgetTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SharedRetryBudgetTest.java
@@ -52,6 +52,18 @@
         assertThat(taken(budget, 100, 1, later)).isEqualTo(40);
     }
 
+    @Test
+    void givesThePartOfAnEntryThatLeftToNobodyWithinTheWindow() {
+        SharedRetryBudget leaving = new SharedRetryBudget(LONG_AGO_NANOS, RATIO, 40, WINDOW_MS);
+        SharedRetryBudget staying = new SharedRetryBudget(LONG_AGO_NANOS, RATIO, 40, WINDOW_MS);
+        staying.onEntries(2, 0);
+        int used = taken(leaving, 100, 2, 0);
+        long soonNanos = TimeUnit.MILLISECONDS.toNanos(WINDOW_MS / 2);
+        assertThat(used + taken(staying, 100, 1, soonNanos)).isAtMost(40);
+        long laterNanos = TimeUnit.MILLISECONDS.toNanos(WINDOW_MS * 12 / 10);
+        assertThat(taken(staying, 100, 1, laterNanos)).isEqualTo(20);
+    }
+
     /** Simulates several entries and checks the retries to one service in each sliding window. */
     @Property(tries = 200)
     void allEntriesTogetherStayWithinTheLimitInEveryWindow(
