--- a/pollenpath/src/test/java/io/pollenpath/state/serving/ServingViewTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/state/serving/ServingViewTest.java
@@ -42,6 +42,22 @@
         assertThat(view.outdated()).isEmpty();
     }
 
+    @Test
+    void aServerIsReplacedByALaterRegistrationOrOnceItsOwnIsGone() {
+        ServerInstance old = server("old", 100, 80, false);
+        ServerInstance later = server("later", 200, 80, false);
+        ServerInstance unordered = server("unordered", 50, 80, false);
+        assertThat(view(old).isReplaced(old)).isFalse();
+        assertThat(view(old, later).isReplaced(old)).isTrue();
+        assertThat(view(old, unordered).isReplaced(old)).isFalse();
+        assertThat(view(unordered).isReplaced(old)).isTrue();
+        assertThat(view(server("elsewhere", 200, 81, false)).isReplaced(old)).isFalse();
+    }
+
+    private static ServingView view(ServerInstance... servers) {
+        return ServingView.EMPTY.withServers(List.of(servers));
+    }
+
     /**
      * A power failure of all VMs: each engine registers again before its old registration expires.
      */
--- a/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
@@ -145,6 +145,38 @@
         assertThat(new HeaderDialect().classify(status, headers)).isEqualTo(kind);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "503, 3, 3000",
+        "503, 0.25, 250",
+        "503, -2, 0",
+        "503, 1e300, 9223372036854775807",
+        "429, 3, -1"
+    })
+    void readsTheTimeThatARefusalNames(int status, String value, long pauseMs) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Retry-After", value);
+        assertThat(new HeaderDialect().pauseMs(status, headers).orElse(-1)).isEqualTo(pauseMs);
+    }
+
+    @Test
+    void readsTheLongestOfSeveralTimesAndRejectsADate() {
+        HttpHeaders several =
+                new DefaultHttpHeaders().add("Retry-After", "1").add("Retry-After", "2");
+        assertThat(new HeaderDialect().pauseMs(503, several)).hasValue(2_000);
+        HttpHeaders date =
+                new DefaultHttpHeaders().set("Retry-After", "Fri, 04 Dec 2026 10:00:00 GMT");
+        assertThrows(NumberFormatException.class, () -> new HeaderDialect().pauseMs(503, date));
+    }
+
+    @Test
+    void readsThatAServerLeaves() {
+        HeaderDialect dialect = new HeaderDialect();
+        assertThat(dialect.isLeaving(new DefaultHttpHeaders())).isFalse();
+        assertThat(dialect.isLeaving(new DefaultHttpHeaders().set("Server-Leaving", "0")))
+                .isFalse();
+        assertThat(dialect.isLeaving(new DefaultHttpHeaders().set("Server-Leaving", "1"))).isTrue();
+    }
+
     @Test
     void decodesReportOfRank() {
         RankStatus status =
