Log the parts of a prompt, how answers mark their end, and the events of a failed send

The logs could not tell three hypotheses apart: a part that crashing requests share, crashes taken for complete answers, resends counted as requests. send_failed now names the shared parts of the prompt, the framing of the answer and the events that this server sent; request_done names the framing, and answers_total counts by it. No decision changes.

--- a/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
@@ -5,6 +5,7 @@
 import io.pollenpath.transport.serving.CallerHeaders;
 import io.pollenpath.transport.serving.ForwardHeaders;
 import io.pollenpath.transport.serving.WireDialect;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -20,6 +21,9 @@
 
     private static final String LAST_EVENT_ID = "Last-Event-Id";
 
+    /** The parts of the prompt in their order, as ID:TOKENS entries separated by commas. */
+    private static final String PROMPT_PARTS = "Prompt-Prefix";
+
     /** The identity of the engine that must run the request; any other engine rejects it. */
     private static final String EXPECTED_SERVER = "Expect-Instance";
 
@@ -53,7 +57,21 @@
                 headers.get(REQUEST_ID, ""),
                 apiKey(headers),
                 optionalLong(headers, DEADLINE),
-                optionalLong(headers, LAST_EVENT_ID));
+                optionalLong(headers, LAST_EVENT_ID),
+                promptParts(headers));
+    }
+
+    private static List<String> promptParts(HttpHeaders headers) {
+        return headers.getAll(PROMPT_PARTS).stream()
+                .flatMap(value -> Arrays.stream(value.split(",")))
+                .map(HeaderDialect::partId)
+                .filter(id -> !id.isEmpty())
+                .toList();
+    }
+
+    private static String partId(String entry) {
+        int colon = entry.indexOf(':');
+        return (colon < 0 ? entry : entry.substring(0, colon)).trim();
     }
 
     private static Optional<String> apiKey(HttpHeaders headers) {
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerFraming.java
@@ -0,0 +1,23 @@
+package io.pollenpath.transport.serving;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** How an answer of a server marks its end. */
+enum AnswerFraming {
+    /** There is no answer yet. */
+    NONE,
+    /** Its length is named in its head. */
+    LENGTH,
+    /** It comes in chunks; the last one is empty. */
+    CHUNKS,
+    /** It ends with its connection, so the end of the server looks like the end of the answer. */
+    CLOSE;
+
+    static AnswerFraming of(HttpHeaders headers) {
+        if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            return CHUNKS;
+        }
+        return headers.contains(HttpHeaderNames.CONTENT_LENGTH) ? LENGTH : CLOSE;
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -57,6 +57,8 @@
     private OptionalLong lastEventId;
     private long lastEventNanos;
     private int events;
+    private int eventsOfSend;
+    private AnswerFraming framing = AnswerFraming.NONE;
 
     ForwardedRequest(Gateway gateway, CallerAnswer caller, RequestContext context) {
         this.gateway = gateway;
@@ -110,6 +112,16 @@
         return events;
     }
 
+    /** Returns the number of events that the latest server has sent. */
+    int eventsOfSend() {
+        return eventsOfSend;
+    }
+
+    /** Returns how the latest server marks the end of its answer. */
+    AnswerFraming framing() {
+        return framing;
+    }
+
     ServerInstance server() {
         return server;
     }
@@ -153,6 +165,8 @@
         splitter.dropPartialEvent();
         body.reset();
         replyKind = null;
+        eventsOfSend = 0;
+        framing = AnswerFraming.NONE;
         connections.acquire(
                 target,
                 context.route().mayRunAgain(),
@@ -217,6 +231,7 @@
     public void onHead(int newStatus, HttpHeaders headers) {
         lastProgressNanos = System.nanoTime();
         status = newStatus;
+        framing = AnswerFraming.of(headers);
         replyKind = gateway.dialect().classify(newStatus, headers);
         if (replyKind == WireDialect.ReplyKind.ANSWER) {
             mayHaveRun = true;
@@ -250,6 +265,7 @@
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
         for (EventSplitter.Event event : completeEvents) {
+            eventsOfSend++;
             if (isAlreadyForwarded(event)) {
                 continue;
             }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -7,6 +7,7 @@
 import io.pollenpath.transport.MetricNames;
 import io.pollenpath.util.LogLine;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -14,6 +15,7 @@
 final class RequestLog {
 
     private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
+    private static final int MAX_LISTED_PARTS = 8;
 
     private final MetricRegistry metrics;
     private final Histogram latencyMs;
@@ -31,6 +33,7 @@
         latencyMs.update(totalMs);
         queueWaitMs.update(request.queuedMs(nowNanos));
         MetricNames.count(metrics, "requests_total", "outcome", reason);
+        MetricNames.count(metrics, "answers_total", "framing", request.framing().name());
         LOG.info(
                 "{}",
                 LogLine.event("request_done")
@@ -45,7 +48,8 @@
                         .with("server", request.server() == null ? "" : request.server().id())
                         .with("waited_ms", request.queuedMs(nowNanos))
                         .with("total_ms", totalMs)
-                        .with("events", request.events()));
+                        .with("events", request.events())
+                        .with("framing", request.framing()));
     }
 
     void refused(
@@ -111,10 +115,19 @@
                         .with("send", request.sends())
                         .with("outcome", outcome)
                         .with("cause", cause)
+                        .with("events_of_send", request.eventsOfSend())
+                        .with("framing", request.framing())
+                        .with("prompt_parts", listedParts(request))
                         .with("may_have_run", request.mayHaveRun())
                         .with("decision", decision));
     }
 
+    private static String listedParts(ForwardedRequest request) {
+        return request.context().callerHeaders().sharedPromptParts().stream()
+                .limit(MAX_LISTED_PARTS)
+                .collect(Collectors.joining(","));
+    }
+
     void callerConnectionFailed(Throwable cause, boolean withinStream) {
         LOG.debug(
                 "{}",
