--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
@@ -79,6 +79,28 @@
         return manifest;
     }
 
+    /**
+     * Returns the manifest of {@link #manifest} with another number of attempts and another timeout
+     * on all routes.
+     *
+     * @param version the manifest version
+     * @param service the name of the service that all routes lead to, not null
+     * @param attempts the number of servers to which a request may be sent
+     * @param timeoutMs the timeout, in milliseconds
+     * @return the manifest
+     */
+    public static ObjectNode manifestWithAttempts(
+            long version, String service, int attempts, long timeoutMs) {
+        ObjectNode manifest = manifest(version, service);
+        manifest.withArray("Routes")
+                .forEach(
+                        route ->
+                                ((ObjectNode) route)
+                                        .put("Attempts", attempts)
+                                        .put("TimeoutMs", timeoutMs));
+        return manifest;
+    }
+
     private static ObjectNode engine() {
         return Json.object()
                 .put("Slots", 8)
--- a/standins/src/main/java/io/pollenpath/standin/platform/RequestReader.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/RequestReader.java
@@ -9,12 +9,18 @@
 import java.util.TreeMap;
 
 /** Reads HTTP/1.1 requests with a content length from a stream. */
-final class RequestReader {
+public final class RequestReader {
 
     private RequestReader() {}
 
-    /** Reads one request; fails if the caller closes the connection before its end. */
-    static PlatformEngineStandin.ReceivedRequest read(InputStream in) throws IOException {
+    /**
+     * Reads one request.
+     *
+     * @param in the bytes that a caller sends, not null
+     * @return the request
+     * @throws IOException if the caller closes the connection before the end of the request
+     */
+    public static PlatformEngineStandin.ReceivedRequest read(InputStream in) throws IOException {
         String[] requestLine = readLine(in).split(" ", 3);
         Map<String, String> headers = new TreeMap<>();
         String header = readLine(in);
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -1,5 +1,6 @@
 package io.pollenpath.platform;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pollenpath.standin.platform.PlatformFixtures;
 import io.pollenpath.standin.platform.PlatformStoreStandin;
 import io.pollenpath.state.group.VmCapacity;
@@ -14,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +40,7 @@
     private final HttpClient client = new HttpClient(loops);
     private final PlatformStoreStandin store = new PlatformStoreStandin(PAGE_SIZE);
     private final List<RestartingEngine> engines = new ArrayList<>();
+    private final List<AutoCloseable> startedEngines = new ArrayList<>();
     private final List<PlatformSettings> settings = new ArrayList<>();
     private final List<PlatformEntry> entries = new ArrayList<>();
 
@@ -59,12 +62,28 @@
             String retryAfter,
             long elapsedMs) {}
 
+    /** Starts the engines of a fleet. */
+    interface EngineStarter {
+
+        /** Starts engines that register in the store, and returns them. */
+        List<? extends AutoCloseable> start(PlatformStoreStandin store) throws IOException;
+    }
+
     EntryFleet(int entryCount, int engineCount) throws IOException {
-        store.put(
-                StoreKinds.CONFIG, StoreKinds.NEWEST_CONFIG, PlatformFixtures.manifest(1, SERVICE));
         for (int i = 0; i < engineCount; i++) {
             engines.add(new RestartingEngine("engine-" + i, SERVICE, store));
         }
+        startedEngines.addAll(engines);
+        startEntries(entryCount, PlatformFixtures.manifest(1, SERVICE));
+    }
+
+    EntryFleet(int entryCount, ObjectNode manifest, EngineStarter starter) throws IOException {
+        startedEngines.addAll(starter.start(store));
+        startEntries(entryCount, manifest);
+    }
+
+    private void startEntries(int entryCount, ObjectNode manifest) throws IOException {
+        store.put(StoreKinds.CONFIG, StoreKinds.NEWEST_CONFIG, manifest);
         int port = freePort();
         for (int i = 0; i < entryCount; i++) {
             settings.add(settings(i, "127.0.1." + (i + 1), port));
@@ -116,8 +135,18 @@
 
     /** Sends one attempt to an entry and closes the connection if the answer takes too long. */
     Answer call(int entry, String requestId, String path, long patienceMs) {
+        return call(entry, requestId, path, Map.of(), patienceMs);
+    }
+
+    /** Sends one attempt with further headers to an entry. */
+    Answer call(
+            int entry,
+            String requestId,
+            String path,
+            Map<String, String> headers,
+            long patienceMs) {
         long sentNanos = System.nanoTime();
-        CompletableFuture<HttpReply> reply = client.send(request(entry, requestId, path));
+        CompletableFuture<HttpReply> reply = client.send(request(entry, requestId, path, headers));
         try {
             HttpReply answer = reply.get(patienceMs, TimeUnit.MILLISECONDS);
             return new Answer(
@@ -135,20 +164,18 @@
         }
     }
 
-    private HttpClient.Request request(int entry, String requestId, String path) {
+    private HttpClient.Request request(
+            int entry, String requestId, String path, Map<String, String> moreHeaders) {
+        Map<String, String> headers = new HashMap<>(moreHeaders);
+        headers.put("Host", PlatformFixtures.HOST);
+        headers.put("Request-Id", requestId);
+        headers.put("Authorization", "Bearer " + PlatformFixtures.API_KEY);
+        headers.put("Deadline-Ms", "3000");
         return new HttpClient.Request(
                 settings.get(entry).callerAddress().orElseThrow(),
                 "POST",
                 path,
-                Map.of(
-                        "Host",
-                        PlatformFixtures.HOST,
-                        "Request-Id",
-                        requestId,
-                        "Authorization",
-                        "Bearer " + PlatformFixtures.API_KEY,
-                        "Deadline-Ms",
-                        "3000"),
+                headers,
                 "{}".getBytes(StandardCharsets.UTF_8));
     }
 
@@ -188,9 +215,17 @@
         entries.forEach(PlatformEntry::close);
         client.close();
         loops.close();
-        for (RestartingEngine engine : engines) {
-            engine.close();
+        for (AutoCloseable engine : startedEngines) {
+            closeEngine(engine);
         }
         store.close();
     }
+
+    private static void closeEngine(AutoCloseable engine) {
+        try {
+            engine.close();
+        } catch (Exception e) {
+            throw new IllegalStateException("an engine can't be closed", e);
+        }
+    }
 }
