Take an answer that ends with its connection as whole only while its server runs

Cause: the end of a process closes its connections as a whole answer without length or chunks does. Class: an absence of bytes taken for a statement of the server. Now the server is asked first, by one connection that stays in the pool: if it does not listen, or another process does, the send has failed, and the crash is looked for as after any broken connection. A whole answer of a server that ends right after it is sent again or fails; that can't be told from a cut one.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -47,6 +47,7 @@
     private int interimAnswers;
     private boolean inAnswer;
     private boolean keepAlive;
+    private boolean endsWithConnection;
     private boolean receivedResponse;
     private String error = "";
     private long idleSinceNanos;
@@ -162,6 +163,7 @@
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(head);
+        endsWithConnection = AnswerFraming.of(head.headers()) == AnswerFraming.CLOSE;
         maxIdleNanos = maxIdleNanosOf(head.headers());
         ignoringResponse = !dialect.belongsTo(head.headers(), requestId);
         if (!ignoringResponse) {
@@ -213,13 +215,18 @@
     private void complete() {
         BackendListener completed = listener;
         listener = null;
+        boolean endedByClose = endsWithConnection && !channel.isActive();
         boolean reusable = keepAlive && channel.isActive() && writeFuture.isDone();
         if (reusable) {
             becomeIdle();
         } else {
             close();
         }
-        completed.onEnd();
+        if (endedByClose) {
+            completed.onEndByClose();
+        } else {
+            completed.onEnd();
+        }
     }
 
     /** Puts the connection into the pool. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
@@ -15,6 +15,12 @@
     /** Handles the end of a complete answer. */
     void onEnd();
 
+    /**
+     * Handles the end of an answer that only the end of its connection marks. The server may have
+     * ended before the answer was complete.
+     */
+    void onEndByClose();
+
     /** Handles the failure of the send; no other call follows. */
     void onFailed(SendOutcome outcome, String cause);
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -58,6 +58,7 @@
     private long lastEventNanos;
     private int events;
     private int eventsOfSend;
+    private boolean checkingEnd;
     private AnswerFraming framing = AnswerFraming.NONE;
 
     ForwardedRequest(Gateway gateway, CallerAnswer caller, RequestContext context) {
@@ -138,7 +139,8 @@
 
     /** Returns whether the request was written to a server, which has not answered it yet. */
     boolean isSentTo(ServerInstance target) {
-        return connection != null
+        boolean waitsForAnswer = connection != null || checkingEnd;
+        return waitsForAnswer
                 && server != null
                 && server.incarnationId().equals(target.incarnationId());
     }
@@ -166,6 +168,7 @@
         body.reset();
         replyKind = null;
         eventsOfSend = 0;
+        checkingEnd = false;
         framing = AnswerFraming.NONE;
         connections.acquire(
                 target,
@@ -319,6 +322,30 @@
         }
     }
 
+    @Override
+    public void onEndByClose() {
+        if (replyKind != WireDialect.ReplyKind.ANSWER) {
+            onEnd();
+            return;
+        }
+        connection = null;
+        checkingEnd = true;
+        int selection = selections;
+        gateway.checkServer(this, result -> onServerChecked(selection, result));
+    }
+
+    private void onServerChecked(int selection, Reachability result) {
+        if (!isCurrentSelection(selection)) {
+            return;
+        }
+        checkingEnd = false;
+        if (result == Reachability.LISTENING) {
+            onEnd();
+        } else {
+            failSend(SendOutcome.UNKNOWN, "server ended with its answer");
+        }
+    }
+
     private void onCompleteAnswer() {
         if (isStream) {
             if (splitter.hasPartialEvent()) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -338,6 +339,18 @@
         }
     }
 
+    /** Checks whether the server of an answer that ended with its connection still runs. */
+    void checkServer(ForwardedRequest request, Consumer<Reachability> result) {
+        ServerInstance server = request.server();
+        backends.check(
+                server,
+                reached -> {
+                    Reachability checked = view.isReplaced(server) ? Reachability.REFUSED : reached;
+                    log.endChecked(request, server, checked);
+                    result.accept(checked);
+                });
+    }
+
     void onSendFailed(
             ForwardedRequest request, ServerInstance server, SendOutcome outcome, String cause) {
         dispatcher.onSendFailed(request, server, outcome, cause, System.nanoTime());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -122,6 +122,18 @@
                         .with("decision", decision));
     }
 
+    /** Logs whether the server of an answer that ended with its connection still runs. */
+    void endChecked(ForwardedRequest request, ServerInstance server, Reachability result) {
+        MetricNames.count(metrics, "answer_ends_checked_total", "result", result.name());
+        LOG.info(
+                "{}",
+                LogLine.event("answer_end_checked")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("server", server.incarnationId())
+                        .with("result", result)
+                        .with("events_of_send", request.eventsOfSend()));
+    }
+
     private static String listedParts(ForwardedRequest request) {
         return request.context().callerHeaders().sharedPromptParts().stream()
                 .limit(MAX_LISTED_PARTS)
--- a/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
@@ -39,6 +39,12 @@
     /** Answers without a content length; the end of the connection ends the body. */
     NO_LENGTH,
 
+    /**
+     * Begins an answer without a content length, a stream up to the end of an event, and the
+     * process of the engine ends; its connections are closed, not reset.
+     */
+    ENDS_IN_ANSWER,
+
     /** Never answers and keeps the connection open until the caller closes it. */
     SILENT
 }
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -237,16 +237,18 @@
                 return false;
             }
             case NO_LENGTH -> {
-                String type = isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
-                write(
-                        socket,
-                        responseHead(
-                                200, requestId, SIGNATURE_HEADER + type + "Connection: close\r\n"));
+                writeHeadWithoutLength(socket, request);
                 write(
                         socket,
                         isStream(request) ? events(request, STREAM_EVENTS) : answerBody(request));
                 return false;
             }
+            case ENDS_IN_ANSWER -> {
+                writeHeadWithoutLength(socket, request);
+                write(socket, isStream(request) ? events(request, STREAM_EVENTS / 2) : "part");
+                close();
+                return false;
+            }
             case NONE -> writeWholeAnswer(socket, request);
         }
         return true;
@@ -289,6 +291,12 @@
                         + body);
     }
 
+    private void writeHeadWithoutLength(Socket socket, ReceivedRequest request) throws IOException {
+        String type = isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
+        String headers = SIGNATURE_HEADER + type + "Connection: close\r\n";
+        write(socket, responseHead(200, request.header("request-id"), headers));
+    }
+
     private void writeTruncatedAnswer(Socket socket, ReceivedRequest request) throws IOException {
         if (isStream(request)) {
             writeStreamHead(socket, request);
