Let the check of an answer's end outlast the listener of a process that ends

Cause: the process closed its connections before its listener, so the check was accepted by a process that had already ended its answer. Now the connection of the check must stay open for 30 ms; if it does not, a second one decides.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -68,6 +68,10 @@
         return nowNanos - idleSinceNanos;
     }
 
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
     /** Returns whether the server is expected to still keep the idle connection open. */
     boolean isReusable(long nowNanos) {
         return channel.isActive() && idleNanos(nowNanos) < maxIdleNanos;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
@@ -32,14 +32,19 @@
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /** How long a process that ends may still listen after it has closed a connection. */
+    private static final long SETTLE_MS = 30;
+
     /** A connection idle for at most this time is not expected to be closed by the server yet. */
     private static final long RECENT_USE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final WireDialect dialect;
     private final Map<String, Deque<BackendConnection>> idle = new HashMap<>();
 
     BackendConnectionPool(EventLoop loop, WireDialect dialect) {
+        this.loop = loop;
         this.dialect = dialect;
         bootstrap =
                 new Bootstrap()
@@ -85,6 +90,31 @@
                 cause -> result.accept(Reachability.of(cause)));
     }
 
+    /**
+     * Checks whether a server goes on running, by opening a connection and seeing that it stays
+     * open. A process that ends may close its connections before it stops to listen.
+     */
+    void checkRunning(ServerInstance server, Consumer<Reachability> result) {
+        open(
+                server,
+                opened ->
+                        loop.schedule(
+                                () -> onSettled(server, opened, result),
+                                SETTLE_MS,
+                                TimeUnit.MILLISECONDS),
+                cause -> result.accept(Reachability.of(cause)));
+    }
+
+    private void onSettled(
+            ServerInstance server, BackendConnection opened, Consumer<Reachability> result) {
+        if (opened.isOpen()) {
+            opened.becomeIdle();
+            result.accept(Reachability.LISTENING);
+        } else {
+            check(server, result);
+        }
+    }
+
     private BackendConnection takeIdle(String serverId, boolean mayRetry, long nowNanos) {
         Deque<BackendConnection> connections = idle.get(serverId);
         while (connections != null && !connections.isEmpty()) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -342,7 +342,7 @@
     /** Checks whether the server of an answer that ended with its connection still runs. */
     void checkServer(ForwardedRequest request, Consumer<Reachability> result) {
         ServerInstance server = request.server();
-        backends.check(
+        backends.checkRunning(
                 server,
                 reached -> {
                     Reachability checked = view.isReplaced(server) ? Reachability.REFUSED : reached;
--- a/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
@@ -45,6 +45,9 @@
      */
     ENDS_IN_ANSWER,
 
+    /** Like {@link #ENDS_IN_ANSWER}, but the process listens for a moment longer. */
+    ENDS_IN_ANSWER_LISTENING,
+
     /** Never answers and keeps the connection open until the caller closes it. */
     SILENT
 }
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -1,5 +1,6 @@
 package io.pollenpath.standin.platform;
 
+import io.pollenpath.util.Pause;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -27,6 +28,7 @@
 
     private static final String CONTROL_PREFIX = "/api/";
     private static final int BACKLOG = 64;
+    private static final long LISTENING_AT_END_MS = 10;
     private static final String SIGNATURE_HEADER = "Upstream-Signature: proof\r\n";
 
     private final String id;
@@ -244,8 +246,14 @@
                 return false;
             }
             case ENDS_IN_ANSWER -> {
-                writeHeadWithoutLength(socket, request);
-                write(socket, isStream(request) ? events(request, STREAM_EVENTS / 2) : "part");
+                writePartWithoutLength(socket, request);
+                close();
+                return false;
+            }
+            case ENDS_IN_ANSWER_LISTENING -> {
+                writePartWithoutLength(socket, request);
+                socket.close();
+                Pause.forMs(LISTENING_AT_END_MS);
                 close();
                 return false;
             }
@@ -291,6 +299,11 @@
                         + body);
     }
 
+    private void writePartWithoutLength(Socket socket, ReceivedRequest request) throws IOException {
+        writeHeadWithoutLength(socket, request);
+        write(socket, isStream(request) ? events(request, STREAM_EVENTS / 2) : "part");
+    }
+
     private void writeHeadWithoutLength(Socket socket, ReceivedRequest request) throws IOException {
         String type = isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
         String headers = SIGNATURE_HEADER + type + "Connection: close\r\n";
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -83,6 +83,7 @@
                 new Row("plain", EngineFault.EXTRA_ANSWER, 200, 1),
                 new Row("plain", EngineFault.NO_LENGTH, 200, 1),
                 new Row("plain", EngineFault.ENDS_IN_ANSWER, 200, 2),
+                new Row("plain", EngineFault.ENDS_IN_ANSWER_LISTENING, 200, 2),
                 new Row("plain", EngineFault.SILENT, 200, 2),
                 new Row("once", EngineFault.NONE, 200, 1),
                 new Row("once", EngineFault.NOT_RUN, 200, 2),
@@ -96,6 +97,7 @@
                 new Row("once", EngineFault.EXTRA_ANSWER, 200, 1),
                 new Row("once", EngineFault.NO_LENGTH, 200, 1),
                 new Row("once", EngineFault.ENDS_IN_ANSWER, 502, 1),
+                new Row("once", EngineFault.ENDS_IN_ANSWER_LISTENING, 502, 1),
                 new Row("once", EngineFault.SILENT, 504, 1),
                 new Row("stream", EngineFault.NONE, 200, 1),
                 new Row("stream", EngineFault.NOT_RUN, 200, 2),
@@ -103,10 +105,12 @@
                 new Row("stream", EngineFault.CUT_SHORT, 200, 2),
                 new Row("stream", EngineFault.NO_LENGTH, 200, 1),
                 new Row("stream", EngineFault.ENDS_IN_ANSWER, 200, 2),
+                new Row("stream", EngineFault.ENDS_IN_ANSWER_LISTENING, 200, 2),
                 new Row("stream", EngineFault.EXTRA_ANSWER, 200, 1),
                 new Row("stream-final", EngineFault.NONE, 200, 1),
                 new Row("stream-final", EngineFault.ANSWER_LOST, 502, 1),
                 new Row("stream-final", EngineFault.ENDS_IN_ANSWER, 0, 1),
+                new Row("stream-final", EngineFault.ENDS_IN_ANSWER_LISTENING, 0, 1),
                 new Row("stream-final", EngineFault.CUT_SHORT, 0, 1));
     }
 
