--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashAnalysis.java
@@ -0,0 +1,196 @@
+package io.pollenpath.coordination.serving;
+
+import io.pollenpath.coordination.serving.CrashHistory.Suspicion;
+import io.pollenpath.state.serving.CrashSuspect;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Draws conclusions from crashes: which suspects are blocked.
+ *
+ * <p>One request is blocked by the crashes that it was in flight on, whatever else explains them.
+ * What several requests share is blocked if it was never in an answer before those crashes. If it
+ * was, it takes one crash more, and crashes that a blocked suspect explains do not count: it is
+ * more often on crashed servers by chance, and holding it back costs many good requests.
+ */
+final class CrashAnalysis {
+
+    /** The number of crashes that block a suspect. */
+    static final int BLOCKING_CRASHES = 3;
+
+    /** The number of crashes that block a shared suspect that was in answers before. */
+    static final int BLOCKING_CRASHES_IF_PROVEN = 4;
+
+    /** How many crashes of one episode count against a shared suspect that was in answers. */
+    private static final int MAX_OF_EPISODE_IF_PROVEN = 2;
+
+    private final Collection<CrashRecord> crashes;
+    private final Map<CrashSuspect, Long> clearedNanos;
+    private final Map<CrashSuspect, Map<Long, Long>> trialNanos;
+    private final Map<CrashSuspect, List<CrashRecord>> crashesOf = new HashMap<>();
+    private final Set<CrashRecord> explained = Collections.newSetFromMap(new IdentityHashMap<>());
+    private final CrashEpisodes episodes;
+
+    CrashAnalysis(
+            Collection<CrashRecord> crashes,
+            Map<CrashSuspect, Long> clearedNanos,
+            Map<CrashSuspect, Map<Long, Long>> trialNanos) {
+        this.crashes = crashes;
+        this.clearedNanos = clearedNanos;
+        this.trialNanos = trialNanos;
+        episodes = new CrashEpisodes(crashes);
+        for (CrashRecord crash : crashes) {
+            for (CrashSuspect suspect : crash.suspects()) {
+                if (isSuspect(suspect, crash)) {
+                    crashesOf.computeIfAbsent(suspect, key -> new ArrayList<>()).add(crash);
+                }
+            }
+        }
+    }
+
+    private boolean isSuspect(CrashSuspect suspect, CrashRecord crash) {
+        return isSuspect(suspect, crash, clearedNanos);
+    }
+
+    /** Returns whether a suspect was on a crashed server and was not cleared since. */
+    static boolean isSuspect(
+            CrashSuspect suspect, CrashRecord crash, Map<CrashSuspect, Long> clearedNanos) {
+        Long cleared = clearedNanos.get(suspect);
+        return crash.suspects().contains(suspect)
+                && (cleared == null || crash.nanos() - cleared > 0);
+    }
+
+    private boolean isProven(CrashSuspect suspect) {
+        return clearedNanos.containsKey(suspect);
+    }
+
+    /** Returns the suspicions against all suspects of at least one crash. */
+    Map<CrashSuspect, Suspicion> suspicions() {
+        Map<CrashSuspect, Suspicion> suspicions = new HashMap<>();
+        explainBySharedSuspects(suspicions);
+        Map<CrashSuspect, Integer> blame = blameOfRequests();
+        crashesOf.forEach(
+                (suspect, own) -> {
+                    if (!suspect.isShared()) {
+                        suspicions.put(
+                                suspect, ofRequest(suspect, own, blame.getOrDefault(suspect, 0)));
+                    }
+                });
+        explainByRequests(suspicions);
+        crashesOf.forEach(
+                (suspect, own) -> {
+                    if (suspect.isShared() && isProven(suspect)) {
+                        suspicions.put(suspect, ofProven(suspect, own));
+                    }
+                });
+        return suspicions;
+    }
+
+    private void explainBySharedSuspects(Map<CrashSuspect, Suspicion> suspicions) {
+        Map<CrashSuspect, Integer> counts = new HashMap<>();
+        crashesOf.forEach(
+                (suspect, own) -> {
+                    if (suspect.isShared() && !isProven(suspect)) {
+                        counts.put(suspect, episodes.count(own, Integer.MAX_VALUE));
+                    }
+                });
+        counts.forEach(
+                (suspect, count) -> {
+                    if (count >= BLOCKING_CRASHES) {
+                        explained.addAll(crashesOf.get(suspect));
+                    }
+                });
+        counts.forEach((suspect, count) -> suspicions.put(suspect, ofUnproven(suspect, count)));
+    }
+
+    private Map<CrashSuspect, Integer> blameOfRequests() {
+        List<Set<CrashSuspect>> unexplained = new ArrayList<>();
+        for (CrashRecord crash : crashes) {
+            if (!explained.contains(crash)) {
+                unexplained.add(requestsOn(crash));
+            }
+        }
+        return CrashBlame.assign(unexplained, BLOCKING_CRASHES);
+    }
+
+    private Set<CrashSuspect> requestsOn(CrashRecord crash) {
+        return crash.suspects().stream()
+                .filter(suspect -> !suspect.isShared() && isSuspect(suspect, crash))
+                .collect(Collectors.toSet());
+    }
+
+    private void explainByRequests(Map<CrashSuspect, Suspicion> suspicions) {
+        suspicions.forEach(
+                (suspect, suspicion) -> {
+                    if (!suspect.isShared() && suspicion.crashes() >= BLOCKING_CRASHES) {
+                        explained.addAll(crashesOf.get(suspect));
+                    }
+                });
+    }
+
+    private Suspicion ofRequest(CrashSuspect suspect, List<CrashRecord> own, int blame) {
+        boolean contested = hasCrashWithout(suspect, own) || hasRival(suspect, own);
+        return suspicion(suspect, own, blame, own.size(), contested, BLOCKING_CRASHES);
+    }
+
+    private Suspicion ofUnproven(CrashSuspect suspect, int count) {
+        List<CrashRecord> own = crashesOf.get(suspect);
+        boolean contested = hasUnexplainedCrashWithout(suspect, own) || hasRival(suspect, own);
+        return suspicion(suspect, own, count, count, contested, BLOCKING_CRASHES);
+    }
+
+    private Suspicion ofProven(CrashSuspect suspect, List<CrashRecord> own) {
+        List<CrashRecord> unexplained =
+                own.stream().filter(crash -> !explained.contains(crash)).toList();
+        int count = episodes.count(unexplained, MAX_OF_EPISODE_IF_PROVEN);
+        return suspicion(suspect, own, count, count, true, BLOCKING_CRASHES_IF_PROVEN);
+    }
+
+    private Suspicion suspicion(
+            CrashSuspect suspect,
+            List<CrashRecord> own,
+            int count,
+            int inFlight,
+            boolean contested,
+            int blocking) {
+        Collection<Long> starts = trialNanos.getOrDefault(suspect, Map.of()).values();
+        Set<Long> times = new HashSet<>(starts);
+        own.forEach(crash -> times.add(crash.nanos()));
+        long last = times.stream().reduce(CrashHistory::later).orElse(0L);
+        return new Suspicion(count, inFlight, contested, starts.size(), last, blocking);
+    }
+
+    private boolean hasCrashWithout(CrashSuspect suspect, List<CrashRecord> own) {
+        return crashes.stream().anyMatch(crash -> isCrashWithout(crash, suspect, own));
+    }
+
+    private boolean hasUnexplainedCrashWithout(CrashSuspect suspect, List<CrashRecord> own) {
+        return crashes.stream()
+                .filter(crash -> !explained.contains(crash))
+                .anyMatch(crash -> isCrashWithout(crash, suspect, own));
+    }
+
+    /** Returns whether a server of the same service crashed later without the suspect. */
+    private boolean isCrashWithout(CrashRecord crash, CrashSuspect suspect, List<CrashRecord> own) {
+        return crash.service().equals(own.get(0).service())
+                && own.stream().anyMatch(first -> crash.nanos() - first.nanos() > 0)
+                && !isSuspect(suspect, crash);
+    }
+
+    /** Returns whether another suspect of the same kind was on all servers that crashed. */
+    private boolean hasRival(CrashSuspect suspect, List<CrashRecord> own) {
+        return own.get(0).suspects().stream()
+                .filter(other -> !other.equals(suspect))
+                .filter(other -> other.isShared() == suspect.isShared())
+                .filter(other -> !suspect.isShared() || !isProven(other))
+                .anyMatch(other -> own.stream().allMatch(crash -> isSuspect(other, crash)));
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashBlame.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashBlame.java
@@ -1,6 +1,6 @@
 package io.pollenpath.coordination.serving;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -25,14 +25,13 @@
      * @param minCrashes the number of crashes from which a suspect explains the crashes
      * @return the number of crashes of each suspect with at least one
      */
-    static Map<RequestFingerprint, Integer> assign(
-            List<Set<RequestFingerprint>> suspects, int minCrashes) {
-        Map<RequestFingerprint, Integer> blame = new HashMap<>();
-        List<Set<RequestFingerprint>> unexplained = new ArrayList<>(suspects);
-        Map<RequestFingerprint, Integer> counts = count(unexplained);
+    static Map<CrashSuspect, Integer> assign(List<Set<CrashSuspect>> suspects, int minCrashes) {
+        Map<CrashSuspect, Integer> blame = new HashMap<>();
+        List<Set<CrashSuspect>> unexplained = new ArrayList<>(suspects);
+        Map<CrashSuspect, Integer> counts = count(unexplained);
         while (!counts.isEmpty() && Collections.max(counts.values()) >= minCrashes) {
             int most = Collections.max(counts.values());
-            Set<RequestFingerprint> culprits = new HashSet<>();
+            Set<CrashSuspect> culprits = new HashSet<>();
             counts.forEach(
                     (request, count) -> {
                         if (count == most) {
@@ -47,9 +46,9 @@
         return blame;
     }
 
-    private static Map<RequestFingerprint, Integer> count(List<Set<RequestFingerprint>> suspects) {
-        Map<RequestFingerprint, Integer> counts = new HashMap<>();
-        for (Set<RequestFingerprint> crash : suspects) {
+    private static Map<CrashSuspect, Integer> count(List<Set<CrashSuspect>> suspects) {
+        Map<CrashSuspect, Integer> counts = new HashMap<>();
+        for (Set<CrashSuspect> crash : suspects) {
             crash.forEach(request -> counts.merge(request, 1, Integer::sum));
         }
         return counts;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -1,8 +1,7 @@
 package io.pollenpath.coordination.serving;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,41 +12,48 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import java.util.stream.LongStream;
 
 /**
- * The recent crashes of backend servers and the requests that are suspected to have caused them.
+ * The recent crashes of backend servers and what is suspected to have caused them.
  *
- * <p>Every request in flight on a server when it crashes is a suspect. A complete answer to a
- * suspect clears it of all earlier crashes. Histories merge by union, so entries may exchange them
- * in any order and more than once.
+ * <p>Every request in flight on a server when it crashes is a suspect, and so is what it shares
+ * with others. An answer clears a suspect of all earlier crashes. Histories merge by union, so
+ * entries may exchange them in any order and more than once.
  */
 public final class CrashHistory {
 
-    /** The number of servers that a request may crash before it is blocked. */
-    static final int BLOCKING_CRASHES = 3;
-
     /** How long a crash is remembered, in milliseconds. */
     static final long RETENTION_MS = 600_000;
 
     /** The largest number of crashes that are remembered. */
     static final int MAX_CRASHES = 128;
 
-    /** The largest number of suspects of one crash. */
+    /** The largest number of suspects of one crash that one entry reports. */
     static final int MAX_SUSPECTS = 256;
 
+    /** The largest number of suspects of one crash from all entries together. */
+    static final int MAX_SUSPECTS_OF_ALL = 512;
+
+    /** The number of crashes from which other entries are told at once of a shared suspect. */
+    private static final int SHARED_CRASHES_TO_TELL = 2;
+
     /** How much younger a report may make an event than it is: the time that the report travels. */
     private static final long AGE_ERROR_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    private static final Suspicion NONE = new Suspicion(0, 0, false, 0, 0);
+    private static final Suspicion NONE =
+            new Suspicion(0, 0, false, 0, 0, CrashAnalysis.BLOCKING_CRASHES);
+
+    private static final Comparator<CrashSuspect> BY_DIGEST =
+            Comparator.comparingLong(CrashSuspect::high).thenComparingLong(CrashSuspect::low);
 
     private final Map<String, CrashRecord> crashes = new LinkedHashMap<>();
-    private final Map<RequestFingerprint, Long> clearedNanos = new HashMap<>();
-    private final Map<RequestFingerprint, Map<Long, Long>> trialNanos = new HashMap<>();
-    private Map<RequestFingerprint, Suspicion> suspicions = Map.of();
+    private final Map<CrashSuspect, Long> clearedNanos = new HashMap<>();
+    private final Map<CrashSuspect, Map<Long, Long>> trialNanos = new HashMap<>();
+    private final RecentAnswers answers = new RecentAnswers();
+    private Map<CrashSuspect, Suspicion> suspicions = Map.of();
 
     /**
-     * The suspicion against one request.
+     * The suspicion against one request, or against what several requests share.
      *
      * @param crashes the number of servers that the request is held to have crashed
      * @param inFlightCrashes the number of servers that crashed while the request was in flight on
@@ -57,11 +63,26 @@
      * @param trials the number of its test runs
      * @param lastEventNanos the time of the latest of these crashes and trials, in nanoseconds; 0
      *     if there is none
+     * @param blockingCrashes the number of crashes that block the suspect
      */
     public record Suspicion(
-            int crashes, int inFlightCrashes, boolean contested, int trials, long lastEventNanos) {}
-
-    private record CrashRecord(long nanos, String service, Set<RequestFingerprint> suspects) {}
+            int crashes,
+            int inFlightCrashes,
+            boolean contested,
+            int trials,
+            long lastEventNanos,
+            int blockingCrashes) {
+
+        /**
+         * Returns whether the suspect is blocked.
+         *
+         * @param unconfirmedCrashes the number of further servers that may have crashed
+         * @return true if requests with it must not be sent as usual
+         */
+        public boolean isBlocked(int unconfirmedCrashes) {
+            return inFlightCrashes + unconfirmedCrashes >= blockingCrashes;
+        }
+    }
 
     /**
      * Returns whether no crash is remembered.
@@ -82,38 +103,69 @@
         return crashes.containsKey(server);
     }
 
+    /**
+     * Returns the time of the latest crash of a service.
+     *
+     * @param service the service, not null
+     * @return the time, in nanoseconds; empty if no crash is remembered
+     */
+    public Optional<Long> latestCrashNanos(String service) {
+        return crashes.values().stream()
+                .filter(crash -> crash.service().equals(service))
+                .map(CrashRecord::nanos)
+                .reduce(CrashHistory::later);
+    }
+
     /**
      * Records a crash.
      *
      * @param server the incarnation of the server, not null
      * @param service the service that the server belonged to, not null
-     * @param suspects the requests that were in flight on it, not null
+     * @param suspects what was in flight on it, not null
      * @param nowNanos the time of the crash, in nanoseconds
      * @return whether this changed the history
      */
     public boolean recordCrash(
-            String server, String service, Set<RequestFingerprint> suspects, long nowNanos) {
-        boolean changed = addCrash(server, service, suspects, nowNanos);
+            String server, String service, Set<CrashSuspect> suspects, long nowNanos) {
+        boolean changed = addCrash(server, service, mostSuspicious(suspects), nowNanos);
         if (changed) {
             update();
         }
         return changed;
     }
 
+    /** Returns the suspects that are worth remembering if there are too many. */
+    private Set<CrashSuspect> mostSuspicious(Set<CrashSuspect> suspects) {
+        Comparator<CrashSuspect> byCrashes =
+                Comparator.comparing(suspect -> -suspicion(suspect).inFlightCrashes());
+        Comparator<CrashSuspect> byAnswers =
+                Comparator.comparing(suspect -> answers.latest(suspect).isPresent());
+        return suspects.stream()
+                .sorted(byCrashes.thenComparing(byAnswers))
+                .limit(MAX_SUSPECTS)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
-     * Records a complete answer, which clears a suspect.
+     * Records an answer, which clears a suspect of earlier crashes. What several requests share is
+     * remembered also if it is no suspect, since an answer before a crash speaks for it too.
      *
-     * @param request the request, not null
+     * @param suspect the suspect, not null
      * @param nowNanos the time of the answer, in nanoseconds
-     * @return whether the request was a suspect
+     * @return whether other entries should know now: it was a suspect, or close to being blocked if
+     *     several requests share it
      */
-    public boolean recordAnswer(RequestFingerprint request, long nowNanos) {
-        boolean suspected = crashes.values().stream().anyMatch(crash -> isSuspect(request, crash));
-        if (suspected) {
-            clearedNanos.merge(request, nowNanos, CrashHistory::later);
+    public boolean recordAnswer(CrashSuspect suspect, long nowNanos) {
+        if (suspect.isShared()) {
+            answers.add(suspect, nowNanos);
+        }
+        int suspected = suspicion(suspect).inFlightCrashes();
+        boolean cleared = suspected >= (suspect.isShared() ? SHARED_CRASHES_TO_TELL : 1);
+        if (cleared) {
+            clearedNanos.merge(suspect, nowNanos, CrashHistory::later);
             update();
         }
-        return suspected;
+        return cleared;
     }
 
     /**
@@ -123,7 +175,7 @@
      * @param id distinguishes the trials of one request
      * @param nowNanos the time of the start, in nanoseconds
      */
-    public void recordTrial(RequestFingerprint request, long id, long nowNanos) {
+    public void recordTrial(CrashSuspect request, long id, long nowNanos) {
         addTrial(request, id, nowNanos);
         update();
     }
@@ -198,7 +250,7 @@
      * @param request the request, not null
      * @return the suspicion, with no crashes if the request is not a suspect
      */
-    public Suspicion suspicion(RequestFingerprint request) {
+    public Suspicion suspicion(CrashSuspect request) {
         return suspicions.getOrDefault(request, NONE);
     }
 
@@ -216,7 +268,7 @@
     }
 
     private boolean addCrash(
-            String server, String service, Set<RequestFingerprint> suspects, long nanos) {
+            String server, String service, Set<CrashSuspect> suspects, long nanos) {
         CrashRecord known = crashes.get(server);
         if (known == null) {
             crashes.put(server, new CrashRecord(nanos, service, bounded(suspects)));
@@ -225,14 +277,14 @@
             }
             return crashes.containsKey(server);
         }
-        boolean full = known.suspects().size() >= MAX_SUSPECTS;
-        if (full || known.suspects().containsAll(suspects)) {
+        Set<CrashSuspect> merged = new HashSet<>(known.suspects());
+        merged.addAll(suspects);
+        Set<CrashSuspect> kept = bounded(merged);
+        if (kept.equals(known.suspects())) {
             return false;
         }
-        Set<RequestFingerprint> merged = new HashSet<>(known.suspects());
-        merged.addAll(suspects);
         long earliest = nanos - known.nanos() < 0 ? nanos : known.nanos();
-        crashes.put(server, new CrashRecord(earliest, service, bounded(merged)));
+        crashes.put(server, new CrashRecord(earliest, service, kept));
         return true;
     }
 
@@ -257,15 +309,22 @@
 
     private boolean blocks(CrashRecord crash) {
         return crash.suspects().stream()
-                .filter(request -> isSuspect(request, crash))
-                .anyMatch(request -> suspicion(request).inFlightCrashes() >= BLOCKING_CRASHES);
+                .filter(suspect -> CrashAnalysis.isSuspect(suspect, crash, clearedNanos))
+                .anyMatch(suspect -> suspicion(suspect).isBlocked(0));
     }
 
-    private static Set<RequestFingerprint> bounded(Set<RequestFingerprint> suspects) {
-        return suspects.stream().limit(MAX_SUSPECTS).collect(Collectors.toUnmodifiableSet());
+    /** Keeps the same suspects of a set that is too large, whatever the order of merges is. */
+    private static Set<CrashSuspect> bounded(Set<CrashSuspect> suspects) {
+        if (suspects.size() <= MAX_SUSPECTS_OF_ALL) {
+            return suspects;
+        }
+        return suspects.stream()
+                .sorted(BY_DIGEST)
+                .limit(MAX_SUSPECTS_OF_ALL)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
-    private boolean addClearance(RequestFingerprint request, long nanos) {
+    private boolean addClearance(CrashSuspect request, long nanos) {
         Long known = clearedNanos.get(request);
         boolean newer = known == null || nanos - known > AGE_ERROR_NANOS;
         if (newer) {
@@ -274,79 +333,39 @@
         return newer;
     }
 
-    private boolean addTrial(RequestFingerprint request, long id, long nanos) {
+    private boolean addTrial(CrashSuspect request, long id, long nanos) {
         return trialNanos.computeIfAbsent(request, key -> new HashMap<>()).putIfAbsent(id, nanos)
                 == null;
     }
 
-    private boolean isSuspect(RequestFingerprint request, CrashRecord crash) {
-        Long cleared = clearedNanos.get(request);
-        return crash.suspects().contains(request)
-                && (cleared == null || crash.nanos() - cleared > 0);
-    }
-
     /** Recomputes the suspicions, and drops what concerns no remembered crash. */
     private void update() {
-        Set<RequestFingerprint> mentioned = new HashSet<>();
+        Set<CrashSuspect> mentioned = new HashSet<>();
         crashes.values().forEach(crash -> mentioned.addAll(crash.suspects()));
         clearedNanos.keySet().retainAll(mentioned);
         trialNanos.keySet().retainAll(mentioned);
-        List<Set<RequestFingerprint>> unexplained = new ArrayList<>();
-        for (CrashRecord crash : crashes.values()) {
-            unexplained.add(
-                    crash.suspects().stream()
-                            .filter(request -> isSuspect(request, crash))
-                            .collect(Collectors.toSet()));
-        }
-        Map<RequestFingerprint, Integer> counts = CrashBlame.assign(unexplained, BLOCKING_CRASHES);
-        Map<RequestFingerprint, Suspicion> updated = new HashMap<>();
-        for (RequestFingerprint request : mentioned) {
-            suspicionOf(request, counts.getOrDefault(request, 0))
-                    .ifPresent(suspicion -> updated.put(request, suspicion));
-        }
-        suspicions = updated;
+        crashes.values().forEach(this::clearByAnswers);
+        suspicions = new CrashAnalysis(crashes.values(), clearedNanos, trialNanos).suspicions();
     }
 
-    private Optional<Suspicion> suspicionOf(RequestFingerprint request, int count) {
-        List<CrashRecord> own =
-                crashes.values().stream().filter(crash -> isSuspect(request, crash)).toList();
-        if (own.isEmpty()) {
-            return Optional.empty();
+    /** Clears shared suspects that were in answers that this entry knows of. */
+    private void clearByAnswers(CrashRecord crash) {
+        for (CrashSuspect suspect : crash.suspects()) {
+            Optional<Long> answered = answers.latest(suspect);
+            if (answered.isEmpty()) {
+                continue;
+            }
+            boolean unknown = !clearedNanos.containsKey(suspect);
+            boolean clears =
+                    CrashAnalysis.isSuspect(suspect, crash, clearedNanos)
+                            && answered.get() - crash.nanos() > 0;
+            if (unknown || clears) {
+                clearedNanos.put(suspect, answered.get());
+            }
         }
-        Collection<Long> starts = trialNanos.getOrDefault(request, Map.of()).values();
-        long last =
-                LongStream.concat(
-                                own.stream().mapToLong(CrashRecord::nanos),
-                                starts.stream().mapToLong(Long::longValue))
-                        .reduce(CrashHistory::later)
-                        .orElse(0);
-        return Optional.of(
-                new Suspicion(count, own.size(), isContested(request, own), starts.size(), last));
-    }
-
-    private boolean isContested(RequestFingerprint request, List<CrashRecord> own) {
-        return hasCrashWithout(request, own) || hasRival(request, own);
-    }
-
-    private boolean hasCrashWithout(RequestFingerprint request, List<CrashRecord> own) {
-        long first =
-                own.stream()
-                        .mapToLong(CrashRecord::nanos)
-                        .reduce((a, b) -> a - b < 0 ? a : b)
-                        .orElse(0);
-        return crashes.values().stream()
-                .filter(crash -> crash.nanos() - first > 0 && !isSuspect(request, crash))
-                .anyMatch(crash -> crash.service().equals(own.get(0).service()));
-    }
-
-    /** Returns whether another request was in flight on all servers that crashed under this one. */
-    private boolean hasRival(RequestFingerprint request, List<CrashRecord> own) {
-        return own.get(0).suspects().stream()
-                .filter(other -> !other.equals(request))
-                .anyMatch(other -> own.stream().allMatch(crash -> isSuspect(other, crash)));
     }
 
-    private static long later(long a, long b) {
+    static long later(long a, long b) {
         return a - b > 0 ? a : b;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashReport.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashReport.java
@@ -1,6 +1,6 @@
 package io.pollenpath.coordination.serving;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -30,8 +30,7 @@
      * @param suspects the requests that were in flight on it, not null
      * @param ageMs the time since the crash, in milliseconds, not negative
      */
-    public record Crash(
-            String server, String service, Set<RequestFingerprint> suspects, long ageMs) {
+    public record Crash(String server, String service, Set<CrashSuspect> suspects, long ageMs) {
 
         /** Checks the components. */
         public Crash {
@@ -48,7 +47,7 @@
      * @param request the request, not null
      * @param ageMs the time since the answer, in milliseconds, not negative
      */
-    public record Clearance(RequestFingerprint request, long ageMs) {
+    public record Clearance(CrashSuspect request, long ageMs) {
 
         /** Checks the components. */
         public Clearance {
@@ -64,7 +63,7 @@
      * @param id distinguishes the trials of one request
      * @param ageMs the time since the trial started, in milliseconds, not negative
      */
-    public record Trial(RequestFingerprint request, long id, long ageMs) {
+    public record Trial(CrashSuspect request, long id, long ageMs) {
 
         /** Checks the components. */
         public Trial {
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -34,6 +34,9 @@
     /** How long a caller is told to wait for the check of a server, in milliseconds. */
     static final long CHECK_RETRY_AFTER_MS = 500;
 
+    /** How long a caller is told to wait while a service recovers, in milliseconds. */
+    public static final long RECOVERY_RETRY_AFTER_MS = 500;
+
     /** The verdict on a request without suspicion. */
     public static final Verdict SEND = new Verdict(Decision.SEND, 0);
 
@@ -45,7 +48,7 @@
 
     private SuspectPolicy() {}
 
-    /** What to do with a request. */
+    /** What to do with a request, the least strict first. */
     public enum Decision {
         /** Send it as usual. */
         SEND,
@@ -82,6 +85,19 @@
         public boolean maySend() {
             return decision == Decision.SEND || decision == Decision.TRIAL;
         }
+
+        /**
+         * Returns the stricter of two verdicts.
+         *
+         * @param other the other verdict, not null
+         * @return the one that delays the request more
+         */
+        public Verdict stricter(Verdict other) {
+            int byDecision = decision.compareTo(other.decision);
+            boolean stricter =
+                    byDecision > 0 || (byDecision == 0 && retryAfterMs >= other.retryAfterMs);
+            return stricter ? this : other;
+        }
     }
 
     /**
@@ -95,8 +111,7 @@
      */
     public static Verdict decide(
             CrashHistory.Suspicion suspicion, int unconfirmedCrashes, long nowNanos) {
-        int crashes = suspicion.inFlightCrashes() + unconfirmedCrashes;
-        if (crashes < CrashHistory.BLOCKING_CRASHES) {
+        if (!suspicion.isBlocked(unconfirmedCrashes)) {
             return SEND;
         }
         if (unconfirmedCrashes > 0) {
@@ -121,7 +136,7 @@
     }
 
     private static long[] delaysMs(CrashHistory.Suspicion suspicion) {
-        if (suspicion.crashes() < CrashHistory.BLOCKING_CRASHES) {
+        if (suspicion.crashes() < suspicion.blockingCrashes()) {
             return EXPLAINED_DELAYS_MS;
         }
         return suspicion.contested() ? CONTESTED_DELAYS_MS : SOLE_CAUSE_DELAYS_MS;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialClaim.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialClaim.java
@@ -1,6 +1,6 @@
 package io.pollenpath.coordination.serving;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.Objects;
 
 /**
@@ -10,7 +10,7 @@
  * @param number the number of trials that the claimant knows of, not negative
  * @param claimant the name of the entry, not null
  */
-public record TrialClaim(RequestFingerprint request, int number, String claimant) {
+public record TrialClaim(CrashSuspect request, int number, String claimant) {
 
     /** Checks the components. */
     public TrialClaim {
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
@@ -1,6 +1,6 @@
 package io.pollenpath.coordination.serving;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -21,7 +21,7 @@
     /** The longest time from a refusal to the next question, in milliseconds. */
     static final long MAX_BACKOFF_MS = 4_000;
 
-    private final Map<RequestFingerprint, Permit> permits = new HashMap<>();
+    private final Map<CrashSuspect, Permit> permits = new HashMap<>();
     private final RandomGenerator random;
 
     /** The state of the permit for one trial. */
@@ -56,7 +56,7 @@
      * @param nowNanos the current time, in nanoseconds
      * @return the state
      */
-    public State state(RequestFingerprint request, int number, long nowNanos) {
+    public State state(CrashSuspect request, int number, long nowNanos) {
         permits.values().removeIf(permit -> nowNanos - permit.endNanos() >= 0);
         Permit permit = permits.get(request);
         return permit == null || permit.number() != number ? State.NONE : permit.state();
@@ -69,7 +69,7 @@
      * @param nowNanos the current time, in nanoseconds
      * @return the time, in milliseconds; 0 if there is no permit
      */
-    public long remainingMs(RequestFingerprint request, long nowNanos) {
+    public long remainingMs(CrashSuspect request, long nowNanos) {
         Permit permit = permits.get(request);
         return permit == null
                 ? 0
@@ -83,7 +83,7 @@
      * @param number the number of earlier trials of the request
      * @param nowNanos the current time, in nanoseconds
      */
-    public void onAsked(RequestFingerprint request, int number, long nowNanos) {
+    public void onAsked(CrashSuspect request, int number, long nowNanos) {
         long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(PERMIT_MS);
         permits.put(request, new Permit(number, State.ASKED, endNanos));
     }
@@ -96,7 +96,7 @@
      * @param agreed whether a majority agrees
      * @param nowNanos the current time, in nanoseconds
      */
-    public void onResult(RequestFingerprint request, int number, boolean agreed, long nowNanos) {
+    public void onResult(CrashSuspect request, int number, boolean agreed, long nowNanos) {
         if (state(request, number, nowNanos) != State.ASKED) {
             return;
         }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialVotes.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialVotes.java
@@ -1,6 +1,6 @@
 package io.pollenpath.coordination.serving;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -16,7 +16,7 @@
     static final long LEASE_MS = 1_000;
 
     private final long startNanos;
-    private final Map<RequestFingerprint, Vote> votes = new HashMap<>();
+    private final Map<CrashSuspect, Vote> votes = new HashMap<>();
 
     private record Vote(String claimant, long endNanos) {}
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpLimits.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpLimits.java
@@ -42,6 +42,23 @@
         requirePositive("maxPipelined", maxPipelined);
     }
 
+    /**
+     * Returns these limits with another size of bodies.
+     *
+     * @param bytes the maximum size of a body, in bytes, at least 1
+     * @return the limits
+     */
+    public HttpLimits withMaxBodyBytes(int bytes) {
+        return new HttpLimits(
+                maxHeaderBytes,
+                bytes,
+                maxConnections,
+                idleTimeoutMs,
+                requestTimeoutMs,
+                maxPipelined,
+                servesHalfClosed);
+    }
+
     private static void requirePositive(String field, int value) {
         if (value < 1) {
             throw new IllegalArgumentException(field + " is " + value + "; set at least 1");
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AbandonedRequests.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AbandonedRequests.java
@@ -1,6 +1,6 @@
 package io.pollenpath.transport.serving;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.ServerInstance;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,17 +20,17 @@
 
     private final Map<String, Abandoned> byServer = new HashMap<>();
 
-    private record Abandoned(ServerInstance server, Map<RequestFingerprint, Long> nanos) {}
+    private record Abandoned(ServerInstance server, Map<CrashSuspect, Long> nanos) {}
 
-    void add(ServerInstance server, RequestFingerprint request, long nowNanos) {
+    void add(ServerInstance server, CrashSuspect suspect, long nowNanos) {
         byServer.computeIfAbsent(
                         server.incarnationId(), id -> new Abandoned(server, new HashMap<>()))
                 .nanos()
-                .put(request, nowNanos);
+                .put(suspect, nowNanos);
     }
 
     /** Returns the requests that a server may still be at work on, as a set of the caller's own. */
-    Set<RequestFingerprint> on(ServerInstance server, long nowNanos) {
+    Set<CrashSuspect> on(ServerInstance server, long nowNanos) {
         expire(nowNanos);
         Abandoned abandoned = byServer.get(server.incarnationId());
         return abandoned == null ? new HashSet<>() : new HashSet<>(abandoned.nanos().keySet());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashDetector.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashDetector.java
@@ -1,7 +1,7 @@
 package io.pollenpath.transport.serving;
 
 import io.pollenpath.coordination.serving.SendOutcome;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingView;
 import java.util.ArrayList;
@@ -23,7 +23,7 @@
     /** How long it may take to learn that a server that still listens is another process. */
     private static final long RESTART_EVIDENCE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    private final Map<String, Set<RequestFingerprint>> checking = new HashMap<>();
+    private final Map<String, Set<CrashSuspect>> checking = new HashMap<>();
     private final Map<String, BrokenServer> listening = new HashMap<>();
     private final AbandonedRequests abandoned = new AbandonedRequests();
     private final BackendConnectionPool connections;
@@ -40,7 +40,7 @@
          * @param suspects the requests that were on it
          * @param nanos the time of the crash, in nanoseconds
          */
-        void onCrash(ServerInstance server, Set<RequestFingerprint> suspects, long nanos);
+        void onCrash(ServerInstance server, Set<CrashSuspect> suspects, long nanos);
     }
 
     /**
@@ -49,8 +49,7 @@
      * @param suspects the requests that were on it
      * @param nanos the time, in nanoseconds
      */
-    private record BrokenServer(
-            ServerInstance server, Set<RequestFingerprint> suspects, long nanos) {}
+    private record BrokenServer(ServerInstance server, Set<CrashSuspect> suspects, long nanos) {}
 
     CrashDetector(BackendConnectionPool connections, CrashLog log, Listener listener) {
         this.connections = connections;
@@ -63,9 +62,9 @@
         return !checking.isEmpty();
     }
 
-    /** Returns the number of servers that are being checked because of a request. */
-    int unconfirmedCrashes(RequestFingerprint request) {
-        return (int) checking.values().stream().filter(set -> set.contains(request)).count();
+    /** Returns the number of servers that are being checked because of a suspect. */
+    int unconfirmedCrashes(CrashSuspect suspect) {
+        return (int) checking.values().stream().filter(set -> set.contains(suspect)).count();
     }
 
     /**
@@ -96,11 +95,11 @@
         if (!isInUse(server)) {
             return;
         }
-        Set<RequestFingerprint> suspects = abandoned.on(server, nowNanos);
-        suspects.add(failed.fingerprint());
+        Set<CrashSuspect> suspects = abandoned.on(server, nowNanos);
+        suspects.addAll(failed.suspectsOfCrash());
         inFlight.stream()
                 .filter(request -> request.isSentTo(server))
-                .forEach(request -> suspects.add(request.fingerprint()));
+                .forEach(request -> suspects.addAll(request.suspectsOfCrash()));
         check(server, suspects, nowNanos);
     }
 
@@ -112,7 +111,7 @@
     }
 
     private void onConnectFailed(ServerInstance server, long nowNanos) {
-        Set<RequestFingerprint> suspects = abandoned.on(server, nowNanos);
+        Set<CrashSuspect> suspects = abandoned.on(server, nowNanos);
         if (!suspects.isEmpty()) {
             check(server, suspects, nowNanos);
         }
@@ -121,7 +120,7 @@
     /** Records that a request was given up while a server may have been at work on it. */
     void onAbandoned(ForwardedRequest request, ServerInstance server, long nowNanos) {
         if (isInUse(server) && request.triedServerIds().contains(server.id())) {
-            abandoned.add(server, request.fingerprint(), nowNanos);
+            request.suspectsOfCrash().forEach(suspect -> abandoned.add(server, suspect, nowNanos));
         }
     }
 
@@ -134,8 +133,8 @@
         }
     }
 
-    private void check(ServerInstance server, Set<RequestFingerprint> suspects, long nowNanos) {
-        Set<RequestFingerprint> inProgress = checking.get(server.incarnationId());
+    private void check(ServerInstance server, Set<CrashSuspect> suspects, long nowNanos) {
+        Set<CrashSuspect> inProgress = checking.get(server.incarnationId());
         if (inProgress != null) {
             inProgress.addAll(suspects);
             return;
@@ -145,7 +144,7 @@
     }
 
     private void onChecked(ServerInstance server, Reachability result, long brokenNanos) {
-        Set<RequestFingerprint> suspects = checking.remove(server.incarnationId());
+        Set<CrashSuspect> suspects = checking.remove(server.incarnationId());
         log.checked(server, result, suspects);
         BrokenServer broken = new BrokenServer(server, suspects, brokenNanos);
         switch (result) {
@@ -165,7 +164,7 @@
     /** Records that another process listens at the address of a server. */
     private void onReplaced(ServerInstance server, long nowNanos) {
         BrokenServer broken = listening.remove(server.incarnationId());
-        Set<RequestFingerprint> suspects = abandoned.on(server, nowNanos);
+        Set<CrashSuspect> suspects = abandoned.on(server, nowNanos);
         if (broken != null) {
             suspects.addAll(broken.suspects());
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -2,18 +2,22 @@
 
 import io.pollenpath.coordination.serving.CrashHistory;
 import io.pollenpath.coordination.serving.CrashReport;
+import io.pollenpath.coordination.serving.ServiceRecoveries;
 import io.pollenpath.coordination.serving.SuspectPolicy;
 import io.pollenpath.coordination.serving.TrialClaim;
 import io.pollenpath.coordination.serving.TrialPermits;
 import io.pollenpath.coordination.serving.TrialVotes;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.ServerInstance;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 /**
- * Keeps requests that crash the servers that run them from crashing more: it blocks suspects and
+ * Keeps what crashes servers from crashing more of them: it blocks requests with such suspects and
  * gives their trials together with the other entries. All calls are made on one event loop.
  */
 final class CrashGuard {
@@ -25,6 +29,7 @@
     private final String ownName;
     private final TrialVotes votes;
     private final TrialPermits permits;
+    private final ServiceRecoveries recoveries = new ServiceRecoveries();
     private TrialVoters voters = claim -> CompletableFuture.completedFuture(true);
     private Runnable onChange = () -> {};
     private Runnable onLearned = () -> {};
@@ -71,23 +76,53 @@
         if (history.isEmpty() && !detector.isChecking()) {
             return SuspectPolicy.SEND;
         }
-        RequestFingerprint fingerprint = request.fingerprint();
-        int unconfirmed = detector.unconfirmedCrashes(fingerprint);
-        CrashHistory.Suspicion suspicion = history.suspicion(fingerprint);
-        SuspectPolicy.Verdict verdict = SuspectPolicy.decide(suspicion, unconfirmed, nowNanos);
-        boolean trial = verdict.decision() == SuspectPolicy.Decision.TRIAL;
-        return trial ? trialVerdict(fingerprint, suspicion.trials(), nowNanos) : verdict;
+        SuspectPolicy.Verdict verdict = SuspectPolicy.SEND;
+        for (CrashSuspect suspect : request.suspects()) {
+            verdict = verdict.stricter(decide(request, suspect, nowNanos));
+        }
+        if (verdict.decision() != SuspectPolicy.Decision.TRIAL) {
+            return verdict;
+        }
+        for (CrashSuspect suspect : suspectsOnTrial(request, nowNanos)) {
+            verdict = verdict.stricter(trialVerdict(suspect, nowNanos));
+        }
+        return verdict;
+    }
+
+    private SuspectPolicy.Verdict decide(
+            ForwardedRequest request, CrashSuspect suspect, long nowNanos) {
+        SuspectPolicy.Verdict verdict =
+                SuspectPolicy.decide(
+                        history.suspicion(suspect), detector.unconfirmedCrashes(suspect), nowNanos);
+        boolean sharedTrial =
+                suspect.isShared() && verdict.decision() == SuspectPolicy.Decision.TRIAL;
+        return sharedTrial && !hasRecovered(request.context().service(), nowNanos)
+                ? SuspectPolicy.refuse(SuspectPolicy.RECOVERY_RETRY_AFTER_MS)
+                : verdict;
+    }
+
+    private boolean hasRecovered(String service, long nowNanos) {
+        return recoveries.hasRecovered(service, history.latestCrashNanos(service), nowNanos);
+    }
+
+    private List<CrashSuspect> suspectsOnTrial(ForwardedRequest request, long nowNanos) {
+        return request.suspects().stream()
+                .filter(
+                        suspect ->
+                                decide(request, suspect, nowNanos).decision()
+                                        == SuspectPolicy.Decision.TRIAL)
+                .toList();
     }
 
-    private SuspectPolicy.Verdict trialVerdict(
-            RequestFingerprint request, int number, long nowNanos) {
-        if (permits.state(request, number, nowNanos) == TrialPermits.State.NONE) {
-            askForPermit(new TrialClaim(request, number, ownName), nowNanos);
+    private SuspectPolicy.Verdict trialVerdict(CrashSuspect suspect, long nowNanos) {
+        int number = history.suspicion(suspect).trials();
+        if (permits.state(suspect, number, nowNanos) == TrialPermits.State.NONE) {
+            askForPermit(new TrialClaim(suspect, number, ownName), nowNanos);
         }
-        return switch (permits.state(request, number, nowNanos)) {
+        return switch (permits.state(suspect, number, nowNanos)) {
             case GRANTED -> SuspectPolicy.TRIAL;
             case NONE, ASKED -> SuspectPolicy.AWAIT_PERMIT;
-            case REFUSED -> SuspectPolicy.refuse(permits.remainingMs(request, nowNanos));
+            case REFUSED -> SuspectPolicy.refuse(permits.remainingMs(suspect, nowNanos));
         };
     }
 
@@ -117,7 +152,14 @@
 
     /** Logs that a request is refused because of a verdict. */
     void onRefused(ForwardedRequest request, SuspectPolicy.Verdict verdict) {
-        log.blocked(request, history.suspicion(request.fingerprint()), verdict);
+        CrashSuspect suspect = mostSuspicious(request);
+        log.blocked(request, suspect, history.suspicion(suspect), verdict);
+    }
+
+    private CrashSuspect mostSuspicious(ForwardedRequest request) {
+        Comparator<CrashSuspect> byCrashes =
+                Comparator.comparing(suspect -> history.suspicion(suspect).inFlightCrashes());
+        return Collections.max(request.suspects(), byCrashes);
     }
 
     /**
@@ -130,39 +172,61 @@
             return false;
         }
         if (verdict.decision() == SuspectPolicy.Decision.TRIAL) {
-            RequestFingerprint fingerprint = request.fingerprint();
-            history.recordTrial(fingerprint, random.nextLong(), nowNanos);
-            log.trial(request, history.suspicion(fingerprint));
-            onChange.run();
+            recordTrial(request, nowNanos);
         }
         logSend(request);
         return true;
     }
 
+    private void recordTrial(ForwardedRequest request, long nowNanos) {
+        for (CrashSuspect suspect : suspectsOnTrial(request, nowNanos)) {
+            history.recordTrial(suspect, random.nextLong(), nowNanos);
+            log.trial(request, suspect, history.suspicion(suspect));
+        }
+        onChange.run();
+    }
+
     private void logSend(ForwardedRequest request) {
         if (history.isEmpty()) {
             return;
         }
-        CrashHistory.Suspicion suspicion = history.suspicion(request.fingerprint());
+        CrashSuspect suspect = mostSuspicious(request);
+        CrashHistory.Suspicion suspicion = history.suspicion(suspect);
         if (suspicion.inFlightCrashes() > 0) {
-            log.sent(request, suspicion);
+            log.sent(request, suspect, suspicion);
         }
     }
 
-    private void onCrash(ServerInstance server, Set<RequestFingerprint> suspects, long nanos) {
+    private void onCrash(ServerInstance server, Set<CrashSuspect> suspects, long nanos) {
         if (history.recordCrash(server.incarnationId(), server.service(), suspects, nanos)) {
             onChange.run();
         }
     }
 
-    /** Records a complete answer, which clears a suspect. */
+    /** Records that an answer went on after its first event, which clears what it shares. */
+    void onAnswerGoesOn(ForwardedRequest request, long nowNanos) {
+        recoveries.onAnswer(request.context().service(), nowNanos);
+        clear(request, request.sharedSuspects(), nowNanos);
+    }
+
+    /** Records a complete answer that is no failure, which clears all that the request is. */
     void onAnswered(ForwardedRequest request, long nowNanos) {
-        if (history.isEmpty()) {
-            return;
+        recoveries.onAnswer(request.context().service(), nowNanos);
+        clear(request, List.of(request.fingerprint()), nowNanos);
+        if (request.isAnsweredBySuccess()) {
+            clear(request, request.sharedSuspects(), nowNanos);
         }
-        RequestFingerprint fingerprint = request.fingerprint();
-        if (history.recordAnswer(fingerprint, nowNanos)) {
-            log.cleared(request);
+    }
+
+    private void clear(ForwardedRequest request, List<CrashSuspect> suspects, long nowNanos) {
+        boolean changed = false;
+        for (CrashSuspect suspect : suspects) {
+            if (history.recordAnswer(suspect, nowNanos)) {
+                log.cleared(request, suspect);
+                changed = true;
+            }
+        }
+        if (changed) {
             onChange.run();
         }
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -5,7 +5,7 @@
 import io.pollenpath.coordination.serving.CrashReport;
 import io.pollenpath.coordination.serving.SuspectPolicy;
 import io.pollenpath.coordination.serving.TrialClaim;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.transport.MetricNames;
 import io.pollenpath.util.LogLine;
@@ -27,7 +27,7 @@
     }
 
     /** Logs the check of a server after a connection to it broke. */
-    void checked(ServerInstance server, Reachability result, Set<RequestFingerprint> inFlight) {
+    void checked(ServerInstance server, Reachability result, Set<CrashSuspect> inFlight) {
         MetricNames.count(metrics, "server_checks_total", "result", result.name());
         LOG.info(
                 "{}",
@@ -40,7 +40,7 @@
     }
 
     /** Logs that another process listens where a connection broke, so the server has ended. */
-    void restarted(ServerInstance server, Set<RequestFingerprint> inFlight) {
+    void restarted(ServerInstance server, Set<CrashSuspect> inFlight) {
         MetricNames.count(metrics, "server_checks_total", "result", "RESTARTED");
         LOG.info(
                 "{}",
@@ -52,13 +52,15 @@
     }
 
     /** Logs one send of a suspect. */
-    void sent(ForwardedRequest request, CrashHistory.Suspicion suspicion) {
+    void sent(ForwardedRequest request, CrashSuspect suspect, CrashHistory.Suspicion suspicion) {
         MetricNames.count(metrics, "suspects_total", "event", "sent");
         LOG.info(
                 "{}",
                 LogLine.event("suspect_sent")
                         .with("request", request.context().callerHeaders().requestId())
                         .with("fingerprint", request.fingerprint())
+                        .with("suspect", suspect)
+                        .with("shared", suspect.isShared())
                         .with("server", request.server().incarnationId())
                         .with("crashes", suspicion.crashes())
                         .with("in_flight_crashes", suspicion.inFlightCrashes())
@@ -78,13 +80,15 @@
     }
 
     /** Logs the trial of a blocked request. */
-    void trial(ForwardedRequest request, CrashHistory.Suspicion suspicion) {
+    void trial(ForwardedRequest request, CrashSuspect suspect, CrashHistory.Suspicion suspicion) {
         MetricNames.count(metrics, "suspects_total", "event", "trial");
         LOG.info(
                 "{}",
                 LogLine.event("suspect_trial")
                         .with("request", request.context().callerHeaders().requestId())
                         .with("fingerprint", request.fingerprint())
+                        .with("suspect", suspect)
+                        .with("shared", suspect.isShared())
                         .with("crashes", suspicion.crashes())
                         .with("contested", suspicion.contested())
                         .with("trial", suspicion.trials()));
@@ -93,6 +97,7 @@
     /** Logs the refusal of a blocked request. */
     void blocked(
             ForwardedRequest request,
+            CrashSuspect suspect,
             CrashHistory.Suspicion suspicion,
             SuspectPolicy.Verdict verdict) {
         MetricNames.count(metrics, "suspects_total", "event", "blocked");
@@ -101,6 +106,8 @@
                 LogLine.event("suspect_blocked")
                         .with("request", request.context().callerHeaders().requestId())
                         .with("fingerprint", request.fingerprint())
+                        .with("suspect", suspect)
+                        .with("shared", suspect.isShared())
                         .with("crashes", suspicion.crashes())
                         .with("in_flight_crashes", suspicion.inFlightCrashes())
                         .with("contested", suspicion.contested())
@@ -110,13 +117,15 @@
     }
 
     /** Logs that a complete answer cleared a suspect. */
-    void cleared(ForwardedRequest request) {
+    void cleared(ForwardedRequest request, CrashSuspect suspect) {
         MetricNames.count(metrics, "suspects_total", "event", "cleared");
         LOG.info(
                 "{}",
                 LogLine.event("suspect_cleared")
                         .with("request", request.context().callerHeaders().requestId())
-                        .with("fingerprint", request.fingerprint()));
+                        .with("fingerprint", request.fingerprint())
+                        .with("suspect", suspect)
+                        .with("shared", suspect.isShared()));
     }
 
     /** Logs that another entry told something new. */
@@ -129,10 +138,10 @@
                         .with("trials", report.trials().size()));
     }
 
-    private static String listed(Set<RequestFingerprint> fingerprints) {
+    private static String listed(Set<CrashSuspect> fingerprints) {
         return fingerprints.stream()
                 .limit(MAX_LISTED_SUSPECTS)
-                .map(RequestFingerprint::toString)
+                .map(CrashSuspect::toString)
                 .collect(Collectors.joining(","));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
@@ -10,7 +10,7 @@
 import io.pollenpath.protocol.wire.RequestClearance;
 import io.pollenpath.protocol.wire.RequestTrial;
 import io.pollenpath.protocol.wire.ServerCrash;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -69,7 +69,7 @@
         }
     }
 
-    private static ByteString encode(RequestFingerprint request) {
+    private static ByteString encode(CrashSuspect request) {
         return ByteString.copyFrom(request.encode());
     }
 
@@ -113,7 +113,7 @@
     private static CrashReport decodeCrashes(EntryNotice notice) {
         List<CrashReport.Crash> crashes = new ArrayList<>();
         for (ServerCrash crash : notice.getCrashesList()) {
-            Set<RequestFingerprint> suspects = new HashSet<>();
+            Set<CrashSuspect> suspects = new HashSet<>();
             crash.getSuspectsList().forEach(suspect -> suspects.add(decode(suspect)));
             crashes.add(
                     new CrashReport.Crash(
@@ -134,7 +134,7 @@
         return new CrashReport(crashes, clearances, trials);
     }
 
-    private static RequestFingerprint decode(ByteString request) {
-        return RequestFingerprint.decode(request.toByteArray());
+    private static CrashSuspect decode(ByteString request) {
+        return CrashSuspect.decode(request.toByteArray());
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryServer.java
@@ -18,6 +18,7 @@
 
     private static final int STATUS_OK = 200;
     private static final int STATUS_BAD_REQUEST = 400;
+    private static final int MAX_MESSAGE_BYTES = 4_194_304;
     private static final byte[] NO_BODY = new byte[0];
 
     private final Gateway gateway;
@@ -34,7 +35,13 @@
      */
     public EntryServer(NettyLoops loops, String host, int port, Gateway gateway) {
         this.gateway = gateway;
-        server = new HttpServer(loops, host, port, HttpLimits.DEFAULT, this::handle);
+        server =
+                new HttpServer(
+                        loops,
+                        host,
+                        port,
+                        HttpLimits.DEFAULT.withMaxBodyBytes(MAX_MESSAGE_BYTES),
+                        this::handle);
     }
 
     private void handle(HttpCall call, HttpExchange exchange) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -10,10 +10,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.pollenpath.coordination.serving.SendOutcome;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -30,6 +31,7 @@
     private static final int MAX_BUFFERED_ANSWER_BYTES = 8_388_608;
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
+    private static final int EVENTS_OF_ANSWER_THAT_GOES_ON = 2;
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final Gateway gateway;
@@ -39,7 +41,8 @@
     private final EventSplitter splitter = new EventSplitter();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-    private RequestFingerprint fingerprint;
+    private CrashSuspect fingerprint;
+    private List<CrashSuspect> sharedSuspects;
     private int selections;
     private int sends;
     private boolean mayHaveRun;
@@ -77,13 +80,45 @@
     }
 
     /** Returns what identifies all attempts of this request, computed on the first call. */
-    RequestFingerprint fingerprint() {
+    CrashSuspect fingerprint() {
         if (fingerprint == null) {
-            fingerprint = context.fingerprint();
+            fingerprint = context.requestSuspect();
         }
         return fingerprint;
     }
 
+    /** Returns what this request shares with others and may crash servers. */
+    List<CrashSuspect> sharedSuspects() {
+        if (sharedSuspects == null) {
+            sharedSuspects = context.sharedSuspects();
+        }
+        return sharedSuspects;
+    }
+
+    /** Returns all that may crash the servers that work on this request. */
+    List<CrashSuspect> suspects() {
+        List<CrashSuspect> suspects = new ArrayList<>(sharedSuspects());
+        suspects.add(fingerprint());
+        return suspects;
+    }
+
+    /**
+     * Returns what may have crashed the latest server of this request. If its answer went on after
+     * the first event, that server has worked on all parts of the prompt before.
+     */
+    List<CrashSuspect> suspectsOfCrash() {
+        return answerWentOn() ? List.of(fingerprint()) : suspects();
+    }
+
+    /** Returns whether the server has answered as the route promises, with events if it streams. */
+    boolean isAnsweredBySuccess() {
+        return status == STATUS_OK && (!context.route().streaming() || eventsOfSend > 0);
+    }
+
+    private boolean answerWentOn() {
+        return eventsOfSend >= EVENTS_OF_ANSWER_THAT_GOES_ON;
+    }
+
     Set<String> triedServerIds() {
         return triedServerIds;
     }
@@ -268,7 +303,7 @@
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
         for (EventSplitter.Event event : completeEvents) {
-            eventsOfSend++;
+            onEvent();
             if (isAlreadyForwarded(event)) {
                 continue;
             }
@@ -288,6 +323,13 @@
         }
     }
 
+    private void onEvent() {
+        eventsOfSend++;
+        if (eventsOfSend == EVENTS_OF_ANSWER_THAT_GOES_ON) {
+            gateway.onAnswerGoesOn(this);
+        }
+    }
+
     private boolean isAlreadyForwarded(EventSplitter.Event event) {
         return event.id().isPresent()
                 && lastEventId.isPresent()
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -308,6 +308,11 @@
         caller.writeFull(problem.status(), headers, problem.toJson(callerHeaders.requestId()));
     }
 
+    /** Hears that an answer went on after its first event. */
+    void onAnswerGoesOn(ForwardedRequest request) {
+        crashGuard.onAnswerGoesOn(request, System.nanoTime());
+    }
+
     void onEventGap(ForwardedRequest request, long gapNanos, long nowNanos) {
         dispatcher.onEventGap(request, gapNanos, nowNanos);
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
@@ -3,8 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.state.serving.ClientAccount;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -35,13 +37,31 @@
         long arrivedNanos,
         long deadlineNanos) {
 
-    RequestFingerprint fingerprint() {
-        return RequestFingerprint.of(
-                account.map(ClientAccount::name).orElse(""),
-                method,
-                headers.get(HttpHeaderNames.HOST, ""),
-                uri,
-                body);
+    /** Returns what identifies all attempts of this request. */
+    CrashSuspect requestSuspect() {
+        return CrashSuspect.ofRequest(
+                accountName(), method, host(), uri, callerHeaders.promptParts(), body);
+    }
+
+    /** Returns what this request shares with others and may crash servers. */
+    List<CrashSuspect> sharedSuspects() {
+        List<CrashSuspect> suspects = new ArrayList<>();
+        if (!callerHeaders.promptParts().isEmpty()) {
+            suspects.add(CrashSuspect.ofAnyPrompt(accountName(), method, host(), uri, body));
+        }
+        callerHeaders.sharedPromptParts().stream()
+                .distinct()
+                .map(CrashSuspect::ofPromptPart)
+                .forEach(suspects::add);
+        return suspects;
+    }
+
+    private String accountName() {
+        return account.map(ClientAccount::name).orElse("");
+    }
+
+    private String host() {
+        return headers.get(HttpHeaderNames.HOST, "");
     }
 
     int priority() {
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashHistoryTest.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -12,8 +12,8 @@
 class CrashHistoryTest {
 
     private static final String SERVICE = "drafts";
-    private static final RequestFingerprint CULPRIT = new RequestFingerprint(1, 1);
-    private static final RequestFingerprint BYSTANDER = new RequestFingerprint(2, 2);
+    private static final CrashSuspect CULPRIT = new CrashSuspect(1, 1);
+    private static final CrashSuspect BYSTANDER = new CrashSuspect(2, 2);
 
     private final CrashHistory history = new CrashHistory();
 
@@ -21,7 +21,7 @@
         return TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
-    private void crash(String server, long atMs, RequestFingerprint... suspects) {
+    private void crash(String server, long atMs, CrashSuspect... suspects) {
         history.recordCrash(server, SERVICE, Set.of(suspects), ms(atMs));
     }
 
@@ -155,7 +155,7 @@
         crash("b@1", 200, CULPRIT);
         crash("c@1", 300, CULPRIT);
         for (int i = 0; i < 2 * CrashHistory.MAX_CRASHES; i++) {
-            crash("s" + i + "@1", 1_000 + i, new RequestFingerprint(9, i));
+            crash("s" + i + "@1", 1_000 + i, new CrashSuspect(9, i));
         }
         assertThat(history.suspicion(CULPRIT).inFlightCrashes()).isEqualTo(3);
         assertThat(history.report(ms(9_000)).crashes()).hasSize(CrashHistory.MAX_CRASHES);
@@ -165,9 +165,9 @@
     void fullHistoriesStopChangingEachOther() {
         CrashHistory other = new CrashHistory();
         for (int i = 0; i < 2 * CrashHistory.MAX_CRASHES; i++) {
-            crash("s" + i + "@1", 1_000 + i, new RequestFingerprint(9, i));
+            crash("s" + i + "@1", 1_000 + i, new CrashSuspect(9, i));
             other.recordCrash(
-                    "t" + i + "@1", SERVICE, Set.of(new RequestFingerprint(8, i)), ms(1_000 + i));
+                    "t" + i + "@1", SERVICE, Set.of(new CrashSuspect(8, i)), ms(1_000 + i));
         }
         other.merge(history.report(ms(9_000)), ms(9_000));
         history.merge(other.report(ms(9_000)), ms(9_000));
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
@@ -12,7 +12,7 @@
     private static SuspectPolicy.Verdict decide(
             int crashes, boolean contested, int trials, int unconfirmed, long sinceMs) {
         CrashHistory.Suspicion suspicion =
-                new CrashHistory.Suspicion(crashes, crashes, contested, trials, 0);
+                new CrashHistory.Suspicion(crashes, crashes, contested, trials, 0, 3);
         return SuspectPolicy.decide(suspicion, unconfirmed, TimeUnit.MILLISECONDS.toNanos(sinceMs));
     }
 
@@ -41,11 +41,11 @@
 
     @Test
     void staysBlockedWhenAnotherRequestExplainsTheCrashes() {
-        CrashHistory.Suspicion first = new CrashHistory.Suspicion(0, 3, true, 0, 0);
+        CrashHistory.Suspicion first = new CrashHistory.Suspicion(0, 3, true, 0, 0, 3);
         assertThat(SuspectPolicy.decide(first, 0, 0).decision()).isEqualTo(Decision.TRIAL);
-        CrashHistory.Suspicion tried = new CrashHistory.Suspicion(1, 4, true, 1, 0);
+        CrashHistory.Suspicion tried = new CrashHistory.Suspicion(1, 4, true, 1, 0, 3);
         assertThat(SuspectPolicy.decide(tried, 0, 0).decision()).isEqualTo(Decision.REFUSE);
-        CrashHistory.Suspicion exhausted = new CrashHistory.Suspicion(2, 6, true, 3, 0);
+        CrashHistory.Suspicion exhausted = new CrashHistory.Suspicion(2, 6, true, 3, 0, 3);
         SuspectPolicy.Verdict verdict =
                 SuspectPolicy.decide(exhausted, 0, TimeUnit.MILLISECONDS.toNanos(500_000));
         assertThat(verdict.decision()).isEqualTo(Decision.REFUSE);
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialAgreementTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialAgreementTest.java
@@ -3,7 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -16,8 +16,8 @@
 /** Tests trials of a request that all entries want to run at once, in simulated time. */
 class TrialAgreementTest {
 
-    private static final RequestFingerprint CULPRIT = new RequestFingerprint(1, 1);
-    private static final RequestFingerprint RIVAL = new RequestFingerprint(2, 2);
+    private static final CrashSuspect CULPRIT = new CrashSuspect(1, 1);
+    private static final CrashSuspect RIVAL = new CrashSuspect(2, 2);
     private static final int MAX_TRIALS = 3;
     private static final int SEEDS = 20;
     private static final int MAX_DELAY_MS = 300;
@@ -151,7 +151,7 @@
         for (int i = 0; i < entryCount; i++) {
             Entry entry = new Entry("entry-" + i);
             entries.add(entry);
-            for (int server = 0; server < CrashHistory.BLOCKING_CRASHES; server++) {
+            for (int server = 0; server < CrashAnalysis.BLOCKING_CRASHES; server++) {
                 entry.history.recordCrash(
                         "first-" + server + "@1", "drafts", Set.of(CULPRIT, RIVAL), nowNanos);
             }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialPermitsTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialPermitsTest.java
@@ -3,7 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.pollenpath.coordination.serving.TrialPermits.State;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -11,7 +11,7 @@
 /** Tests the permits for trials of one entry. */
 class TrialPermitsTest {
 
-    private static final RequestFingerprint REQUEST = new RequestFingerprint(1, 1);
+    private static final CrashSuspect REQUEST = new CrashSuspect(1, 1);
 
     private final TrialPermits permits = new TrialPermits(new SplittableRandom(1));
 
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialVotesTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialVotesTest.java
@@ -2,14 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** Tests the votes of one entry on trials. */
 class TrialVotesTest {
 
-    private static final RequestFingerprint REQUEST = new RequestFingerprint(1, 1);
+    private static final CrashSuspect REQUEST = new CrashSuspect(1, 1);
     private static final long LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(TrialVotes.LEASE_MS);
 
     private final TrialVotes votes = new TrialVotes(0);
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryMessagesTest.java
@@ -6,7 +6,7 @@
 import io.pollenpath.coordination.serving.CrashReport;
 import io.pollenpath.coordination.serving.LimitReport;
 import io.pollenpath.coordination.serving.TrialClaim;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -16,7 +16,7 @@
 /** Tests the messages between entries. */
 class EntryMessagesTest {
 
-    private static final RequestFingerprint REQUEST = new RequestFingerprint(5, -6);
+    private static final CrashSuspect REQUEST = new CrashSuspect(5, -6);
 
     @Test
     void reportSurvivesEncoding() {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -7,7 +7,7 @@
 import io.pollenpath.coordination.serving.CrashHistory;
 import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
-import io.pollenpath.state.serving.RequestFingerprint;
+import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.HttpLimits;
 import io.pollenpath.transport.HttpServer;
@@ -88,7 +88,7 @@
         guard.setOnLearned(peers::onLearned);
         setAddressesOften();
         CrashHistory history = new CrashHistory();
-        Set<RequestFingerprint> suspects = Set.of(new RequestFingerprint(1, 1));
+        Set<CrashSuspect> suspects = Set.of(new CrashSuspect(1, 1));
         history.recordCrash("engine-1@1", "drafts", suspects, System.nanoTime());
         byte[] message =
                 EntryMessages.encode(
--- a/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
@@ -35,6 +35,7 @@
     private static final int ENTRIES = 3;
     private static final int ENGINES = 9;
     private static final int ALLOWED_CRASHES = 5;
+    private static final int CRASHES_OF_ONE_REQUEST = 3;
     private static final int MAX_LATE_ARRIVALS = 3;
     private static final double MIN_BEGUN = 0.5;
     private static final double MIN_BEGUN_AFTER_CRASH_WAVE = 0.98;
@@ -229,6 +230,28 @@
                     .isAtMost(MAX_LATE_ARRIVALS);
         }
         assertWithMessage("sound requests begun; %s", seen).that(begun).isAtLeast(MIN_BEGUN);
+        assertWithMessage("late arrivals of a crashing request; %s", seen)
+                .that(lateArrivalsOfCrashingRequest())
+                .isAtMost(MAX_LATE_ARRIVALS);
+    }
+
+    private long lateArrivalsOfCrashingRequest() {
+        List<Long> ends =
+                engines.stream()
+                        .flatMap(engine -> engine.ends().stream())
+                        .filter(end -> end.path().equals(PromptEngine.CRASHING_PATH))
+                        .map(PromptEngine.End::nanos)
+                        .sorted()
+                        .toList();
+        if (ends.size() < CRASHES_OF_ONE_REQUEST) {
+            return 0;
+        }
+        long fromNanos = ends.get(CRASHES_OF_ONE_REQUEST - 1) + STABLE_NANOS;
+        return engines.stream()
+                .flatMap(engine -> engine.arrivals().stream())
+                .filter(arrival -> arrival.path().equals(PromptEngine.CRASHING_PATH))
+                .filter(arrival -> arrival.nanos() > fromNanos)
+                .count();
     }
 
     private String seen(double begun) {
