Split the answer of one send, the suspects and the sent request out of ForwardedRequest

ServerAnswer holds what one server has answered, RequestSuspects what may crash servers, RequestContext builds what is sent. No behaviour changes: GatewayFaultsTest, EndlessAnswerTest, ServerSignalsTest, CrashAnalysisTest pass.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -77,7 +77,7 @@
             return SuspectPolicy.SEND;
         }
         SuspectPolicy.Verdict verdict = SuspectPolicy.SEND;
-        for (CrashSuspect suspect : request.suspects()) {
+        for (CrashSuspect suspect : request.suspects().all()) {
             verdict = verdict.stricter(decide(request, suspect, nowNanos));
         }
         if (verdict.decision() != SuspectPolicy.Decision.TRIAL) {
@@ -106,7 +106,7 @@
     }
 
     private List<CrashSuspect> suspectsOnTrial(ForwardedRequest request, long nowNanos) {
-        return request.suspects().stream()
+        return request.suspects().all().stream()
                 .filter(
                         suspect ->
                                 decide(request, suspect, nowNanos).decision()
@@ -159,7 +159,7 @@
     private CrashSuspect mostSuspicious(ForwardedRequest request) {
         Comparator<CrashSuspect> byCrashes =
                 Comparator.comparing(suspect -> history.suspicion(suspect).inFlightCrashes());
-        return Collections.max(request.suspects(), byCrashes);
+        return Collections.max(request.suspects().all(), byCrashes);
     }
 
     /**
@@ -206,7 +206,7 @@
     /** Records that an answer went on after its first event, which clears what it shares. */
     void onAnswerGoesOn(ForwardedRequest request, long nowNanos) {
         recoveries.onAnswer(request.context().service(), nowNanos);
-        clear(request, request.sharedSuspects(), nowNanos);
+        clear(request, request.suspects().shared(), nowNanos);
     }
 
     /** Records a complete answer that is no failure, which clears all that the request is. */
@@ -214,7 +214,7 @@
         recoveries.onAnswer(request.context().service(), nowNanos);
         clear(request, List.of(request.fingerprint()), nowNanos);
         if (request.isAnsweredBySuccess()) {
-            clear(request, request.sharedSuspects(), nowNanos);
+            clear(request, request.suspects().shared(), nowNanos);
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -53,12 +53,6 @@
         return length > 0;
     }
 
-    /** Discards the bytes of an incomplete event. */
-    void dropPartialEvent() {
-        length = 0;
-        scanned = 0;
-    }
-
     private void append(byte[] bytes) {
         if (length + bytes.length > pending.length) {
             int capacity = Math.max(pending.length * 2, length + bytes.length);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -1,20 +1,12 @@
 package io.pollenpath.transport.serving;
 
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
-import java.io.ByteArrayOutputStream;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -28,21 +20,16 @@
  */
 final class ForwardedRequest implements BackendListener {
 
-    private static final int MAX_BUFFERED_ANSWER_BYTES = 8_388_608;
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
-    private static final int EVENTS_OF_ANSWER_THAT_GOES_ON = 2;
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final Gateway gateway;
     private final CallerAnswer caller;
     private final RequestContext context;
+    private final RequestSuspects suspects;
     private final Set<String> triedServerIds = new HashSet<>();
-    private final EventSplitter splitter = new EventSplitter();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-    private CrashSuspect fingerprint;
-    private List<CrashSuspect> sharedSuspects;
     private int selections;
     private int sends;
     private boolean mayHaveRun;
@@ -54,20 +41,17 @@
     private long lastProgressNanos;
     private int status;
     private HttpHeaders head = EmptyHttpHeaders.INSTANCE;
-    private WireDialect.ReplyKind replyKind;
-    private boolean isStream;
+    private ServerAnswer answer = new ServerAnswer();
     private boolean headForwarded;
     private OptionalLong lastEventId;
     private long lastEventNanos;
     private int events;
-    private int eventsOfSend;
-    private boolean checkingEnd;
-    private AnswerFraming framing = AnswerFraming.NONE;
 
     ForwardedRequest(Gateway gateway, CallerAnswer caller, RequestContext context) {
         this.gateway = gateway;
         this.caller = caller;
         this.context = context;
+        suspects = new RequestSuspects(context);
         lastEventId = context.callerHeaders().lastEventId();
     }
 
@@ -79,26 +63,13 @@
         return context.route();
     }
 
-    /** Returns what identifies all attempts of this request, computed on the first call. */
+    /** Returns what identifies all attempts of this request. */
     CrashSuspect fingerprint() {
-        if (fingerprint == null) {
-            fingerprint = context.requestSuspect();
-        }
-        return fingerprint;
-    }
-
-    /** Returns what this request shares with others and may crash servers. */
-    List<CrashSuspect> sharedSuspects() {
-        if (sharedSuspects == null) {
-            sharedSuspects = context.sharedSuspects();
-        }
-        return sharedSuspects;
+        return suspects.request();
     }
 
-    /** Returns all that may crash the servers that work on this request. */
-    List<CrashSuspect> suspects() {
-        List<CrashSuspect> suspects = new ArrayList<>(sharedSuspects());
-        suspects.add(fingerprint());
+    /** Returns what may crash the servers that work on this request. */
+    RequestSuspects suspects() {
         return suspects;
     }
 
@@ -107,16 +78,12 @@
      * the first event, that server has worked on all parts of the prompt before.
      */
     List<CrashSuspect> suspectsOfCrash() {
-        return answerWentOn() ? List.of(fingerprint()) : suspects();
+        return answer.wentOn() ? List.of(fingerprint()) : suspects.all();
     }
 
     /** Returns whether the server has answered as the route promises, with events if it streams. */
     boolean isAnsweredBySuccess() {
-        return status == STATUS_OK && (!context.route().streaming() || eventsOfSend > 0);
-    }
-
-    private boolean answerWentOn() {
-        return eventsOfSend >= EVENTS_OF_ANSWER_THAT_GOES_ON;
+        return status == STATUS_OK && (!context.route().streaming() || answer.events() > 0);
     }
 
     Set<String> triedServerIds() {
@@ -148,14 +115,9 @@
         return events;
     }
 
-    /** Returns the number of events that the latest server has sent. */
-    int eventsOfSend() {
-        return eventsOfSend;
-    }
-
-    /** Returns how the latest server marks the end of its answer. */
-    AnswerFraming framing() {
-        return framing;
+    /** Returns the answer of the latest server. */
+    ServerAnswer answer() {
+        return answer;
     }
 
     ServerInstance server() {
@@ -174,7 +136,7 @@
 
     /** Returns whether the request was written to a server, which has not answered it yet. */
     boolean isSentTo(ServerInstance target) {
-        boolean waitsForAnswer = connection != null || checkingEnd;
+        boolean waitsForAnswer = connection != null || answer.isCheckingEnd();
         return waitsForAnswer
                 && server != null
                 && server.incarnationId().equals(target.incarnationId());
@@ -199,12 +161,7 @@
         if (firstSentNanos == 0) {
             firstSentNanos = nowNanos;
         }
-        splitter.dropPartialEvent();
-        body.reset();
-        replyKind = null;
-        eventsOfSend = 0;
-        checkingEnd = false;
-        framing = AnswerFraming.NONE;
+        answer = new ServerAnswer();
         connections.acquire(
                 target,
                 context.route().mayRunAgain(),
@@ -237,7 +194,13 @@
         triedServerIds.add(target.id());
         sentNanos = nowNanos;
         lastProgressNanos = nowNanos;
-        opened.send(toHttpRequest(nowNanos), context.callerHeaders().requestId(), this);
+        ForwardHeaders forward =
+                new ForwardHeaders(
+                        target, Math.max(1, timeLeftMs(nowNanos)), context.account(), lastEventId);
+        opened.send(
+                context.toHttpRequest(gateway.dialect(), forward),
+                context.callerHeaders().requestId(),
+                this);
     }
 
     private void withhold() {
@@ -246,64 +209,44 @@
         gateway.onWithheld(this, unused);
     }
 
-    private FullHttpRequest toHttpRequest(long nowNanos) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.valueOf(context.method()),
-                        context.uri(),
-                        Unpooled.wrappedBuffer(context.body()));
-        request.headers().add(context.headers());
-        long timeLeftMs = Math.max(1, timeLeftMs(nowNanos));
-        gateway.dialect()
-                .setForwardHeaders(
-                        request.headers(),
-                        new ForwardHeaders(server, timeLeftMs, context.account(), lastEventId));
-        if (context.body().length > 0 || !context.method().equals("GET")) {
-            HttpUtil.setContentLength(request, context.body().length);
-        }
-        return request;
-    }
-
     @Override
     public void onHead(int newStatus, HttpHeaders headers) {
         lastProgressNanos = System.nanoTime();
         status = newStatus;
-        framing = AnswerFraming.of(headers);
-        replyKind = gateway.dialect().classify(newStatus, headers);
+        WireDialect.ReplyKind replyKind = gateway.dialect().classify(newStatus, headers);
+        answer.onHead(replyKind, headers, isEventStream(headers));
         if (replyKind == WireDialect.ReplyKind.ANSWER) {
             mayHaveRun = true;
         }
         if (replyKind != WireDialect.ReplyKind.OTHER_SERVER) {
             gateway.onAnswerHead(this, newStatus, headers);
         }
-        String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
-        isStream =
-                context.route().streaming() && status == STATUS_OK && type.startsWith(EVENT_STREAM);
         if (!headForwarded) {
             head = HopByHopHeaders.withoutHopByHop(headers);
         }
     }
 
+    private boolean isEventStream(HttpHeaders headers) {
+        String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+        return context.route().streaming() && status == STATUS_OK && type.startsWith(EVENT_STREAM);
+    }
+
     @Override
     public void onData(byte[] bytes) {
         lastProgressNanos = System.nanoTime();
-        if (replyKind == WireDialect.ReplyKind.ANSWER && isStream) {
-            forwardEvents(splitter.add(bytes));
-            return;
-        }
-        body.writeBytes(bytes);
-        if (body.size() > MAX_BUFFERED_ANSWER_BYTES) {
+        if (answer.isForwardedStream()) {
+            forwardEvents(answer.addEvents(bytes));
+        } else if (!answer.addBody(bytes)) {
             connection.cancel();
-            onFailed(
-                    SendOutcome.UNKNOWN,
-                    "answer size in bytes exceeds " + MAX_BUFFERED_ANSWER_BYTES);
+            onFailed(SendOutcome.UNKNOWN, "answer is too large to be buffered");
         }
     }
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
         for (EventSplitter.Event event : completeEvents) {
-            onEvent();
+            if (answer.countEvent()) {
+                gateway.onAnswerGoesOn(this);
+            }
             if (isAlreadyForwarded(event)) {
                 continue;
             }
@@ -323,13 +266,6 @@
         }
     }
 
-    private void onEvent() {
-        eventsOfSend++;
-        if (eventsOfSend == EVENTS_OF_ANSWER_THAT_GOES_ON) {
-            gateway.onAnswerGoesOn(this);
-        }
-    }
-
     private boolean isAlreadyForwarded(EventSplitter.Event event) {
         return event.id().isPresent()
                 && lastEventId.isPresent()
@@ -352,7 +288,7 @@
     @Override
     public void onEnd() {
         connection = null;
-        switch (replyKind) {
+        switch (answer.kind()) {
             case NOT_RUN ->
                     failSend(
                             SendOutcome.NOT_RUN,
@@ -366,12 +302,12 @@
 
     @Override
     public void onEndByClose() {
-        if (replyKind != WireDialect.ReplyKind.ANSWER) {
+        if (answer.kind() != WireDialect.ReplyKind.ANSWER) {
             onEnd();
             return;
         }
         connection = null;
-        checkingEnd = true;
+        answer.setCheckingEnd(true);
         int selection = selections;
         gateway.checkServer(this, result -> onServerChecked(selection, result));
     }
@@ -380,7 +316,7 @@
         if (!isCurrentSelection(selection)) {
             return;
         }
-        checkingEnd = false;
+        answer.setCheckingEnd(false);
         if (result == Reachability.LISTENING) {
             onEnd();
         } else {
@@ -389,8 +325,8 @@
     }
 
     private void onCompleteAnswer() {
-        if (isStream) {
-            if (splitter.hasPartialEvent()) {
+        if (answer.isForwardedStream()) {
+            if (answer.hasPartialEvent()) {
                 failSend(SendOutcome.UNKNOWN, "stream ended with an incomplete event");
                 return;
             }
@@ -409,7 +345,7 @@
             failSend(SendOutcome.RUN_AND_FAILED, "server failed with status " + status);
         } else {
             finish("answered");
-            caller.writeFull(status, head, body.toByteArray());
+            caller.writeFull(status, head, answer.body());
         }
     }
 
@@ -440,7 +376,7 @@
     /** Forwards the error answer of the last server to the caller. */
     void forwardServerError() {
         finish("server_failed");
-        caller.writeFull(status, head, body.toByteArray());
+        caller.writeFull(status, head, answer.body());
     }
 
     /** Answers with an error of this entry, or aborts an answer that has started. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
@@ -1,7 +1,13 @@
 package io.pollenpath.transport.serving;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.pollenpath.state.serving.ClientAccount;
 import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
@@ -56,6 +62,22 @@
         return suspects;
     }
 
+    /** Returns the request as it is sent to a server. */
+    FullHttpRequest toHttpRequest(WireDialect dialect, ForwardHeaders forward) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(method),
+                        uri,
+                        Unpooled.wrappedBuffer(body));
+        request.headers().add(headers);
+        dialect.setForwardHeaders(request.headers(), forward);
+        if (body.length > 0 || !method.equals("GET")) {
+            HttpUtil.setContentLength(request, body.length);
+        }
+        return request;
+    }
+
     private String accountName() {
         return account.map(ClientAccount::name).orElse("");
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -33,7 +33,7 @@
         latencyMs.update(totalMs);
         queueWaitMs.update(request.queuedMs(nowNanos));
         MetricNames.count(metrics, "requests_total", "outcome", reason);
-        MetricNames.count(metrics, "answers_total", "framing", request.framing().name());
+        MetricNames.count(metrics, "answers_total", "framing", request.answer().framing().name());
         LOG.info(
                 "{}",
                 LogLine.event("request_done")
@@ -49,7 +49,7 @@
                         .with("waited_ms", request.queuedMs(nowNanos))
                         .with("total_ms", totalMs)
                         .with("events", request.events())
-                        .with("framing", request.framing()));
+                        .with("framing", request.answer().framing()));
     }
 
     void refused(
@@ -115,8 +115,8 @@
                         .with("send", request.sends())
                         .with("outcome", outcome)
                         .with("cause", cause)
-                        .with("events_of_send", request.eventsOfSend())
-                        .with("framing", request.framing())
+                        .with("events_of_send", request.answer().events())
+                        .with("framing", request.answer().framing())
                         .with("prompt_parts", listedParts(request))
                         .with("may_have_run", request.mayHaveRun())
                         .with("decision", decision));
@@ -131,7 +131,7 @@
                         .with("request", request.context().callerHeaders().requestId())
                         .with("server", server.incarnationId())
                         .with("result", result)
-                        .with("events_of_send", request.eventsOfSend()));
+                        .with("events_of_send", request.answer().events()));
     }
 
     private static String listedParts(ForwardedRequest request) {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EventSplitterTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EventSplitterTest.java
@@ -47,7 +47,9 @@
         EventSplitter splitter = new EventSplitter();
         assertThat(splitter.add(bytes("id: 1\ndata"))).isEmpty();
         assertThat(splitter.hasPartialEvent()).isTrue();
-        splitter.dropPartialEvent();
-        assertThat(splitter.add(bytes("id: 2\ndata: b\n\n"))).hasSize(1);
+        List<EventSplitter.Event> events = splitter.add(bytes(": b\n\n"));
+        assertThat(events).hasSize(1);
+        assertThat(events.get(0).bytes()).isEqualTo(bytes("id: 1\ndata: b\n\n"));
+        assertThat(splitter.hasPartialEvent()).isFalse();
     }
 }
