Keep answers with parts of prompts apart from those to requests that come once

An entry that serves many different requests forgot which parts of prompts had been in answers: each request adds what it is with any prompt, 4,096 of them displaced all parts, and three crashes then blocked good parts.

--- a/pollenpath/src/main/java/io/pollenpath/state/serving/CrashSuspect.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/serving/CrashSuspect.java
@@ -23,6 +23,7 @@
     public static final int SIZE_BYTES = 2 * Long.BYTES;
 
     private static final long SHARED_BIT = Long.MIN_VALUE;
+    private static final long PROMPT_PART_BIT = 1L << 62;
     private static final String PROMPT_PART = "prompt part";
     private static final String ANY_PROMPT = "any prompt";
 
@@ -66,7 +67,9 @@
     public static CrashSuspect ofAnyPrompt(
             String account, String method, String host, String uri, byte[] body) {
         Objects.requireNonNull(body, "body");
-        return shared(String.join("\n", ANY_PROMPT, account, method, host, uri, ""), body);
+        CrashSuspect digest =
+                digest(String.join("\n", ANY_PROMPT, account, method, host, uri, ""), body);
+        return new CrashSuspect((digest.high | SHARED_BIT) & ~PROMPT_PART_BIT, digest.low);
     }
 
     /**
@@ -77,12 +80,8 @@
      */
     public static CrashSuspect ofPromptPart(String id) {
         Objects.requireNonNull(id, "id");
-        return shared(String.join("\n", PROMPT_PART, id), new byte[0]);
-    }
-
-    private static CrashSuspect shared(String head, byte[] body) {
-        CrashSuspect digest = digest(head, body);
-        return new CrashSuspect(digest.high | SHARED_BIT, digest.low);
+        CrashSuspect digest = digest(String.join("\n", PROMPT_PART, id), new byte[0]);
+        return new CrashSuspect(digest.high | SHARED_BIT | PROMPT_PART_BIT, digest.low);
     }
 
     private static CrashSuspect digest(String head, byte[] body) {
@@ -101,6 +100,15 @@
         return high < 0;
     }
 
+    /**
+     * Returns whether this suspect is a part of prompts.
+     *
+     * @return false if it is one request, or one with any prompt
+     */
+    public boolean isPromptPart() {
+        return isShared() && (high & PROMPT_PART_BIT) != 0;
+    }
+
     /**
      * Decodes a suspect.
      *
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashAnalysisTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashAnalysisTest.java
@@ -153,6 +153,21 @@
         assertThat(other.merge(history.report(ms(9_030)), ms(9_030))).isFalse();
     }
 
+    @Test
+    void remembersAnswersWithPartThroughManyRequestsThatComeOnce() {
+        history.recordAnswer(GOOD, ms(0));
+        for (int i = 0; i < 2 * RecentAnswers.MAX_PARTS; i++) {
+            byte[] body = {(byte) i, (byte) (i >> 8)};
+            history.recordAnswer(
+                    CrashSuspect.ofAnyPrompt("clerks", "POST", "a.example", "/x", body), ms(i));
+        }
+        crash(100_000, BAD, GOOD);
+        crash(104_000, BAD, GOOD);
+        crash(108_000, BAD, GOOD);
+        assertThat(isBlocked(BAD)).isTrue();
+        assertThat(isBlocked(GOOD)).isFalse();
+    }
+
     @Test
     void answersOfPopularPartsDoNotKeepHistoriesExchanging() {
         CrashHistory other = new CrashHistory();
--- a/pollenpath/src/test/java/io/pollenpath/state/serving/CrashSuspectTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/state/serving/CrashSuspectTest.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Tests which requests share a fingerprint. */
+/** Tests what identifies that which may crash servers. */
 class CrashSuspectTest {
 
     private static final byte[] BODY = {1, 2};
@@ -50,6 +50,9 @@
         CrashSuspect anyPrompt =
                 CrashSuspect.ofAnyPrompt("clerks", "POST", "a.example", "/x?q=1", BODY);
         assertThat(anyPrompt.isShared()).isTrue();
+        assertThat(anyPrompt.isPromptPart()).isFalse();
+        assertThat(REQUEST.isPromptPart()).isFalse();
+        assertThat(CrashSuspect.ofPromptPart("shared").isPromptPart()).isTrue();
         assertThat(CrashSuspect.ofPromptPart("shared"))
                 .isNotEqualTo(CrashSuspect.ofPromptPart("other"));
         assertThat(CrashSuspect.decode(anyPrompt.encode())).isEqualTo(anyPrompt);
