Wait with a trial for an answer to a request that was sent after the crash

In a rank group of the tests (RANK_GROUP_TWO_PARTS) two of three trials of one part went to a group that was still down, 2.3 and 1.6 s after the crash: they were turned away and taught nothing, and there are three in ten minutes, for good parts too. Cause: an event that was on its way when the group broke counted as a sign that it works again. Now only an answer to a request that was sent after the latest crash counts.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServiceRecoveries.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServiceRecoveries.java
@@ -14,20 +14,21 @@
     /** The time after which a trial may run though nothing was answered, in milliseconds. */
     static final long MAX_WAIT_MS = 5_000;
 
-    private final Map<String, Long> answerNanos = new HashMap<>();
+    private final Map<String, Long> answeredSentNanos = new HashMap<>();
 
     /**
      * Records that a server of a service is at work on an answer.
      *
      * @param service the service, not null
-     * @param nowNanos the time, in nanoseconds
+     * @param sentNanos the time at which the request was sent to the server, in nanoseconds; what
+     *     was sent before a crash may be answered after it though nothing works any more
      */
-    public void onAnswer(String service, long nowNanos) {
-        answerNanos.put(service, nowNanos);
+    public void onAnswer(String service, long sentNanos) {
+        answeredSentNanos.merge(service, sentNanos, CrashHistory::later);
     }
 
     /**
-     * Returns whether a service has answered since its latest crash.
+     * Returns whether a service has answered a request that was sent after its latest crash.
      *
      * @param service the service, not null
      * @param latestCrashNanos the time of its latest crash, in nanoseconds; empty if there was none
@@ -39,7 +40,7 @@
                 || nowNanos - latestCrashNanos.get() > TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MS)) {
             return true;
         }
-        Long answer = answerNanos.get(service);
-        return answer != null && answer - latestCrashNanos.get() > 0;
+        Long sent = answeredSentNanos.get(service);
+        return sent != null && sent - latestCrashNanos.get() > 0;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -205,13 +205,13 @@
 
     /** Records that an answer went on after its first event, which clears what it shares. */
     void onAnswerGoesOn(ForwardedRequest request, long nowNanos) {
-        recoveries.onAnswer(request.context().service(), nowNanos);
+        recoveries.onAnswer(request.context().service(), request.sentNanos());
         clear(request, request.suspects().shared(), nowNanos);
     }
 
     /** Records a complete answer that is no failure, which clears all that the request is. */
     void onAnswered(ForwardedRequest request, long nowNanos) {
-        recoveries.onAnswer(request.context().service(), nowNanos);
+        recoveries.onAnswer(request.context().service(), request.sentNanos());
         clear(request, List.of(request.fingerprint()), nowNanos);
         if (request.isAnsweredBySuccess()) {
             clear(request, request.suspects().shared(), nowNanos);
