--- a/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -34,6 +35,7 @@
 
     private static final int ENTRIES = 3;
     private static final int ENGINES = 9;
+    private static final int RANKS = 16;
     private static final int ALLOWED_CRASHES = 5;
     private static final int CRASHES_OF_ONE_REQUEST = 3;
     private static final int MAX_LATE_ARRIVALS = 3;
@@ -71,7 +73,10 @@
         ENTRY_KILLED(1, 57),
         MANY_AT_ONCE(1, 67),
         MANY_PARTS_EACH(1, 77),
-        CRASHING_REQUEST_BESIDE(1, 87);
+        CRASHING_REQUEST_BESIDE(1, 87),
+        RANK_GROUP(1, 97),
+        RANK_GROUP_ALIKE_BUT_FOR_THE_PROMPT(1, 107),
+        RANK_GROUP_TWO_PARTS(2, 117);
 
         private final int crashingParts;
         private final long seed;
@@ -81,6 +86,14 @@
             this.seed = seed;
         }
 
+        private boolean isRankGroup() {
+            return name().startsWith("RANK_GROUP");
+        }
+
+        private boolean isAlike() {
+            return name().endsWith("ALIKE_BUT_FOR_THE_PROMPT");
+        }
+
         private List<String> crashingParts() {
             return IntStream.range(0, crashingParts).mapToObj(i -> "bad" + i).toList();
         }
@@ -98,7 +111,8 @@
                         new SharedRandom(test.seed + 1),
                         RESTART_MS,
                         0.3,
-                        0.5);
+                        0.5,
+                        test.isRankGroup() ? Optional.of(new EngineGroup()) : Optional.empty());
         fleet =
                 new EntryFleet(
                         ENTRIES,
@@ -110,7 +124,7 @@
     private List<PromptEngine> startEngines(
             PromptEngine.Behaviour behaviour, PlatformStoreStandin store) throws IOException {
         engines = new ArrayList<>();
-        for (int i = 0; i < ENGINES; i++) {
+        for (int i = 0; i < (test.isRankGroup() ? RANKS : ENGINES); i++) {
             engines.add(new PromptEngine("engine-" + i, EntryFleet.SERVICE, behaviour, store));
         }
         return engines;
@@ -156,10 +170,7 @@
     }
 
     private String path(int number) {
-        boolean alike =
-                test == Case.ALIKE_BUT_FOR_THE_PROMPT
-                        || test == Case.TWO_PARTS_ALIKE_BUT_FOR_THE_PROMPT;
-        return alike ? "/stream/same" : "/stream/" + number;
+        return test.isAlike() ? "/stream/same" : "/stream/" + number;
     }
 
     private List<String> soundParts() {
@@ -181,7 +192,7 @@
     }
 
     private void runTraffic() {
-        for (int i = 0; i < REQUESTS; i++) {
+        for (int i = 0; i < (test == Case.RANK_GROUP_TWO_PARTS ? 2 : 1) * REQUESTS; i++) {
             sendSound(i);
             boolean crashing = i >= CALM_REQUESTS && i % SOUND_PER_CRASHING == 0;
             if (crashing) {
--- a/standins/src/test/java/io/pollenpath/platform/PromptEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/PromptEngine.java
@@ -18,6 +18,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -70,13 +71,15 @@
      *     twice as long, in milliseconds
      * @param unframedShare the share of answers with neither a length nor chunks
      * @param ordinaryCloseShare the share of ends at which connections are closed, not reset
+     * @param group the group in which all engines work; empty if each works alone
      */
     record Behaviour(
             Set<String> crashingParts,
             SharedRandom random,
             long restartMs,
             double unframedShare,
-            double ordinaryCloseShare) {}
+            double ordinaryCloseShare,
+            Optional<EngineGroup> group) {}
 
     /** A request that the engine received. */
     record Arrival(long nanos, String requestId, String path, List<String> parts) {}
@@ -135,10 +138,17 @@
         private boolean run(OutputStream out, ReceivedRequest request, Arrival arrival)
                 throws IOException {
             boolean framed = behaviour.random().nextDouble() >= behaviour.unframedShare();
+            if (isGroupDown()) {
+                return turnAway(out, request);
+            }
+            int epoch = groupEpoch();
             Pause.forMs(FIRST_EVENT_MS);
             if (ended.get()) {
                 return false;
             }
+            if (groupEpoch() != epoch) {
+                return turnAway(out, request);
+            }
             int first = firstEvent(request);
             if (crashes(arrival)) {
                 beginToWrite(out, request, first, framed);
@@ -153,6 +163,10 @@
                 if (ended.get()) {
                     return false;
                 }
+                if (groupEpoch() != epoch) {
+                    awaitEndOfStall();
+                    throw new IOException("the group lost an engine");
+                }
             }
             if (framed) {
                 out.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
@@ -160,6 +174,17 @@
             return framed;
         }
 
+        private boolean turnAway(OutputStream out, ReceivedRequest request) throws IOException {
+            awaitEndOfStall();
+            String head =
+                    "HTTP/1.1 503 Status\r\nRequest-Id: "
+                            + request.header("request-id")
+                            + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            out.write(head.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            return true;
+        }
+
         /** Writes nothing, the head or the head and one event. */
         private void beginToWrite(
                 OutputStream out, ReceivedRequest request, int first, boolean framed)
@@ -181,6 +206,7 @@
                     cause == null
                             ? new End(System.nanoTime(), List.of(), "")
                             : new End(System.nanoTime(), cause.parts(), cause.path()));
+            behaviour.group().ifPresent(EngineGroup::onEnd);
             boolean ordinary = behaviour.random().nextDouble() < behaviour.ordinaryCloseShare();
             listener.close();
             for (Socket socket : sockets) {
@@ -238,6 +264,18 @@
         startLife();
     }
 
+    private boolean isGroupDown() {
+        return behaviour.group().map(EngineGroup::isDown).orElse(false);
+    }
+
+    private int groupEpoch() {
+        return behaviour.group().map(EngineGroup::epoch).orElse(0);
+    }
+
+    private void awaitEndOfStall() {
+        behaviour.group().ifPresent(group -> Pause.forMs(group.stallLeftMs()));
+    }
+
     private boolean crashes(Arrival arrival) {
         return arrival.path().startsWith(CRASHING_PATH)
                 || !Collections.disjoint(arrival.parts(), behaviour.crashingParts());
