--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -55,11 +55,11 @@
     /**
      * The suspicion against one request, or against what several requests share.
      *
-     * @param crashes the number of servers that the request is held to have crashed
-     * @param inFlightCrashes the number of servers that crashed while the request was in flight on
+     * @param crashes the number of servers that the suspect is held to have crashed
+     * @param inFlightCrashes the number of servers that crashed while the suspect was in flight on
      *     them, whatever explains these crashes
      * @param contested whether there may be another cause: servers of the same service have crashed
-     *     in the same time without the request, or another request was on all the same servers
+     *     in the same time without the suspect, or another one of its kind was on all of them
      * @param trials the number of its test runs
      * @param lastEventNanos the time of the latest of these crashes and trials, in nanoseconds; 0
      *     if there is none
@@ -169,14 +169,14 @@
     }
 
     /**
-     * Records the start of a test run of a blocked request.
+     * Records the start of a test run of a blocked suspect.
      *
-     * @param request the request, not null
-     * @param id distinguishes the trials of one request
+     * @param suspect the suspect, not null
+     * @param id distinguishes the trials of one suspect
      * @param nowNanos the time of the start, in nanoseconds
      */
-    public void recordTrial(CrashSuspect request, long id, long nowNanos) {
-        addTrial(request, id, nowNanos);
+    public void recordTrial(CrashSuspect suspect, long id, long nowNanos) {
+        addTrial(suspect, id, nowNanos);
         update();
     }
 
@@ -195,11 +195,11 @@
         }
         for (CrashReport.Clearance clearance : report.clearances()) {
             long nanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(clearance.ageMs());
-            changed |= addClearance(clearance.request(), nanos);
+            changed |= addClearance(clearance.suspect(), nanos);
         }
         for (CrashReport.Trial trial : report.trials()) {
             long nanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(trial.ageMs());
-            changed |= addTrial(trial.request(), trial.id(), nanos);
+            changed |= addTrial(trial.suspect(), trial.id(), nanos);
         }
         expire(nowNanos);
         if (changed) {
@@ -245,13 +245,13 @@
     }
 
     /**
-     * Returns the suspicion against a request.
+     * Returns the suspicion against a suspect.
      *
-     * @param request the request, not null
-     * @return the suspicion, with no crashes if the request is not a suspect
+     * @param suspect the suspect, not null
+     * @return the suspicion, with no crashes if nothing is held against it
      */
-    public Suspicion suspicion(CrashSuspect request) {
-        return suspicions.getOrDefault(request, NONE);
+    public Suspicion suspicion(CrashSuspect suspect) {
+        return suspicions.getOrDefault(suspect, NONE);
     }
 
     /**
@@ -289,7 +289,7 @@
     }
 
     /**
-     * Returns the server of the oldest crash, except those that block a request if there are
+     * Returns the server of the oldest crash, except those that block a suspect if there are
      * others.
      */
     private String leastImportant() {
@@ -324,17 +324,17 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    private boolean addClearance(CrashSuspect request, long nanos) {
-        Long known = clearedNanos.get(request);
+    private boolean addClearance(CrashSuspect suspect, long nanos) {
+        Long known = clearedNanos.get(suspect);
         boolean newer = known == null || nanos - known > AGE_ERROR_NANOS;
         if (newer) {
-            clearedNanos.put(request, nanos);
+            clearedNanos.put(suspect, nanos);
         }
         return newer;
     }
 
-    private boolean addTrial(CrashSuspect request, long id, long nanos) {
-        return trialNanos.computeIfAbsent(request, key -> new HashMap<>()).putIfAbsent(id, nanos)
+    private boolean addTrial(CrashSuspect suspect, long id, long nanos) {
+        return trialNanos.computeIfAbsent(suspect, key -> new HashMap<>()).putIfAbsent(id, nanos)
                 == null;
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashReport.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashReport.java
@@ -10,8 +10,8 @@
  * it. Times are ages, because the clocks of entries are not comparable.
  *
  * @param crashes the crashes
- * @param clearances the requests that completed after a crash
- * @param trials the test runs of blocked requests
+ * @param clearances the suspects that were in an answer, most of them after a crash
+ * @param trials the test runs of blocked suspects
  */
 public record CrashReport(List<Crash> crashes, List<Clearance> clearances, List<Trial> trials) {
 
@@ -27,7 +27,7 @@
      *
      * @param server the incarnation of the server, not null
      * @param service the service that the server belonged to, not null
-     * @param suspects the requests that were in flight on it, not null
+     * @param suspects what was in flight on it, not null
      * @param ageMs the time since the crash, in milliseconds, not negative
      */
     public record Crash(String server, String service, Set<CrashSuspect> suspects, long ageMs) {
@@ -42,32 +42,32 @@
     }
 
     /**
-     * A complete answer to a request, which proves that it does not crash every server.
+     * An answer with a suspect, which proves that it did not crash every server until then.
      *
-     * @param request the request, not null
+     * @param suspect the suspect, not null
      * @param ageMs the time since the answer, in milliseconds, not negative
      */
-    public record Clearance(CrashSuspect request, long ageMs) {
+    public record Clearance(CrashSuspect suspect, long ageMs) {
 
         /** Checks the components. */
         public Clearance {
-            Objects.requireNonNull(request, "request");
+            Objects.requireNonNull(suspect, "suspect");
             requireAge(ageMs);
         }
     }
 
     /**
-     * A test run of a blocked request.
+     * A test run of a blocked suspect.
      *
-     * @param request the request, not null
-     * @param id distinguishes the trials of one request
+     * @param suspect the suspect, not null
+     * @param id distinguishes the trials of one suspect
      * @param ageMs the time since the trial started, in milliseconds, not negative
      */
-    public record Trial(CrashSuspect request, long id, long ageMs) {
+    public record Trial(CrashSuspect suspect, long id, long ageMs) {
 
         /** Checks the components. */
         public Trial {
-            Objects.requireNonNull(request, "request");
+            Objects.requireNonNull(suspect, "suspect");
             requireAge(ageMs);
         }
     }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -3,21 +3,21 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Decides whether a request that is suspected of crashing servers may be sent.
+ * Decides whether a request with a suspect of crashes may be sent.
  *
- * <p>A request that was in flight on several servers when they crashed is blocked, and stays so
- * until a complete answer clears it, whatever else explains these crashes. It gets a few trials at
- * growing delays, because servers may also have crashed under it for another reason. The delays are
- * short if another request explains the crashes, and long if it is the only explanation of the
- * crashes of the service, because each further crash costs others their requests.
+ * <p>A suspect that was in flight on several servers when they crashed is blocked, and stays so
+ * until an answer clears it, whatever else explains these crashes. It gets a few trials at growing
+ * delays, because servers may also have crashed under it for another reason. The delays are short
+ * if another suspect explains the crashes, and long if it is the only explanation of the crashes of
+ * the service, because each further crash costs others their requests.
  */
 public final class SuspectPolicy {
 
-    /** The largest number of trials of one request. */
+    /** The largest number of trials of one suspect. */
     static final int MAX_TRIALS = 3;
 
     /**
-     * The time from the latest crash or trial to the next trial if another request explains the
+     * The time from the latest crash or trial to the next trial if another suspect explains the
      * crashes, in milliseconds.
      */
     private static final long[] EXPLAINED_DELAYS_MS = {0, 2_500, 30_000};
@@ -25,7 +25,7 @@
     /** The same time if there may be another cause, in milliseconds. */
     private static final long[] CONTESTED_DELAYS_MS = {1_000, 2_500, 30_000};
 
-    /** The same time if the request is the only explanation, in milliseconds. */
+    /** The same time if the suspect is the only explanation, in milliseconds. */
     private static final long[] SOLE_CAUSE_DELAYS_MS = {5_000, 60_000, 120_000};
 
     /** How long a caller is told to wait when no trial is left, in milliseconds. */
@@ -103,8 +103,8 @@
     /**
      * Decides about one send of a request.
      *
-     * @param suspicion the suspicion against the request, not null
-     * @param unconfirmedCrashes the number of servers that broke the connection of the request and
+     * @param suspicion the suspicion against a suspect of the request, not null
+     * @param unconfirmedCrashes the number of servers that broke a connection under the suspect and
      *     are being checked
      * @param nowNanos the current time, in nanoseconds
      * @return the decision
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
-/** The trials of blocked requests that one entry has asked all entries to agree to. */
+/** The trials of blocked suspects that one entry has asked all entries to agree to. */
 public final class TrialPermits {
 
     /**
@@ -51,26 +51,26 @@
     /**
      * Returns the state of the permit for a trial.
      *
-     * @param request the request, not null
-     * @param number the number of earlier trials of the request
+     * @param suspect the suspect, not null
+     * @param number the number of earlier trials of the suspect
      * @param nowNanos the current time, in nanoseconds
      * @return the state
      */
-    public State state(CrashSuspect request, int number, long nowNanos) {
+    public State state(CrashSuspect suspect, int number, long nowNanos) {
         permits.values().removeIf(permit -> nowNanos - permit.endNanos() >= 0);
-        Permit permit = permits.get(request);
+        Permit permit = permits.get(suspect);
         return permit == null || permit.number() != number ? State.NONE : permit.state();
     }
 
     /**
      * Returns the time until the state of a permit ends.
      *
-     * @param request the request, not null
+     * @param suspect the suspect, not null
      * @param nowNanos the current time, in nanoseconds
      * @return the time, in milliseconds; 0 if there is no permit
      */
-    public long remainingMs(CrashSuspect request, long nowNanos) {
-        Permit permit = permits.get(request);
+    public long remainingMs(CrashSuspect suspect, long nowNanos) {
+        Permit permit = permits.get(suspect);
         return permit == null
                 ? 0
                 : Math.max(0, TimeUnit.NANOSECONDS.toMillis(permit.endNanos() - nowNanos));
@@ -79,31 +79,31 @@
     /**
      * Records that the other entries are asked.
      *
-     * @param request the request, not null
-     * @param number the number of earlier trials of the request
+     * @param suspect the suspect, not null
+     * @param number the number of earlier trials of the suspect
      * @param nowNanos the current time, in nanoseconds
      */
-    public void onAsked(CrashSuspect request, int number, long nowNanos) {
+    public void onAsked(CrashSuspect suspect, int number, long nowNanos) {
         long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(PERMIT_MS);
-        permits.put(request, new Permit(number, State.ASKED, endNanos));
+        permits.put(suspect, new Permit(number, State.ASKED, endNanos));
     }
 
     /**
      * Records the result of the vote. One that comes after the permit would have ended is ignored.
      *
-     * @param request the request, not null
+     * @param suspect the suspect, not null
      * @param number the number of earlier trials that was asked about
      * @param agreed whether a majority agrees
      * @param nowNanos the current time, in nanoseconds
      */
-    public void onResult(CrashSuspect request, int number, boolean agreed, long nowNanos) {
-        if (state(request, number, nowNanos) != State.ASKED) {
+    public void onResult(CrashSuspect suspect, int number, boolean agreed, long nowNanos) {
+        if (state(suspect, number, nowNanos) != State.ASKED) {
             return;
         }
-        long askedEndNanos = permits.get(request).endNanos();
+        long askedEndNanos = permits.get(suspect).endNanos();
         long backoffMs = random.nextLong(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
         permits.put(
-                request,
+                suspect,
                 agreed
                         ? new Permit(number, State.GRANTED, askedEndNanos)
                         : new Permit(
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialVotes.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialVotes.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The votes of one entry on trials of blocked requests. An entry runs a trial only if a majority of
- * all entries has voted for it, and each entry votes for one claimant of a request at a time, so no
+ * The votes of one entry on trials of blocked suspects. An entry runs a trial only if a majority of
+ * all entries has voted for it, and each entry votes for one claimant of a suspect at a time, so no
  * two entries run the same trial.
  */
 public final class TrialVotes {
@@ -34,7 +34,7 @@
      * vote of an earlier process in its place may still be held.
      *
      * @param claim the claim, not null
-     * @param knownTrials the number of trials of the request that this entry knows of
+     * @param knownTrials the number of trials of the suspect that this entry knows of
      * @param nowNanos the current time, in nanoseconds
      * @return whether this entry agrees
      */
@@ -43,12 +43,12 @@
         long leaseNanos = TimeUnit.MILLISECONDS.toNanos(LEASE_MS);
         boolean justStarted = nowNanos - startNanos < leaseNanos;
         boolean outdated = knownTrials > claim.number();
-        Vote held = votes.get(claim.request());
+        Vote held = votes.get(claim.suspect());
         boolean taken = held != null && !held.claimant().equals(claim.claimant());
         if (justStarted || outdated || taken) {
             return false;
         }
-        votes.put(claim.request(), new Vote(claim.claimant(), nowNanos + leaseNanos));
+        votes.put(claim.suspect(), new Vote(claim.claimant(), nowNanos + leaseNanos));
         return true;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -127,7 +127,7 @@
     }
 
     private void askForPermit(TrialClaim claim, long nowNanos) {
-        permits.onAsked(claim.request(), claim.number(), nowNanos);
+        permits.onAsked(claim.suspect(), claim.number(), nowNanos);
         if (!vote(claim, nowNanos)) {
             onPermitResult(claim, false);
             return;
@@ -137,12 +137,12 @@
 
     private void onPermitResult(TrialClaim claim, boolean agreed) {
         log.voted(claim, agreed);
-        permits.onResult(claim.request(), claim.number(), agreed, System.nanoTime());
+        permits.onResult(claim.suspect(), claim.number(), agreed, System.nanoTime());
     }
 
     /** Votes on a trial that an entry wants to run. */
     boolean vote(TrialClaim claim, long nowNanos) {
-        return votes.vote(claim, history.suspicion(claim.request()).trials(), nowNanos);
+        return votes.vote(claim, history.suspicion(claim.suspect()).trials(), nowNanos);
     }
 
     /** Returns whether a request must wait until the other entries have agreed to its trial. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -74,7 +74,7 @@
         LOG.info(
                 "{}",
                 LogLine.event("suspect_trial_voted")
-                        .with("fingerprint", claim.request())
+                        .with("suspect", claim.suspect())
                         .with("trials", claim.number())
                         .with("agreed", agreed));
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessages.java
@@ -33,7 +33,7 @@
 
     private static io.pollenpath.protocol.wire.TrialClaim encode(TrialClaim claim) {
         return io.pollenpath.protocol.wire.TrialClaim.newBuilder()
-                .setRequest(encode(claim.request()))
+                .setRequest(encode(claim.suspect()))
                 .setNumber(claim.number())
                 .setClaimant(claim.claimant())
                 .build();
@@ -58,12 +58,12 @@
         }
         for (CrashReport.Clearance clearance : report.clearances()) {
             notice.addClearancesBuilder()
-                    .setRequest(encode(clearance.request()))
+                    .setRequest(encode(clearance.suspect()))
                     .setAgeMs(clearance.ageMs());
         }
         for (CrashReport.Trial trial : report.trials()) {
             notice.addTrialsBuilder()
-                    .setRequest(encode(trial.request()))
+                    .setRequest(encode(trial.suspect()))
                     .setId(trial.id())
                     .setAgeMs(trial.ageMs());
         }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialAgreementTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialAgreementTest.java
@@ -75,7 +75,7 @@
         }
 
         private boolean vote(TrialClaim claim) {
-            return votes.vote(claim, history.suspicion(claim.request()).trials(), nowNanos);
+            return votes.vote(claim, history.suspicion(claim.suspect()).trials(), nowNanos);
         }
 
         void onCall() {
@@ -94,7 +94,7 @@
         }
 
         private void ask(TrialClaim claim) {
-            permits.onAsked(claim.request(), claim.number(), nowNanos);
+            permits.onAsked(claim.suspect(), claim.number(), nowNanos);
             int[] agreed = {0};
             int[] replies = {0};
             onReply(claim, agreed, replies, vote(claim));
@@ -115,7 +115,7 @@
             replies[0]++;
             boolean majority = agreed[0] > entries.size() / 2;
             if (majority || replies[0] == entries.size()) {
-                permits.onResult(claim.request(), claim.number(), majority, nowNanos);
+                permits.onResult(claim.suspect(), claim.number(), majority, nowNanos);
             }
         }
 
