--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -25,7 +25,15 @@
      * @param bytes the bytes of the event, including the empty line at its end
      * @param id the numeric event ID; empty if there is none or it is no number
      */
-    record Event(byte[] bytes, OptionalLong id) {}
+    record Event(byte[] bytes, OptionalLong id) {
+
+        /**
+         * Returns whether this event comes no later than another one; false if an ID is missing.
+         */
+        boolean isUpTo(OptionalLong otherId) {
+            return id.isPresent() && otherId.isPresent() && id.getAsLong() <= otherId.getAsLong();
+        }
+    }
 
     /** Appends bytes and returns the events that they complete. */
     List<Event> add(byte[] bytes) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -1,7 +1,6 @@
 package io.pollenpath.transport.serving;
 
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.state.serving.CrashSuspect;
@@ -22,7 +21,6 @@
 
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
-    private static final String EVENT_STREAM = "text/event-stream";
 
     private final Gateway gateway;
     private final CallerAnswer caller;
@@ -214,7 +212,7 @@
         lastProgressNanos = System.nanoTime();
         status = newStatus;
         WireDialect.ReplyKind replyKind = gateway.dialect().classify(newStatus, headers);
-        answer.onHead(replyKind, headers, isEventStream(headers));
+        answer.onHead(replyKind, headers, context.route().streaming() && status == STATUS_OK);
         if (replyKind == WireDialect.ReplyKind.ANSWER) {
             mayHaveRun = true;
         }
@@ -226,11 +224,6 @@
         }
     }
 
-    private boolean isEventStream(HttpHeaders headers) {
-        String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
-        return context.route().streaming() && status == STATUS_OK && type.startsWith(EVENT_STREAM);
-    }
-
     @Override
     public void onData(byte[] bytes) {
         lastProgressNanos = System.nanoTime();
@@ -247,7 +240,7 @@
             if (answer.countEvent()) {
                 gateway.onAnswerGoesOn(this);
             }
-            if (isAlreadyForwarded(event)) {
+            if (event.isUpTo(lastEventId)) {
                 continue;
             }
             if (!headForwarded) {
@@ -266,12 +259,6 @@
         }
     }
 
-    private boolean isAlreadyForwarded(EventSplitter.Event event) {
-        return event.id().isPresent()
-                && lastEventId.isPresent()
-                && event.id().getAsLong() <= lastEventId.getAsLong();
-    }
-
     private void recordEventGap() {
         if (lastEventNanos != 0) {
             gateway.onEventGap(this, lastProgressNanos - lastEventNanos, lastProgressNanos);
@@ -366,10 +353,7 @@
 
     /** Fails the send to a server that has sent nothing for too long. */
     void abandonSilentServer() {
-        if (connection != null) {
-            connection.cancel();
-            connection = null;
-        }
+        cancelSend();
         failSend(sends == 0 ? SendOutcome.NOT_SENT : SendOutcome.UNKNOWN, "server stalled");
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -1,5 +1,6 @@
 package io.pollenpath.transport.serving;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
@@ -7,6 +8,7 @@
 /** The answer of one server to one send of a request, as far as it has arrived. */
 final class ServerAnswer {
 
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final int MAX_BODY_BYTES = 8_388_608;
 
     /** The number of events from which the server has worked on the whole prompt. */
@@ -20,11 +22,12 @@
     private int events;
     private boolean checkingEnd;
 
-    /** Records the head of the answer. */
-    void onHead(WireDialect.ReplyKind newKind, HttpHeaders headers, boolean newStream) {
+    /** Records the head of the answer, and whether the answer may be a stream. */
+    void onHead(WireDialect.ReplyKind newKind, HttpHeaders headers, boolean mayBeStream) {
         kind = newKind;
         framing = AnswerFraming.of(headers);
-        stream = newStream;
+        String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+        stream = mayBeStream && type.startsWith(EVENT_STREAM);
     }
 
     /** Returns what the head says; null before it has arrived. */
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -26,7 +26,6 @@
     /** The number of events in a complete stream. */
     public static final int STREAM_EVENTS = 6;
 
-    private static final String CONTROL_PREFIX = "/api/";
     private static final int BACKLOG = 64;
     private static final long LISTENING_AT_END_MS = 10;
     private static final String SIGNATURE_HEADER = "Upstream-Signature: proof\r\n";
@@ -176,7 +175,7 @@
                 ReceivedRequest request = RequestReader.read(in);
                 received.add(request);
                 reusable =
-                        request.path().startsWith(CONTROL_PREFIX)
+                        ControlAnswers.isControlCall(request.path())
                                 ? answerControl(socket, request)
                                 : answer(socket, request, faults.apply(request));
             }
@@ -186,7 +185,7 @@
     }
 
     private boolean answerControl(Socket socket, ReceivedRequest request) throws IOException {
-        String json = controlAnswer(request.path());
+        String json = ControlAnswers.of(request.path());
         write(socket, responseHead(200, "", "Content-Length: " + json.length() + "\r\n") + json);
         return true;
     }
@@ -262,20 +261,6 @@
         return true;
     }
 
-    /**
-     * Returns the answer to a control call, as the only rank of a group whose expert map is not
-     * changing.
-     */
-    private static String controlAnswer(String path) {
-        if (path.startsWith(CONTROL_PREFIX + "report")) {
-            return "{\"group\":{\"Name\":\"g0\",\"epoch\":1,\"rank\":0,\"State\":\"open\"},"
-                    + "\"size\":1,\"Busy\":false,\"step\":3,\"Map\":0}";
-        }
-        return path.contains("Lists")
-                ? "{\"epoch\":1,\"Map\":{\"Version\":0,\"Experts\":[[0,1]]}}"
-                : "{\"step\":3,\"epoch\":1,\"Counts\":[700,300]}";
-    }
-
     private static boolean isStream(ReceivedRequest request) {
         return request.path().startsWith("/stream");
     }
