--- a/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
@@ -24,6 +24,8 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -31,6 +33,7 @@
  * Tests what several entries do with requests of which one part of the prompt ends each server that
  * begins to write on it, beside sound requests that share all other parts.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class CrashingPromptPartTest {
 
     private static final int ENTRIES = 3;
