Close connections that the stand-in of the engine accepts while it ends

Cause, by the order of calls: the accepting thread adds a connection to the list after the end has gone through it, so it stays open though the process is said to have ended. The end of a process closes all.

--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -160,6 +160,10 @@
             while (!listener.isClosed()) {
                 Socket socket = listener.accept();
                 openConnections.add(socket);
+                if (listener.isClosed()) {
+                    // The end of the process may have missed this connection.
+                    socket.close();
+                }
                 startThread(() -> serve(socket));
             }
         } catch (IOException e) {
