--- a/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingPromptPartTest.java
@@ -33,7 +33,6 @@
  * Tests what several entries do with requests of which one part of the prompt ends each server that
  * begins to write on it, beside sound requests that share all other parts.
  */
-@Execution(ExecutionMode.CONCURRENT)
 class CrashingPromptPartTest {
 
     private static final int ENTRIES = 3;
@@ -222,6 +221,7 @@
     }
 
     @ParameterizedTest
+    @Execution(ExecutionMode.CONCURRENT)
     @EnumSource(Case.class)
     void sendsPartThatCrashedFiveServersAtMostThreeTimesMoreAndServesOthers(Case newTest)
             throws Exception {
