--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -205,10 +205,7 @@
                             responseHeadWithLength(
                                     503, requestId, "Not-Executed: 1\r\n" + refusalTime, 0));
             case OTHER_SERVER -> write(socket, responseHeadWithLength(421, requestId, "", 0));
-            case FAILS ->
-                    write(
-                            socket,
-                            responseHeadWithLength(500, requestId, SIGNATURE_HEADER, 4) + "oops");
+            case FAILS -> writeFailure(socket, requestId);
             case UNCLEAR_REFUSAL -> write(socket, responseHeadWithLength(503, requestId, "", 0));
             case GARBAGE -> {
                 write(socket, "\u0016nonsense\r\n\r\n");
@@ -242,10 +239,7 @@
                 return false;
             }
             case NO_LENGTH -> {
-                writeHeadWithoutLength(socket, request);
-                write(
-                        socket,
-                        isStream(request) ? events(request, STREAM_EVENTS) : answerBody(request));
+                writeWholeWithoutLength(socket, request);
                 return false;
             }
             case ENDS_IN_ANSWER -> {
@@ -255,9 +249,7 @@
             }
             case ENDS_IN_ANSWER_LISTENING -> {
                 writePartWithoutLength(socket, request);
-                socket.close();
-                Pause.forMs(LISTENING_AT_END_MS);
-                close();
+                endListening(socket);
                 return false;
             }
             case NONE -> writeWholeAnswer(socket, request);
@@ -265,18 +257,14 @@
         return true;
     }
 
-    private static boolean isStream(ReceivedRequest request) {
-        return request.path().startsWith("/stream");
-    }
-
     private String answerBody(ReceivedRequest request) {
         return id + " " + request.path();
     }
 
     private void writeWholeAnswer(Socket socket, ReceivedRequest request) throws IOException {
-        if (isStream(request)) {
+        if (EventStreams.isStream(request)) {
             writeStreamHead(socket, request);
-            writeChunk(socket, events(request, STREAM_EVENTS));
+            write(socket, EventStreams.chunk(EventStreams.events(request, STREAM_EVENTS)));
             write(socket, "0\r\n\r\n");
             return;
         }
@@ -288,23 +276,48 @@
                         + body);
     }
 
+    private void writeFailure(Socket socket, String requestId) throws IOException {
+        write(socket, responseHeadWithLength(500, requestId, SIGNATURE_HEADER, 4) + "oops");
+    }
+
+    /** Ends the process, which stops to listen a moment after it has closed a connection. */
+    private void endListening(Socket socket) throws IOException {
+        socket.close();
+        Pause.forMs(LISTENING_AT_END_MS);
+        close();
+    }
+
+    private void writeWholeWithoutLength(Socket socket, ReceivedRequest request)
+            throws IOException {
+        writeHeadWithoutLength(socket, request);
+        write(
+                socket,
+                EventStreams.isStream(request)
+                        ? EventStreams.events(request, STREAM_EVENTS)
+                        : answerBody(request));
+    }
+
     private void writePartWithoutLength(Socket socket, ReceivedRequest request) throws IOException {
         writeHeadWithoutLength(socket, request);
-        write(socket, isStream(request) ? events(request, STREAM_EVENTS / 2) : "part");
+        write(
+                socket,
+                EventStreams.isStream(request)
+                        ? EventStreams.events(request, STREAM_EVENTS / 2)
+                        : "part");
     }
 
     private void writeHeadWithoutLength(Socket socket, ReceivedRequest request) throws IOException {
-        String type = isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
+        String type = EventStreams.isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
         String headers = SIGNATURE_HEADER + type + "Connection: close\r\n";
         write(socket, responseHead(200, request.header("request-id"), headers));
     }
 
     private void writeTruncatedAnswer(Socket socket, ReceivedRequest request) throws IOException {
-        if (isStream(request)) {
+        if (EventStreams.isStream(request)) {
             writeStreamHead(socket, request);
             // The last event is incomplete.
-            String events = events(request, STREAM_EVENTS / 2);
-            writeChunk(socket, events.substring(0, events.length() - 3));
+            String events = EventStreams.events(request, STREAM_EVENTS / 2);
+            write(socket, EventStreams.chunk(events.substring(0, events.length() - 3)));
             return;
         }
         write(
@@ -324,22 +337,6 @@
                                 + "Transfer-Encoding: chunked\r\n"));
     }
 
-    private static void writeChunk(Socket socket, String text) throws IOException {
-        write(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-    }
-
-    /** Returns the events after the last one that the caller received, up to a number. */
-    private static String events(ReceivedRequest request, int last) {
-        String lastEventId = request.header("last-event-id");
-        StringBuilder events = new StringBuilder();
-        for (int i = lastEventId.isEmpty() ? 1 : Integer.parseInt(lastEventId) + 1;
-                i <= last;
-                i++) {
-            events.append("id: ").append(i).append("\ndata: piece-").append(i).append("\n\n");
-        }
-        return events.toString();
-    }
-
     private String responseHeadWithLength(
             int status, String requestId, String headers, int length) {
         return responseHead(status, requestId, headers + "Content-Length: " + length + "\r\n");
