--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformFixtures.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pollenpath.util.Json;
+import java.util.List;
 
 /** Creates objects as engines and operators of the platform write them to the store. */
 public final class PlatformFixtures {
@@ -79,6 +80,24 @@
         return manifest;
     }
 
+    /**
+     * Returns the manifest of {@link #manifest} with further client accounts.
+     *
+     * @param version the manifest version
+     * @param service the name of the service that all routes lead to, not null
+     * @param apiKeys the API key of each further account, which is also its name, not null
+     * @return the manifest
+     */
+    public static ObjectNode manifestWithAccounts(
+            long version, String service, List<String> apiKeys) {
+        ObjectNode manifest = manifest(version, service);
+        for (String apiKey : apiKeys) {
+            ObjectNode tenant = manifest.withArray("Tenants").addObject().put("Name", apiKey);
+            tenant.putArray("ApiKeys").add(apiKey);
+        }
+        return manifest;
+    }
+
     /**
      * Returns the manifest of {@link #manifest} with another number of attempts and another timeout
      * on all routes.
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -70,11 +70,15 @@
     }
 
     EntryFleet(int entryCount, int engineCount) throws IOException {
+        this(entryCount, engineCount, PlatformFixtures.manifest(1, SERVICE));
+    }
+
+    EntryFleet(int entryCount, int engineCount, ObjectNode manifest) throws IOException {
         for (int i = 0; i < engineCount; i++) {
             engines.add(new RestartingEngine("engine-" + i, SERVICE, store));
         }
         startedEngines.addAll(engines);
-        startEntries(entryCount, PlatformFixtures.manifest(1, SERVICE));
+        startEntries(entryCount, manifest);
     }
 
     EntryFleet(int entryCount, ObjectNode manifest, EngineStarter starter) throws IOException {
@@ -145,8 +149,20 @@
             String path,
             Map<String, String> headers,
             long patienceMs) {
+        return call(entry, requestId, path, headers, "{}", patienceMs);
+    }
+
+    /** Sends one attempt with further headers and a body to an entry. */
+    Answer call(
+            int entry,
+            String requestId,
+            String path,
+            Map<String, String> headers,
+            String body,
+            long patienceMs) {
         long sentNanos = System.nanoTime();
-        CompletableFuture<HttpReply> reply = client.send(request(entry, requestId, path, headers));
+        CompletableFuture<HttpReply> reply =
+                client.send(request(entry, requestId, path, headers, body));
         try {
             HttpReply answer = reply.get(patienceMs, TimeUnit.MILLISECONDS);
             return new Answer(
@@ -165,18 +181,28 @@
     }
 
     private HttpClient.Request request(
-            int entry, String requestId, String path, Map<String, String> moreHeaders) {
-        Map<String, String> headers = new HashMap<>(moreHeaders);
+            int entry,
+            String requestId,
+            String path,
+            Map<String, String> moreHeaders,
+            String body) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Authorization", bearer(PlatformFixtures.API_KEY));
+        headers.putAll(moreHeaders);
         headers.put("Host", PlatformFixtures.HOST);
         headers.put("Request-Id", requestId);
-        headers.put("Authorization", "Bearer " + PlatformFixtures.API_KEY);
         headers.put("Deadline-Ms", "3000");
         return new HttpClient.Request(
                 settings.get(entry).callerAddress().orElseThrow(),
                 "POST",
                 path,
                 headers,
-                "{}".getBytes(StandardCharsets.UTF_8));
+                body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the header value that names an API key. */
+    static String bearer(String apiKey) {
+        return "Bearer " + apiKey;
     }
 
     private static long elapsedMs(long startNanos) {
