Name in the logs what tells the hypotheses of the incident apart

send_failed has the content of a request without its account, server_checked the number of requests in flight, suspect_trial an identity of the trial that crashes_learned repeats, and entries_heard says when a started entry has heard from the others (EntryCatchUp, which decides nothing yet).

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/RecentAnswers.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/RecentAnswers.java
@@ -39,6 +39,6 @@
     }
 
     private Map<CrashSuspect, Long> answersOf(CrashSuspect suspect) {
-        return suspect.isPromptPart() ? ofParts : ofOthers;
+        return suspect.kind() == CrashSuspect.Kind.PROMPT_PART ? ofParts : ofOthers;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/state/serving/CrashSuspect.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/serving/CrashSuspect.java
@@ -11,10 +11,11 @@
 
 /**
  * Something that may crash the servers that work on it: one request, which all its attempts have in
- * common, or what several requests share, such as a part of their prompts. It is a truncated
- * digest, so it neither keeps nor reveals a body.
+ * common, its content, whoever sends it, or what several different requests share, such as a part
+ * of their prompts. It is a truncated digest, so it neither keeps nor reveals a body.
  *
- * @param high the first eight bytes of the digest; negative if several requests share the suspect
+ * @param high the first eight bytes of the digest, whose first bits name the kind; negative if
+ *     different requests share the suspect
  * @param low the next eight bytes of the digest
  */
 public record CrashSuspect(long high, long low) {
@@ -22,10 +23,31 @@
     /** The size of an encoded suspect, in bytes. */
     public static final int SIZE_BYTES = 2 * Long.BYTES;
 
+    private static final byte[] NO_BYTES = new byte[0];
     private static final long SHARED_BIT = Long.MIN_VALUE;
-    private static final long PROMPT_PART_BIT = 1L << 62;
-    private static final String PROMPT_PART = "prompt part";
-    private static final String ANY_PROMPT = "any prompt";
+    private static final long SECOND_BIT = 1L << 62;
+    private static final long THIRD_BIT = 1L << 61;
+    private static final long KIND_BITS = SHARED_BIT | SECOND_BIT | THIRD_BIT;
+
+    /** The kinds of suspects, from what one request is to what many requests have in common. */
+    public enum Kind {
+        /** All attempts of one request of one account. */
+        REQUEST(0),
+        /** All requests with the same content, whichever account sends them. */
+        CONTENT(SECOND_BIT),
+        /** All requests of one account that differ in nothing but their prompts. */
+        ANY_PROMPT(SHARED_BIT),
+        /** All requests to one path, whatever they are and whoever sends them. */
+        PATH(SHARED_BIT | THIRD_BIT),
+        /** All requests with one part in their prompts. */
+        PROMPT_PART(SHARED_BIT | SECOND_BIT);
+
+        private final long bits;
+
+        Kind(long bits) {
+            this.bits = bits;
+        }
+    }
 
     /**
      * Identifies all attempts of one request: those with the same account, method, host, path,
@@ -47,10 +69,38 @@
             List<String> promptParts,
             byte[] body) {
         Objects.requireNonNull(body, "body");
+        CrashSuspect content = ofContent(method, host, uri, promptParts, body);
+        return digest(Kind.REQUEST, content.encode(), account);
+    }
+
+    /**
+     * Identifies all requests with the same method, host, path, query, prompt and body, whichever
+     * account sends them.
+     *
+     * @param method the HTTP method, not null
+     * @param host the host that the requests name, not null
+     * @param uri the path with its query, not null
+     * @param promptParts the IDs of all parts of the prompt; empty if there is none, not null
+     * @param body the complete body, not null
+     * @return the suspect
+     */
+    public static CrashSuspect ofContent(
+            String method, String host, String uri, List<String> promptParts, byte[] body) {
+        Objects.requireNonNull(body, "body");
         String prompt = String.join(",", promptParts);
-        String head = String.join("\n", account, method, host, uri, prompt, "");
-        CrashSuspect digest = digest(head, body);
-        return new CrashSuspect(digest.high & ~SHARED_BIT, digest.low);
+        return digest(Kind.CONTENT, body, method, host, uri, prompt);
+    }
+
+    /**
+     * Identifies all requests with the same method, host and path, whatever else they hold.
+     *
+     * @param method the HTTP method, not null
+     * @param host the host that the requests name, not null
+     * @param path the path without its query, not null
+     * @return the suspect
+     */
+    public static CrashSuspect ofPath(String method, String host, String path) {
+        return digest(Kind.PATH, NO_BYTES, method, host, path);
     }
 
     /**
@@ -67,9 +117,7 @@
     public static CrashSuspect ofAnyPrompt(
             String account, String method, String host, String uri, byte[] body) {
         Objects.requireNonNull(body, "body");
-        CrashSuspect digest =
-                digest(String.join("\n", ANY_PROMPT, account, method, host, uri, ""), body);
-        return new CrashSuspect((digest.high | SHARED_BIT) & ~PROMPT_PART_BIT, digest.low);
+        return digest(Kind.ANY_PROMPT, body, account, method, host, uri);
     }
 
     /**
@@ -80,33 +128,40 @@
      */
     public static CrashSuspect ofPromptPart(String id) {
         Objects.requireNonNull(id, "id");
-        CrashSuspect digest = digest(String.join("\n", PROMPT_PART, id), new byte[0]);
-        return new CrashSuspect(digest.high | SHARED_BIT | PROMPT_PART_BIT, digest.low);
+        return digest(Kind.PROMPT_PART, NO_BYTES, id);
     }
 
-    private static CrashSuspect digest(String head, byte[] body) {
-        byte[] headBytes = head.getBytes(UTF_8);
+    private static CrashSuspect digest(Kind kind, byte[] body, String... lines) {
+        byte[] headBytes = (kind + "\n" + String.join("\n", lines) + "\n").getBytes(UTF_8);
         byte[] input = Arrays.copyOf(headBytes, headBytes.length + body.length);
         System.arraycopy(body, 0, input, headBytes.length, body.length);
-        return decode(Digests.sha256(input));
+        CrashSuspect digest = decode(Digests.sha256(input));
+        return new CrashSuspect((digest.high & ~KIND_BITS) | kind.bits, digest.low);
     }
 
     /**
-     * Returns whether this suspect is what several requests share.
+     * Returns the kind of this suspect.
      *
-     * @return false if it is one request
+     * @return the kind
      */
-    public boolean isShared() {
-        return high < 0;
+    public Kind kind() {
+        boolean second = (high & SECOND_BIT) != 0;
+        if (!isShared()) {
+            return second ? Kind.CONTENT : Kind.REQUEST;
+        }
+        if (second) {
+            return Kind.PROMPT_PART;
+        }
+        return (high & THIRD_BIT) != 0 ? Kind.PATH : Kind.ANY_PROMPT;
     }
 
     /**
-     * Returns whether this suspect is a part of prompts.
+     * Returns whether this suspect is what different requests share.
      *
-     * @return false if it is one request, or one with any prompt
+     * @return false if it is one request or the whole content of requests
      */
-    public boolean isPromptPart() {
-        return isShared() && (high & PROMPT_PART_BIT) != 0;
+    public boolean isShared() {
+        return high < 0;
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -180,8 +180,9 @@
 
     private void recordTrial(ForwardedRequest request, long nowNanos) {
         for (CrashSuspect suspect : suspectsOnTrial(request, nowNanos)) {
-            history.recordTrial(suspect, random.nextLong(), nowNanos);
-            log.trial(request, suspect, history.suspicion(suspect));
+            long trialId = random.nextLong();
+            history.recordTrial(suspect, trialId, nowNanos);
+            log.trial(request, suspect, trialId, history.suspicion(suspect));
         }
         onChange.run();
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -9,6 +9,7 @@
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.transport.MetricNames;
 import io.pollenpath.util.LogLine;
+import java.util.Comparator;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -35,10 +36,17 @@
                         .with("server", server.incarnationId())
                         .with("address", server.address())
                         .with("result", result)
+                        .with("requests", countRequests(inFlight))
                         .with("in_flight", inFlight.size())
                         .with("fingerprints", listed(inFlight)));
     }
 
+    private static long countRequests(Set<CrashSuspect> inFlight) {
+        return inFlight.stream()
+                .filter(suspect -> suspect.kind() == CrashSuspect.Kind.REQUEST)
+                .count();
+    }
+
     /** Logs that another process listens where a connection broke, so the server has ended. */
     void restarted(ServerInstance server, Set<CrashSuspect> inFlight) {
         MetricNames.count(metrics, "server_checks_total", "result", "RESTARTED");
@@ -47,6 +55,7 @@
                 LogLine.event("server_restarted")
                         .with("server", server.incarnationId())
                         .with("address", server.address())
+                        .with("requests", countRequests(inFlight))
                         .with("in_flight", inFlight.size())
                         .with("fingerprints", listed(inFlight)));
     }
@@ -80,7 +89,11 @@
     }
 
     /** Logs the trial of a blocked request. */
-    void trial(ForwardedRequest request, CrashSuspect suspect, CrashHistory.Suspicion suspicion) {
+    void trial(
+            ForwardedRequest request,
+            CrashSuspect suspect,
+            long trialId,
+            CrashHistory.Suspicion suspicion) {
         MetricNames.count(metrics, "suspects_total", "event", "trial");
         LOG.info(
                 "{}",
@@ -91,7 +104,8 @@
                         .with("shared", suspect.isShared())
                         .with("crashes", suspicion.crashes())
                         .with("contested", suspicion.contested())
-                        .with("trial", suspicion.trials()));
+                        .with("trial", suspicion.trials())
+                        .with("trial_id", Long.toHexString(trialId)));
     }
 
     /** Logs the refusal of a blocked request. */
@@ -135,7 +149,16 @@
                 LogLine.event("crashes_learned")
                         .with("crashes", report.crashes().size())
                         .with("clearances", report.clearances().size())
-                        .with("trials", report.trials().size()));
+                        .with("trials", report.trials().size())
+                        .with("trial_ids", listedTrials(report)));
+    }
+
+    private static String listedTrials(CrashReport report) {
+        return report.trials().stream()
+                .sorted(Comparator.comparingLong(CrashReport.Trial::ageMs))
+                .limit(MAX_LISTED_SUSPECTS)
+                .map(trial -> Long.toHexString(trial.id()))
+                .collect(Collectors.joining(","));
     }
 
     private static String listed(Set<CrashSuspect> fingerprints) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.serving;
 
 import io.netty.channel.EventLoop;
+import io.pollenpath.coordination.serving.EntryCatchUp;
 import io.pollenpath.coordination.serving.TrialClaim;
 import io.pollenpath.transport.HttpAddress;
 import io.pollenpath.transport.HttpClient;
@@ -41,6 +42,7 @@
     private final EventLoop loop;
     private final HttpClient http;
     private final EntryKnowledge knowledge;
+    private final EntryCatchUp catchUp;
     private final Map<String, Peer> peers = new HashMap<>();
     private long version;
 
@@ -59,15 +61,17 @@
         }
     }
 
-    EntryPeers(EventLoop loop, HttpClient http, EntryKnowledge knowledge) {
+    EntryPeers(EventLoop loop, HttpClient http, EntryKnowledge knowledge, EntryCatchUp catchUp) {
         this.loop = loop;
         this.http = http;
         this.knowledge = knowledge;
+        this.catchUp = catchUp;
     }
 
     /** Replaces the addresses of the other entries. */
     void setAddresses(Set<String> addresses) {
         peers.keySet().retainAll(addresses);
+        catchUp.onEntries(addresses);
         for (String address : addresses) {
             call(peers.computeIfAbsent(address, Peer::new));
         }
@@ -125,6 +129,10 @@
 
     private void onReply(Peer peer, long sentVersion, EntryMessage answer, Throwable failure) {
         peer.inProgress = false;
+        if (failure == null) {
+            merge(answer);
+        }
+        onCalled(peer, failure == null);
         if (failure != null) {
             logFailure(peer, failure);
             scheduleRetry(peer);
@@ -132,10 +140,21 @@
         }
         peer.acknowledgedVersion = sentVersion;
         peer.retryMs = MIN_RETRY_MS;
-        merge(answer);
         call(peer);
     }
 
+    private void onCalled(Peer peer, boolean success) {
+        if (catchUp.onCalled(peer.address, success)) {
+            long elapsedMs = catchUp.elapsedMs(System.nanoTime());
+            LOG.info(
+                    "{}",
+                    LogLine.event("entries_heard")
+                            .with("others", catchUp.others())
+                            .with("answered", catchUp.answered())
+                            .with("elapsed_ms", elapsedMs));
+        }
+    }
+
     private void scheduleRetry(Peer peer) {
         peer.retryScheduled = true;
         loop.schedule(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.pollenpath.coordination.serving.EntryCatchUp;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
@@ -54,6 +55,7 @@
     private final BackendConnectionPool backends;
     private final BackendServers servers;
     private final CrashGuard crashGuard;
+    private final EntryCatchUp catchUp = new EntryCatchUp(System.nanoTime());
     private final RandomGenerator random;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Map<String, Long> longestCallerTimeoutMs = new HashMap<>();
@@ -127,13 +129,20 @@
                     dispatcher.retainServers(newView.serverIds());
                     servers.setEntries(newView.entryNames());
                     crashGuard.detector().onView(newView, System.nanoTime());
+                    onReady(newView);
                     updatePeers(newView);
                     tick();
                 });
     }
 
+    private void onReady(ServingView newView) {
+        if (newView.isComplete()) {
+            catchUp.onReady(System.nanoTime());
+        }
+    }
+
     private void updatePeers(ServingView newView) {
-        if (peers != null) {
+        if (peers != null && !newView.entries().isEmpty()) {
             peers.setAddresses(newView.otherEntryAddresses(ownName));
         }
     }
@@ -146,7 +155,9 @@
     public void connectEntries(HttpClient http) {
         loop.execute(
                 () -> {
-                    peers = new EntryPeers(loop, http, new EntryKnowledge(crashGuard, servers));
+                    peers =
+                            new EntryPeers(
+                                    loop, http, new EntryKnowledge(crashGuard, servers), catchUp);
                     crashGuard.setOnChange(peers::onChange);
                     crashGuard.setOnLearned(peers::onLearned);
                     crashGuard.setVoters(peers);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
@@ -49,6 +49,11 @@
                 accountName(), method, host(), uri, callerHeaders.promptParts(), body);
     }
 
+    /** Returns what identifies all requests with the content of this one. */
+    CrashSuspect contentSuspect() {
+        return CrashSuspect.ofContent(method, host(), uri, callerHeaders.promptParts(), body);
+    }
+
     /** Returns what this request shares with others and may crash servers. */
     List<CrashSuspect> sharedSuspects() {
         List<CrashSuspect> suspects = new ArrayList<>();
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -111,6 +111,7 @@
                 LogLine.event("send_failed")
                         .with("request", request.context().callerHeaders().requestId())
                         .with("fingerprint", request.fingerprint())
+                        .with("content", request.suspects().content())
                         .with("server", server == null ? "" : server.id())
                         .with("send", request.sends())
                         .with("outcome", outcome)
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestSuspects.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestSuspects.java
@@ -9,6 +9,7 @@
 
     private final RequestContext context;
     private CrashSuspect request;
+    private CrashSuspect content;
     private List<CrashSuspect> shared;
 
     RequestSuspects(RequestContext context) {
@@ -23,6 +24,14 @@
         return request;
     }
 
+    /** Returns what identifies all requests with the same content. */
+    CrashSuspect content() {
+        if (content == null) {
+            content = context.contentSuspect();
+        }
+        return content;
+    }
+
     /** Returns what the request shares with others. */
     List<CrashSuspect> shared() {
         if (shared == null) {
--- a/pollenpath/src/test/java/io/pollenpath/state/serving/CrashSuspectTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/state/serving/CrashSuspectTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.pollenpath.state.serving.CrashSuspect.Kind;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -50,14 +51,24 @@
         CrashSuspect anyPrompt =
                 CrashSuspect.ofAnyPrompt("clerks", "POST", "a.example", "/x?q=1", BODY);
         assertThat(anyPrompt.isShared()).isTrue();
-        assertThat(anyPrompt.isPromptPart()).isFalse();
-        assertThat(REQUEST.isPromptPart()).isFalse();
-        assertThat(CrashSuspect.ofPromptPart("shared").isPromptPart()).isTrue();
+        assertThat(anyPrompt.kind()).isEqualTo(Kind.ANY_PROMPT);
+        assertThat(REQUEST.kind()).isEqualTo(Kind.REQUEST);
+        assertThat(CrashSuspect.ofPromptPart("shared").kind()).isEqualTo(Kind.PROMPT_PART);
+        assertThat(CrashSuspect.ofPath("POST", "a.example", "/x").kind()).isEqualTo(Kind.PATH);
         assertThat(CrashSuspect.ofPromptPart("shared"))
                 .isNotEqualTo(CrashSuspect.ofPromptPart("other"));
         assertThat(CrashSuspect.decode(anyPrompt.encode())).isEqualTo(anyPrompt);
     }
 
+    @Test
+    void contentIsTheSameWhicheverAccountSendsIt() {
+        CrashSuspect content = CrashSuspect.ofContent("POST", "a.example", "/x?q=1", PROMPT, BODY);
+        assertThat(content.kind()).isEqualTo(Kind.CONTENT);
+        assertThat(content.isShared()).isFalse();
+        assertThat(CrashSuspect.ofContent("POST", "a.example", "/x?q=2", PROMPT, BODY))
+                .isNotEqualTo(content);
+    }
+
     @Test
     void survivesEncoding() {
         assertThat(CrashSuspect.decode(REQUEST.encode())).isEqualTo(REQUEST);
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.pollenpath.coordination.serving.CrashHistory;
+import io.pollenpath.coordination.serving.EntryCatchUp;
 import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.state.serving.CrashSuspect;
@@ -45,7 +46,12 @@
                     limits,
                     new ServerSelector("zone-a", limits, new Random(1)),
                     new LimitLog(metrics));
-    private final EntryPeers peers = new EntryPeers(loop, http, new EntryKnowledge(guard, servers));
+    private final EntryPeers peers =
+            new EntryPeers(
+                    loop,
+                    http,
+                    new EntryKnowledge(guard, servers),
+                    new EntryCatchUp(System.nanoTime()));
     private volatile int status = 200;
     private final HttpServer other =
             new HttpServer(
