Judge the content of requests and their path, whoever sends them

Callers saw servers end again and again under one request that several accounts sent, or under requests at one path that differ in their bodies. Cause: a suspect was one request of one account, so each account and each body had three ends and three trials of its own. Change: a rule for the keys in place of one more key. What a request is, from narrow to wide: the request of one account; its content, whoever sends it; its path, whatever it holds; beside these what it shares by its prompt. The content is judged as the request is. A path is blocked only if no entry knows of an answer with it, so one account can't block a path that serves others. Two new cases of CrashAnalysisTest need the new kinds and do not compile before.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashAnalysis.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashAnalysis.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
@@ -16,10 +17,11 @@
 /**
  * Draws conclusions from crashes: which suspects are blocked.
  *
- * <p>One request is blocked by the crashes that it was in flight on, whatever else explains them.
- * What several requests share is blocked if it was never in an answer before those crashes. If it
- * was, it takes one crash more, and crashes that a blocked suspect explains do not count: it is
- * more often on crashed servers by chance, and holding it back costs many good requests.
+ * <p>One request, or its content whoever sends it, is blocked by the crashes that it was in flight
+ * on, whatever else explains them. What different requests share is blocked if it was never in an
+ * answer before those crashes. If it was, a path is never blocked. The rest takes one crash more,
+ * and crashes that a blocked suspect explains do not count: it is more often on crashed servers by
+ * chance, and holding it back costs many good requests.
  */
 final class CrashAnalysis {
 
@@ -32,6 +34,9 @@
     /** How many crashes of one episode count against a shared suspect that was in answers. */
     private static final int MAX_OF_EPISODE_IF_PROVEN = 2;
 
+    private static final Set<CrashSuspect.Kind> PROMPT_KINDS =
+            EnumSet.of(CrashSuspect.Kind.ANY_PROMPT, CrashSuspect.Kind.PROMPT_PART);
+
     private final Collection<CrashRecord> crashes;
     private final Map<CrashSuspect, Long> clearedNanos;
     private final Map<CrashSuspect, Map<Long, Long>> trialNanos;
@@ -68,6 +73,10 @@
                 && (cleared == null || crash.nanos() - cleared > 0);
     }
 
+    private static boolean isPath(CrashSuspect suspect) {
+        return suspect.kind() == CrashSuspect.Kind.PATH;
+    }
+
     private boolean isProven(CrashSuspect suspect) {
         return clearedNanos.containsKey(suspect);
     }
@@ -87,7 +96,7 @@
         explainByRequests(suspicions);
         crashesOf.forEach(
                 (suspect, own) -> {
-                    if (suspect.isShared() && isProven(suspect)) {
+                    if (suspect.isShared() && isProven(suspect) && !isPath(suspect)) {
                         suspicions.put(suspect, ofProven(suspect, own));
                     }
                 });
@@ -185,11 +194,18 @@
                 && !isSuspect(suspect, crash);
     }
 
-    /** Returns whether another suspect of the same kind was on all servers that crashed. */
+    /** Returns false if one of two suspects may be no more than a wider view of the other. */
+    private static boolean isComparable(CrashSuspect suspect, CrashSuspect other) {
+        boolean samePrompts =
+                PROMPT_KINDS.contains(suspect.kind()) && PROMPT_KINDS.contains(other.kind());
+        return suspect.kind() == other.kind() || samePrompts;
+    }
+
+    /** Returns whether a comparable suspect was on all servers that crashed. */
     private boolean hasRival(CrashSuspect suspect, List<CrashRecord> own) {
         return own.get(0).suspects().stream()
                 .filter(other -> !other.equals(suspect))
-                .filter(other -> other.isShared() == suspect.isShared())
+                .filter(other -> isComparable(suspect, other))
                 .filter(other -> !suspect.isShared() || !isProven(other))
                 .anyMatch(other -> own.stream().allMatch(crash -> isSuspect(other, crash)));
     }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/RecentAnswers.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/RecentAnswers.java
@@ -1,26 +1,28 @@
 package io.pollenpath.coordination.serving;
 
 import io.pollenpath.state.serving.CrashSuspect;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
 /**
- * The latest answers to requests with a shared suspect. A bounded number is kept, of parts of
- * prompts apart from the rest: most requests come once, and would displace the parts.
+ * The latest answers to requests with a shared suspect. A bounded number is kept of each kind, so
+ * that suspects of requests that come once do not displace those that many requests share.
  */
 final class RecentAnswers {
 
     /** The number of parts of prompts whose answers are remembered. */
     static final int MAX_PARTS = 8_192;
 
-    /** The number of other suspects whose answers are remembered. */
+    /** The number of suspects of each other kind whose answers are remembered. */
     static final int MAX_OTHERS = 1_024;
 
-    private final Map<CrashSuspect, Long> ofParts = newBoundedMap(MAX_PARTS);
-    private final Map<CrashSuspect, Long> ofOthers = newBoundedMap(MAX_OTHERS);
+    private final Map<CrashSuspect.Kind, Map<CrashSuspect, Long>> byKind =
+            new EnumMap<>(CrashSuspect.Kind.class);
 
-    private static Map<CrashSuspect, Long> newBoundedMap(int maxSize) {
+    private static Map<CrashSuspect, Long> newBoundedMap(CrashSuspect.Kind kind) {
+        int maxSize = kind == CrashSuspect.Kind.PROMPT_PART ? MAX_PARTS : MAX_OTHERS;
         return new LinkedHashMap<>(16, 0.75f, true) {
             @Override
             protected boolean removeEldestEntry(Map.Entry<CrashSuspect, Long> eldest) {
@@ -39,6 +41,6 @@
     }
 
     private Map<CrashSuspect, Long> answersOf(CrashSuspect suspect) {
-        return suspect.kind() == CrashSuspect.Kind.PROMPT_PART ? ofParts : ofOthers;
+        return byKind.computeIfAbsent(suspect.kind(), RecentAnswers::newBoundedMap);
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -179,8 +179,8 @@
     }
 
     private void recordTrial(ForwardedRequest request, long nowNanos) {
+        long trialId = random.nextLong();
         for (CrashSuspect suspect : suspectsOnTrial(request, nowNanos)) {
-            long trialId = random.nextLong();
             history.recordTrial(suspect, trialId, nowNanos);
             log.trial(request, suspect, trialId, history.suspicion(suspect));
         }
@@ -207,15 +207,20 @@
     /** Records that an answer went on after its first event, which clears what it shares. */
     void onAnswerGoesOn(ForwardedRequest request, long nowNanos) {
         recoveries.onAnswer(request.context().service(), request.sentNanos());
-        clear(request, request.suspects().shared(), nowNanos);
+        clear(request, List.of(request.suspects().path()), nowNanos);
+        clear(request, request.suspects().ofPrompt(), nowNanos);
     }
 
-    /** Records a complete answer that is no failure, which clears all that the request is. */
+    /**
+     * Records a complete answer that is no failure, which clears the request and its path, and if
+     * it is a success what the request shares because of its prompt.
+     */
     void onAnswered(ForwardedRequest request, long nowNanos) {
         recoveries.onAnswer(request.context().service(), request.sentNanos());
-        clear(request, List.of(request.fingerprint()), nowNanos);
+        clear(request, request.suspects().whole(), nowNanos);
+        clear(request, List.of(request.suspects().path()), nowNanos);
         if (request.isAnsweredBySuccess()) {
-            clear(request, request.suspects().shared(), nowNanos);
+            clear(request, request.suspects().ofPrompt(), nowNanos);
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -76,7 +76,7 @@
      * the first event, that server has worked on all parts of the prompt before.
      */
     List<CrashSuspect> suspectsOfCrash() {
-        return answer.wentOn() ? List.of(fingerprint()) : suspects.all();
+        return answer.wentOn() ? suspects.whole() : suspects.all();
     }
 
     /** Returns whether the server has answered as the route promises, with events if it streams. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -252,7 +252,7 @@
             return null;
         }
         String host = request.headers().get(HttpHeaderNames.HOST, "");
-        Optional<Route> route = config.get().route(host, pathOf(request.uri()));
+        Optional<Route> route = config.get().route(host, Uris.pathOf(request.uri()));
         if (route.isEmpty()) {
             reject(request, caller, callerHeaders, GatewayProblems.noRoute());
             return null;
@@ -302,11 +302,6 @@
         return callerTimeoutMs < RETRY_TIMEOUT_FRACTION * longestMs;
     }
 
-    private static String pathOf(String uri) {
-        int query = uri.indexOf('?');
-        return query < 0 ? uri : uri.substring(0, query);
-    }
-
     private void reject(
             FullHttpRequest request,
             CallerAnswer caller,
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
@@ -54,8 +54,13 @@
         return CrashSuspect.ofContent(method, host(), uri, callerHeaders.promptParts(), body);
     }
 
-    /** Returns what this request shares with others and may crash servers. */
-    List<CrashSuspect> sharedSuspects() {
+    /** Returns what identifies all requests to the path of this one. */
+    CrashSuspect pathSuspect() {
+        return CrashSuspect.ofPath(method, host(), Uris.pathOf(uri));
+    }
+
+    /** Returns what different requests with prompts share with this one. */
+    List<CrashSuspect> promptSuspects() {
         List<CrashSuspect> suspects = new ArrayList<>();
         if (!callerHeaders.promptParts().isEmpty()) {
             suspects.add(CrashSuspect.ofAnyPrompt(accountName(), method, host(), uri, body));
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestSuspects.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestSuspects.java
@@ -10,7 +10,8 @@
     private final RequestContext context;
     private CrashSuspect request;
     private CrashSuspect content;
-    private List<CrashSuspect> shared;
+    private CrashSuspect path;
+    private List<CrashSuspect> ofPrompt;
 
     RequestSuspects(RequestContext context) {
         this.context = context;
@@ -32,18 +33,32 @@
         return content;
     }
 
-    /** Returns what the request shares with others. */
-    List<CrashSuspect> shared() {
-        if (shared == null) {
-            shared = context.sharedSuspects();
+    /** Returns what identifies all requests to the same path. */
+    CrashSuspect path() {
+        if (path == null) {
+            path = context.pathSuspect();
         }
-        return shared;
+        return path;
     }
 
-    /** Returns the request and all that it shares with others. */
+    /** Returns the request and its content, whoever sends it. */
+    List<CrashSuspect> whole() {
+        return List.of(request(), content());
+    }
+
+    /** Returns what the request shares with different ones because of its prompt. */
+    List<CrashSuspect> ofPrompt() {
+        if (ofPrompt == null) {
+            ofPrompt = context.promptSuspects();
+        }
+        return ofPrompt;
+    }
+
+    /** Returns all of these. */
     List<CrashSuspect> all() {
-        List<CrashSuspect> all = new ArrayList<>(shared());
-        all.add(request());
+        List<CrashSuspect> all = new ArrayList<>(ofPrompt());
+        all.add(path());
+        all.addAll(whole());
         return all;
     }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashAnalysisTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashAnalysisTest.java
@@ -1,9 +1,11 @@
 package io.pollenpath.coordination.serving;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import io.pollenpath.state.serving.CrashSuspect;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -15,6 +17,7 @@
     private static final CrashSuspect BAD = CrashSuspect.ofPromptPart("bad");
     private static final CrashSuspect GOOD = CrashSuspect.ofPromptPart("good");
     private static final CrashSuspect NEW = CrashSuspect.ofPromptPart("new");
+    private static final CrashSuspect PATH = CrashSuspect.ofPath("POST", "a.example", "/x");
     private static final int SERVERS_AT_ONCE = 12;
 
     private final CrashHistory history = new CrashHistory();
@@ -203,4 +206,41 @@
         }
         assertThat(isBlocked(BAD)).isTrue();
     }
+
+    private static CrashSuspect request(String account, String content) {
+        return CrashSuspect.ofRequest(
+                account, "POST", "a.example", "/x", List.of(), content.getBytes(UTF_8));
+    }
+
+    private static CrashSuspect content(String content) {
+        return CrashSuspect.ofContent(
+                "POST", "a.example", "/x", List.of(), content.getBytes(UTF_8));
+    }
+
+    @Test
+    void blocksContentThatCrashesServersWhicheverAccountSendsIt() {
+        history.recordAnswer(PATH, ms(0));
+        for (int i = 0; i < 3; i++) {
+            crash(1_000 + 4_000 * i, request("account-" + i, "bad"), content("bad"), PATH);
+        }
+        assertThat(isBlocked(content("bad"))).isTrue();
+        assertThat(isBlocked(request("account-0", "bad"))).isFalse();
+        assertThat(isBlocked(PATH)).isFalse();
+        assertThat(history.recordAnswer(content("bad"), ms(20_000))).isTrue();
+        assertThat(isBlocked(content("bad"))).isFalse();
+    }
+
+    @Test
+    void blocksPathThatNoAnswerHadWhateverItsRequestsHold() {
+        for (int i = 0; i < 3; i++) {
+            crash(1_000 + 4_000 * i, request("clerks", "b" + i), content("b" + i), PATH);
+        }
+        assertThat(isBlocked(PATH)).isTrue();
+        assertThat(history.suspicion(PATH).contested()).isFalse();
+        assertThat(history.recordAnswer(PATH, ms(20_000))).isTrue();
+        for (int i = 0; i < 8; i++) {
+            crash(21_000 + 4_000 * i, request("clerks", "c" + i), content("c" + i), PATH);
+        }
+        assertThat(isBlocked(PATH)).isFalse();
+    }
 }
