Block a request after two crashes that nothing else explains, and share trials within a service

Callers saw the three servers of one service down together while two requests ended them by turns: each had three free ends, was the other's second cause ("contested") and had its own trials, so five sends came later than 3 s after the third end. Cause: the evidence was counted, not weighed, and the allowance was kept for each request, though they take the same servers. Class: a bound on a shared resource kept by each of its users. Change: a request that is the only one to have been on several of the servers that ended is the likely cause after two (others on them are on one each, or have been answered since). Likely causes are not excused by each other; they wait 5 s for the first trial and share three trials for each service that were not answered. Four new cases of CrashAnalysisTest and one of SuspectPolicyTest; those of two crashes fail before (blocked at three).

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashAnalysis.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashAnalysis.java
@@ -18,16 +18,20 @@
  * Draws conclusions from crashes: which suspects are blocked.
  *
  * <p>One request, or its content whoever sends it, is blocked by the crashes that it was in flight
- * on, whatever else explains them. What different requests share is blocked if it was never in an
- * answer before those crashes. If it was, a path is never blocked. The rest takes one crash more,
- * and crashes that a blocked suspect explains do not count: it is more often on crashed servers by
- * chance, and holding it back costs many good requests.
+ * on, whatever else explains them, and sooner if nothing else explains two of them. What different
+ * requests share is blocked if it was never in an answer before those crashes. If it was, a path is
+ * never blocked. The rest takes one crash more, and crashes that a blocked suspect explains do not
+ * count: it is more often on crashed servers by chance, and holding it back costs many good
+ * requests.
  */
 final class CrashAnalysis {
 
     /** The number of crashes that block a suspect. */
     static final int BLOCKING_CRASHES = 3;
 
+    /** The number of crashes that block a request if nothing else was on several of the servers. */
+    static final int BLOCKING_LONE_CRASHES = 2;
+
     /** The number of crashes that block a shared suspect that was in answers before. */
     static final int BLOCKING_CRASHES_IF_PROVEN = 4;
 
@@ -43,6 +47,7 @@
     private final Map<CrashSuspect, List<CrashRecord>> crashesOf = new HashMap<>();
     private final Set<CrashRecord> explained = Collections.newSetFromMap(new IdentityHashMap<>());
     private final CrashEpisodes episodes;
+    private final Map<String, Set<Long>> openTrials = new HashMap<>();
 
     CrashAnalysis(
             Collection<CrashRecord> crashes,
@@ -59,6 +64,27 @@
                 }
             }
         }
+        crashesOf.forEach(this::collectOpenTrials);
+    }
+
+    private void collectOpenTrials(CrashSuspect suspect, List<CrashRecord> own) {
+        if (suspect.isShared()) {
+            return;
+        }
+        Set<Long> open = openTrials.computeIfAbsent(own.get(0).service(), key -> new HashSet<>());
+        trialNanos
+                .getOrDefault(suspect, Map.of())
+                .forEach(
+                        (id, nanos) -> {
+                            if (!isClearedSince(suspect, nanos)) {
+                                open.add(id);
+                            }
+                        });
+    }
+
+    private boolean isClearedSince(CrashSuspect suspect, long nanos) {
+        Long cleared = clearedNanos.get(suspect);
+        return cleared != null && cleared - nanos > 0;
     }
 
     private boolean isSuspect(CrashSuspect suspect, CrashRecord crash) {
@@ -147,20 +173,20 @@
 
     private Suspicion ofRequest(CrashSuspect suspect, List<CrashRecord> own, int blame) {
         boolean contested = hasCrashWithout(suspect, own) || hasRival(suspect, own);
-        return suspicion(suspect, own, blame, own.size(), contested, BLOCKING_CRASHES);
+        return suspicion(suspect, own, blame, own.size(), loneCrashes(suspect, own), contested);
     }
 
     private Suspicion ofUnproven(CrashSuspect suspect, int count) {
         List<CrashRecord> own = crashesOf.get(suspect);
         boolean contested = hasUnexplainedCrashWithout(suspect, own) || hasRival(suspect, own);
-        return suspicion(suspect, own, count, count, contested, BLOCKING_CRASHES);
+        return suspicion(suspect, own, count, count, 0, contested);
     }
 
     private Suspicion ofProven(CrashSuspect suspect, List<CrashRecord> own) {
         List<CrashRecord> unexplained =
                 own.stream().filter(crash -> !explained.contains(crash)).toList();
         int count = episodes.count(unexplained, MAX_OF_EPISODE_IF_PROVEN);
-        return suspicion(suspect, own, count, count, true, BLOCKING_CRASHES_IF_PROVEN);
+        return suspicion(suspect, own, count, count, 0, true);
     }
 
     private Suspicion suspicion(
@@ -168,13 +194,33 @@
             List<CrashRecord> own,
             int count,
             int inFlight,
-            boolean contested,
-            int blocking) {
+            int lone,
+            boolean contested) {
         Collection<Long> starts = trialNanos.getOrDefault(suspect, Map.of()).values();
         Set<Long> times = new HashSet<>(starts);
         own.forEach(crash -> times.add(crash.nanos()));
         long last = times.stream().reduce(CrashHistory::later).orElse(0L);
-        return new Suspicion(count, inFlight, contested, starts.size(), last, blocking);
+        boolean provenShared = suspect.isShared() && isProven(suspect);
+        return new Suspicion(
+                count,
+                inFlight,
+                lone,
+                contested,
+                starts.size(),
+                openTrials.getOrDefault(own.get(0).service(), Set.of()).size(),
+                last,
+                provenShared ? BLOCKING_CRASHES_IF_PROVEN : BLOCKING_CRASHES);
+    }
+
+    /** Counts the crashes without another suspect of the kind that was on several servers. */
+    private int loneCrashes(CrashSuspect suspect, List<CrashRecord> own) {
+        return (int) own.stream().filter(crash -> !hasOtherRepeated(suspect, crash)).count();
+    }
+
+    private boolean hasOtherRepeated(CrashSuspect suspect, CrashRecord crash) {
+        return crash.suspects().stream()
+                .filter(other -> other.kind() == suspect.kind() && !other.equals(suspect))
+                .anyMatch(other -> crashesOf.getOrDefault(other, List.of()).size() > 1);
     }
 
     private boolean hasCrashWithout(CrashSuspect suspect, List<CrashRecord> own) {
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -41,7 +41,7 @@
     private static final long AGE_ERROR_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private static final Suspicion NONE =
-            new Suspicion(0, 0, false, 0, 0, CrashAnalysis.BLOCKING_CRASHES);
+            new Suspicion(0, 0, 0, false, 0, 0, 0, CrashAnalysis.BLOCKING_CRASHES);
 
     private static final Comparator<CrashSuspect> BY_DIGEST =
             Comparator.comparingLong(CrashSuspect::high).thenComparingLong(CrashSuspect::low);
@@ -58,9 +58,13 @@
      * @param crashes the number of servers that the suspect is held to have crashed
      * @param inFlightCrashes the number of servers that crashed while the suspect was in flight on
      *     them, whatever explains these crashes
+     * @param loneCrashes the number of these servers on which no other suspect of its kind was that
+     *     was on several crashed servers; 0 for a shared suspect
      * @param contested whether there may be another cause: servers of the same service have crashed
      *     in the same time without the suspect, or another one of its kind was on all of them
      * @param trials the number of its test runs
+     * @param serviceTrials the number of test runs of all requests to the service that have not
+     *     been answered
      * @param lastEventNanos the time of the latest of these crashes and trials, in nanoseconds; 0
      *     if there is none
      * @param blockingCrashes the number of crashes that block the suspect
@@ -68,11 +72,23 @@
     public record Suspicion(
             int crashes,
             int inFlightCrashes,
+            int loneCrashes,
             boolean contested,
             int trials,
+            int serviceTrials,
             long lastEventNanos,
             int blockingCrashes) {
 
+        /**
+         * Returns whether the suspect is the likely cause of crashes, because it was on several
+         * crashed servers on which nothing else was that was on several.
+         *
+         * @return true if it needs no further crash to be blocked
+         */
+        public boolean isLikelyCause() {
+            return loneCrashes >= CrashAnalysis.BLOCKING_LONE_CRASHES;
+        }
+
         /**
          * Returns whether the suspect is blocked.
          *
@@ -80,7 +96,7 @@
          * @return true if requests with it must not be sent as usual
          */
         public boolean isBlocked(int unconfirmedCrashes) {
-            return inFlightCrashes + unconfirmedCrashes >= blockingCrashes;
+            return isLikelyCause() || inFlightCrashes + unconfirmedCrashes >= blockingCrashes;
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -9,7 +9,8 @@
  * until an answer clears it, whatever else explains these crashes. It gets a few trials at growing
  * delays, because servers may also have crashed under it for another reason. The delays are short
  * if another suspect explains the crashes, and long if it is the only explanation of the crashes of
- * the service, because each further crash costs others their requests.
+ * the service, because each further crash costs others their requests. The likely causes of the
+ * crashes of one service share their trials, since they take the same servers from the others.
  */
 public final class SuspectPolicy {
 
@@ -25,7 +26,7 @@
     /** The same time if there may be another cause, in milliseconds. */
     private static final long[] CONTESTED_DELAYS_MS = {1_000, 2_500, 30_000};
 
-    /** The same time if the suspect is the only explanation, in milliseconds. */
+    /** The same time if the suspect is the only or the likely cause, in milliseconds. */
     private static final long[] SOLE_CAUSE_DELAYS_MS = {5_000, 60_000, 120_000};
 
     /** How long a caller is told to wait when no trial is left, in milliseconds. */
@@ -120,8 +121,11 @@
         if (suspicion.trials() >= MAX_TRIALS) {
             return refuse(BLOCKED_RETRY_AFTER_MS);
         }
+        if (suspicion.isLikelyCause() && suspicion.serviceTrials() >= MAX_TRIALS) {
+            return refuse(BLOCKED_RETRY_AFTER_MS);
+        }
         long sinceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - suspicion.lastEventNanos());
-        long remainingMs = delaysMs(suspicion)[suspicion.trials()] - sinceMs;
+        long remainingMs = delayMs(suspicion) - sinceMs;
         return remainingMs <= 0 ? TRIAL : refuse(remainingMs);
     }
 
@@ -135,6 +139,15 @@
         return new Verdict(Decision.REFUSE, retryAfterMs);
     }
 
+    private static long delayMs(CrashHistory.Suspicion suspicion) {
+        int trials = suspicion.trials();
+        if (suspicion.isLikelyCause()) {
+            int counted = trials == 0 ? 0 : Math.max(trials, suspicion.serviceTrials());
+            return SOLE_CAUSE_DELAYS_MS[counted];
+        }
+        return delaysMs(suspicion)[trials];
+    }
+
     private static long[] delaysMs(CrashHistory.Suspicion suspicion) {
         if (suspicion.crashes() < suspicion.blockingCrashes()) {
             return EXPLAINED_DELAYS_MS;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -73,6 +73,7 @@
                         .with("server", request.server().incarnationId())
                         .with("crashes", suspicion.crashes())
                         .with("in_flight_crashes", suspicion.inFlightCrashes())
+                        .with("lone_crashes", suspicion.loneCrashes())
                         .with("contested", suspicion.contested())
                         .with("trials", suspicion.trials()));
     }
@@ -124,8 +125,10 @@
                         .with("shared", suspect.isShared())
                         .with("crashes", suspicion.crashes())
                         .with("in_flight_crashes", suspicion.inFlightCrashes())
+                        .with("lone_crashes", suspicion.loneCrashes())
                         .with("contested", suspicion.contested())
                         .with("trials", suspicion.trials())
+                        .with("service_trials", suspicion.serviceTrials())
                         .with("may_have_run", request.mayHaveRun())
                         .with("retry_after_ms", verdict.retryAfterMs()));
     }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashAnalysisTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/CrashAnalysisTest.java
@@ -243,4 +243,48 @@
         }
         assertThat(isBlocked(PATH)).isFalse();
     }
+
+    @Test
+    void blocksRequestAfterTwoCrashesIfNothingElseWasOnSeveralServers() {
+        crash(1_000, request(1), request(11));
+        crash(2_000, request(2), request(12), request(13));
+        crash(3_000, request(1));
+        assertThat(isBlocked(request(1))).isTrue();
+        assertThat(isBlocked(request(2))).isFalse();
+        crash(4_000, request(2), request(14));
+        assertThat(isBlocked(request(2))).isTrue();
+        assertThat(isBlocked(request(11))).isFalse();
+    }
+
+    @Test
+    void blocksTwoRequestsThatWereOnTheSameServersAfterThreeCrashesOnly() {
+        crash(1_000, request(1), request(2));
+        crash(2_000, request(1), request(2));
+        assertThat(isBlocked(request(1))).isFalse();
+        crash(3_000, request(1), request(2));
+        assertThat(isBlocked(request(1))).isTrue();
+    }
+
+    @Test
+    void answeredRequestIsNoOtherExplanation() {
+        crash(1_000, request(1), request(2));
+        crash(2_000, request(1), request(2));
+        history.recordAnswer(request(2), ms(2_500));
+        assertThat(isBlocked(request(1))).isTrue();
+        assertThat(isBlocked(request(2))).isFalse();
+    }
+
+    @Test
+    void countsTrialsOfAllRequestsOfAServiceUntilTheyAreAnswered() {
+        crash(1_000, request(1));
+        crash(2_000, request(1));
+        crash(3_000, request(2));
+        crash(4_000, request(2));
+        history.recordTrial(request(1), 7, ms(9_000));
+        assertThat(history.suspicion(request(2)).serviceTrials()).isEqualTo(1);
+        history.recordTrial(request(2), 8, ms(9_100));
+        assertThat(history.suspicion(request(1)).serviceTrials()).isEqualTo(2);
+        history.recordAnswer(request(2), ms(9_200));
+        assertThat(history.suspicion(request(1)).serviceTrials()).isEqualTo(1);
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SuspectPolicyTest.java
@@ -12,7 +12,7 @@
     private static SuspectPolicy.Verdict decide(
             int crashes, boolean contested, int trials, int unconfirmed, long sinceMs) {
         CrashHistory.Suspicion suspicion =
-                new CrashHistory.Suspicion(crashes, crashes, contested, trials, 0, 3);
+                new CrashHistory.Suspicion(crashes, crashes, 0, contested, trials, trials, 0, 3);
         return SuspectPolicy.decide(suspicion, unconfirmed, TimeUnit.MILLISECONDS.toNanos(sinceMs));
     }
 
@@ -41,11 +41,11 @@
 
     @Test
     void staysBlockedWhenAnotherRequestExplainsTheCrashes() {
-        CrashHistory.Suspicion first = new CrashHistory.Suspicion(0, 3, true, 0, 0, 3);
+        CrashHistory.Suspicion first = new CrashHistory.Suspicion(0, 3, 0, true, 0, 0, 0, 3);
         assertThat(SuspectPolicy.decide(first, 0, 0).decision()).isEqualTo(Decision.TRIAL);
-        CrashHistory.Suspicion tried = new CrashHistory.Suspicion(1, 4, true, 1, 0, 3);
+        CrashHistory.Suspicion tried = new CrashHistory.Suspicion(1, 4, 0, true, 1, 1, 0, 3);
         assertThat(SuspectPolicy.decide(tried, 0, 0).decision()).isEqualTo(Decision.REFUSE);
-        CrashHistory.Suspicion exhausted = new CrashHistory.Suspicion(2, 6, true, 3, 0, 3);
+        CrashHistory.Suspicion exhausted = new CrashHistory.Suspicion(2, 6, 0, true, 3, 3, 0, 3);
         SuspectPolicy.Verdict verdict =
                 SuspectPolicy.decide(exhausted, 0, TimeUnit.MILLISECONDS.toNanos(500_000));
         assertThat(verdict.decision()).isEqualTo(Decision.REFUSE);
@@ -59,4 +59,21 @@
             assertThat(verdict.retryAfterMs()).isEqualTo(SuspectPolicy.BLOCKED_RETRY_AFTER_MS);
         }
     }
+
+    private static SuspectPolicy.Verdict decideOnLikelyCause(
+            int trials, int serviceTrials, long sinceMs) {
+        CrashHistory.Suspicion suspicion =
+                new CrashHistory.Suspicion(2, 2, 2, true, trials, serviceTrials, 0, 3);
+        return SuspectPolicy.decide(suspicion, 0, TimeUnit.MILLISECONDS.toNanos(sinceMs));
+    }
+
+    @Test
+    void triesLikelyCausesOfOneServiceThreeTimesTogether() {
+        assertThat(decideOnLikelyCause(0, 0, 4_000).retryAfterMs()).isEqualTo(1_000);
+        assertThat(decideOnLikelyCause(0, 0, 5_000).decision()).isEqualTo(Decision.TRIAL);
+        assertThat(decideOnLikelyCause(0, 2, 5_000).decision()).isEqualTo(Decision.TRIAL);
+        assertThat(decideOnLikelyCause(1, 1, 5_000).retryAfterMs()).isEqualTo(55_000);
+        assertThat(decideOnLikelyCause(1, 2, 60_000).retryAfterMs()).isEqualTo(60_000);
+        assertThat(decideOnLikelyCause(0, 3, 500_000).decision()).isEqualTo(Decision.REFUSE);
+    }
 }
