Count a trial at a majority of the entries before its request is sent

Callers may see one trial more than allowed if the entry that made it is killed just after: the voters kept their votes for one second and counted no trial; only the claimant told of it. Class: a permission whose use is recorded after the act, by the actor alone. Change: the trial is recorded, told to all entries, and sent once a majority knows it; a claim with an older number finds no majority then. A process that was delayed meanwhile for longer than its permit does not send. Entries that recorded trials of likely causes of one service at the same moment see each other's and hold back beyond three.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -129,6 +129,17 @@
         return remainingMs <= 0 ? TRIAL : refuse(remainingMs);
     }
 
+    /**
+     * Returns whether a trial that has been recorded may run. Several entries may have recorded
+     * trials of likely causes of one service at the same moment.
+     *
+     * @param suspicion the suspicion against the suspect on trial, this trial included, not null
+     * @return false if there are too many
+     */
+    public static boolean isWithinLimit(CrashHistory.Suspicion suspicion) {
+        return !suspicion.isLikelyCause() || suspicion.serviceTrials() <= MAX_TRIALS;
+    }
+
     /**
      * Returns the verdict that refuses a request.
      *
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
@@ -36,6 +36,17 @@
         REFUSED
     }
 
+    /**
+     * Returns whether a trial may still start, after the other entries were told of it.
+     *
+     * @param recordedNanos the time at which it was recorded, in nanoseconds
+     * @param nowNanos the current time, in nanoseconds
+     * @return false if this process was delayed for too long
+     */
+    public static boolean isInTime(long recordedNanos, long nowNanos) {
+        return nowNanos - recordedNanos < TimeUnit.MILLISECONDS.toNanos(PERMIT_MS);
+    }
+
     private record Permit(int number, State state, long endNanos) {}
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -13,7 +13,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -30,7 +30,7 @@
     private final TrialVotes votes;
     private final TrialPermits permits;
     private final ServiceRecoveries recoveries = new ServiceRecoveries();
-    private TrialVoters voters = claim -> CompletableFuture.completedFuture(true);
+    private TrialVoters voters = TrialVoters.NONE;
     private Runnable onChange = () -> {};
     private Runnable onLearned = () -> {};
 
@@ -163,24 +163,47 @@
     }
 
     /**
-     * Decides whether a request may be written to its server, and records the trial if it is one.
-     * The verdict may have changed since a server was chosen.
+     * Decides whether a request may be written to its server. The verdict may have changed since a
+     * server was chosen. A trial is recorded, and may be written once a majority of the entries
+     * knows of it, so that it counts whatever happens to this entry.
+     *
+     * @param result receives whether the request may be written; called on the event loop, at once
+     *     unless it is a trial
      */
-    boolean maySend(ForwardedRequest request, long nowNanos) {
+    void authorizeSend(ForwardedRequest request, long nowNanos, Consumer<Boolean> result) {
         SuspectPolicy.Verdict verdict = verdict(request, nowNanos);
-        if (!verdict.maySend()) {
-            return false;
+        if (verdict.decision() != SuspectPolicy.Decision.TRIAL) {
+            if (verdict.maySend()) {
+                logSend(request);
+            }
+            result.accept(verdict.maySend());
+            return;
         }
-        if (verdict.decision() == SuspectPolicy.Decision.TRIAL) {
-            recordTrial(request, nowNanos);
+        List<CrashSuspect> onTrial = suspectsOnTrial(request, nowNanos);
+        recordTrial(request, onTrial, nowNanos);
+        voters.tell()
+                .thenAccept(known -> result.accept(mayRunTrial(request, onTrial, known, nowNanos)));
+    }
+
+    private boolean mayRunTrial(
+            ForwardedRequest request,
+            List<CrashSuspect> onTrial,
+            boolean known,
+            long recordedNanos) {
+        boolean inTime = TrialPermits.isInTime(recordedNanos, System.nanoTime());
+        boolean withinLimit =
+                onTrial.stream().map(history::suspicion).allMatch(SuspectPolicy::isWithinLimit);
+        boolean mayRun = known && inTime && withinLimit;
+        log.trialRecorded(request, known, mayRun);
+        if (mayRun) {
+            logSend(request);
         }
-        logSend(request);
-        return true;
+        return mayRun;
     }
 
-    private void recordTrial(ForwardedRequest request, long nowNanos) {
+    private void recordTrial(ForwardedRequest request, List<CrashSuspect> onTrial, long nowNanos) {
         long trialId = random.nextLong();
-        for (CrashSuspect suspect : suspectsOnTrial(request, nowNanos)) {
+        for (CrashSuspect suspect : onTrial) {
             history.recordTrial(suspect, trialId, nowNanos);
             log.trial(request, suspect, trialId, history.suspicion(suspect));
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -109,6 +109,18 @@
                         .with("trial_id", Long.toHexString(trialId)));
     }
 
+    /** Logs whether a trial runs after the other entries were told of it. */
+    void trialRecorded(ForwardedRequest request, boolean known, boolean runs) {
+        MetricNames.count(metrics, "suspects_total", "event", runs ? "trial_runs" : "trial_lost");
+        LOG.info(
+                "{}",
+                LogLine.event("suspect_trial_recorded")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("fingerprint", request.fingerprint())
+                        .with("majority_knows", known)
+                        .with("runs", runs));
+    }
+
     /** Logs the refusal of a blocked request. */
     void blocked(
             ForwardedRequest request,
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -80,7 +80,7 @@
     /** Tells the other entries that this one has learned something. */
     void onChange() {
         version++;
-        tell(List.copyOf(peers.values()));
+        callEach(List.copyOf(peers.values()));
     }
 
     /** Passes on to some other entries what this one has learned from another. */
@@ -88,10 +88,10 @@
         version++;
         List<Peer> others = new ArrayList<>(peers.values());
         Collections.shuffle(others);
-        tell(others.subList(0, Math.min(RELAYS, others.size())));
+        callEach(others.subList(0, Math.min(RELAYS, others.size())));
     }
 
-    private void tell(List<Peer> told) {
+    private void callEach(List<Peer> told) {
         for (Peer peer : told) {
             peer.wantedVersion = version;
             call(peer);
@@ -188,6 +188,24 @@
         return vote.result();
     }
 
+    @Override
+    public CompletableFuture<Boolean> tell() {
+        byte[] body = message(Optional.empty(), false);
+        MajorityVote told = new MajorityVote(peers.size());
+        for (Peer peer : peers.values()) {
+            send(peer, body)
+                    .whenCompleteAsync((answer, failure) -> onTold(told, answer, failure), loop);
+        }
+        return told.result();
+    }
+
+    private void onTold(MajorityVote told, EntryMessage answer, Throwable failure) {
+        if (failure == null) {
+            merge(answer);
+        }
+        told.onVote(failure == null);
+    }
+
     private void onVote(MajorityVote vote, EntryMessage answer, Throwable failure) {
         if (failure == null) {
             merge(answer);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -156,9 +156,7 @@
         selections++;
         int selection = selections;
         lastProgressNanos = nowNanos;
-        if (firstSentNanos == 0) {
-            firstSentNanos = nowNanos;
-        }
+        firstSentNanos = firstSentNanos == 0 ? nowNanos : firstSentNanos;
         answer = new ServerAnswer();
         connections.acquire(
                 target,
@@ -181,32 +179,37 @@
             opened.close();
             return;
         }
-        if (!gateway.maySend(this)) {
+        gateway.authorizeSend(
+                this, authorized -> onAuthorized(selection, target, opened, authorized));
+    }
+
+    private void onAuthorized(
+            int selection, ServerInstance target, BackendConnection opened, boolean authorized) {
+        if (!isCurrentSelection(selection)) {
+            opened.close();
+        } else if (authorized) {
+            write(target, opened);
+        } else {
             opened.becomeIdle();
-            withhold();
-            return;
+            server = null;
+            gateway.onWithheld(this, target);
         }
+    }
+
+    private void write(ServerInstance target, BackendConnection opened) {
         long nowNanos = System.nanoTime();
         connection = opened;
         sends++;
         triedServerIds.add(target.id());
         sentNanos = nowNanos;
         lastProgressNanos = nowNanos;
-        ForwardHeaders forward =
-                new ForwardHeaders(
-                        target, Math.max(1, timeLeftMs(nowNanos)), context.account(), lastEventId);
+        long timeLeftMs = Math.max(1, timeLeftMs(nowNanos));
         opened.send(
-                context.toHttpRequest(gateway.dialect(), forward),
+                context.toHttpRequest(gateway.dialect(), target, timeLeftMs, lastEventId),
                 context.callerHeaders().requestId(),
                 this);
     }
 
-    private void withhold() {
-        ServerInstance unused = server;
-        server = null;
-        gateway.onWithheld(this, unused);
-    }
-
     @Override
     public void onHead(int newStatus, HttpHeaders headers) {
         lastProgressNanos = System.nanoTime();
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -324,8 +324,8 @@
     }
 
     /** Decides on a request that is about to be written to its server. */
-    boolean maySend(ForwardedRequest request) {
-        return crashGuard.maySend(request, System.nanoTime());
+    void authorizeSend(ForwardedRequest request, Consumer<Boolean> result) {
+        crashGuard.authorizeSend(request, System.nanoTime(), result);
     }
 
     /** Answers or queues a request that was not written to the server chosen for it. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
@@ -11,9 +11,11 @@
 import io.pollenpath.state.serving.ClientAccount;
 import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
+import io.pollenpath.state.serving.ServerInstance;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The immutable data of an accepted request.
@@ -73,7 +75,8 @@
     }
 
     /** Returns the request as it is sent to a server. */
-    FullHttpRequest toHttpRequest(WireDialect dialect, ForwardHeaders forward) {
+    FullHttpRequest toHttpRequest(
+            WireDialect dialect, ServerInstance target, long timeLeftMs, OptionalLong lastEventId) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -81,7 +84,8 @@
                         uri,
                         Unpooled.wrappedBuffer(body));
         request.headers().add(headers);
-        dialect.setForwardHeaders(request.headers(), forward);
+        dialect.setForwardHeaders(
+                request.headers(), new ForwardHeaders(target, timeLeftMs, account, lastEventId));
         if (body.length > 0 || !method.equals("GET")) {
             HttpUtil.setContentLength(request, body.length);
         }
