--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
@@ -56,6 +56,7 @@
     private final List<Long> killsNanos = new ArrayList<>();
     private final List<Integer> killedEntries = new ArrayList<>();
     private EntryFleet fleet;
+    private Paths paths;
 
     /** When entries are killed. */
     enum Kills {
@@ -92,8 +93,25 @@
         return apiKeys;
     }
 
-    private static String crashingPath(int index) {
-        return RestartingEngine.CRASHING_PATH + "/" + index;
+    /** Where the requests of a run go. */
+    enum Paths {
+        APART,
+        /** Sound and crashing requests have one path and differ in their queries. */
+        SHARED;
+
+        private String crashing(int index) {
+            return this == APART
+                    ? RestartingEngine.CRASHING_PATH + "/" + index
+                    : "/plain/mixed" + RestartingEngine.CRASHING_QUERY + index;
+        }
+
+        private String sound(int index) {
+            return this == APART ? "/plain/sound-" + index : "/plain/mixed?sound=" + index;
+        }
+    }
+
+    private String crashingPath(int index) {
+        return paths.crashing(index);
     }
 
     private CompletableFuture<List<EntryFleet.Answer>> repeat(
@@ -203,19 +221,33 @@
     @ParameterizedTest
     @Execution(ExecutionMode.CONCURRENT)
     @CsvSource({
-        "3, 2, 1, true, NONE, 11",
-        "3, 2, 1, true, AT_INTERVALS, 12",
-        "3, 2, 1, true, AFTER_LATE_ARRIVAL, 13",
-        "3, 2, 1, true, AFTER_LATE_ARRIVAL, 14",
-        "3, 2, 4, true, AT_INTERVALS, 15",
-        "3, 1, 1, false, NONE, 16",
-        "1, 1, 1, true, AT_INTERVALS, 17",
-        "2, 2, 1, true, AT_INTERVALS, 18",
-        "6, 5, 4, true, AFTER_LATE_ARRIVAL, 19",
+        "3, 2, 1, true, APART, NONE, 11",
+        "3, 2, 1, true, APART, AT_INTERVALS, 12",
+        "3, 2, 1, true, APART, AFTER_LATE_ARRIVAL, 13",
+        "3, 2, 1, true, APART, AFTER_LATE_ARRIVAL, 14",
+        "3, 2, 4, true, APART, AT_INTERVALS, 15",
+        "3, 1, 1, false, APART, NONE, 16",
+        "1, 1, 1, true, APART, AT_INTERVALS, 17",
+        "2, 2, 1, true, APART, AT_INTERVALS, 18",
+        "6, 5, 4, true, APART, AFTER_LATE_ARRIVAL, 19",
+        "3, 2, 1, true, SHARED, NONE, 21",
+        "3, 2, 1, true, SHARED, AT_INTERVALS, 22",
+        "3, 2, 4, true, SHARED, AFTER_LATE_ARRIVAL, 23",
+        "1, 2, 1, true, SHARED, AT_INTERVALS, 24",
+        "2, 2, 4, true, SHARED, AT_INTERVALS, 25",
+        "16, 2, 1, true, SHARED, AFTER_LATE_ARRIVAL, 26",
+        "6, 5, 4, true, SHARED, AT_INTERVALS, 27",
     })
     void sendsEachRequestThatEndedThreeServersAtMostThreeTimesMore(
-            int servers, int crashing, int accounts, boolean sameBody, Kills kills, long seed)
+            int servers,
+            int crashing,
+            int accounts,
+            boolean sameBody,
+            Paths newPaths,
+            Kills kills,
+            long seed)
             throws Exception {
+        paths = newPaths;
         List<String> apiKeys = apiKeys(accounts);
         start(servers, apiKeys, seed);
         for (int i = 0; i < crashing; i++) {
@@ -223,8 +255,7 @@
         }
         List<CompletableFuture<List<EntryFleet.Answer>>> sound = new ArrayList<>();
         for (int i = 0; i < SOUND_CALLERS; i++) {
-            String path = "/plain/sound-" + i;
-            sound.add(repeat(path, SOUND_INTERVAL_MS, apiKeys, true, 1_000 * seed + i));
+            sound.add(repeat(paths.sound(i), SOUND_INTERVAL_MS, apiKeys, true, 1_000 * seed + i));
         }
         killEntries(kills, crashing);
         ended.set(true);
--- a/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/RestartingEngine.java
@@ -23,6 +23,9 @@
     /** Requests with this path, or one below it, end the process of the engine that runs them. */
     static final String CRASHING_PATH = "/plain/crash";
 
+    /** Requests with this in their query, at any path, do so too. */
+    static final String CRASHING_QUERY = "?ends=";
+
     /**
      * Like {@link #CRASHING_PATH}, but half of the requests are answered with a failure at once.
      */
@@ -106,7 +109,8 @@
         if (refusing) {
             return EngineFault.NOT_RUN;
         }
-        if (pathOnly(request.path()).startsWith(CRASHING_PATH)) {
+        boolean crashing = request.path().contains(CRASHING_QUERY);
+        if (crashing || pathOnly(request.path()).startsWith(CRASHING_PATH)) {
             return crashWhileRunning();
         }
         switch (pathOnly(request.path())) {
