Let an entry that has just started hear the others before it sends

Callers saw a server end at 24.08 s under a request that had been blocked for 13 s: the entry had started 0.66 s before and knew of no crash. Cause: an entry served as soon as it knew the configuration and the servers; what the others know came when it came. Class: a process that acts before it has the state that its decisions need. A process that was paused is in the same place. Change: requests wait in the queue until each other entry has answered once or its first call has failed, at most one second from the time at which the entry could serve, and again after a pause of more than a second. Later entries are not waited for, and without other entries nothing is. EntryCatchUpTest has the cases of entries that do not answer, come later or have gone, and of a pause; the pause was not played by real processes.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/EntryCatchUp.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/EntryCatchUp.java
@@ -20,6 +20,7 @@
     private final Set<String> pending = new HashSet<>();
     private long lastTickNanos;
     private long beginNanos;
+    private boolean expectsEntries;
     private boolean begun;
     private boolean entriesKnown;
     private int answered;
@@ -33,6 +34,11 @@
         lastTickNanos = startNanos;
     }
 
+    /** Records that this entry is connected to others, without which it waits for nobody. */
+    public void expectEntries() {
+        expectsEntries = true;
+    }
+
     /**
      * Records that this entry is able to serve, from which on it waits for the others.
      *
@@ -107,7 +113,7 @@
         if (isPaused(nowNanos)) {
             return true;
         }
-        boolean waits = !entriesKnown || !pending.isEmpty();
+        boolean waits = expectsEntries && (!entriesKnown || !pending.isEmpty());
         return waits && elapsedMs(nowNanos) < MAX_WAIT_MS;
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -1,5 +1,6 @@
 package io.pollenpath.transport.serving;
 
+import io.pollenpath.coordination.serving.EntryCatchUp;
 import io.pollenpath.coordination.serving.QueueTimeouts;
 import io.pollenpath.coordination.serving.ResendPolicy;
 import io.pollenpath.coordination.serving.SendOutcome;
@@ -39,6 +40,7 @@
     private final BackendConnectionPool connections;
     private final RequestLog log;
     private final CrashGuard crashGuard;
+    private final EntryCatchUp catchUp;
     private final RandomGenerator random;
     private final BackendServers servers;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
@@ -51,6 +53,7 @@
             BackendServers servers,
             RequestLog log,
             CrashGuard crashGuard,
+            EntryCatchUp catchUp,
             RandomGenerator random) {
         this.settings = settings;
         this.view = view;
@@ -58,6 +61,7 @@
         this.log = log;
         this.servers = servers;
         this.crashGuard = crashGuard;
+        this.catchUp = catchUp;
         this.random = random;
     }
 
@@ -137,9 +141,12 @@
     /**
      * Sends queued requests of a service while there is free capacity. No other request is held up
      * by a resend that finds no server other than those it was sent to, or by a request that must
-     * not be sent yet.
+     * not be sent yet. Nothing is sent before this entry has heard what the others know.
      */
     private void sendQueued(String name, long nowNanos) {
+        if (catchUp.isBehind(nowNanos)) {
+            return;
+        }
         ServiceTraffic service = traffic(name);
         Optional<QueuedRequest<ForwardedRequest>> next = service.queue().first();
         while (next.isPresent()) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -77,6 +77,14 @@
         }
     }
 
+    /** Hears again what each other entry knows. */
+    void hearAll() {
+        for (Peer peer : List.copyOf(peers.values())) {
+            peer.acknowledgedVersion = -1;
+            call(peer);
+        }
+    }
+
     /** Tells the other entries that this one has learned something. */
     void onChange() {
         version++;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -93,7 +93,8 @@
                 new BackendServers(
                         limits, new ServerSelector(settings.zone(), limits, random), limitLog);
         dispatcher =
-                new Dispatcher(settings, this::view, backends, servers, log, crashGuard, random);
+                new Dispatcher(
+                        settings, this::view, backends, servers, log, crashGuard, catchUp, random);
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
@@ -105,7 +106,11 @@
     }
 
     private void tick() {
-        dispatcher.tick(System.nanoTime());
+        long nowNanos = System.nanoTime();
+        if (catchUp.onTick(nowNanos) && peers != null) {
+            peers.hearAll();
+        }
+        dispatcher.tick(nowNanos);
     }
 
     private void housekeep() {
@@ -155,6 +160,7 @@
     public void connectEntries(HttpClient http) {
         loop.execute(
                 () -> {
+                    catchUp.expectEntries();
                     peers =
                             new EntryPeers(
                                     loop, http, new EntryKnowledge(crashGuard, servers), catchUp);
@@ -325,7 +331,12 @@
 
     /** Decides on a request that is about to be written to its server. */
     void authorizeSend(ForwardedRequest request, Consumer<Boolean> result) {
-        crashGuard.authorizeSend(request, System.nanoTime(), result);
+        long nowNanos = System.nanoTime();
+        if (catchUp.isBehind(nowNanos)) {
+            result.accept(false);
+        } else {
+            crashGuard.authorizeSend(request, nowNanos, result);
+        }
     }
 
     /** Answers or queues a request that was not written to the server chosen for it. */
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/EntryCatchUpTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/EntryCatchUpTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests whether an entry knows that it lacks what the others know. */
@@ -23,6 +24,16 @@
         }
     }
 
+    @BeforeEach
+    void expectEntries() {
+        catchUp.expectEntries();
+    }
+
+    @Test
+    void waitsForNobodyWithoutConnectionToOthers() {
+        assertThat(new EntryCatchUp(0).isBehind(ms(10))).isFalse();
+    }
+
     @Test
     void isBehindUntilAllOtherEntriesHaveAnsweredOrFailed() {
         catchUp.onReady(ms(100));
--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -47,6 +48,12 @@
     private static final int SOUND_CALLERS = 3;
     private static final long SOUND_INTERVAL_MS = 330;
     private static final double MIN_SERVED = 0.5;
+    private static final int ENGINES_OF_STARTED = 6;
+    private static final int STARTED_SEED = 31;
+    private static final int CALLS_TO_BLOCK = 8;
+    private static final int STARTS = 6;
+    private static final int STARTED_ENTRY = 1;
+    private static final long STARTED_CALLS_MS = 1_000;
     private static final long MIN_RESTART_MS = 1_100;
     private static final long MAX_RESTART_MS = 2_600;
 
@@ -292,6 +299,30 @@
         assertWithMessage(message).that(served).isAtLeast(MIN_SERVED);
     }
 
+    @Test
+    void startedEntrySendsNoRequestThatTheOthersHaveBlocked() throws Exception {
+        paths = Paths.APART;
+        start(ENGINES_OF_STARTED, apiKeys(1), STARTED_SEED);
+        RandomGenerator random = new SplittableRandom(STARTED_SEED);
+        for (int i = 0; i < CALLS_TO_BLOCK; i++) {
+            call(random, "block-" + i, crashingPath(0), apiKeys(1), "{}");
+            Pause.forMs(POLL_MS);
+        }
+        long blockedFromNanos = System.nanoTime();
+        for (int i = 0; i < STARTS; i++) {
+            fleet.restartEntry(STARTED_ENTRY);
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STARTED_CALLS_MS);
+            for (int j = 0; System.nanoTime() < endNanos; j++) {
+                fleet.call(STARTED_ENTRY, "start-" + i + "-" + j, crashingPath(0));
+                Pause.forMs(POLL_MS);
+            }
+        }
+        List<RestartingEngine.Arrival> arrivals = fleet.arrivals(crashingPath(0));
+        long late = arrivals.stream().filter(a -> a.nanos() - blockedFromNanos > 0).count();
+        assertWithMessage("arrivals").that(arrivals.size() - late).isAtLeast(2L);
+        assertThat(late).isAtMost(MAX_LATE_ARRIVALS);
+    }
+
     private static double servedShare(
             List<CompletableFuture<List<EntryFleet.Answer>>> sound, long fromNanos)
             throws Exception {
