Count a retry when it is sent, not when it is decided

Cause: the budget counted the decision; the retry then waits up to 1.5 s for a server, so ten seconds of sends held more than ten of decisions. Class: a window kept over another event than the one that is limited. Change: a decision reserves a retry, its send counts it, and a request that ends unsent gives it back (RetryReservations). Evidence: retriesThatAreDecidedTogetherAndSentLaterStayWithinTheLimitInEveryWindow, decisions every 11 s and every second batch sent 1.5 s later: 80 sends in a window of 40 with the code before, at most 40 now.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/QueueTimeouts.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/QueueTimeouts.java
@@ -33,6 +33,18 @@
 
     private QueueTimeouts() {}
 
+    /**
+     * Returns how long a server may send nothing before a request that may run again leaves it.
+     *
+     * @param route the route, not null
+     * @param streamSilenceMs the shortest such time of a stream, in milliseconds
+     * @return the time, in milliseconds
+     */
+    public static long silenceLimitMs(Route route, long streamSilenceMs) {
+        long twoObjectivesMs = 2 * route.objectiveMs();
+        return route.streaming() ? Math.max(streamSilenceMs, twoObjectivesMs) : twoObjectivesMs;
+    }
+
     /**
      * Returns how long a request may queue and still be answered on time.
      *
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
@@ -12,6 +12,9 @@
  * window covers only partly counts in full for retries and not at all for requests, which errs
  * towards fewer retries.
  *
+ * <p>A retry is reserved when it is decided and counts in the window in which it is sent: it may
+ * wait for a server in between, and windows of sends then hold more than windows of decisions.
+ *
  * <p>An entry that has left may have used its part in the same window, so the parts are those of
  * the largest number of entries in the window. A process that has just started has no part of the
  * allowance for one window, because an earlier process in its place may have used it.
@@ -28,6 +31,7 @@
     private final int[] mostEntries = new int[SLICES + 1];
     private final long allowedFromNanos;
     private long currentSlice = Long.MIN_VALUE;
+    private int reserved;
 
     /**
      * Creates a budget with empty windows.
@@ -73,23 +77,52 @@
     }
 
     /**
-     * Takes one retry from the budget if it allows one.
+     * Reserves one retry if the budget allows it beside those reserved before.
+     *
+     * @param liveEntries the live entries that share the allowance; less than 1 counts as 1
+     * @param nowNanos the current time, in nanoseconds
+     * @return true if the request may wait for its retry; then either {@link #trySend} must succeed
+     *     or {@link #release} be called
+     */
+    public boolean tryReserve(int liveEntries, long nowNanos) {
+        if (!allows(reserved + 1, liveEntries, nowNanos)) {
+            return false;
+        }
+        reserved++;
+        return true;
+    }
+
+    /**
+     * Counts a reserved retry that is sent now, if the budget still allows it.
      *
      * @param liveEntries the live entries that share the allowance; less than 1 counts as 1
      * @param nowNanos the current time, in nanoseconds
-     * @return true if the request may be retried
+     * @return true if the retry may be sent; otherwise it stays reserved
      */
-    public boolean tryRetry(int liveEntries, long nowNanos) {
+    public boolean trySend(int liveEntries, long nowNanos) {
+        if (!allows(1, liveEntries, nowNanos)) {
+            return false;
+        }
+        release();
+        retries[index(currentSlice)]++;
+        return true;
+    }
+
+    /** Gives back a reserved retry that was not sent. */
+    public void release() {
+        if (reserved == 0) {
+            throw new IllegalStateException("no retry is reserved; reserve one first");
+        }
+        reserved--;
+    }
+
+    private boolean allows(int more, int liveEntries, long nowNanos) {
         onEntries(liveEntries, nowNanos);
         boolean justStarted = nowNanos - allowedFromNanos < 0;
         double ownAllowance =
                 justStarted ? 0 : allowance / Arrays.stream(mostEntries).max().getAsInt();
         double allowed = ratio * requestsInWindow() + ownAllowance;
-        if (sum(retries) + 1 > allowed) {
-            return false;
-        }
-        retries[index(currentSlice)]++;
-        return true;
+        return sum(retries) + more <= allowed;
     }
 
     private void advance(long nowNanos) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -45,6 +45,7 @@
     private final BackendServers servers;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
     private final Set<ForwardedRequest> inFlight = new HashSet<>();
+    private final RetryReservations retries = new RetryReservations();
 
     Dispatcher(
             GatewaySettings settings,
@@ -179,7 +180,8 @@
             return false;
         }
         Optional<ServerInstance> server = servers.choose(current, name, request, nowNanos);
-        if (server.isEmpty()) {
+        int entries = current.liveEntries();
+        if (server.isEmpty() || !retries.count(request, service.retryBudget(), entries, nowNanos)) {
             return false;
         }
         service.queue().remove(request);
@@ -253,9 +255,8 @@
         boolean resend =
                 decision == ResendPolicy.Decision.RESEND
                         && !crashGuard.verdict(request, nowNanos).isRefused()
-                        && (request.sends() == 0
-                                || service.retryBudget()
-                                        .tryRetry(view.get().liveEntries(), nowNanos));
+                        && retries.reserve(
+                                request, service.retryBudget(), view.get().liveEntries(), nowNanos);
         log.sendFailed(request, server, outcome, cause, resend ? "RESEND" : decision.name());
         if (resend) {
             long waitMs = Math.min(RESEND_QUEUE_TIMEOUT_MS, timeLeftMs);
@@ -303,6 +304,7 @@
     void onDone(ForwardedRequest request, boolean answered, long nowNanos) {
         String name = request.context().service();
         traffic(name).queue().remove(request);
+        retries.release(request, traffic(name).retryBudget());
         ServerInstance server = request.server();
         if (server != null) {
             if (answered) {
@@ -348,18 +350,12 @@
             return;
         }
         if (request.route().mayRunAgain()
-                && request.silenceMs(nowNanos) > silenceLimitMs(request)) {
+                && request.silenceMs(nowNanos)
+                        > QueueTimeouts.silenceLimitMs(request.route(), settings.silenceMs())) {
             request.abandonSilentServer();
         }
     }
 
-    private long silenceLimitMs(ForwardedRequest request) {
-        long twoObjectives = 2 * request.route().objectiveMs();
-        return request.route().streaming()
-                ? Math.max(settings.silenceMs(), twoObjectives)
-                : twoObjectives;
-    }
-
     /** Logs the load of each service that has requests. */
     void logState() {
         traffic.forEach(
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SharedRetryBudgetTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SharedRetryBudgetTest.java
@@ -17,16 +17,24 @@
     private static final int RESTART_EVERY = 500;
     private static final double ALLOWANCE = 40;
     private static final long WINDOW_MS = 10_000;
+    private static final long TICK_MS = 20;
+    private static final long MAX_WAIT_MS = 1_500;
+    private static final long DECISIONS_MS = 11_000;
     private static final long LONG_AGO_NANOS = -TimeUnit.MILLISECONDS.toNanos(WINDOW_MS);
 
     private static int taken(SharedRetryBudget budget, int tries, int entries, long nowNanos) {
         int taken = 0;
         for (int i = 0; i < tries; i++) {
-            taken += budget.tryRetry(entries, nowNanos) ? 1 : 0;
+            taken += tryRetry(budget, entries, nowNanos) ? 1 : 0;
         }
         return taken;
     }
 
+    /** Decides on a retry and sends it at once. */
+    private static boolean tryRetry(SharedRetryBudget budget, int entries, long nowNanos) {
+        return budget.tryReserve(entries, nowNanos) && budget.trySend(entries, nowNanos);
+    }
+
     @Test
     void dividesTheAllowanceAmongEntries() {
         SharedRetryBudget budget =
@@ -88,7 +96,7 @@
             if (random.nextInt(3) > 0) {
                 budget.onRequest(nowNanos);
                 requests.add(nowMs);
-            } else if (budget.tryRetry(entries, nowNanos)) {
+            } else if (tryRetry(budget, entries, nowNanos)) {
                 retries.add(nowMs);
             }
         }
@@ -107,6 +115,43 @@
         }
     }
 
+    @Test
+    void retriesThatAreDecidedTogetherAndSentLaterStayWithinTheLimitInEveryWindow() {
+        SharedRetryBudget budget =
+                new SharedRetryBudget(LONG_AGO_NANOS, RATIO, ALLOWANCE, WINDOW_MS);
+        List<Long> sends = new ArrayList<>();
+        List<Long> waiting = new ArrayList<>();
+        for (long nowMs = 0; nowMs < 5 * WINDOW_MS; nowMs += TICK_MS) {
+            long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
+            if (nowMs % DECISIONS_MS == 0) {
+                for (int i = 0; i < ALLOWANCE; i++) {
+                    if (budget.tryReserve(1, nowNanos)) {
+                        waiting.add(nowMs + (nowMs / DECISIONS_MS % 2 == 0 ? MAX_WAIT_MS : 0));
+                    }
+                }
+            }
+            long dueMs = nowMs;
+            while (waiting.stream().anyMatch(at -> at <= dueMs) && budget.trySend(1, nowNanos)) {
+                waiting.remove(waiting.stream().filter(at -> at <= dueMs).findFirst().get());
+                sends.add(nowMs);
+            }
+        }
+        for (long end : sends) {
+            long inWindow = count(sends, end - WINDOW_MS, end);
+            assertWithMessage("window to %s ms", end).that(inWindow).isAtMost((long) ALLOWANCE);
+        }
+        assertThat(sends.size()).isAtLeast((int) (3 * ALLOWANCE));
+    }
+
+    @Test
+    void givesBackARetryThatIsNotSent() {
+        SharedRetryBudget budget = new SharedRetryBudget(LONG_AGO_NANOS, RATIO, 1, WINDOW_MS);
+        assertThat(budget.tryReserve(1, 0)).isTrue();
+        assertThat(budget.tryReserve(1, 0)).isFalse();
+        budget.release();
+        assertThat(budget.tryReserve(1, 0)).isTrue();
+    }
+
     private static long count(List<Long> times, long after, long until) {
         return times.stream().filter(at -> at > after && at <= until).count();
     }
