Ask less often for a trial that many entries want

Callers of a sound request that was blocked at 120 entries got no trial for a minute: each entry asked again after 1 to 4 s, votes were always split and no question found a majority. Class: work of one process that grows with the number of the others. Change: the time to the next question doubles with each refusal, up to five times, until the entry is granted a trial. Evidence: TrialAgreementTest now sends a trial only when a majority knows of it, as the entries do, and has cases in which each claimant is killed just after. The model does not show that the order before lost trials: its messages outlive their sender.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
@@ -2,6 +2,7 @@
 
 import io.pollenpath.state.serving.CrashSuspect;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -18,10 +19,16 @@
     /** The shortest time from a refusal to the next question, in milliseconds. */
     static final long MIN_BACKOFF_MS = 1_000;
 
-    /** The longest time from a refusal to the next question, in milliseconds. */
+    /** The longest time from the first refusal to the next question, in milliseconds. */
     static final long MAX_BACKOFF_MS = 4_000;
 
+    /** How often that time doubles, so that questions of many entries find a majority in turn. */
+    private static final int MAX_DOUBLINGS = 5;
+
+    private static final int MAX_REFUSED_SUSPECTS = 1_024;
+
     private final Map<CrashSuspect, Permit> permits = new HashMap<>();
+    private final Map<CrashSuspect, Integer> refusals = newBoundedMap();
     private final RandomGenerator random;
 
     /** The state of the permit for one trial. */
@@ -112,14 +119,26 @@
             return;
         }
         long askedEndNanos = permits.get(suspect).endNanos();
-        long backoffMs = random.nextLong(MIN_BACKOFF_MS, MAX_BACKOFF_MS);
-        permits.put(
-                suspect,
-                agreed
-                        ? new Permit(number, State.GRANTED, askedEndNanos)
-                        : new Permit(
-                                number,
-                                State.REFUSED,
-                                nowNanos + TimeUnit.MILLISECONDS.toNanos(backoffMs)));
+        if (agreed) {
+            refusals.remove(suspect);
+            permits.put(suspect, new Permit(number, State.GRANTED, askedEndNanos));
+            return;
+        }
+        long backoffNanos = TimeUnit.MILLISECONDS.toNanos(nextBackoffMs(suspect));
+        permits.put(suspect, new Permit(number, State.REFUSED, nowNanos + backoffNanos));
+    }
+
+    private long nextBackoffMs(CrashSuspect suspect) {
+        int doublings = Math.min(MAX_DOUBLINGS, refusals.merge(suspect, 1, Integer::sum) - 1);
+        return random.nextLong(MIN_BACKOFF_MS, MAX_BACKOFF_MS << doublings);
+    }
+
+    private static Map<CrashSuspect, Integer> newBoundedMap() {
+        return new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<CrashSuspect, Integer> eldest) {
+                return size() > MAX_REFUSED_SUSPECTS;
+            }
+        };
     }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialAgreementTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialAgreementTest.java
@@ -32,6 +32,7 @@
     private long nowNanos;
     private int order;
     private int trials;
+    private boolean killsClaimants;
 
     private record Event(long nanos, int order, Runnable action) implements Comparable<Event> {
         @Override
@@ -43,6 +44,7 @@
 
     private final class Entry {
         private final String name;
+        private int boots;
         private CrashHistory history = new CrashHistory();
         private TrialVotes votes;
         private TrialPermits permits;
@@ -59,6 +61,7 @@
         }
 
         void restart() {
+            boots++;
             start();
             for (Entry other : entries) {
                 send(() -> merge(other.history.report(nowNanos)));
@@ -119,12 +122,44 @@
             }
         }
 
+        /** Records a trial, and sends it once a majority knows of it. */
         private void runTrial() {
-            trials++;
+            long recordedNanos = nowNanos;
             history.recordTrial(CULPRIT, random.nextLong(), nowNanos);
-            tell();
+            CrashReport report = history.report(nowNanos);
+            int[] known = {1};
+            sendTrialIfKnown(known[0], recordedNanos);
+            for (Entry other : entries) {
+                if (other != this) {
+                    send(() -> onTold(other, report, known, recordedNanos));
+                }
+            }
+        }
+
+        private void onTold(Entry other, CrashReport report, int[] known, long recordedNanos) {
+            int boot = boots;
+            other.merge(report);
+            send(
+                    () -> {
+                        known[0]++;
+                        if (boot == boots) {
+                            sendTrialIfKnown(known[0], recordedNanos);
+                        }
+                    });
+        }
+
+        private void sendTrialIfKnown(int known, long recordedNanos) {
+            boolean justMajority = known == entries.size() / 2 + 1;
+            if (!justMajority || !TrialPermits.isInTime(recordedNanos, nowNanos)) {
+                return;
+            }
+            trials++;
             String server = "trial-" + trials + "@1";
-            at(CRASH_MS, () -> crash(server));
+            Entry witness = killsClaimants ? entries.get(random.nextInt(entries.size())) : this;
+            at(CRASH_MS, () -> witness.crash(server));
+            if (killsClaimants) {
+                restart();
+            }
         }
 
         private void crash(String server) {
@@ -185,6 +220,17 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {3, 4, 12, 120})
+    void allEntriesTogetherRunAtMostThreeTrialsThoughEachIsTheLastActOfItsEntry(int entryCount) {
+        killsClaimants = true;
+        for (long seed = 1; seed <= (entryCount > 12 ? 2 : SEEDS); seed++) {
+            run(entryCount, seed, false);
+            assertWithMessage("seed %s", seed).that(trials).isAtMost(MAX_TRIALS);
+            assertWithMessage("seed %s", seed).that(trials).isAtLeast(1);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {3, 4, 12})
     void allEntriesTogetherRunAtMostThreeTrialsWhileSomeRestart(int entryCount) {
