--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests what several entries do with requests that end the few servers of a service, while entries
@@ -54,6 +55,11 @@
     private static final int STARTS = 6;
     private static final int STARTED_ENTRY = 1;
     private static final long STARTED_CALLS_MS = 1_000;
+    private static final long CALL_PAUSE_MS = 50;
+
+    /** The first trial of a likely cause is due after 5 s. */
+    private static final long SERVED_AGAIN_MS = 6_500;
+
     private static final long MIN_RESTART_MS = 1_100;
     private static final long MAX_RESTART_MS = 2_600;
 
@@ -323,6 +329,51 @@
         assertThat(late).isAtMost(MAX_LATE_ARRIVALS);
     }
 
+    @ParameterizedTest
+    @Execution(ExecutionMode.CONCURRENT)
+    @ValueSource(ints = {1, 2})
+    void servesSoundRequestAgainThatWasAloneOnServersKilledFromOutside(int kills) throws Exception {
+        paths = Paths.APART;
+        start(ENGINES_OF_STARTED, apiKeys(1), 41 + kills);
+        CompletableFuture<List<EntryFleet.Answer>> caller =
+                repeat(RestartingEngine.LONG_PATH, CALL_PAUSE_MS, apiKeys(1), true, kills);
+        int seen = fleet.arrivals(RestartingEngine.LONG_PATH).size() + 1;
+        for (int i = 0; i < kills; i++) {
+            killServerOfArrival(seen + i);
+        }
+        long killedNanos = System.nanoTime();
+        Pause.forMs(SERVED_AGAIN_MS);
+        ended.set(true);
+        long servedAfterMs =
+                caller.get().stream()
+                        .filter(answer -> answer.status() == 200)
+                        .map(answer -> endMs(answer) - TimeUnit.NANOSECONDS.toMillis(killedNanos))
+                        .filter(afterMs -> afterMs > 0)
+                        .findFirst()
+                        .orElse(Long.MAX_VALUE);
+        System.out.println(kills + " killed, served again after " + servedAfterMs + " ms");
+        assertThat(servedAfterMs).isAtMost(SERVED_AGAIN_MS);
+    }
+
+    private static long endMs(EntryFleet.Answer answer) {
+        return TimeUnit.NANOSECONDS.toMillis(answer.sentNanos()) + answer.elapsedMs();
+    }
+
+    /** Waits for an arrival of the long request and kills its server while it is at work. */
+    private void killServerOfArrival(int number) throws IOException {
+        while (fleet.arrivals(RestartingEngine.LONG_PATH).size() < number) {
+            Pause.forMs(POLL_MS);
+        }
+        RestartingEngine.Arrival arrival =
+                fleet.arrivals(RestartingEngine.LONG_PATH).get(number - 1);
+        Pause.forMs(RestartingEngine.LONG_WORK_MS / 4);
+        for (RestartingEngine engine : fleet.engines()) {
+            if (engine.arrivals().contains(arrival)) {
+                engine.kill();
+            }
+        }
+    }
+
     private static double servedShare(
             List<CompletableFuture<List<EntryFleet.Answer>>> sound, long fromNanos)
             throws Exception {
