--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashAnalysis.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashAnalysis.java
@@ -172,13 +172,16 @@
     }
 
     private Suspicion ofRequest(CrashSuspect suspect, List<CrashRecord> own, int blame) {
-        boolean contested = hasCrashWithout(suspect, own) || hasRival(suspect, own);
+        boolean contested =
+                isRepeated(own) && (hasCrashWithout(suspect, own) || hasRival(suspect, own));
         return suspicion(suspect, own, blame, own.size(), loneCrashes(suspect, own), contested);
     }
 
     private Suspicion ofUnproven(CrashSuspect suspect, int count) {
         List<CrashRecord> own = crashesOf.get(suspect);
-        boolean contested = hasUnexplainedCrashWithout(suspect, own) || hasRival(suspect, own);
+        boolean contested =
+                isRepeated(own)
+                        && (hasUnexplainedCrashWithout(suspect, own) || hasRival(suspect, own));
         return suspicion(suspect, own, count, count, 0, contested);
     }
 
@@ -214,13 +217,20 @@
 
     /** Counts the crashes without another suspect of the kind that was on several servers. */
     private int loneCrashes(CrashSuspect suspect, List<CrashRecord> own) {
-        return (int) own.stream().filter(crash -> !hasOtherRepeated(suspect, crash)).count();
+        return isRepeated(own)
+                ? (int) own.stream().filter(crash -> !hasOtherRepeated(suspect, crash)).count()
+                : 0;
+    }
+
+    /** Returns false for the many suspects of one crash, which nothing is asked about. */
+    private static boolean isRepeated(List<CrashRecord> own) {
+        return own.size() > 1;
     }
 
     private boolean hasOtherRepeated(CrashSuspect suspect, CrashRecord crash) {
         return crash.suspects().stream()
                 .filter(other -> other.kind() == suspect.kind() && !other.equals(suspect))
-                .anyMatch(other -> crashesOf.getOrDefault(other, List.of()).size() > 1);
+                .anyMatch(other -> isRepeated(crashesOf.getOrDefault(other, List.of())));
     }
 
     private boolean hasCrashWithout(CrashSuspect suspect, List<CrashRecord> own) {
