Test more entries and a silent store, and the sound request away from other fleets

The case of a sound request on two killed servers failed once, 6,665 ms where 6,500 are allowed, while several rows ran beside it in one process at a load of 11 to 13. Traced: the event loop of one entry did not run for half a second at least (a request whose time in the queue ended at 29.46 s was given up at 29.98 s; its question for the trial was asked and answered only then).

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/CrashHistory.java
@@ -60,8 +60,9 @@
      *     them, whatever explains these crashes
      * @param loneCrashes the number of these servers on which no other suspect of its kind was that
      *     was on several crashed servers; 0 for a shared suspect
-     * @param contested whether there may be another cause of several crashes: servers of the same service have crashed
-     *     in the same time without the suspect, or another one of its kind was on all of them
+     * @param contested whether there may be another cause of several crashes: servers of the same
+     *     service have crashed in the same time without the suspect, or another one of its kind was
+     *     on all of them
      * @param trials the number of its test runs
      * @param serviceTrials the number of test runs of all requests to the service that have not
      *     been answered
--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what several entries do with a request that ends each server that runs it. */
 class CrashingRequestTest {
@@ -42,6 +43,11 @@
     private static final long KILL_INTERVAL_MS = 1_000;
     private static final long MAX_REFUSAL_MS = 250;
 
+    private static final long LONG_PAUSE_MS = 50;
+
+    /** The first trial of a likely cause is due after 5 s. */
+    private static final long SERVED_AGAIN_MS = 6_500;
+
     private final ExecutorService callers = Executors.newCachedThreadPool();
     private final AtomicBoolean ended = new AtomicBoolean();
     private EntryFleet fleet;
@@ -273,4 +279,33 @@
             }
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void servesSoundRequestAgainThatWasAloneOnServersKilledFromOutside(int kills) throws Exception {
+        start(ENGINES);
+        CompletableFuture<List<EntryFleet.Answer>> caller =
+                repeat("long", RestartingEngine.LONG_PATH, LONG_PAUSE_MS, Integer.MAX_VALUE);
+        for (int i = 0; i < kills; i++) {
+            RestartingEngine running = awaitNextRun();
+            Pause.forMs(RestartingEngine.LONG_WORK_MS / 4);
+            running.kill();
+        }
+        long killedNanos = System.nanoTime();
+        Pause.forMs(SERVED_AGAIN_MS);
+        ended.set(true);
+        long servedAfterMs =
+                caller.get().stream()
+                        .filter(answer -> answer.status() == 200)
+                        .map(answer -> endMs(answer) - TimeUnit.NANOSECONDS.toMillis(killedNanos))
+                        .filter(afterMs -> afterMs > 0)
+                        .findFirst()
+                        .orElse(Long.MAX_VALUE);
+        System.out.println(kills + " killed, served again after " + servedAfterMs + " ms");
+        assertThat(servedAfterMs).isAtMost(SERVED_AGAIN_MS);
+    }
+
+    private static long endMs(EntryFleet.Answer answer) {
+        return TimeUnit.NANOSECONDS.toMillis(answer.sentNanos()) + answer.elapsedMs();
+    }
 }
--- a/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/CrashingRequestsOnFewServersTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.pollenpath.standin.platform.PlatformFixtures;
+import io.pollenpath.standin.platform.StoreFault;
 import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -23,7 +24,6 @@
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests what several entries do with requests that end the few servers of a service, while entries
@@ -46,6 +46,8 @@
     private static final long KILL_INTERVAL_MS = 6_500;
     private static final long KILL_DELAY_MS = 4;
     private static final int MAX_KILLS = 6;
+    private static final long STORE_AWAY_BEFORE_END_MS = 24_000;
+    private static final long STORE_BACK_BEFORE_END_MS = 14_000;
     private static final int SOUND_CALLERS = 3;
     private static final long SOUND_INTERVAL_MS = 330;
     private static final double MIN_SERVED = 0.5;
@@ -55,11 +57,6 @@
     private static final int STARTS = 6;
     private static final int STARTED_ENTRY = 1;
     private static final long STARTED_CALLS_MS = 1_000;
-    private static final long CALL_PAUSE_MS = 50;
-
-    /** The first trial of a likely cause is due after 5 s. */
-    private static final long SERVED_AGAIN_MS = 6_500;
-
     private static final long MIN_RESTART_MS = 1_100;
     private static final long MAX_RESTART_MS = 2_600;
 
@@ -75,6 +72,8 @@
     enum Kills {
         NONE,
         AT_INTERVALS,
+        /** At intervals, while the store answers nothing for a while. */
+        WHILE_STORE_IS_AWAY,
         /** Just after a request that has ended three servers has come from the entry. */
         AFTER_LATE_ARRIVAL
     }
@@ -86,10 +85,11 @@
         fleet.close();
     }
 
-    private void start(int servers, List<String> apiKeys, long seed) throws IOException {
+    private void start(int entries, int servers, List<String> apiKeys, long seed)
+            throws IOException {
         fleet =
                 new EntryFleet(
-                        ENTRIES,
+                        entries,
                         servers,
                         PlatformFixtures.manifestWithAccounts(1, EntryFleet.SERVICE, apiKeys));
         RandomGenerator restarts = new SplittableRandom(seed);
@@ -150,7 +150,7 @@
             String path,
             List<String> apiKeys,
             String body) {
-        int entry = random.nextInt(ENTRIES);
+        int entry = random.nextInt(fleet.entryCount());
         entryOfRequest.put(requestId, entry);
         String apiKey = apiKeys.get(random.nextInt(apiKeys.size()));
         Map<String, String> headers = Map.of("Authorization", EntryFleet.bearer(apiKey));
@@ -161,12 +161,17 @@
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RUN_MS);
         long nextKillNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KILL_INTERVAL_MS);
         int seen = 0;
+        boolean storeAway = kills == Kills.WHILE_STORE_IS_AWAY;
         while (System.nanoTime() < endNanos) {
             Pause.forMs(POLL_MS);
+            if (storeAway) {
+                fleet.store().setFault(storeFaultAt(endNanos - System.nanoTime()));
+            }
             boolean mayKill = killsNanos.size() < MAX_KILLS;
-            if (kills == Kills.AT_INTERVALS && mayKill && System.nanoTime() > nextKillNanos) {
+            boolean atIntervals = kills == Kills.AT_INTERVALS || kills == Kills.WHILE_STORE_IS_AWAY;
+            if (atIntervals && mayKill && System.nanoTime() > nextKillNanos) {
                 nextKillNanos += TimeUnit.MILLISECONDS.toNanos(KILL_INTERVAL_MS);
-                kill(killsNanos.size() % ENTRIES);
+                kill(killsNanos.size() % fleet.entryCount());
             }
             List<RestartingEngine.Arrival> late = lateArrivals(crashing);
             if (kills == Kills.AFTER_LATE_ARRIVAL && mayKill && late.size() > seen) {
@@ -177,6 +182,13 @@
         }
     }
 
+    private static StoreFault storeFaultAt(long remainingNanos) {
+        long remainingMs = TimeUnit.NANOSECONDS.toMillis(remainingNanos);
+        boolean away =
+                remainingMs < STORE_AWAY_BEFORE_END_MS && remainingMs > STORE_BACK_BEFORE_END_MS;
+        return away ? StoreFault.SILENT : StoreFault.NONE;
+    }
+
     private void kill(int entry) {
         killsNanos.add(System.nanoTime());
         killedEntries.add(entry);
@@ -234,24 +246,29 @@
     @ParameterizedTest
     @Execution(ExecutionMode.CONCURRENT)
     @CsvSource({
-        "3, 2, 1, true, APART, NONE, 11",
-        "3, 2, 1, true, APART, AT_INTERVALS, 12",
-        "3, 2, 1, true, APART, AFTER_LATE_ARRIVAL, 13",
-        "3, 2, 1, true, APART, AFTER_LATE_ARRIVAL, 14",
-        "3, 2, 4, true, APART, AT_INTERVALS, 15",
-        "3, 1, 1, false, APART, NONE, 16",
-        "1, 1, 1, true, APART, AT_INTERVALS, 17",
-        "2, 2, 1, true, APART, AT_INTERVALS, 18",
-        "6, 5, 4, true, APART, AFTER_LATE_ARRIVAL, 19",
-        "3, 2, 1, true, SHARED, NONE, 21",
-        "3, 2, 1, true, SHARED, AT_INTERVALS, 22",
-        "3, 2, 4, true, SHARED, AFTER_LATE_ARRIVAL, 23",
-        "1, 2, 1, true, SHARED, AT_INTERVALS, 24",
-        "2, 2, 4, true, SHARED, AT_INTERVALS, 25",
-        "16, 2, 1, true, SHARED, AFTER_LATE_ARRIVAL, 26",
-        "6, 5, 4, true, SHARED, AT_INTERVALS, 27",
+        "3, 3, 2, 1, true, APART, NONE, 11",
+        "3, 3, 2, 1, true, APART, AT_INTERVALS, 12",
+        "3, 3, 2, 1, true, APART, AFTER_LATE_ARRIVAL, 13",
+        "3, 3, 2, 1, true, APART, AFTER_LATE_ARRIVAL, 14",
+        "3, 3, 2, 4, true, APART, AT_INTERVALS, 15",
+        "3, 3, 1, 1, false, APART, NONE, 16",
+        "3, 1, 1, 1, true, APART, AT_INTERVALS, 17",
+        "3, 2, 2, 1, true, APART, AT_INTERVALS, 18",
+        "3, 6, 5, 4, true, APART, AFTER_LATE_ARRIVAL, 19",
+        "3, 3, 2, 1, true, SHARED, NONE, 21",
+        "3, 3, 2, 1, true, SHARED, AT_INTERVALS, 22",
+        "3, 3, 2, 4, true, SHARED, AFTER_LATE_ARRIVAL, 23",
+        "3, 1, 2, 1, true, SHARED, AT_INTERVALS, 24",
+        "3, 2, 2, 4, true, SHARED, AT_INTERVALS, 25",
+        "3, 16, 2, 1, true, SHARED, AFTER_LATE_ARRIVAL, 26",
+        "3, 6, 5, 4, true, SHARED, AT_INTERVALS, 27",
+        "1, 3, 2, 4, true, SHARED, NONE, 28",
+        "8, 3, 2, 4, true, SHARED, AFTER_LATE_ARRIVAL, 29",
+        "3, 3, 2, 1, true, SHARED, WHILE_STORE_IS_AWAY, 30",
+        "3, 3, 2, 4, true, APART, WHILE_STORE_IS_AWAY, 31",
     })
     void sendsEachRequestThatEndedThreeServersAtMostThreeTimesMore(
+            int entries,
             int servers,
             int crashing,
             int accounts,
@@ -262,7 +279,7 @@
             throws Exception {
         paths = newPaths;
         List<String> apiKeys = apiKeys(accounts);
-        start(servers, apiKeys, seed);
+        start(entries, servers, apiKeys, seed);
         for (int i = 0; i < crashing; i++) {
             repeat(crashingPath(i), CRASH_INTERVAL_MS, apiKeys, sameBody, 100 * seed + i);
         }
@@ -295,8 +312,8 @@
         double served = servedShare(sound, fromNanos);
         String message =
                 String.format(
-                        "%s; together %d ended, %d late, %.3f of the others served",
-                        seen, endsNanos().size(), ofAll, served);
+                        "seed %d: %s; together %d ended, %d late, %.3f of the others served",
+                        seed, seen, endsNanos().size(), ofAll, served);
         System.out.println(message);
         assertWithMessage(message).that(most).isAtMost(MAX_LATE_ARRIVALS);
         if (crashing <= MAX_COUNTED_TOGETHER) {
@@ -308,7 +325,7 @@
     @Test
     void startedEntrySendsNoRequestThatTheOthersHaveBlocked() throws Exception {
         paths = Paths.APART;
-        start(ENGINES_OF_STARTED, apiKeys(1), STARTED_SEED);
+        start(ENTRIES, ENGINES_OF_STARTED, apiKeys(1), STARTED_SEED);
         RandomGenerator random = new SplittableRandom(STARTED_SEED);
         for (int i = 0; i < CALLS_TO_BLOCK; i++) {
             call(random, "block-" + i, crashingPath(0), apiKeys(1), "{}");
@@ -329,51 +346,6 @@
         assertThat(late).isAtMost(MAX_LATE_ARRIVALS);
     }
 
-    @ParameterizedTest
-    @Execution(ExecutionMode.CONCURRENT)
-    @ValueSource(ints = {1, 2})
-    void servesSoundRequestAgainThatWasAloneOnServersKilledFromOutside(int kills) throws Exception {
-        paths = Paths.APART;
-        start(ENGINES_OF_STARTED, apiKeys(1), 41 + kills);
-        CompletableFuture<List<EntryFleet.Answer>> caller =
-                repeat(RestartingEngine.LONG_PATH, CALL_PAUSE_MS, apiKeys(1), true, kills);
-        int seen = fleet.arrivals(RestartingEngine.LONG_PATH).size() + 1;
-        for (int i = 0; i < kills; i++) {
-            killServerOfArrival(seen + i);
-        }
-        long killedNanos = System.nanoTime();
-        Pause.forMs(SERVED_AGAIN_MS);
-        ended.set(true);
-        long servedAfterMs =
-                caller.get().stream()
-                        .filter(answer -> answer.status() == 200)
-                        .map(answer -> endMs(answer) - TimeUnit.NANOSECONDS.toMillis(killedNanos))
-                        .filter(afterMs -> afterMs > 0)
-                        .findFirst()
-                        .orElse(Long.MAX_VALUE);
-        System.out.println(kills + " killed, served again after " + servedAfterMs + " ms");
-        assertThat(servedAfterMs).isAtMost(SERVED_AGAIN_MS);
-    }
-
-    private static long endMs(EntryFleet.Answer answer) {
-        return TimeUnit.NANOSECONDS.toMillis(answer.sentNanos()) + answer.elapsedMs();
-    }
-
-    /** Waits for an arrival of the long request and kills its server while it is at work. */
-    private void killServerOfArrival(int number) throws IOException {
-        while (fleet.arrivals(RestartingEngine.LONG_PATH).size() < number) {
-            Pause.forMs(POLL_MS);
-        }
-        RestartingEngine.Arrival arrival =
-                fleet.arrivals(RestartingEngine.LONG_PATH).get(number - 1);
-        Pause.forMs(RestartingEngine.LONG_WORK_MS / 4);
-        for (RestartingEngine engine : fleet.engines()) {
-            if (engine.arrivals().contains(arrival)) {
-                engine.kill();
-            }
-        }
-    }
-
     private static double servedShare(
             List<CompletableFuture<List<EntryFleet.Answer>>> sound, long fromNanos)
             throws Exception {
