--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialPermitsTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialPermitsTest.java
@@ -53,4 +53,11 @@
         assertThat(permits.state(REQUEST, 0, ms(TrialPermits.MAX_BACKOFF_MS)))
                 .isEqualTo(State.NONE);
     }
+
+    @Test
+    void startsNoTrialLaterThanItsPermitLasts() {
+        long endNanos = TimeUnit.MILLISECONDS.toNanos(TrialPermits.PERMIT_MS);
+        assertThat(TrialPermits.isInTime(0, endNanos - 1)).isTrue();
+        assertThat(TrialPermits.isInTime(0, endNanos)).isFalse();
+    }
 }
