Give each likely cause its first trial, whatever others have used

Callers of a sound request that had been the only repeated one on two servers that ended could be refused for ten minutes: trials were shared within a service, so two requests that do end servers used up the three, and the sound one had none left to clear it. Cause: a bound meant for the causes also took from the suspects the only thing that tells them apart. Found in a reading. Change: the first trial of each is its own; later ones are shared as before. Two requests still have at most three together, and each keeps its three; more than two may have one more arrival each.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SuspectPolicy.java
@@ -10,7 +10,8 @@
  * delays, because servers may also have crashed under it for another reason. The delays are short
  * if another suspect explains the crashes, and long if it is the only explanation of the crashes of
  * the service, because each further crash costs others their requests. The likely causes of the
- * crashes of one service share their trials, since they take the same servers from the others.
+ * crashes of one service share all trials but the first of each, since they take the same servers
+ * from the others. The first is not shared, so that no cause keeps a good request out for long.
  */
 public final class SuspectPolicy {
 
@@ -121,7 +122,8 @@
         if (suspicion.trials() >= MAX_TRIALS) {
             return refuse(BLOCKED_RETRY_AFTER_MS);
         }
-        if (suspicion.isLikelyCause() && suspicion.serviceTrials() >= MAX_TRIALS) {
+        boolean sharesTrials = suspicion.isLikelyCause() && suspicion.trials() > 0;
+        if (sharesTrials && suspicion.serviceTrials() >= MAX_TRIALS) {
             return refuse(BLOCKED_RETRY_AFTER_MS);
         }
         long sinceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - suspicion.lastEventNanos());
@@ -137,7 +139,8 @@
      * @return false if there are too many
      */
     public static boolean isWithinLimit(CrashHistory.Suspicion suspicion) {
-        return !suspicion.isLikelyCause() || suspicion.serviceTrials() <= MAX_TRIALS;
+        boolean sharesTrials = suspicion.isLikelyCause() && suspicion.trials() > 1;
+        return !sharesTrials || suspicion.serviceTrials() <= MAX_TRIALS;
     }
 
     /**
