Tell callers to come back soon though this entry asks for a trial late

Another entry may get the trial meanwhile, and its answer frees the request everywhere, so the time of one entry's next question is no statement about the request. Evidence: tellsCallersToComeBackSoonAfterManyRefusals, which fails without the bound.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/TrialPermits.java
@@ -81,17 +81,20 @@
     }
 
     /**
-     * Returns the time until the state of a permit ends.
+     * Returns the time until the state of a permit ends, or a shorter one if it takes long: another
+     * entry may get the trial meanwhile, and its answer frees the suspect for all.
      *
      * @param suspect the suspect, not null
      * @param nowNanos the current time, in nanoseconds
      * @return the time, in milliseconds; 0 if there is no permit
      */
-    public long remainingMs(CrashSuspect suspect, long nowNanos) {
+    public long retryAfterMs(CrashSuspect suspect, long nowNanos) {
         Permit permit = permits.get(suspect);
-        return permit == null
-                ? 0
-                : Math.max(0, TimeUnit.NANOSECONDS.toMillis(permit.endNanos() - nowNanos));
+        if (permit == null) {
+            return 0;
+        }
+        long remainingMs = TimeUnit.NANOSECONDS.toMillis(permit.endNanos() - nowNanos);
+        return Math.max(0, Math.min(MAX_BACKOFF_MS, remainingMs));
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -122,7 +122,7 @@
         return switch (permits.state(suspect, number, nowNanos)) {
             case GRANTED -> SuspectPolicy.TRIAL;
             case NONE, ASKED -> SuspectPolicy.AWAIT_PERMIT;
-            case REFUSED -> SuspectPolicy.refuse(permits.remainingMs(suspect, nowNanos));
+            case REFUSED -> SuspectPolicy.refuse(permits.retryAfterMs(suspect, nowNanos));
         };
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialPermitsTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TrialPermitsTest.java
@@ -49,7 +49,7 @@
         permits.onResult(REQUEST, 0, false, ms(0));
         long justBeforeNanos = ms(TrialPermits.MIN_BACKOFF_MS - 1);
         assertThat(permits.state(REQUEST, 0, justBeforeNanos)).isEqualTo(State.REFUSED);
-        assertThat(permits.remainingMs(REQUEST, justBeforeNanos)).isAtLeast(1);
+        assertThat(permits.retryAfterMs(REQUEST, justBeforeNanos)).isAtLeast(1);
         assertThat(permits.state(REQUEST, 0, ms(TrialPermits.MAX_BACKOFF_MS)))
                 .isEqualTo(State.NONE);
     }
@@ -60,4 +60,17 @@
         assertThat(TrialPermits.isInTime(0, endNanos - 1)).isTrue();
         assertThat(TrialPermits.isInTime(0, endNanos)).isFalse();
     }
+
+    @Test
+    void tellsCallersToComeBackSoonAfterManyRefusals() {
+        long nowNanos = 0;
+        for (int i = 0; i < 20; i++) {
+            permits.onAsked(REQUEST, 0, nowNanos);
+            permits.onResult(REQUEST, 0, false, nowNanos);
+            long retryAfterMs = permits.retryAfterMs(REQUEST, nowNanos);
+            assertThat(retryAfterMs).isAtLeast(TrialPermits.MIN_BACKOFF_MS - 1);
+            assertThat(retryAfterMs).isAtMost(TrialPermits.MAX_BACKOFF_MS);
+            nowNanos += TimeUnit.MINUTES.toNanos(5);
+        }
+    }
 }
