Log unexpected errors while a trial is prepared or another entry's reply is handled

An error of our own in these steps ended in a future that nobody read: no log line, and the request waited until its timeout. Found in a reading; no run showed one. 61 tests of the touched classes pass.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -132,7 +132,9 @@
             onPermitResult(claim, false);
             return;
         }
-        voters.ask(claim).thenAccept(agreed -> onPermitResult(claim, agreed));
+        voters.ask(claim)
+                .thenAccept(agreed -> onPermitResult(claim, agreed))
+                .exceptionally(log::trialFailed);
     }
 
     private void onPermitResult(TrialClaim claim, boolean agreed) {
@@ -182,7 +184,8 @@
         List<CrashSuspect> onTrial = suspectsOnTrial(request, nowNanos);
         recordTrial(request, onTrial, nowNanos);
         voters.tell()
-                .thenAccept(known -> result.accept(mayRunTrial(request, onTrial, known, nowNanos)));
+                .thenAccept(known -> result.accept(mayRunTrial(request, onTrial, known, nowNanos)))
+                .exceptionally(log::trialFailed);
     }
 
     private boolean mayRunTrial(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -121,6 +121,12 @@
                         .with("runs", runs));
     }
 
+    /** Logs an unexpected error while a trial was prepared; its request waits until its timeout. */
+    Void trialFailed(Throwable failure) {
+        LOG.error("{}", LogLine.event("suspect_trial_failed").with("cause", failure));
+        return null;
+    }
+
     /** Logs the refusal of a blocked request. */
     void blocked(
             ForwardedRequest request,
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -114,9 +115,25 @@
         }
         peer.inProgress = true;
         long sentVersion = version;
-        send(peer, message(Optional.empty(), false))
-                .whenCompleteAsync(
-                        (answer, failure) -> onReply(peer, sentVersion, answer, failure), loop);
+        onCompletion(
+                send(peer, message(Optional.empty(), false)),
+                (answer, failure) -> onReply(peer, sentVersion, answer, failure));
+    }
+
+    private void onCompletion(
+            CompletableFuture<EntryMessage> call, BiConsumer<EntryMessage, Throwable> handler) {
+        call.handleAsync(
+                        (answer, failure) -> {
+                            handler.accept(answer, failure);
+                            return null;
+                        },
+                        loop)
+                .exceptionally(EntryPeers::logUnexpected);
+    }
+
+    private static Object logUnexpected(Throwable failure) {
+        LOG.error("{}", LogLine.event("entry_reply_failed").with("cause", failure));
+        return null;
     }
 
     private CompletableFuture<EntryMessage> send(Peer peer, byte[] body) {
@@ -190,8 +207,7 @@
         byte[] body = message(Optional.of(claim), false);
         MajorityVote vote = new MajorityVote(peers.size());
         for (Peer peer : peers.values()) {
-            send(peer, body)
-                    .whenCompleteAsync((answer, failure) -> onVote(vote, answer, failure), loop);
+            onCompletion(send(peer, body), (answer, failure) -> onVote(vote, answer, failure));
         }
         return vote.result();
     }
@@ -201,8 +217,7 @@
         byte[] body = message(Optional.empty(), false);
         MajorityVote told = new MajorityVote(peers.size());
         for (Peer peer : peers.values()) {
-            send(peer, body)
-                    .whenCompleteAsync((answer, failure) -> onTold(told, answer, failure), loop);
+            onCompletion(send(peer, body), (answer, failure) -> onTold(told, answer, failure));
         }
         return told.result();
     }
