Spread the fetches after a shift over several map changes

Cause: one change carried all fetches after a shift of the demand, so the group stayed at two to three times the mean load for 1.0 s though the first few fetches take most of the excess. Change: the planner improves all sets of layers together under a rising limit of fetches a rank, and takes the draft that loses least to imbalance over this change and the next. The time of a fetch follows from the declared size and bandwidth, the other time of a change from the changes so far.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
@@ -1,11 +1,10 @@
 package io.pollenpath.coordination.group;
 
-import java.util.Arrays;
 import java.util.List;
 
 /**
- * Improves the placement of one set of layers greedily. Each iteration relieves the most loaded
- * rank: one of its experts gets a replica on another rank, or is swapped with an expert there.
+ * Improves the placement of one set of layers greedily. Each change relieves the most loaded rank:
+ * one of its experts gets a replica on another rank, or is swapped with an expert there.
  */
 final class LayerBalancer {
 
@@ -31,6 +30,11 @@
     private final int[] affectedRanks;
     private final boolean[] isAffected;
     private int affectedCount;
+    private int changes;
+
+    /** The experts of each rank; empty while they are not listed since the last change. */
+    private List<List<Integer>> lists = List.of();
+
     private Change best;
     private double bestGain;
 
@@ -47,16 +51,15 @@
      * @param demand the load of each expert; the sum is the number of ranks
      * @param slotsPerRank the maximum number of experts on a rank
      * @param maxNew the maximum number of experts that are new to a rank
-     * @param otherLayerFetches the number of experts that each rank fetches for other sets of
-     *     layers
+     * @param changeFetches the fetches of the change that this placement is a part of
      */
     LayerBalancer(
             List<List<Integer>> base,
             double[] demand,
             int slotsPerRank,
             int maxNew,
-            int[] otherLayerFetches) {
-        placement = new PlacementDraft(base, demand, slotsPerRank, maxNew, otherLayerFetches);
+            RankFetches changeFetches) {
+        placement = new PlacementDraft(base, demand, slotsPerRank, maxNew, changeFetches);
         penalties = new double[base.size()];
         loadChange = new double[base.size()];
         affectedRanks = new int[base.size()];
@@ -68,23 +71,31 @@
         return placement.maxLoad();
     }
 
-    /** Returns how many experts each rank fetches, including those of other sets of layers. */
-    int[] totalFetches() {
-        int[] fetches = new int[placement.ranks()];
-        Arrays.setAll(fetches, placement::totalFetches);
-        return fetches;
+    /**
+     * Makes the change that relieves the most loaded rank best, within the limits of the fetches.
+     *
+     * @return false if no change is worthwhile
+     */
+    boolean improveOnce() {
+        if (changes >= MAX_CHANGES || maxLoad() <= BALANCED_LOAD) {
+            return false;
+        }
+        Change best = bestChange();
+        if (best == null) {
+            return false;
+        }
+        apply(best);
+        lists = List.of();
+        changes++;
+        return true;
     }
 
-    /** Improves the placement until no change is worthwhile, and returns it. */
-    List<List<Integer>> improve() {
-        for (int changes = 0; changes < MAX_CHANGES && maxLoad() > BALANCED_LOAD; changes++) {
-            Change best = bestChange();
-            if (best == null) {
-                break;
-            }
-            apply(best);
+    /** Returns the experts of each rank. */
+    List<List<Integer>> placement() {
+        if (lists.isEmpty()) {
+            lists = placement.toLists();
         }
-        return placement.toLists();
+        return lists;
     }
 
     /** Returns the change that relieves the most loaded rank best; null if none is worthwhile. */
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -37,6 +37,7 @@
     private final ExpertDemandEstimator demand;
     private final LeaderListener listener;
     private final StepPace pace = new StepPace();
+    private final ChangeTimes changeTimes;
     private final Map<Integer, RankStatus> statuses = new HashMap<>();
     private final Map<Integer, List<List<Integer>>> hostedExperts = new HashMap<>();
     private final Map<Long, ExpertMap> mapsByVersion = new HashMap<>();
@@ -46,6 +47,8 @@
     private long epoch = -1;
     private long lastReleasedStep = -1;
     private long changesStarted;
+    private long lastChangeNanos;
+    private int lastChangeFetches;
     private long shiftsAtLastChange;
     private long samplesAtLastPlan;
 
@@ -63,6 +66,7 @@
         this.shape = Objects.requireNonNull(shape, "shape");
         this.listener = Objects.requireNonNull(listener, "listener");
         planner = new MapPlanner(shape);
+        changeTimes = new ChangeTimes(shape.fetchMs());
         demand = new ExpertDemandEstimator(shape.layers(), shape.experts());
     }
 
@@ -214,25 +218,30 @@
     private List<AddressedCommand> advance(MapCommit current, long nowNanos) {
         boolean preparing = current.phase() == MapCommit.Phase.PREPARING;
         if (preparing && demand.shifts() > shiftsAtLastChange) {
-            endCommit(current, true);
+            endCommit(current, true, nowNanos);
             return List.of();
         }
         List<AddressedCommand> commands = current.next(pace.holdAheadSteps(), nowNanos);
         if (current.hasEnded()) {
-            endCommit(current, false);
+            endCommit(current, false, nowNanos);
         }
         return commands;
     }
 
-    private void endCommit(MapCommit ended, boolean superseded) {
+    private void endCommit(MapCommit ended, boolean superseded, long nowNanos) {
         listener.onCommitEnded(ended, superseded);
         if (ended.phase() == MapCommit.Phase.DONE) {
-            ended.map().ifPresent(map -> recordMap(ended.version(), map));
+            ended.map().ifPresent(map -> onOwnChangeDone(ended.version(), map, nowNanos));
         }
         commit = Optional.empty();
         recovery.ifPresent(MapRecovery::discardStatuses);
     }
 
+    private void onOwnChangeDone(long version, ExpertMap map, long nowNanos) {
+        recordMap(version, map);
+        changeTimes.onChange((nowNanos - lastChangeNanos) / 1e6, lastChangeFetches);
+    }
+
     /** Records the next active map, beside the one that the ranks may still report. */
     private void recordMap(long version, ExpertMap map) {
         mapsByVersion.keySet().retainAll(Set.of(statuses.get(ownRank).mapVersion()));
@@ -252,7 +261,8 @@
             return List.of();
         }
         samplesAtLastPlan = demand.samples();
-        MapPlanner.Plan plan = planner.plan(current.get().map(), demand.shares());
+        MapPlanner.Plan plan =
+                planner.plan(current.get().map(), demand.shares(), changeTimes.cost());
         return RebalanceRule.isWorthwhile(plan, shape) ? startChange(plan, nowNanos) : List.of();
     }
 
@@ -266,6 +276,8 @@
     List<AddressedCommand> startChange(MapPlanner.Plan plan, long nowNanos) {
         changesStarted++;
         shiftsAtLastChange = demand.shifts();
+        lastChangeNanos = nowNanos;
+        lastChangeFetches = plan.maxFetches();
         long version = (token << VERSION_BITS) + changesStarted;
         long deadlineNanos = nowNanos + PREPARE_TIMEOUT_NANOS;
         MapCommit started =
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
@@ -3,11 +3,17 @@
 import io.pollenpath.state.group.ExpertMap;
 import io.pollenpath.state.serving.GroupShape;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 
-/** Plans the next expert map of a group from the demand for its experts. */
+/**
+ * Plans the next expert map of a group from the demand for its experts, under any load on the
+ * group.
+ *
+ * <p>A change that fetches more lets the group wait longer for the balance. The planner therefore
+ * drafts changes with more and more fetches for each rank, and takes the one after which the group
+ * has lost least to imbalance by the time that a following change has made up for the rest.
+ */
 public final class MapPlanner {
 
     private final GroupShape shape;
@@ -29,8 +35,10 @@
      *     the mean, averaged over the sets of layers
      * @param imbalanceThen the same under the planned map
      * @param fetches the number of experts to fetch, summed over the ranks
+     * @param maxFetches the number of experts to fetch of the rank that has most of them
      */
-    public record Plan(ExpertMap map, double imbalanceNow, double imbalanceThen, int fetches) {
+    public record Plan(
+            ExpertMap map, double imbalanceNow, double imbalanceThen, int fetches, int maxFetches) {
 
         /** Checks the components. */
         public Plan {
@@ -52,35 +60,86 @@
      *
      * @param current the active map, not null
      * @param shares the share of each expert in the selections of its set of layers, not null
+     * @param cost the time that a change takes, not null
      * @return the plan; its map may equal the current one
      */
-    public Plan plan(ExpertMap current, double[][] shares) {
-        List<List<List<Integer>>> layers = new ArrayList<>();
-        int[] fetches = new int[current.ranks()];
-        double imbalanceNow = 0;
-        double imbalanceThen = 0;
+    public Plan plan(ExpertMap current, double[][] shares, ChangeCost cost) {
+        RankFetches fetches = new RankFetches(current.ranks());
+        List<LayerBalancer> balancers = balancers(current, shares, fetches);
+        double imbalanceNow = imbalance(balancers);
+        List<Plan> plans = new ArrayList<>();
+        do {
+            fetches.raiseLimit();
+            improve(balancers);
+            ExpertMap map =
+                    new ExpertMap(balancers.stream().map(LayerBalancer::placement).toList());
+            plans.add(
+                    new Plan(
+                            map, imbalanceNow, imbalance(balancers), fetches.sum(), fetches.max()));
+        } while (fetches.isLimitReached());
+        return choose(plans, cost);
+    }
+
+    private List<LayerBalancer> balancers(
+            ExpertMap current, double[][] shares, RankFetches fetches) {
+        List<LayerBalancer> balancers = new ArrayList<>();
         for (int layer = 0; layer < shares.length; layer++) {
             double[] demand = new double[shares[layer].length];
             for (int expert = 0; expert < demand.length; expert++) {
                 demand[expert] = shares[layer][expert] * current.ranks();
             }
-            LayerBalancer balancer =
+            balancers.add(
                     new LayerBalancer(
                             current.layers().get(layer),
                             demand,
                             shape.slotsPerRank(),
                             shape.maxNewPerChange(),
-                            fetches);
-            imbalanceNow += balancer.maxLoad();
-            layers.add(balancer.improve());
-            imbalanceThen += balancer.maxLoad();
-            fetches = balancer.totalFetches();
+                            fetches));
         }
-        ExpertMap map = new ExpertMap(layers);
-        return new Plan(
-                map,
-                imbalanceNow / shares.length,
-                imbalanceThen / shares.length,
-                Arrays.stream(fetches).sum());
+        return balancers;
+    }
+
+    /** Improves the worst set of layers again and again, as far as the limits allow. */
+    private static void improve(List<LayerBalancer> balancers) {
+        List<LayerBalancer> open = new ArrayList<>(balancers);
+        while (!open.isEmpty()) {
+            LayerBalancer worst = open.get(0);
+            for (LayerBalancer balancer : open) {
+                worst = balancer.maxLoad() > worst.maxLoad() ? balancer : worst;
+            }
+            if (!worst.improveOnce()) {
+                open.remove(worst);
+            }
+        }
+    }
+
+    private static double imbalance(List<LayerBalancer> balancers) {
+        return balancers.stream().mapToDouble(LayerBalancer::maxLoad).average().orElse(1);
+    }
+
+    /** Returns the first plan among those with the least loss; the plans have ever more fetches. */
+    private static Plan choose(List<Plan> plans, ChangeCost cost) {
+        Plan last = plans.get(plans.size() - 1);
+        Plan best = last;
+        double leastLoss = Double.POSITIVE_INFINITY;
+        for (Plan plan : plans) {
+            double loss = loss(plan, last, cost);
+            if (loss < leastLoss) {
+                best = plan;
+                leastLoss = loss;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Returns the imbalance in excess of that of the last plan, over the time of the change and of
+     * a following one that makes the remaining fetches.
+     */
+    private static double loss(Plan plan, Plan last, ChangeCost cost) {
+        double excessNow = plan.imbalanceNow() - last.imbalanceThen();
+        double excessThen = plan.imbalanceThen() - last.imbalanceThen();
+        int remaining = Math.max(0, last.maxFetches() - plan.maxFetches());
+        return cost.changeMs(plan.maxFetches()) * excessNow + cost.changeMs(remaining) * excessThen;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/PlacementDraft.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/PlacementDraft.java
@@ -12,7 +12,7 @@
 
     private final int slotsPerRank;
     private final int maxNew;
-    private final int[] otherLayerFetches;
+    private final RankFetches changeFetches;
     private final double[] demand;
     private final boolean[][] hostedBefore;
     private final boolean[][] hostedNow;
@@ -30,16 +30,15 @@
      * @param demand the load of each expert; the sum is the number of ranks
      * @param slotsPerRank the maximum number of experts on a rank
      * @param maxNew the maximum number of experts that are new to a rank
-     * @param otherLayerFetches the number of experts that each rank fetches for other sets of
-     *     layers
+     * @param changeFetches the fetches of the change, to which those of this draft are added
      */
     PlacementDraft(
             List<List<Integer>> base,
             double[] demand,
             int slotsPerRank,
             int maxNew,
-            int[] otherLayerFetches) {
-        this.otherLayerFetches = otherLayerFetches.clone();
+            RankFetches changeFetches) {
+        this.changeFetches = changeFetches;
         this.slotsPerRank = slotsPerRank;
         this.maxNew = maxNew;
         this.demand = demand;
@@ -116,14 +115,14 @@
         return usedSlots[rank] < slotsPerRank;
     }
 
-    /** Returns whether a rank may host an expert without exceeding its maximum of new experts. */
+    /** Returns whether a rank may host an expert without exceeding the limits of its fetches. */
     boolean mayHost(int rank, int expert) {
-        return hostedBefore[rank][expert] || fetches[rank] < maxNew;
+        return hostedBefore[rank][expert] || (fetches[rank] < maxNew && changeFetches.mayAdd(rank));
     }
 
     /** Returns how many experts a rank fetches, including those of other sets of layers. */
     int totalFetches(int rank) {
-        return otherLayerFetches[rank] + fetches[rank];
+        return changeFetches.count(rank);
     }
 
     /** Returns whether a rank must fetch an expert in order to host it. */
@@ -137,7 +136,7 @@
         slots[rank][usedSlots[rank]] = expert;
         usedSlots[rank]++;
         hostedNow[rank][expert] = true;
-        fetches[rank] += hostedBefore[rank][expert] ? 0 : 1;
+        addFetches(rank, hostedBefore[rank][expert] ? 0 : 1);
         hosts[expert][replicas[expert]] = rank;
         replicas[expert]++;
         addExpertLoad(expert, 1);
@@ -149,12 +148,17 @@
         usedSlots[rank]--;
         removeFrom(slots[rank], expert, usedSlots[rank]);
         hostedNow[rank][expert] = false;
-        fetches[rank] -= hostedBefore[rank][expert] ? 0 : 1;
+        addFetches(rank, hostedBefore[rank][expert] ? 0 : -1);
         replicas[expert]--;
         removeFrom(hosts[expert], rank, replicas[expert]);
         addExpertLoad(expert, 1);
     }
 
+    private void addFetches(int rank, int count) {
+        fetches[rank] += count;
+        changeFetches.add(rank, count);
+    }
+
     /** Removes a value and keeps the order of the others; the last value is at index last. */
     private static void removeFrom(int[] values, int value, int last) {
         int index = 0;
--- a/pollenpath/src/main/java/io/pollenpath/platform/ManifestDecoder.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ManifestDecoder.java
@@ -25,6 +25,7 @@
     private static final String NON_IDEMPOTENT = "non_idempotent";
     private static final String STREAMING = "streaming";
     private static final double MS_PER_SECOND = 1_000;
+    private static final double BITS_PER_BYTE = 8;
     private static final int DEFAULT_MAX_CONNECTIONS = 64;
 
     private ManifestDecoder() {}
@@ -116,7 +117,14 @@
                 engine.path("Experts").asInt(1),
                 engine.path("Placements").asInt(1),
                 engine.path("Spare").asInt(0),
-                engine.path("ExpertShare").asDouble());
+                engine.path("ExpertShare").asDouble(),
+                fetchMs(engine));
+    }
+
+    /** Returns the time to fetch one expert; 0 if the manifest does not tell its parts. */
+    private static double fetchMs(JsonNode engine) {
+        double linkMbPerMs = engine.path("LinkMbps").asDouble() / BITS_PER_BYTE / MS_PER_SECOND;
+        return linkMbPerMs > 0 ? engine.path("ExpertMb").asDouble() / linkMbPerMs : 0;
     }
 
     private static Map<String, ClientAccount> accounts(JsonNode tenants) {
--- a/pollenpath/src/main/java/io/pollenpath/state/serving/GroupShape.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/serving/GroupShape.java
@@ -9,9 +9,15 @@
  * @param maxNewPerChange the maximum number of experts of each layer set that a rank may fetch in
  *     one map change, at least 0
  * @param expertFraction the fraction of the work per token that is done by experts, 0 to 1
+ * @param fetchMs the time in which a rank fetches one expert, in milliseconds, at least 0
  */
 public record GroupShape(
-        int layers, int experts, int slotsPerRank, int maxNewPerChange, double expertFraction) {
+        int layers,
+        int experts,
+        int slotsPerRank,
+        int maxNewPerChange,
+        double expertFraction,
+        double fetchMs) {
 
     /** Checks the components. */
     public GroupShape {
@@ -20,5 +26,11 @@
                     "the layer sets, experts and slots per rank of a group must be at"
                             + " least 1, and the new experts per change at least 0");
         }
+        if (!(fetchMs >= 0)) {
+            throw new IllegalArgumentException(
+                    "the time to fetch an expert is "
+                            + fetchMs
+                            + " ms; declare the size of an expert and the bandwidth of the link");
+        }
     }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
@@ -24,7 +24,7 @@
     private static final int EVENTS = 700;
     private static final int UNFENCED_SEEDS = 20_000;
     private static final int FAULTLESS_EVENTS = 600;
-    private static final GroupShape SHAPE = new GroupShape(1, 8, 3, 2, 0.85);
+    private static final GroupShape SHAPE = new GroupShape(1, 8, 3, 2, 0.85, 20);
     private static final ExpertMap FIRST =
             new ExpertMap(
                     List.of(List.of(List.of(0, 4), List.of(1, 5), List.of(2, 6), List.of(3, 7))));
@@ -125,7 +125,7 @@
             for (int rank = 0; rank < RANKS; rank++) {
                 ranks.add(List.of(rank, rank + RANKS, random.nextInt(SHAPE.experts())));
             }
-            return new MapPlanner.Plan(new ExpertMap(List.of(ranks)), 2, 1, RANKS);
+            return new MapPlanner.Plan(new ExpertMap(List.of(ranks)), 2, 1, RANKS, 1);
         }
 
         private void sendCommands(Leader leader) {
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/MapPlannerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/MapPlannerTest.java
@@ -25,6 +25,12 @@
     /** Half of the minimum election timeout, in CPU time of a whole core. */
     private static final long MAX_PLAN_MS = 250;
 
+    /** The fetches of a change take most of its time, so that several changes pay. */
+    private static final ChangeCost DEAR_FETCHES = new ChangeCost(200, 150);
+
+    /** A change takes as long whatever it fetches, so that one change carries all fetches. */
+    private static final ChangeCost FREE_FETCHES = new ChangeCost(200, 0);
+
     private static ExpertMap roundRobin(int layers, int ranks, int experts) {
         List<List<List<Integer>>> all = new ArrayList<>();
         for (int layer = 0; layer < layers; layer++) {
@@ -62,12 +68,12 @@
             @ForAll @IntRange(min = 2, max = 12) int ranks,
             @ForAll @IntRange(min = 1, max = 3) int maxNew) {
         int experts = ranks * 4;
-        GroupShape shape = new GroupShape(2, experts, 5, maxNew, 0.85);
+        GroupShape shape = new GroupShape(2, experts, 5, maxNew, 0.85, 20);
         ExpertMap map = roundRobin(2, ranks, experts);
         Random random = new Random(seed);
         for (int round = 0; round < 3; round++) {
             MapPlanner.Plan plan =
-                    new MapPlanner(shape).plan(map, randomShares(2, experts, random));
+                    new MapPlanner(shape).plan(map, randomShares(2, experts, random), FREE_FETCHES);
             assertWithMessage("seed %s", seed)
                     .that(plan.imbalanceThen())
                     .isAtMost(plan.imbalanceNow() + 1e-9);
@@ -96,11 +102,11 @@
 
     @Property(tries = 20)
     void twoChangesBalanceASkewedGroup(@ForAll long seed) {
-        GroupShape shape = new GroupShape(1, 64, 5, 2, 0.85);
+        GroupShape shape = new GroupShape(1, 64, 5, 2, 0.85, 20);
         double[][] shares = randomShares(1, 64, new Random(seed));
         MapPlanner planner = new MapPlanner(shape);
-        MapPlanner.Plan first = planner.plan(roundRobin(1, 16, 64), shares);
-        MapPlanner.Plan second = planner.plan(first.map(), shares);
+        MapPlanner.Plan first = planner.plan(roundRobin(1, 16, 64), shares, FREE_FETCHES);
+        MapPlanner.Plan second = planner.plan(first.map(), shares, FREE_FETCHES);
         assertWithMessage("seed %s", seed).that(second.imbalanceThen()).isAtMost(1.35);
     }
 
@@ -108,15 +114,16 @@
     @Test
     void fetchesAfterAShiftAreEvenlyDistributed() {
         int tries = 20;
-        GroupShape shape = new GroupShape(4, 64, 5, 2, 0.85);
+        GroupShape shape = new GroupShape(4, 64, 5, 2, 0.85, 20);
         MapPlanner planner = new MapPlanner(shape);
         long maxFetches = 0;
         double imbalance = 0;
         for (int seed = 0; seed < tries; seed++) {
             Random random = new Random(seed);
             ExpertMap map =
-                    planner.plan(roundRobin(4, 16, 64), powerLawShares(4, 64, random)).map();
-            MapPlanner.Plan plan = planner.plan(map, powerLawShares(4, 64, random));
+                    planner.plan(roundRobin(4, 16, 64), powerLawShares(4, 64, random), FREE_FETCHES)
+                            .map();
+            MapPlanner.Plan plan = planner.plan(map, powerLawShares(4, 64, random), FREE_FETCHES);
             imbalance += plan.imbalanceThen();
             maxFetches +=
                     IntStream.range(0, 16)
@@ -156,10 +163,10 @@
 
     @Test
     void aRankWithMoreExpertsThanSlotsGetsNoMore() {
-        GroupShape shape = new GroupShape(1, 16, 3, 2, 0.85);
+        GroupShape shape = new GroupShape(1, 16, 3, 2, 0.85, 20);
         ExpertMap map = roundRobin(1, 4, 16);
         double[][] shares = randomShares(1, 16, new Random(3));
-        MapPlanner.Plan plan = new MapPlanner(shape).plan(map, shares);
+        MapPlanner.Plan plan = new MapPlanner(shape).plan(map, shares, FREE_FETCHES);
         for (List<Integer> hosted : plan.map().layers().get(0)) {
             assertThat(hosted.size()).isAtMost(4);
         }
@@ -169,12 +176,13 @@
     @ParameterizedTest
     @CsvSource({"16, 64, 4, 5", "72, 144, 12, 3", "128, 256, 60, 3"})
     void planningUsesLittleCpuTime(int ranks, int experts, int layers, int slotsPerRank) {
-        GroupShape shape = new GroupShape(layers, experts, slotsPerRank, 2, 0.85);
+        GroupShape shape = new GroupShape(layers, experts, slotsPerRank, 2, 0.85, 20);
         ExpertMap map = roundRobin(layers, ranks, experts);
         MapPlanner planner = new MapPlanner(shape);
-        planner.plan(map, randomShares(layers, experts, new Random(1)));
+        planner.plan(map, randomShares(layers, experts, new Random(1)), DEAR_FETCHES);
         long startNanos = cpuNanos();
-        MapPlanner.Plan plan = planner.plan(map, randomShares(layers, experts, new Random(2)));
+        MapPlanner.Plan plan =
+                planner.plan(map, randomShares(layers, experts, new Random(2)), DEAR_FETCHES);
         long tookMs = TimeUnit.NANOSECONDS.toMillis(cpuNanos() - startNanos);
         assertThat(plan.imbalanceThen()).isLessThan(plan.imbalanceNow());
         assertThat(tookMs).isLessThan(MAX_PLAN_MS);
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/AgentGroupFixture.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/AgentGroupFixture.java
@@ -23,7 +23,7 @@
 final class AgentGroupFixture implements AutoCloseable {
 
     static final int RANKS = 4;
-    static final GroupShape SHAPE = new GroupShape(1, 8, 3, 2, 0.85);
+    static final GroupShape SHAPE = new GroupShape(1, 8, 3, 2, 0.85, 20);
     private static final VmCapacity CAPACITY = new VmCapacity(1, 1_000_000);
     private static final long STEP_MS = 10;
     private static final ExpertMap INITIAL_MAP =
