Leave a slow rank with little of its group's load

Cause: all ranks make each pass together, so one server that is five to twelve times slower slows its whole group. Engines report how slow they are; nothing read it. Change: the planner counts the load of a rank by its slowdown, and may move or drop a replica besides adding and trading them.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LayerBalancer.java
@@ -8,7 +8,7 @@
  */
 final class LayerBalancer {
 
-    /** Load of the most loaded rank, as a multiple of the mean, that needs no improvement. */
+    /** Load of the most loaded rank that needs no improvement, as a multiple of an even one. */
     private static final double BALANCED_LOAD = 1.1;
 
     private static final int MAX_CHANGES = 48;
@@ -25,6 +25,7 @@
     private static final int NONE = -1;
 
     private final PlacementDraft placement;
+    private final double balancedLoad;
     private final double[] penalties;
     private final double[] loadChange;
     private final int[] affectedRanks;
@@ -38,17 +39,29 @@
     private Change best;
     private double bestGain;
 
+    private enum Kind {
+        /** The target rank gets a replica of the expert. */
+        REPLICATE,
+        /** The target rank gets the replica of the source rank. */
+        MOVE,
+        /** The two ranks exchange replicas. */
+        SWAP,
+        /** The source rank drops its replica. */
+        DROP
+    }
+
     /**
-     * A replica of an expert on another rank, in place of the expert {@code replaced} or in a free
-     * slot. In a swap, the replaced expert takes the slot of the first one on its rank.
+     * A change that relieves a rank. A replica that moves or is added takes the slot of the expert
+     * {@code replaced} on the target rank, or a free one.
      */
-    private record Change(int expert, int from, int to, int replaced, boolean swap) {}
+    private record Change(Kind kind, int expert, int from, int to, int replaced) {}
 
     /**
      * Creates a balancer.
      *
      * @param base the current experts of each rank
-     * @param demand the load of each expert; the sum is the number of ranks
+     * @param demand the demand for each expert; the sum is the number of ranks
+     * @param slowdowns how many times longer each rank takes than usual
      * @param slotsPerRank the maximum number of experts on a rank
      * @param maxNew the maximum number of experts that are new to a rank
      * @param changeFetches the fetches of the change that this placement is a part of
@@ -56,16 +69,28 @@
     LayerBalancer(
             List<List<Integer>> base,
             double[] demand,
+            double[] slowdowns,
             int slotsPerRank,
             int maxNew,
             RankFetches changeFetches) {
-        placement = new PlacementDraft(base, demand, slotsPerRank, maxNew, changeFetches);
+        placement =
+                new PlacementDraft(base, demand, slowdowns, slotsPerRank, maxNew, changeFetches);
+        balancedLoad = BALANCED_LOAD * evenLoad(slowdowns);
         penalties = new double[base.size()];
         loadChange = new double[base.size()];
         affectedRanks = new int[base.size()];
         isAffected = new boolean[base.size()];
     }
 
+    /** Returns the load of all ranks if each had its part by its speed. */
+    private static double evenLoad(double[] slowdowns) {
+        double speed = 0;
+        for (double slowdown : slowdowns) {
+            speed += 1 / slowdown;
+        }
+        return slowdowns.length / speed;
+    }
+
     /** Returns the load of the most loaded rank, as a multiple of the mean. */
     double maxLoad() {
         return placement.maxLoad();
@@ -77,7 +102,7 @@
      * @return false if no change is worthwhile
      */
     boolean improveOnce() {
-        if (changes >= MAX_CHANGES || maxLoad() <= BALANCED_LOAD) {
+        if (changes >= MAX_CHANGES || maxLoad() <= balancedLoad) {
             return false;
         }
         Change best = bestChange();
@@ -105,6 +130,9 @@
         int source = placement.mostLoadedRank();
         for (int slot = 0; slot < placement.usedSlots(source); slot++) {
             int expert = placement.expertAt(source, slot);
+            if (placement.replicas(expert) > 1) {
+                consider(Kind.DROP, expert, source, source, NONE);
+            }
             for (int target = 0; target < placement.ranks(); target++) {
                 if (!placement.hosts(target, expert) && placement.mayHost(target, expert)) {
                     considerTarget(expert, source, target);
@@ -116,32 +144,40 @@
 
     private void considerTarget(int expert, int source, int target) {
         if (placement.hasFreeSlot(target)) {
-            consider(expert, source, target, NONE, false);
+            considerReplica(expert, source, target, NONE);
         }
         for (int slot = 0; slot < placement.usedSlots(target); slot++) {
             int replaced = placement.expertAt(target, slot);
             if (placement.replicas(replaced) > 1) {
-                consider(expert, source, target, replaced, false);
+                considerReplica(expert, source, target, replaced);
             }
             if (!placement.hosts(source, replaced) && placement.mayHost(source, replaced)) {
-                consider(expert, source, target, replaced, true);
+                consider(Kind.SWAP, expert, source, target, replaced);
             }
         }
     }
 
-    private void consider(int expert, int source, int target, int replaced, boolean swap) {
-        double gain = gainOf(expert, source, target, replaced, swap);
-        gain /= 1 + FETCH_WEIGHT * precedingFetches(expert, source, target, replaced, swap);
+    private void considerReplica(int expert, int source, int target, int replaced) {
+        consider(Kind.REPLICATE, expert, source, target, replaced);
+        consider(Kind.MOVE, expert, source, target, replaced);
+    }
+
+    private void consider(Kind kind, int expert, int source, int target, int replaced) {
+        double gain = gainOf(kind, expert, source, target, replaced);
+        gain /= 1 + FETCH_WEIGHT * precedingFetches(kind, expert, source, target, replaced);
         if (gain > bestGain) {
             bestGain = gain;
-            best = new Change(expert, source, target, replaced, swap);
+            best = new Change(kind, expert, source, target, replaced);
         }
     }
 
     /** Returns how many fetches precede those of the change, on the rank with the most of them. */
-    private int precedingFetches(int expert, int source, int target, int replaced, boolean swap) {
+    private int precedingFetches(Kind kind, int expert, int source, int target, int replaced) {
+        if (kind == Kind.DROP) {
+            return 0;
+        }
         int preceding = placement.mustFetch(target, expert) ? placement.totalFetches(target) : 0;
-        if (swap && placement.mustFetch(source, replaced)) {
+        if (kind == Kind.SWAP && placement.mustFetch(source, replaced)) {
             preceding = Math.max(preceding, placement.totalFetches(source));
         }
         return preceding;
@@ -166,33 +202,46 @@
         return sixth * sixth;
     }
 
-    private double gainOf(int expert, int source, int target, int replaced, boolean swap) {
+    private double gainOf(Kind kind, int expert, int source, int target, int replaced) {
         affectedCount = 0;
-        if (swap) {
-            double outgoing = loadPerReplica(expert, 0);
-            double incoming = loadPerReplica(replaced, 0);
-            addLoadChange(source, incoming - outgoing);
-            addLoadChange(target, outgoing - incoming);
-        } else {
-            addLoadChangeOfHosts(expert, 1);
-            addLoadChange(target, loadPerReplica(expert, 1));
-            if (replaced != NONE) {
-                addLoadChangeOfHosts(replaced, -1);
-                addLoadChange(target, -loadPerReplica(replaced, -1));
+        switch (kind) {
+            case REPLICATE -> {
+                addLoadChangeOfHosts(expert, 1);
+                addLoadChange(target, loadOfReplica(expert, target, 1));
+            }
+            case MOVE -> {
+                addLoadChange(source, -loadOfReplica(expert, source, 0));
+                addLoadChange(target, loadOfReplica(expert, target, 0));
             }
+            case SWAP -> {
+                addLoadChange(source, loadOfReplica(replaced, source, 0));
+                addLoadChange(source, -loadOfReplica(expert, source, 0));
+                addLoadChange(target, loadOfReplica(expert, target, 0));
+                addLoadChange(target, -loadOfReplica(replaced, target, 0));
+            }
+            case DROP -> addLoadChangeOfDrop(expert, source);
+        }
+        if (replaced != NONE && kind != Kind.SWAP) {
+            addLoadChangeOfDrop(replaced, target);
         }
         return sumGain();
     }
 
-    private double loadPerReplica(int expert, int moreReplicas) {
-        return placement.loadPerReplica(expert, placement.replicas(expert) + moreReplicas);
+    private double loadOfReplica(int expert, int rank, int moreReplicas) {
+        return placement.loadOfReplica(expert, rank, placement.replicas(expert) + moreReplicas);
+    }
+
+    private void addLoadChangeOfDrop(int expert, int rank) {
+        addLoadChangeOfHosts(expert, -1);
+        addLoadChange(rank, -loadOfReplica(expert, rank, -1));
     }
 
     /** Records how the load of the hosts of an expert follows a change of its replica count. */
     private void addLoadChangeOfHosts(int expert, int moreReplicas) {
-        double change = loadPerReplica(expert, moreReplicas) - loadPerReplica(expert, 0);
         for (int i = 0; i < placement.replicas(expert); i++) {
-            addLoadChange(placement.hostAt(expert, i), change);
+            int host = placement.hostAt(expert, i);
+            double before = loadOfReplica(expert, host, 0);
+            addLoadChange(host, loadOfReplica(expert, host, moreReplicas) - before);
         }
     }
 
@@ -217,13 +266,18 @@
     }
 
     private void apply(Change change) {
+        boolean leavesSource = change.kind() != Kind.REPLICATE;
         if (change.replaced() != NONE) {
             placement.remove(change.to(), change.replaced());
         }
-        if (change.swap()) {
+        if (leavesSource) {
             placement.remove(change.from(), change.expert());
+        }
+        if (change.kind() == Kind.SWAP) {
             placement.add(change.from(), change.replaced());
         }
-        placement.add(change.to(), change.expert());
+        if (change.kind() != Kind.DROP) {
+            placement.add(change.to(), change.expert());
+        }
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -262,10 +262,20 @@
         }
         samplesAtLastPlan = demand.samples();
         MapPlanner.Plan plan =
-                planner.plan(current.get().map(), demand.shares(), changeTimes.cost());
+                planner.plan(
+                        current.get().map(),
+                        demand.shares(),
+                        slowdowns(),
+                        changeTimes.cost());
         return RebalanceRule.isWorthwhile(plan, shape) ? startChange(plan, nowNanos) : List.of();
     }
 
+    private double[] slowdowns() {
+        double[] slowdowns = new double[statuses.size()];
+        statuses.values().forEach(status -> slowdowns[status.rank()] = status.slowdown());
+        return slowdowns;
+    }
+
     /**
      * Starts a change to a planned map; {@link #canStartChange} must be true.
      *
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapPlanner.java
@@ -60,12 +60,13 @@
      *
      * @param current the active map, not null
      * @param shares the share of each expert in the selections of its set of layers, not null
+     * @param slowdowns how many times longer each rank takes for its work than usual, not null
      * @param cost the time that a change takes, not null
      * @return the plan; its map may equal the current one
      */
-    public Plan plan(ExpertMap current, double[][] shares, ChangeCost cost) {
+    public Plan plan(ExpertMap current, double[][] shares, double[] slowdowns, ChangeCost cost) {
         RankFetches fetches = new RankFetches(current.ranks());
-        List<LayerBalancer> balancers = balancers(current, shares, fetches);
+        List<LayerBalancer> balancers = balancers(current, shares, slowdowns, fetches);
         double imbalanceNow = imbalance(balancers);
         List<Plan> plans = new ArrayList<>();
         do {
@@ -81,7 +82,7 @@
     }
 
     private List<LayerBalancer> balancers(
-            ExpertMap current, double[][] shares, RankFetches fetches) {
+            ExpertMap current, double[][] shares, double[] slowdowns, RankFetches fetches) {
         List<LayerBalancer> balancers = new ArrayList<>();
         for (int layer = 0; layer < shares.length; layer++) {
             double[] demand = new double[shares[layer].length];
@@ -92,6 +93,7 @@
                     new LayerBalancer(
                             current.layers().get(layer),
                             demand,
+                            slowdowns,
                             shape.slotsPerRank(),
                             shape.maxNewPerChange(),
                             fetches));
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/PlacementDraft.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/PlacementDraft.java
@@ -6,7 +6,8 @@
 
 /**
  * A mutable placement of the experts of one set of layers, and the resulting load of each rank. The
- * replicas of an expert share its load evenly.
+ * replicas of an expert share its demand evenly. The load of a rank is its part of the demand times
+ * the slowdown of the rank.
  */
 final class PlacementDraft {
 
@@ -14,6 +15,7 @@
     private final int maxNew;
     private final RankFetches changeFetches;
     private final double[] demand;
+    private final double[] slowdowns;
     private final boolean[][] hostedBefore;
     private final boolean[][] hostedNow;
     private final int[][] slots;
@@ -27,7 +29,8 @@
      * Creates a draft that starts from a placement.
      *
      * @param base the current experts of each rank
-     * @param demand the load of each expert; the sum is the number of ranks
+     * @param demand the demand for each expert; the sum is the number of ranks
+     * @param slowdowns how many times longer each rank takes than usual
      * @param slotsPerRank the maximum number of experts on a rank
      * @param maxNew the maximum number of experts that are new to a rank
      * @param changeFetches the fetches of the change, to which those of this draft are added
@@ -35,6 +38,7 @@
     PlacementDraft(
             List<List<Integer>> base,
             double[] demand,
+            double[] slowdowns,
             int slotsPerRank,
             int maxNew,
             RankFetches changeFetches) {
@@ -42,6 +46,7 @@
         this.slotsPerRank = slotsPerRank;
         this.maxNew = maxNew;
         this.demand = demand;
+        this.slowdowns = slowdowns;
         int ranks = base.size();
         int experts = demand.length;
         hostedBefore = new boolean[ranks][experts];
@@ -106,9 +111,9 @@
         return hosts[expert][index];
     }
 
-    /** Returns the load of each replica of an expert that has a given number of replicas. */
-    double loadPerReplica(int expert, int replicaCount) {
-        return demand[expert] / replicaCount;
+    /** Returns the load of a replica on a rank, of an expert that has a number of replicas. */
+    double loadOfReplica(int expert, int rank, int replicaCount) {
+        return demand[expert] * slowdowns[rank] / replicaCount;
     }
 
     boolean hasFreeSlot(int rank) {
@@ -170,7 +175,8 @@
 
     private void addExpertLoad(int expert, int sign) {
         for (int i = 0; i < replicas[expert]; i++) {
-            load[hosts[expert][i]] += sign * demand[expert] / replicas[expert];
+            int rank = hosts[expert][i];
+            load[rank] += sign * loadOfReplica(expert, rank, replicas[expert]);
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/platform/EngineApi.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/EngineApi.java
@@ -31,6 +31,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(EngineApi.class);
     private static final long CALL_TIMEOUT_MS = 150;
     private static final long LOCAL_COMMAND_TIMEOUT_MS = 60;
+    private static final double USUAL_PACE = 1;
     private static final byte[] NO_BODY = new byte[0];
     private static final int STATUS_OK = 200;
     private static final int STATUS_ACCEPTED = 202;
@@ -90,7 +91,12 @@
                                         armed.path("step").asLong()))
                         : Optional.empty(),
                 optionalLong(report.path("held")),
-                report.path("Busy").asBoolean());
+                report.path("Busy").asBoolean(),
+                slowdown(report.path("pace")));
+    }
+
+    private static double slowdown(JsonNode pace) {
+        return pace.isNumber() && pace.asDouble() > 0 ? pace.asDouble() : USUAL_PACE;
     }
 
     private static OptionalLong optionalLong(JsonNode node) {
--- a/pollenpath/src/main/java/io/pollenpath/state/group/RankStatus.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/group/RankStatus.java
@@ -18,6 +18,7 @@
  * @param armed the map to which the rank will switch; empty if there is none
  * @param held the step that the group does not start before it is released; empty if there is none
  * @param busy whether the engine is executing a command
+ * @param slowdown how many times longer the engine takes for its work than usual, above 0
  */
 public record RankStatus(
         String group,
@@ -30,7 +31,8 @@
         OptionalLong prepared,
         Optional<ArmedMap> armed,
         OptionalLong held,
-        boolean busy) {
+        boolean busy,
+        double slowdown) {
 
     /** Checks the components. */
     public RankStatus {
@@ -42,6 +44,10 @@
             throw new IllegalArgumentException(
                     "rank " + rank + " must be at least 0 and less than size " + size);
         }
+        if (!(slowdown > 0)) {
+            throw new IllegalArgumentException(
+                    "the slowdown is " + slowdown + "; report a number above 0, 1 if usual");
+        }
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
@@ -276,7 +276,8 @@
                         .setOpen(status.open())
                         .setStep(status.step())
                         .setMapVersion(status.mapVersion())
-                        .setBusy(status.busy());
+                        .setBusy(status.busy())
+                        .setSlowdown(status.slowdown());
         status.prepared().ifPresent(state::setPreparedVersion);
         status.held().ifPresent(state::setHeldStep);
         status.armed()
@@ -322,6 +323,7 @@
                         ? Optional.of(new ArmedMap(state.getArmedVersion(), state.getArmedStep()))
                         : Optional.empty(),
                 state.hasHeldStep() ? OptionalLong.of(state.getHeldStep()) : OptionalLong.empty(),
-                state.getBusy());
+                state.getBusy(),
+                state.getSlowdown() > 0 ? state.getSlowdown() : 1);
     }
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/GroupProto.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/GroupProto.java
@@ -109,20 +109,21 @@
                     + "roup.RankState\022-\n\007experts\030\004 \003(\0132\034.pollen"
                     + "path.group.ExpertList\022\024\n\014leader_token\030\005 "
                     + "\001(\003\022\027\n\017leader_heard_ms\030\006 \001(\003\022\016\n\006chosen\030\007"
-                    + " \003(\r\022\022\n\ncount_unit\030\010 \001(\004J\004\010\003\020\004\"\264\002\n\tRankS"
+                    + " \003(\r\022\022\n\ncount_unit\030\010 \001(\004J\004\010\003\020\004\"\330\002\n\tRankS"
                     + "tate\022\r\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\003\022\014\n\004ra"
                     + "nk\030\003 \001(\005\022\014\n\004size\030\004 \001(\005\022\014\n\004open\030\005 \001(\010\022\014\n\004"
                     + "step\030\006 \001(\003\022\023\n\013map_version\030\007 \001(\003\022\035\n\020prepa"
                     + "red_version\030\010 \001(\003H\000\210\001\001\022\032\n\rarmed_version\030"
                     + "\t \001(\003H\001\210\001\001\022\027\n\narmed_step\030\n \001(\003H\002\210\001\001\022\026\n\th"
-                    + "eld_step\030\013 \001(\003H\003\210\001\001\022\014\n\004busy\030\014 \001(\010B\023\n\021_pr"
-                    + "epared_versionB\020\n\016_armed_versionB\r\n\013_arm"
-                    + "ed_stepB\014\n\n_held_step*\237\001\n\016CommandOutcome"
-                    + "\022\030\n\024COMMAND_OUTCOME_NONE\020\000\022\034\n\030COMMAND_OU"
-                    + "TCOME_ACCEPTED\020\001\022\034\n\030COMMAND_OUTCOME_REJE"
-                    + "CTED\020\002\022\032\n\026COMMAND_OUTCOME_FENCED\020\003\022\033\n\027CO"
-                    + "MMAND_OUTCOME_UNKNOWN\020\004B+\n\033io.pollenpath"
-                    + ".protocol.wireB\nGroupProtoP\001b\006proto3"
+                    + "eld_step\030\013 \001(\003H\003\210\001\001\022\014\n\004busy\030\014 \001(\010\022\025\n\010slo"
+                    + "wdown\030\r \001(\001H\004\210\001\001B\023\n\021_prepared_versionB\020\n"
+                    + "\016_armed_versionB\r\n\013_armed_stepB\014\n\n_held_"
+                    + "stepB\013\n\t_slowdown*\237\001\n\016CommandOutcome\022\030\n\024"
+                    + "COMMAND_OUTCOME_NONE\020\000\022\034\n\030COMMAND_OUTCOM"
+                    + "E_ACCEPTED\020\001\022\034\n\030COMMAND_OUTCOME_REJECTED"
+                    + "\020\002\022\032\n\026COMMAND_OUTCOME_FENCED\020\003\022\033\n\027COMMAN"
+                    + "D_OUTCOME_UNKNOWN\020\004B+\n\033io.pollenpath.pro"
+                    + "tocol.wireB\nGroupProtoP\001b\006proto3"
         };
         descriptor =
                 com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
@@ -240,6 +241,7 @@
                             "ArmedStep",
                             "HeldStep",
                             "Busy",
+                            "Slowdown",
                         });
         descriptor.resolveAllFeaturesImmutable();
     }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankState.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankState.java
@@ -370,6 +370,41 @@
         return busy_;
     }
 
+    public static final int SLOWDOWN_FIELD_NUMBER = 13;
+    private double slowdown_ = 0D;
+
+    /**
+     *
+     *
+     * <pre>
+     * How many times longer the engine takes for its work than usual; absent if it does not tell.
+     * </pre>
+     *
+     * <code>optional double slowdown = 13;</code>
+     *
+     * @return Whether the slowdown field is set.
+     */
+    @java.lang.Override
+    public boolean hasSlowdown() {
+        return ((bitField0_ & 0x00000010) != 0);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * How many times longer the engine takes for its work than usual; absent if it does not tell.
+     * </pre>
+     *
+     * <code>optional double slowdown = 13;</code>
+     *
+     * @return The slowdown.
+     */
+    @java.lang.Override
+    public double getSlowdown() {
+        return slowdown_;
+    }
+
     private byte memoizedIsInitialized = -1;
 
     @java.lang.Override
@@ -420,6 +455,9 @@
         if (busy_ != false) {
             output.writeBool(12, busy_);
         }
+        if (((bitField0_ & 0x00000010) != 0)) {
+            output.writeDouble(13, slowdown_);
+        }
         getUnknownFields().writeTo(output);
     }
 
@@ -465,6 +503,9 @@
         if (busy_ != false) {
             size += com.google.protobuf.CodedOutputStream.computeBoolSize(12, busy_);
         }
+        if (((bitField0_ & 0x00000010) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeDoubleSize(13, slowdown_);
+        }
         size += getUnknownFields().getSerializedSize();
         memoizedSize = size;
         return size;
@@ -504,6 +545,11 @@
             if (getHeldStep() != other.getHeldStep()) return false;
         }
         if (getBusy() != other.getBusy()) return false;
+        if (hasSlowdown() != other.hasSlowdown()) return false;
+        if (hasSlowdown()) {
+            if (java.lang.Double.doubleToLongBits(getSlowdown())
+                    != java.lang.Double.doubleToLongBits(other.getSlowdown())) return false;
+        }
         if (!getUnknownFields().equals(other.getUnknownFields())) return false;
         return true;
     }
@@ -547,6 +593,13 @@
         }
         hash = (37 * hash) + BUSY_FIELD_NUMBER;
         hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getBusy());
+        if (hasSlowdown()) {
+            hash = (37 * hash) + SLOWDOWN_FIELD_NUMBER;
+            hash =
+                    (53 * hash)
+                            + com.google.protobuf.Internal.hashLong(
+                                    java.lang.Double.doubleToLongBits(getSlowdown()));
+        }
         hash = (29 * hash) + getUnknownFields().hashCode();
         memoizedHashCode = hash;
         return hash;
@@ -699,6 +752,7 @@
             armedStep_ = 0L;
             heldStep_ = 0L;
             busy_ = false;
+            slowdown_ = 0D;
             return this;
         }
 
@@ -776,6 +830,10 @@
             if (((from_bitField0_ & 0x00000800) != 0)) {
                 result.busy_ = busy_;
             }
+            if (((from_bitField0_ & 0x00001000) != 0)) {
+                result.slowdown_ = slowdown_;
+                to_bitField0_ |= 0x00000010;
+            }
             result.bitField0_ |= to_bitField0_;
         }
 
@@ -829,6 +887,9 @@
             if (other.getBusy() != false) {
                 setBusy(other.getBusy());
             }
+            if (other.hasSlowdown()) {
+                setSlowdown(other.getSlowdown());
+            }
             this.mergeUnknownFields(other.getUnknownFields());
             onChanged();
             return this;
@@ -927,6 +988,12 @@
                                 bitField0_ |= 0x00000800;
                                 break;
                             } // case 96
+                        case 105:
+                            {
+                                slowdown_ = input.readDouble();
+                                bitField0_ |= 0x00001000;
+                                break;
+                            } // case 105
                         default:
                             {
                                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
@@ -1707,6 +1774,78 @@
             return this;
         }
 
+        private double slowdown_;
+
+        /**
+         *
+         *
+         * <pre>
+         * How many times longer the engine takes for its work than usual; absent if it does not tell.
+         * </pre>
+         *
+         * <code>optional double slowdown = 13;</code>
+         *
+         * @return Whether the slowdown field is set.
+         */
+        @java.lang.Override
+        public boolean hasSlowdown() {
+            return ((bitField0_ & 0x00001000) != 0);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many times longer the engine takes for its work than usual; absent if it does not tell.
+         * </pre>
+         *
+         * <code>optional double slowdown = 13;</code>
+         *
+         * @return The slowdown.
+         */
+        @java.lang.Override
+        public double getSlowdown() {
+            return slowdown_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many times longer the engine takes for its work than usual; absent if it does not tell.
+         * </pre>
+         *
+         * <code>optional double slowdown = 13;</code>
+         *
+         * @param value The slowdown to set.
+         * @return This builder for chaining.
+         */
+        public Builder setSlowdown(double value) {
+
+            slowdown_ = value;
+            bitField0_ |= 0x00001000;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many times longer the engine takes for its work than usual; absent if it does not tell.
+         * </pre>
+         *
+         * <code>optional double slowdown = 13;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearSlowdown() {
+            bitField0_ = (bitField0_ & ~0x00001000);
+            slowdown_ = 0D;
+            onChanged();
+            return this;
+        }
+
         // @@protoc_insertion_point(builder_scope:pollenpath.group.RankState)
     }
 
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RankStateOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RankStateOrBuilder.java
@@ -219,4 +219,30 @@
      * @return The busy.
      */
     boolean getBusy();
+
+    /**
+     *
+     *
+     * <pre>
+     * How many times longer the engine takes for its work than usual; absent if it does not tell.
+     * </pre>
+     *
+     * <code>optional double slowdown = 13;</code>
+     *
+     * @return Whether the slowdown field is set.
+     */
+    boolean hasSlowdown();
+
+    /**
+     *
+     *
+     * <pre>
+     * How many times longer the engine takes for its work than usual; absent if it does not tell.
+     * </pre>
+     *
+     * <code>optional double slowdown = 13;</code>
+     *
+     * @return The slowdown.
+     */
+    double getSlowdown();
 }
