Send streams where events come

Cause: entries chose the server with the fewest own requests, so a group that is slow or stands got as many new streams as one that is well. Change: each entry keeps the pause between events, and the present silence, of each server. One whose streams pause twice as long as the fastest one's counts as loaded in proportion.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
@@ -19,6 +19,14 @@
     /** The failure rate below which a server counts as well, so that it is tried again. */
     private static final double NEGLIGIBLE_FAILURE_RATE = 0.02;
 
+    private static final double PAUSE_WEIGHT = 0.3;
+
+    /** The time in which the known pause of a server without events falls to its half. */
+    private static final double PAUSE_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** The time that a stream may take to begin before its server counts as silent. */
+    private static final double MAX_START_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     /** The longest time for which a server is heard that wants no requests. */
     private static final long MAX_PAUSE_NANOS = TimeUnit.MINUTES.toNanos(10);
 
@@ -29,12 +37,54 @@
     private long avoidUntilNanos = Long.MIN_VALUE;
     private long pausedUntilNanos = Long.MIN_VALUE;
     private boolean leaving;
+    private double meanPauseMs;
+    private long lastEventNanos;
+    private long busySinceNanos;
 
-    /** Records that a request was sent. */
-    public void onSent() {
+    /**
+     * Records that a request was sent.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onSent(long nowNanos) {
+        busySinceNanos = inFlight == 0 ? nowNanos : busySinceNanos;
         inFlight++;
     }
 
+    /**
+     * Records an event of a stream.
+     *
+     * @param pauseMs the time since the event of the stream before it, in milliseconds
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onEvent(double pauseMs, long nowNanos) {
+        boolean known = meanPauseMs > 0;
+        meanPauseMs = known ? meanPauseMs + PAUSE_WEIGHT * (pauseMs - meanPauseMs) : pauseMs;
+        lastEventNanos = nowNanos;
+    }
+
+    /**
+     * Returns the pause between the events of this entry's streams on the server: the recent one,
+     * or the present silence of its streams if it is longer. What is known of a server without
+     * streams is forgotten with time, so that it is tried again.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return the pause, in milliseconds; 0 if none is known
+     */
+    public double pauseMs(long nowNanos) {
+        if (meanPauseMs == 0) {
+            return 0;
+        }
+        double sinceEventNanos = nowNanos - lastEventNanos;
+        double recentMs = meanPauseMs * Math.pow(0.5, sinceEventNanos / PAUSE_HALF_LIFE_NANOS);
+        return inFlight > 0 ? Math.max(recentMs, silenceNanos(nowNanos) / 1e6) : recentMs;
+    }
+
+    private double silenceNanos(long nowNanos) {
+        boolean begun = lastEventNanos - busySinceNanos > 0;
+        return begun ? nowNanos - lastEventNanos : nowNanos - busySinceNanos - MAX_START_NANOS;
+    }
+
     /** Records that a request ended, with or without an answer. */
     public void onEnded() {
         inFlight--;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
@@ -8,9 +8,10 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses the backend server for a request: the one with the lowest ratio of this entry's requests
- * to slots, with penalties for recent failures, for an address that another server has taken over,
- * and for another availability zone.
+ * Chooses the backend server for a request, under any load: the one with the lowest ratio of this
+ * entry's requests to slots, with penalties for recent failures, for an address that another server
+ * has taken over, and for another availability zone. A server whose streams pause much longer than
+ * those of the fastest one gets fewer requests in proportion, so that streams go where events come.
  */
 public final class ServerSelector {
 
@@ -23,6 +24,9 @@
     /** Cross-zone penalty; small enough to decide only between servers of equal load. */
     static final double CROSS_ZONE_PENALTY = 0.01;
 
+    /** Ratio of two pauses from which they differ by more than chance and the size of prompts. */
+    static final double SLOW_PAUSE_RATIO = 2.0;
+
     private static final double TIE_BREAK_WEIGHT = 0.005;
 
     private final String zone;
@@ -62,21 +66,22 @@
             Set<String> tried,
             boolean requireFreeSlot,
             long nowNanos) {
+        List<ServerInstance> candidates =
+                servers.stream()
+                        .filter(server -> !server.draining() && !tried.contains(server.id()))
+                        .filter(
+                                server ->
+                                        takesRequests(
+                                                server,
+                                                health.apply(server.id()),
+                                                requireFreeSlot,
+                                                nowNanos))
+                        .toList();
+        double shortestPauseMs = shortestPauseMs(candidates, health, nowNanos);
         ServerInstance best = null;
         double bestScore = Double.POSITIVE_INFINITY;
-        for (ServerInstance server : servers) {
-            ServerHealth serverHealth = health.apply(server.id());
-            boolean full = serverHealth.inFlight() >= server.slots();
-            if (server.draining()
-                    || tried.contains(server.id())
-                    || serverHealth.isLeaving()
-                    || serverHealth.isAvoided(nowNanos)
-                    || serverHealth.pauseNanos(nowNanos) > 0
-                    || limits.waitNanos(server.id(), nowNanos) > 0
-                    || (requireFreeSlot && full)) {
-                continue;
-            }
-            double score = score(server, serverHealth, nowNanos);
+        for (ServerInstance server : candidates) {
+            double score = score(server, health.apply(server.id()), shortestPauseMs, nowNanos);
             score += outdated.contains(server.id()) ? OUTDATED_PENALTY : 0;
             if (score < bestScore) {
                 best = server;
@@ -86,8 +91,37 @@
         return Optional.ofNullable(best);
     }
 
-    private double score(ServerInstance server, ServerHealth serverHealth, long nowNanos) {
-        double load = (double) serverHealth.inFlight() / server.slots();
+    private boolean takesRequests(
+            ServerInstance server,
+            ServerHealth serverHealth,
+            boolean requireFreeSlot,
+            long nowNanos) {
+        boolean full = serverHealth.inFlight() >= server.slots();
+        return !serverHealth.isLeaving()
+                && !serverHealth.isAvoided(nowNanos)
+                && serverHealth.pauseNanos(nowNanos) == 0
+                && limits.waitNanos(server.id(), nowNanos) == 0
+                && !(requireFreeSlot && full);
+    }
+
+    /** Returns the shortest known pause of the servers; infinite if none is known. */
+    private static double shortestPauseMs(
+            List<ServerInstance> servers, Function<String, ServerHealth> health, long nowNanos) {
+        return servers.stream()
+                .mapToDouble(server -> health.apply(server.id()).pauseMs(nowNanos))
+                .filter(pauseMs -> pauseMs > 0)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
+    private double score(
+            ServerInstance server,
+            ServerHealth serverHealth,
+            double shortestPauseMs,
+            long nowNanos) {
+        double ratio = serverHealth.pauseMs(nowNanos) / shortestPauseMs;
+        double slowness = ratio >= SLOW_PAUSE_RATIO ? ratio : 1;
+        double load = ((serverHealth.inFlight() + 1) * slowness - 1) / server.slots();
         double zonePenalty = server.zone().equals(zone) ? 0 : CROSS_ZONE_PENALTY;
         return load
                 + FAILURE_PENALTY * serverHealth.failureRate(nowNanos)
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
@@ -89,7 +89,12 @@
 
     void onSent(ServerInstance server, long nowNanos) {
         limits.onSent(server.id(), nowNanos);
-        healthOf(server.id()).onSent();
+        healthOf(server.id()).onSent(nowNanos);
+    }
+
+    /** Records an event of a stream and the pause before it. */
+    void onEvent(ServerInstance server, double pauseMs, long nowNanos) {
+        healthOf(server.id()).onEvent(pauseMs, nowNanos);
     }
 
     void onEnded(ServerInstance server) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -212,6 +212,10 @@
         String name = request.context().service();
         ServiceTraffic service = traffic(name);
         service.onProgress(nowNanos);
+        boolean onOneServer = nowNanos - gapNanos - request.sentNanos() >= 0;
+        if (onOneServer && request.server() != null) {
+            servers.onEvent(request.server(), gapNanos / 1e6, nowNanos);
+        }
         Optional<EnginePerformance> performance = performanceOf(view.get(), name);
         if (performance.isPresent()) {
             double objectiveMs = (double) request.route().gapObjectiveMs();
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServerSelectorTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServerSelectorTest.java
@@ -37,10 +37,43 @@
 
     @Test
     void prefersTheLessLoadedServer() {
-        health("near").onSent();
+        health("near").onSent(0);
         assertThat(choose(Set.of(), true, 0)).hasValue(OTHER_ZONE);
     }
 
+    @Test
+    void prefersTheServerWhoseStreamsPauseLess() {
+        health("near").onEvent(300, 0);
+        health("far").onEvent(60, 0);
+        assertThat(choose(Set.of(), true, 0)).hasValue(OTHER_ZONE);
+        health("far").onSent(0);
+        assertThat(choose(Set.of(), true, 0)).hasValue(OTHER_ZONE);
+    }
+
+    @Test
+    void ignoresSmallDifferencesOfPauses() {
+        health("near").onEvent(80, 0);
+        health("far").onEvent(60, 0);
+        assertThat(choose(Set.of(), true, 0)).hasValue(SAME_ZONE);
+    }
+
+    @Test
+    void leavesAServerWhoseStreamsHaveFallenSilent() {
+        health("near").onSent(0);
+        health("near").onEvent(60, 0);
+        health("far").onSent(0);
+        health("far").onEvent(60, 900_000_000L);
+        health("far").onSent(0);
+        assertThat(choose(Set.of(), false, 1_000_000_000L)).hasValue(OTHER_ZONE);
+    }
+
+    @Test
+    void triesASlowServerAgainAfterAWhile() {
+        health("near").onEvent(300, 0);
+        health("far").onEvent(60, 10_000_000_000L);
+        assertThat(choose(Set.of(), true, 10_000_000_000L)).hasValue(SAME_ZONE);
+    }
+
     @Test
     void excludesServersThatWereTriedBefore() {
         assertThat(choose(Set.of("near"), true, 0)).hasValue(OTHER_ZONE);
@@ -50,8 +83,8 @@
     @Test
     void excludesFullServersOnlyIfAFreeSlotIsRequired() {
         for (String id : List.of("near", "far")) {
-            health(id).onSent();
-            health(id).onSent();
+            health(id).onSent(0);
+            health(id).onSent(0);
         }
         assertThat(choose(Set.of(), true, 0)).isEmpty();
         assertThat(choose(Set.of(), false, 0)).isPresent();
@@ -69,17 +102,17 @@
         for (int i = 0; i < 10; i++) {
             health("near").onFailure(0);
         }
-        health("far").onSent();
+        health("far").onSent(0);
         assertThat(choose(Set.of(), true, 0)).hasValue(OTHER_ZONE);
     }
 
     @Test
     void usesAnOutdatedServerOnlyIfNoOtherHasAFreeSlot() {
-        health("far").onSent();
+        health("far").onSent(0);
         Set<String> outdated = Set.of("near");
         assertThat(selector.choose(BOTH, outdated, this::health, Set.of(), true, 0))
                 .hasValue(OTHER_ZONE);
-        health("far").onSent();
+        health("far").onSent(0);
         assertThat(selector.choose(BOTH, outdated, this::health, Set.of(), true, 0))
                 .hasValue(SAME_ZONE);
     }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServingFixtures.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServingFixtures.java
@@ -52,6 +52,11 @@
 
     /** Returns a server of two slots. */
     public static ServerInstance server(String id, String zone) {
-        return new ServerInstance(id, 0, 0, SERVICE, "127.0.0.1", 1, zone, 2, false);
+        return server(id, zone, 2);
+    }
+
+    /** Returns a server with a number of slots. */
+    public static ServerInstance server(String id, String zone, int slots) {
+        return new ServerInstance(id, 0, 0, SERVICE, "127.0.0.1", 1, zone, slots, false);
     }
 }
