Release a held step although the leader that held it has frozen

Cause: a step was held at the leader's own engine. Change: the leader holds a step at another rank than its own, itself, and arms its own rank last. A version of a map names that rank. The next leader undoes the change without the rank of the earlier one if another rank is not armed. Test: random schedules with frozen VMs mix no maps; a frozen leader's step is released.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -12,8 +12,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /**
  * Decisions of the leader of one group under one fencing token. In each epoch it first finishes or
@@ -24,12 +26,6 @@
 
     private static final long PREPARE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-    /**
-     * Low bits of a map version that number the changes of one leader; its fencing token is in the
-     * bits above, so the versions of a later leader are higher.
-     */
-    private static final int VERSION_BITS = 20;
-
     private final long token;
     private final int ownRank;
     private final GroupShape shape;
@@ -56,7 +52,7 @@
      * Creates the state of a leader that has received no status yet.
      *
      * @param token the fencing token
-     * @param ownRank the rank on the VM of the leader, at which steps are held
+     * @param ownRank the rank on the VM of the leader
      * @param shape the shape of the group, not null
      * @param listener receives the decisions, not null
      */
@@ -151,7 +147,7 @@
      */
     public List<AddressedCommand> nextCommands(long nowNanos) {
         if (!allRanksKnown()) {
-            return List.of();
+            return recoverWithoutMissingRank();
         }
         if (commit.isPresent()) {
             return advance(commit.get(), nowNanos);
@@ -185,8 +181,9 @@
     }
 
     private List<AddressedCommand> recover(long nowNanos) {
-        if (recovery.isEmpty()) {
-            recovery = Optional.of(new MapRecovery(statuses.size(), token << VERSION_BITS));
+        if (recovery.isEmpty() || recovery.get().missingRank().isPresent()) {
+            recovery =
+                    Optional.of(new MapRecovery(statuses.size(), MapVersions.fence(token)));
         }
         MapRecovery current = recovery.get();
         if (current.isComplete()) {
@@ -201,6 +198,10 @@
             listener.onCommitTakenOver(commit.get());
             return commit.get().next(pace.holdAheadSteps(), nowNanos);
         }
+        return recoveryCommands(current);
+    }
+
+    private List<AddressedCommand> recoveryCommands(MapRecovery current) {
         List<AddressedCommand> commands = current.commands();
         commands.forEach(this::recordRelease);
         if (current.hasAllStatuses()) {
@@ -209,6 +210,41 @@
         return commands;
     }
 
+    /**
+     * Undoes the change of an earlier leader whose rank has not been heard of, so that the group
+     * does not wait for it.
+     */
+    private List<AddressedCommand> recoverWithoutMissingRank() {
+        OptionalInt missing = missingRank();
+        if (recovered || commit.isPresent() || missing.isEmpty()) {
+            return List.of();
+        }
+        if (recovery.isEmpty() || !recovery.get().missingRank().equals(missing)) {
+            int ranks = statuses.size() + 1;
+            recovery = Optional.of(new MapRecovery(ranks, MapVersions.fence(token), missing));
+        }
+        return recoveryCommands(recovery.get());
+    }
+
+    /** Returns the only rank without a status; empty unless there is one. */
+    private OptionalInt missingRank() {
+        RankStatus own = statuses.get(ownRank);
+        if (own == null || statuses.size() != own.size() - 1) {
+            return OptionalInt.empty();
+        }
+        return IntStream.range(0, own.size())
+                .filter(rank -> !statuses.containsKey(rank))
+                .findFirst();
+    }
+
+    /**
+     * Returns the rank at which steps are held. It is not on the VM of the leader, so that another
+     * leader can release a step while that VM is unreachable.
+     */
+    private int holdRank() {
+        return (ownRank + 1) % statuses.size();
+    }
+
     private void recordRelease(AddressedCommand sent) {
         if (sent.command() instanceof EngineCommand.Release release) {
             lastReleasedStep = Math.max(lastReleasedStep, release.step());
@@ -288,11 +324,16 @@
         shiftsAtLastChange = demand.shifts();
         lastChangeNanos = nowNanos;
         lastChangeFetches = plan.maxFetches();
-        long version = (token << VERSION_BITS) + changesStarted;
+        long version = MapVersions.of(token, changesStarted, ownRank);
         long deadlineNanos = nowNanos + PREPARE_TIMEOUT_NANOS;
         MapCommit started =
                 new MapCommit(
-                        version, plan.map(), epoch, ownRank, lastReleasedStep + 1, deadlineNanos);
+                        version,
+                        plan.map(),
+                        epoch,
+                        holdRank(),
+                        lastReleasedStep + 1,
+                        deadlineNanos);
         statuses.values().forEach(started::onStatus);
         commit = Optional.of(started);
         listener.onCommitStarted(started, plan);
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -20,7 +20,9 @@
  *
  * <p>First, all ranks prepare the map by fetching its experts. Then a future step is held at one
  * rank. The ranks are armed for this step only after a status has confirmed the hold, and the step
- * is released only after every rank is armed. From the first arm command on, the commit cannot be
+ * is released only after every rank is armed. The rank on the VM of the leader that planned the map
+ * is armed last: while another rank is not armed, it is not armed either, also if nobody can ask
+ * it. From the first arm command on, the commit cannot be
  * undone: commands are resent until they are known to have taken effect. A late duplicate of a
  * command is harmless, since its step has already begun or the rank is already in the state that it
  * asks for. A new epoch of the group clears this state on all ranks and ends the commit.
@@ -244,7 +246,7 @@
             case PREPARING -> addPrepares(commands, nowNanos);
             case HOLDING ->
                     commands.add(new AddressedCommand(holdRank, new EngineCommand.Hold(step)));
-            case ARMING -> addCommands(commands, armed, new EngineCommand.Arm(version, step));
+            case ARMING -> addArms(commands);
             case RELEASING ->
                     commands.add(new AddressedCommand(holdRank, new EngineCommand.Release(step)));
             case DONE, ABANDONED -> {
@@ -254,13 +256,17 @@
         return commands;
     }
 
-    private void addCommands(
-            List<AddressedCommand> commands, Set<Integer> completed, EngineCommand command) {
+    private void addArms(List<AddressedCommand> commands) {
+        EngineCommand arm = new EngineCommand.Arm(version, step);
+        int leaderRank = MapVersions.leaderRank(version);
         for (int rank = 0; rank < statuses.length; rank++) {
-            if (!completed.contains(rank)) {
-                commands.add(new AddressedCommand(rank, command));
+            if (!armed.contains(rank) && rank != leaderRank) {
+                commands.add(new AddressedCommand(rank, arm));
             }
         }
+        if (commands.isEmpty()) {
+            commands.add(new AddressedCommand(leaderRank, arm));
+        }
     }
 
     private void addPrepares(List<AddressedCommand> commands, long nowNanos) {
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapRecovery.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapRecovery.java
@@ -7,8 +7,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /**
  * Recovery of a group by a new leader: finishes or undoes the map change that an earlier leader
@@ -18,10 +21,14 @@
  * commands of earlier leaders. Only statuses read after that count. A change for which some rank is
  * armed is finished if every rank has fetched its map and a step is held; otherwise the armed ranks
  * are disarmed. Held steps that belong to no change are released last.
+ *
+ * <p>The rank on the VM of the earlier leader may be unreachable together with that leader. The
+ * change is then undone without it, if another rank is not armed, since that rank is armed last.
  */
 public final class MapRecovery {
 
     private final long fenceVersion;
+    private final OptionalInt missingRank;
     private final RankStatus[] statuses;
     private final boolean[] fenced;
     private long allFencedNanos;
@@ -34,7 +41,19 @@
      * @param fenceVersion the version in the commands that only fence; no map ever has it
      */
     public MapRecovery(int ranks, long fenceVersion) {
+        this(ranks, fenceVersion, OptionalInt.empty());
+    }
+
+    /**
+     * Creates a recovery that has fenced no rank yet.
+     *
+     * @param ranks the number of ranks
+     * @param fenceVersion the version in the commands that only fence; no map ever has it
+     * @param missingRank the rank that is unreachable, not null; empty if there is none
+     */
+    MapRecovery(int ranks, long fenceVersion, OptionalInt missingRank) {
         this.fenceVersion = fenceVersion;
+        this.missingRank = missingRank;
         statuses = new RankStatus[ranks];
         fenced = new boolean[ranks];
     }
@@ -71,14 +90,27 @@
     }
 
     private boolean allRanksFenced() {
-        for (boolean rankFenced : fenced) {
-            if (!rankFenced) {
+        for (int rank = 0; rank < fenced.length; rank++) {
+            if (!fenced[rank] && !isMissing(rank)) {
                 return false;
             }
         }
         return true;
     }
 
+    private boolean isMissing(int rank) {
+        return missingRank.isPresent() && missingRank.getAsInt() == rank;
+    }
+
+    /**
+     * Returns the rank that this recovery does without.
+     *
+     * @return the rank; empty if there is none
+     */
+    OptionalInt missingRank() {
+        return missingRank;
+    }
+
     /**
      * Returns whether the status of every rank was read after all ranks were fenced, in one epoch.
      *
@@ -86,15 +118,42 @@
      *     statuses
      */
     public boolean hasAllStatuses() {
-        for (RankStatus status : statuses) {
-            boolean unusable = status == null || status.epoch() != statuses[0].epoch();
-            if (unusable || !status.open()) {
+        long epoch = reachable().findFirst().map(RankStatus::epoch).orElse(-1L);
+        for (int rank = 0; rank < statuses.length; rank++) {
+            RankStatus status = statuses[rank];
+            boolean usable = status != null && status.epoch() == epoch && status.open();
+            if (!usable && !isMissing(rank)) {
                 return false;
             }
         }
         return true;
     }
 
+    private Stream<RankStatus> reachable() {
+        return Arrays.stream(statuses).filter(Objects::nonNull);
+    }
+
+    /**
+     * Returns whether the missing rank is known not to be armed: the reachable ranks have fetched
+     * the map of a change whose leader is on the VM of the missing rank, and one is not armed for
+     * it. They refuse this leader since they were fenced, so the missing rank will not be armed
+     * later either.
+     */
+    private boolean isMissingRankNotArmed() {
+        Optional<Long> version = reachable().findFirst().flatMap(MapRecovery::changeVersion);
+        return version.isPresent()
+                && isMissing(MapVersions.leaderRank(version.get()))
+                && reachable().allMatch(status -> changeVersion(status).equals(version))
+                && reachable().anyMatch(status -> status.armed().isEmpty());
+    }
+
+    /** Returns the version of the map that a rank is armed for, or else has fetched. */
+    private static Optional<Long> changeVersion(RankStatus status) {
+        return status.armed()
+                .map(ArmedMap::version)
+                .or(() -> status.prepared().stream().boxed().findFirst());
+    }
+
     /** Discards all statuses, so that they must be read again. */
     public void discardStatuses() {
         Arrays.fill(statuses, null);
@@ -106,8 +165,9 @@
      * @return true if all statuses are read and no rank is armed or holds a step
      */
     public boolean isComplete() {
-        return hasAllStatuses()
-                && Arrays.stream(statuses)
+        return missingRank.isEmpty()
+                && hasAllStatuses()
+                && reachable()
                         .allMatch(status -> status.armed().isEmpty() && status.held().isEmpty());
     }
 
@@ -119,7 +179,8 @@
     public Optional<MapCommit> unfinishedCommit() {
         Optional<ArmedMap> armed = firstArmed();
         OptionalLong holdRank = holdRank();
-        if (!hasAllStatuses() || armed.isEmpty() || holdRank.isEmpty()) {
+        boolean allReached = missingRank.isEmpty() && hasAllStatuses();
+        if (!allReached || armed.isEmpty() || holdRank.isEmpty()) {
             return Optional.empty();
         }
         long version = armed.get().version();
@@ -167,40 +228,40 @@
         List<AddressedCommand> commands = new ArrayList<>();
         if (!allFenced) {
             for (int rank = 0; rank < fenced.length; rank++) {
-                if (!fenced[rank]) {
+                if (!fenced[rank] && !isMissing(rank)) {
                     commands.add(
                             new AddressedCommand(rank, new EngineCommand.Disarm(fenceVersion)));
                 }
             }
             return commands;
         }
-        if (!hasAllStatuses()) {
+        if (!hasAllStatuses() || (missingRank.isPresent() && !isMissingRankNotArmed())) {
             return commands;
         }
-        for (RankStatus status : statuses) {
-            status.armed()
-                    .ifPresent(
-                            armed ->
-                                    commands.add(
-                                            new AddressedCommand(
-                                                    status.rank(),
-                                                    new EngineCommand.Disarm(armed.version()))));
-        }
+        reachable().forEach(status -> addDisarm(commands, status));
         if (commands.isEmpty()) {
             addReleases(commands);
         }
         return commands;
     }
 
+    private static void addDisarm(List<AddressedCommand> commands, RankStatus status) {
+        status.armed()
+                .map(armed -> new EngineCommand.Disarm(armed.version()))
+                .map(disarm -> new AddressedCommand(status.rank(), disarm))
+                .ifPresent(commands::add);
+    }
+
     private void addReleases(List<AddressedCommand> commands) {
-        for (RankStatus status : statuses) {
-            status.held()
-                    .ifPresent(
-                            step ->
-                                    commands.add(
-                                            new AddressedCommand(
-                                                    status.rank(),
-                                                    new EngineCommand.Release(step))));
-        }
+        reachable().forEach(status -> addRelease(commands, status));
+    }
+
+    private static void addRelease(List<AddressedCommand> commands, RankStatus status) {
+        status.held()
+                .ifPresent(
+                        step ->
+                                commands.add(
+                                        new AddressedCommand(
+                                                status.rank(), new EngineCommand.Release(step))));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/CommandSender.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/CommandSender.java
@@ -71,7 +71,7 @@
         }
         EngineCommand command = addressed.command();
         followMap(command);
-        boolean direct = peer.canQueryEngine();
+        boolean direct = peer.sendsPastAgent(command);
         boolean whole = direct || ranksWithoutBase.contains(rank);
         byte[] body = encoder.encode(command, state.epoch(), whole);
         int bytes = direct ? DIRECT_SIZE_FACTOR * body.length : body.length;
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -257,7 +257,13 @@
             leader =
                     Optional.of(
                             new GroupLeader(
-                                    token, ownStatus, shape.get(), capacity, scheduler, nowNanos));
+                                    token,
+                                    ownStatus,
+                                    shape.get(),
+                                    capacity,
+                                    polling(),
+                                    scheduler,
+                                    nowNanos));
             LOG.info(
                     "{}",
                     LogLine.event("lease_claimed")
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -52,6 +52,7 @@
 
     private final LeaderCallStats stats;
     private final CommandSender commands;
+    private LeaderPolling polling;
     private boolean steppedDown;
     private long nextPollNanos;
     private long round;
@@ -61,9 +62,11 @@
             RankStatus ownStatus,
             GroupShape shape,
             VmCapacity capacity,
+            LeaderPolling polling,
             AgentScheduler scheduler,
             long nowNanos) {
         this.token = token;
+        this.polling = polling;
         this.scheduler = scheduler;
         group = ownStatus.group();
         state = new LeaderState(token, ownStatus.rank(), shape, new LeaderLog(group, scheduler));
@@ -84,15 +87,16 @@
     /**
      * Polls the agents if a poll is due, and sends the commands that are due. Called periodically.
      */
-    void tick(List<RankPeer> known, LeaderPolling polling, long nowNanos) {
+    void tick(List<RankPeer> known, LeaderPolling newPolling, long nowNanos) {
+        polling = newPolling;
         if (nowNanos - nextPollNanos >= 0) {
             stats.onRound(nowNanos - nextPollNanos);
             nextPollNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(polling.pollPeriodMs());
             state.updateDemand();
             round++;
             for (RankPeer peer : known) {
-                if (isPollDue(peer, polling, nowNanos)) {
-                    poll(peer, polling);
+                if (isPollDue(peer, nowNanos)) {
+                    poll(peer);
                 }
             }
         }
@@ -101,7 +105,7 @@
                 .ifPresent(line -> LOG.info("{}", line.with("group", group).with("token", token)));
     }
 
-    private boolean isPollDue(RankPeer peer, LeaderPolling polling, long nowNanos) {
+    private boolean isPollDue(RankPeer peer, long nowNanos) {
         Integer rank = ranksByPeer.get(peer);
         if (state.isSettled() && rank != null) {
             return polling.isPolledWhenSettled(rank, round);
@@ -109,7 +113,7 @@
         return nowNanos - nextForeignPolls.getOrDefault(peer, nowNanos) >= 0;
     }
 
-    private void poll(RankPeer peer, LeaderPolling polling) {
+    private void poll(RankPeer peer) {
         if (state.isBusy() && peer.canQueryEngine()) {
             pollEngine(peer);
         }
@@ -206,6 +210,9 @@
 
     private void onAnswer(RankPeer peer, RankReport report, long sentNanos) {
         onReport(peer, report, sentNanos);
+        if (report.isAcceptedWithoutStatus()) {
+            poll(peer);
+        }
         advance(scheduler.nowNanos());
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -50,6 +50,16 @@
         return unansweredCalls.get() >= MAX_UNANSWERED_CALLS && directEngine.isPresent();
     }
 
+    /**
+     * Returns whether a command goes to the engine past its agent. Steps are held and released so
+     * that no other process than the leader can stop between the two.
+     */
+    boolean sendsPastAgent(EngineCommand command) {
+        boolean holdsOrReleases =
+                command instanceof EngineCommand.Hold || command instanceof EngineCommand.Release;
+        return canQueryEngine() || (holdsOrReleases && directEngine.isPresent());
+    }
+
     /** Queries the agent; the future fails if it does not answer in time. */
     CompletableFuture<RankReport> query(RankStatusQuery query, long timeoutMs) {
         return call(AgentServer.QUERY_PATH, GroupMessages.encode(query), timeoutMs);
@@ -63,7 +73,7 @@
      */
     CompletableFuture<RankReport> command(
             EngineCommand command, byte[] body, long epoch, long token, long timeoutMs) {
-        if (canQueryEngine()) {
+        if (sendsPastAgent(command)) {
             return directEngine
                     .orElseThrow()
                     .send(command, epoch, token)
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankReport.java
@@ -46,6 +46,15 @@
                 Optional.of(result), status, counts, experts, leaderToken, leaderContactAgeMs);
     }
 
+    /**
+     * Returns whether a command was accepted and the state of the engine after it is not known.
+     *
+     * @return true if the engine should be asked for its state
+     */
+    boolean isAcceptedWithoutStatus() {
+        return status.isEmpty() && outcome.equals(Optional.of(CommandResult.ACCEPTED));
+    }
+
     /**
      * Returns whether a leader with a higher token has called the agent or its engine.
      *
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
@@ -3,24 +3,27 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.pollenpath.state.group.CommandResult;
+import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.ExpertMap;
 import io.pollenpath.state.group.RankStatus;
 import io.pollenpath.state.serving.GroupShape;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
 /**
  * Runs random schedules of leaders and engines of one group. Commands are lost, delayed and resent,
- * leaders pause and continue after a later one has taken over, engines crash, and the group is idle
- * for a while. No step may use two maps.
+ * leaders pause and continue after a later one has taken over, engines crash, VMs freeze with their
+ * leader and engine, and the group is idle for a while. No step may use two maps.
  */
 class LeaderStateScheduleTest {
 
     private static final int RANKS = 4;
+    private static final int NONE = -1;
     private static final int EVENTS = 700;
     private static final int UNFENCED_SEEDS = 20_000;
     private static final int FAULTLESS_EVENTS = 600;
@@ -34,11 +37,13 @@
 
     private static final class Leader implements LeaderListener {
         private final long token;
+        private final int rank;
         private final LeaderState state;
         private boolean deposed;
 
         Leader(long token, int rank) {
             this.token = token;
+            this.rank = rank;
             state = new LeaderState(token, rank, SHAPE, this);
         }
 
@@ -67,11 +72,62 @@
         private boolean mixedMaps;
         private long nowNanos = 1;
         private long nextToken = 10;
+        private int frozenRank = NONE;
 
         Simulation(long seed, boolean faulty, boolean fenced) {
+            this(seed, faulty, new SimulatedGroup(RANKS, fenced, FIRST));
+        }
+
+        Simulation(long seed, boolean faulty, SimulatedGroup group) {
             random = new Random(seed);
             this.faulty = faulty;
-            group = new SimulatedGroup(RANKS, fenced, FIRST);
+            this.group = group;
+        }
+
+        /** Lets a leader change the map until a step is held, then arms some more ranks. */
+        void runUntilHeld(Leader leader, int armedRanks) {
+            leaders.add(leader);
+            while (!isHeld()) {
+                pollAll(leader);
+                List<AddressedCommand> commands =
+                        leader.state.canStartChange()
+                                ? leader.state.startChange(randomPlan(), nowNanos)
+                                : leader.state.nextCommands(nowNanos);
+                commands.forEach(command -> deliver(leader, command));
+            }
+            for (int i = 0; i < armedRanks; i++) {
+                List<AddressedCommand> commands = leader.state.nextCommands(nowNanos);
+                commands.stream()
+                        .filter(command -> command.command() instanceof EngineCommand.Arm)
+                        .findFirst()
+                        .ifPresent(command -> deliver(leader, command));
+            }
+        }
+
+        private boolean isHeld() {
+            return IntStream.range(0, RANKS).anyMatch(rank -> group.status(rank).held().isPresent());
+        }
+
+        private void pollAll(Leader leader) {
+            nowNanos += 1_000_000;
+            for (int rank = 0; rank < RANKS; rank++) {
+                if (rank != frozenRank) {
+                    leader.state.onStatus(group.status(rank), nowNanos);
+                }
+            }
+        }
+
+        /** Runs the group with one leader that reaches all ranks but the frozen one. */
+        void runReachable(Leader leader) {
+            for (int i = 0; i < FAULTLESS_EVENTS; i++) {
+                pollAll(leader);
+                for (AddressedCommand command : leader.state.nextCommands(nowNanos)) {
+                    if (command.rank() != frozenRank) {
+                        deliver(leader, command);
+                    }
+                }
+                mixedMaps |= !group.beginStep();
+            }
         }
 
         void runEvent() {
@@ -83,6 +139,8 @@
                 leaders.add(new Leader(nextToken++, random.nextInt(RANKS)));
             } else if (draw < 29 && faulty) {
                 group.restartEngine(random.nextInt(RANKS));
+            } else if (draw < 30 && faulty) {
+                frozenRank = frozenRank == NONE ? anyLeader().rank : NONE;
             } else if (draw < 35 && !delayed.isEmpty()) {
                 executeDelayed();
             } else if (draw < 60) {
@@ -94,6 +152,7 @@
 
         /** Runs the group without faults and with the newest leader only. */
         void runWithoutFaults() {
+            frozenRank = NONE;
             Leader newest = leaders.get(leaders.size() - 1);
             for (int i = 0; i < FAULTLESS_EVENTS; i++) {
                 nowNanos += 1_000_000;
@@ -114,6 +173,9 @@
 
         private void poll(Leader leader) {
             int rank = random.nextInt(RANKS);
+            if (rank == frozenRank || leader.rank == frozenRank) {
+                return;
+            }
             RankStatus status = group.status(rank);
             leader.state.onStatus(status, nowNanos);
             leader.state.onExperts(rank, group.experts(rank));
@@ -129,7 +191,7 @@
         }
 
         private void sendCommands(Leader leader) {
-            if (leader.deposed) {
+            if (leader.deposed || leader.rank == frozenRank) {
                 return;
             }
             List<AddressedCommand> commands =
@@ -138,7 +200,10 @@
                             : leader.state.nextCommands(nowNanos);
             for (AddressedCommand command : commands) {
                 int draw = random.nextInt(100);
-                if (draw < 50 || !faulty) {
+                if (command.rank() == frozenRank) {
+                    delayed.add(new DelayedCommand(command, leader.state.epoch(), leader.token));
+                    leader.state.onOutcome(command, CommandResult.UNKNOWN, nowNanos);
+                } else if (draw < 50 || !faulty) {
                     deliver(leader, command);
                 } else if (draw < 75) {
                     delayed.add(new DelayedCommand(command, leader.state.epoch(), leader.token));
@@ -163,7 +228,11 @@
         }
 
         private void executeDelayed() {
-            DelayedCommand command = delayed.remove(random.nextInt(delayed.size()));
+            DelayedCommand command = delayed.get(random.nextInt(delayed.size()));
+            if (command.command().rank() == frozenRank) {
+                return;
+            }
+            delayed.remove(command);
             execute(command.command(), command.epoch(), command.token());
         }
     }
@@ -209,6 +278,28 @@
         assertWithMessage("seed " + seed).that(simulation.group.step()).isGreaterThan(step);
     }
 
+    /** A leader freezes with its VM while it has a step held and only some ranks are armed. */
+    @Property(tries = 200)
+    void aHeldStepIsReleasedWithoutTheFrozenLeader(@ForAll long seed) {
+        Random random = new Random(seed);
+        SimulatedGroup group = new SimulatedGroup(RANKS, true, FIRST);
+        Simulation simulation = new Simulation(seed, false, group);
+        int frozen = random.nextInt(RANKS);
+        Leader old = new Leader(10, frozen);
+        simulation.runUntilHeld(old, random.nextInt(RANKS - 1));
+        Leader next = new Leader(11, (frozen + 1 + random.nextInt(RANKS - 1)) % RANKS);
+        simulation.leaders.add(next);
+        simulation.frozenRank = frozen;
+        long step = group.step();
+        simulation.runReachable(next);
+        assertWithMessage("seed " + seed).that(simulation.mixedMaps).isFalse();
+        assertWithMessage("seed " + seed).that(group.step()).isGreaterThan(step + 1);
+        simulation.frozenRank = NONE;
+        simulation.sendCommands(old);
+        simulation.runWithoutFaults();
+        assertWithMessage("seed " + seed).that(simulation.mixedMaps).isFalse();
+    }
+
     @Property(tries = 50)
     void mapsChangeWithoutFaults(@ForAll long seed) {
         Simulation simulation = new Simulation(seed, false, true);
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/RankPeerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/RankPeerTest.java
@@ -14,7 +14,7 @@
 
 class RankPeerTest {
 
-    private static final EngineCommand COMMAND = new EngineCommand.Hold(7);
+    private static final EngineCommand COMMAND = new EngineCommand.Arm(7, 5);
     private static final long TIMEOUT_MS = 200;
 
     private boolean agentAnswers;
@@ -70,8 +70,21 @@
     }
 
     private CommandResult send() {
-        byte[] body = GroupMessages.encode(COMMAND, "g", 1, 2);
-        return peer.command(COMMAND, body, 1, 2, TIMEOUT_MS).join().outcome().orElseThrow();
+        return send(COMMAND);
+    }
+
+    private CommandResult send(EngineCommand command) {
+        byte[] body = GroupMessages.encode(command, "g", 1, 2);
+        return peer.command(command, body, 1, 2, TIMEOUT_MS).join().outcome().orElseThrow();
+    }
+
+    @Test
+    void stepsAreHeldAndReleasedPastTheAgent() {
+        agentAnswers = true;
+        send(new EngineCommand.Hold(5));
+        send(new EngineCommand.Release(5));
+        assertThat(engineCalls).isEqualTo(2);
+        assertThat(agentCalls).isEqualTo(0);
     }
 
     @Test
