End streams that stall within an event, and spare those whose caller is slow

Cause: any byte counted as progress, so a stream that sends a byte now and then never left its server; and a server counted as silent while this entry did not read from it because the caller took no more. Change: in a stream only a whole event is progress, and time without reading does not count. Test: a stand-in sends bytes of one event and never completes it; the stream goes on at another server. The paused reader has no test of its own.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -37,6 +37,7 @@
     private BackendConnection connection;
     private long sentNanos;
     private long lastProgressNanos;
+    private boolean readingPaused;
     private int status;
     private HttpHeaders head = EmptyHttpHeaders.INSTANCE;
     private ServerAnswer answer = new ServerAnswer();
@@ -145,9 +146,15 @@
         return sentNanos;
     }
 
-    /** Returns the time since the current server last sent bytes; 0 if no server is selected. */
+    /**
+     * Returns the time since the current server last made progress: in a stream a whole event,
+     * otherwise any bytes. It is 0 if no server is selected, and while the answer is not read
+     * because the caller takes no more.
+     */
     long silenceMs(long nowNanos) {
-        return server == null ? 0 : TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
+        return server == null || readingPaused
+                ? 0
+                : TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
     }
 
     /** Sends the request to a server, over a pooled or new connection. */
@@ -199,6 +206,7 @@
     private void write(ServerInstance target, BackendConnection opened) {
         long nowNanos = System.nanoTime();
         connection = opened;
+        readingPaused = false;
         sends++;
         triedServerIds.add(target.id());
         sentNanos = nowNanos;
@@ -229,16 +237,21 @@
 
     @Override
     public void onData(byte[] bytes) {
-        lastProgressNanos = System.nanoTime();
         if (answer.isForwardedStream()) {
             forwardEvents(answer.addEvents(bytes));
-        } else if (!answer.addBody(bytes)) {
+            return;
+        }
+        lastProgressNanos = System.nanoTime();
+        if (!answer.addBody(bytes)) {
             connection.cancel();
             onFailed(SendOutcome.UNKNOWN, "answer is too large to be buffered");
         }
     }
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
+        if (!completeEvents.isEmpty()) {
+            lastProgressNanos = System.nanoTime();
+        }
         for (EventSplitter.Event event : completeEvents) {
             if (answer.countEvent()) {
                 gateway.onAnswerGoesOn(this);
@@ -257,8 +270,8 @@
             }
             recordEventGap();
         }
-        if (connection != null && !caller.isWritable()) {
-            connection.setReading(false);
+        if (!caller.isWritable()) {
+            setReading(false);
         }
     }
 
@@ -270,9 +283,19 @@
     }
 
     void onCallerWritable(boolean writable) {
-        if (connection != null) {
-            connection.setReading(writable);
+        setReading(writable);
+    }
+
+    private void setReading(boolean reading) {
+        if (connection == null) {
+            return;
+        }
+        if (reading && readingPaused) {
+            lastProgressNanos = System.nanoTime();
+            lastEventNanos = 0;
         }
+        readingPaused = !reading;
+        connection.setReading(reading);
     }
 
     @Override
--- a/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/EngineFault.java
@@ -48,6 +48,9 @@
     /** Like {@link #ENDS_IN_ANSWER}, but the process listens for a moment longer. */
     ENDS_IN_ANSWER_LISTENING,
 
+    /** Begins a stream, and then sends bytes of one event that it never completes. */
+    STALLS_IN_EVENT,
+
     /** Never answers and keeps the connection open until the caller closes it. */
     SILENT
 }
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -14,6 +14,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 
 /**
@@ -26,6 +27,9 @@
     /** The number of events in a complete stream. */
     public static final int STREAM_EVENTS = 6;
 
+    private static final int STALLED_BYTES = 100;
+    private static final long STALLED_BYTE_NANOS = 100_000_000;
+
     private static final int BACKLOG = 64;
     private static final long LISTENING_AT_END_MS = 10;
     private static final String SIGNATURE_HEADER = "Upstream-Signature: proof\r\n";
@@ -218,6 +222,10 @@
                 crash();
                 return false;
             }
+            case STALLS_IN_EVENT -> {
+                writeStalledEvent(socket, request);
+                return false;
+            }
             case SILENT -> {
                 awaitDisconnect(socket);
                 return false;
@@ -326,6 +334,16 @@
                         + "part");
     }
 
+    /** Writes half of a stream, and then a byte of the next event now and then. */
+    private void writeStalledEvent(Socket socket, ReceivedRequest request) throws IOException {
+        writeStreamHead(socket, request);
+        write(socket, EventStreams.chunk(EventStreams.events(request, STREAM_EVENTS / 2)));
+        for (int i = 0; i < STALLED_BYTES; i++) {
+            LockSupport.parkNanos(STALLED_BYTE_NANOS);
+            write(socket, EventStreams.chunk("x"));
+        }
+    }
+
     private void writeStreamHead(Socket socket, ReceivedRequest request) throws IOException {
         write(
                 socket,
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -107,6 +107,7 @@
                 new Row("stream", EngineFault.ENDS_IN_ANSWER, 200, 2),
                 new Row("stream", EngineFault.ENDS_IN_ANSWER_LISTENING, 200, 2),
                 new Row("stream", EngineFault.EXTRA_ANSWER, 200, 1),
+                new Row("stream", EngineFault.STALLS_IN_EVENT, 200, 2),
                 new Row("stream-final", EngineFault.NONE, 200, 1),
                 new Row("stream-final", EngineFault.ANSWER_LOST, 502, 1),
                 new Row("stream-final", EngineFault.ENDS_IN_ANSWER, 0, 1),
