Let requests wait while all servers refuse them

Cause: after all machines were stopped, groups form for 0.6 s and their engines refuse at once. Change: from two refusals without progress on, requests of the service wait, one is tried every 100 ms, and callers that are refused are told the time for a stalled service.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -172,7 +172,8 @@
         if (refuseIfBlocked(request, nowNanos)) {
             return true;
         }
-        if (crashGuard.awaitsPermit(request, nowNanos)) {
+        if (crashGuard.awaitsPermit(request, nowNanos)
+                || !service.refusalGate().admits(nowNanos)) {
             return false;
         }
         boolean resend = request.sends() > 0;
@@ -185,7 +186,7 @@
             return false;
         }
         service.queue().remove(request);
-        service.onSent();
+        service.onSent(nowNanos);
         inFlight.add(request);
         servers.onSent(server.get(), nowNanos);
         request.send(server.get(), connections, nowNanos);
@@ -248,6 +249,9 @@
         }
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
+        if (outcome == SendOutcome.NOT_RUN) {
+            service.refusalGate().onRefused(nowNanos);
+        }
         long timeLeftMs = request.timeLeftMs(nowNanos);
         ResendPolicy.Decision decision =
                 ResendPolicy.decide(
@@ -295,7 +299,7 @@
         long retryAfterMs =
                 QueueTimeouts.retryAfterMs(
                         expectedWaitMs(request.context().service(), nowNanos),
-                        service.silenceMs(nowNanos),
+                        service.isStalled(nowNanos),
                         request.timeLeftMs(nowNanos),
                         random);
         int servers = view.get().serversOf(request.context().service()).size();
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -1,6 +1,8 @@
 package io.pollenpath.transport.serving;
 
 import io.pollenpath.coordination.serving.AdaptiveConcurrencyLimit;
+import io.pollenpath.coordination.serving.QueueTimeouts;
+import io.pollenpath.coordination.serving.RefusalGate;
 import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.WaitingRequests;
 import io.pollenpath.state.serving.EnginePerformance;
@@ -16,6 +18,7 @@
 
     private final SharedRetryBudget retryBudget;
     private final WaitingRequests<ForwardedRequest> queue = new WaitingRequests<>();
+    private final RefusalGate refusalGate = new RefusalGate();
     private AdaptiveConcurrencyLimit concurrencyLimit;
     private int inFlight;
     private double meanCompletionIntervalMs = INITIAL_INTERVAL_MS;
@@ -38,8 +41,13 @@
         return inFlight;
     }
 
-    void onSent() {
+    RefusalGate refusalGate() {
+        return refusalGate;
+    }
+
+    void onSent(long nowNanos) {
         inFlight++;
+        refusalGate.onSent(nowNanos);
     }
 
     void onEnded(long nowNanos) {
@@ -54,18 +62,22 @@
     /** Records that a server of the service has made progress on a request. */
     void onProgress(long nowNanos) {
         lastProgressNanos = nowNanos;
+        refusalGate.onProgress();
     }
 
-    /** Returns the time since a server last made progress; 0 before the first progress. */
-    long silenceMs(long nowNanos) {
-        return lastProgressNanos == 0
-                ? 0
-                : TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
+    /** Returns whether all servers refuse, or none has made progress for a while. */
+    boolean isStalled(long nowNanos) {
+        long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
+        boolean silent = lastProgressNanos != 0 && silenceMs >= QueueTimeouts.STALL_MS;
+        return silent || refusalGate.isClosed();
     }
 
-    /** Estimates the queue time of a request that is queued now. */
+    /**
+     * Estimates the queue time of a request that is queued now; 0 while all servers refuse, since
+     * the requests that ended before do not tell when they run requests again.
+     */
     double expectedWaitMs() {
-        return meanCompletionIntervalMs * queue.size();
+        return refusalGate.isClosed() ? 0 : meanCompletionIntervalMs * queue.size();
     }
 
     /** Returns the adaptive limit of concurrent streams, created with the first known step time. */
