--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderPolling.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderPolling.java
@@ -16,6 +16,13 @@
         int ranks, long pollPeriodMs, int sampledRanks, long electionTimeoutMs) {
 
     private static final long MIN_POLL_PERIOD_MS = 50;
+
+    /** Poll period down to which a leader may make more than {@link #MAX_FAST_POLLS_PER_S}. */
+    private static final long FAST_POLL_PERIOD_MS = 100;
+
+    /** Maximum number of polls a second with a poll period below the one above. */
+    private static final double MAX_FAST_POLLS_PER_S = 320;
+
     private static final long MIN_ELECTION_TIMEOUT_MS = 500;
 
     /** Rounds from one poll to the next of a rank without counts while the group is settled. */
@@ -59,7 +66,7 @@
     public static LeaderPolling of(int ranks, int counters, VmCapacity capacity) {
         double roundCpuMs = ranks * POLL_CPU_MS;
         long periodMs = Math.round(roundCpuMs / (capacity.cores() * CPU_FRACTION));
-        periodMs = Math.max(MIN_POLL_PERIOD_MS, periodMs);
+        periodMs = Math.max(minPeriodMs(ranks), periodMs);
         double roundBytes = capacity.linkBytesPerSecond() * LINK_FRACTION * periodMs / 1_000;
         int sampled = (int) Math.min(ranks, roundBytes / Math.max(1, counters));
         sampled = Math.min(ranks, Math.max(MIN_SAMPLED_RANKS, sampled));
@@ -68,6 +75,11 @@
         return new LeaderPolling(ranks, periodMs, sampled, electionTimeoutMs);
     }
 
+    private static long minPeriodMs(int ranks) {
+        long fewPollsMs = Math.round(1_000 * ranks / MAX_FAST_POLLS_PER_S);
+        return Math.max(MIN_POLL_PERIOD_MS, Math.min(FAST_POLL_PERIOD_MS, fewPollsMs));
+    }
+
     /**
      * Returns whether a rank is polled in a round while the group is settled. Ranks that are polled
      * for their counts are polled in each round, the others in every second one.
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderPollingTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderPollingTest.java
@@ -19,6 +19,13 @@
         assertThat(polling).isEqualTo(new LeaderPolling(16, 50, 16, 500));
     }
 
+    @Test
+    void largerGroupsArePolledTenTimesASecond() {
+        LeaderPolling polling =
+                LeaderPolling.of(32, 12 * 128, new VmCapacity(0.45, 14 * MEGABIT_BYTES));
+        assertThat(polling.pollPeriodMs()).isEqualTo(100);
+    }
+
     /** Covers the largest groups of a deployment, on VMs with little free capacity. */
     @ParameterizedTest
     @CsvSource({
