--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemandEstimator.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/ExpertDemandEstimator.java
@@ -1,5 +1,7 @@
 package io.pollenpath.coordination.group;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Estimates how often the router selects each expert, from the counts that ranks report. A shift of
  * the demand is followed with the first sample that shows it: this sample still contains some of
@@ -16,11 +18,15 @@
     /** Minimum selections in each set of layers of a sample; a smaller sample is too noisy. */
     private static final double MIN_SELECTIONS = 200;
 
+    /** Minimum time between two samples; shorter ones consist of too few requests. */
+    private static final long MIN_SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final int layers;
     private final int experts;
     private final double[][] pendingCounts;
     private final double[][] shares;
     private boolean initialized;
+    private long lastSampleNanos;
     private long samplesSinceShift;
     private long shifts;
     private long samples;
@@ -53,8 +59,15 @@
         }
     }
 
-    /** Updates the estimate from the counts added so far, if they are enough for a sample. */
-    public void update() {
+    /**
+     * Updates the estimate from the counts added so far, if they are enough for a sample.
+     *
+     * @param nowNanos the current time
+     */
+    public void update(long nowNanos) {
+        if (initialized && nowNanos - lastSampleNanos < MIN_SAMPLE_NANOS) {
+            return;
+        }
         double[] totals = new double[layers];
         for (int layer = 0; layer < layers; layer++) {
             for (double count : pendingCounts[layer]) {
@@ -71,6 +84,7 @@
                 pendingCounts[layer][expert] = 0;
             }
         }
+        lastSampleNanos = nowNanos;
         applySample(sample);
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -110,9 +110,13 @@
         demand.addCounts(counts);
     }
 
-    /** Updates the estimate of the demand from the counts added since the last update. */
-    public void updateDemand() {
-        demand.update();
+    /**
+     * Updates the estimate of the demand from the counts added since the last update.
+     *
+     * @param nowNanos the current time
+     */
+    public void updateDemand(long nowNanos) {
+        demand.update(nowNanos);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupLeader.java
@@ -92,7 +92,7 @@
         if (nowNanos - nextPollNanos >= 0) {
             stats.onRound(nowNanos - nextPollNanos);
             nextPollNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(polling.pollPeriodMs());
-            state.updateDemand();
+            state.updateDemand(nowNanos);
             round++;
             for (RankPeer peer : known) {
                 if (isPollDue(peer, nowNanos)) {
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/ExpertDemandEstimatorTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/ExpertDemandEstimatorTest.java
@@ -2,17 +2,30 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class ExpertDemandEstimatorTest {
 
     private static final int EXPERTS = 4;
+    private static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private long nowNanos;
 
     private final ExpertDemandEstimator demand = new ExpertDemandEstimator(1, EXPERTS);
 
     private void sample(long... chosen) {
         demand.addCounts(chosen);
-        demand.update();
+        nowNanos += SAMPLE_NANOS;
+        demand.update(nowNanos);
+    }
+
+    @Test
+    void gathersTheCountsOfAShortTime() {
+        sample(400, 100, 100, 100);
+        demand.addCounts(new long[] {100, 400, 100, 100});
+        demand.update(nowNanos + SAMPLE_NANOS / 2);
+        assertThat(demand.samples()).isEqualTo(1);
     }
 
     @Test
@@ -66,7 +79,7 @@
     void addsCountsOfSeveralRanks() {
         demand.addCounts(new long[] {300, 100, 0, 0});
         demand.addCounts(new long[] {100, 100, 200, 200});
-        demand.update();
+        demand.update(nowNanos);
         assertThat(demand.shares()[0][0]).isWithin(0.001).of(0.4);
         assertThat(demand.shares()[0][3]).isWithin(0.001).of(0.2);
     }
@@ -74,7 +87,7 @@
     @Test
     void ignoresAnotherNumberOfCounters() {
         demand.addCounts(new long[] {1, 2});
-        demand.update();
+        demand.update(nowNanos);
         assertThat(demand.isKnown()).isFalse();
     }
 }
