Check in the model that a frozen leader's step is released safely

The specification has leaders that are unreachable with their own rank. It finds no step with two maps, a trace in which the step is released, and a counterexample when a leader arms its own rank before the others.

--- a/pollenpath/src/test/alloy/expertmap.als
+++ b/pollenpath/src/test/alloy/expertmap.als
@@ -17,6 +17,8 @@
 
 /* A leader, which also stands for its fencing token, its one planned map and that map's version. */
 sig Leader {
+  /* The rank on its own VM, with which it may be unreachable for others. */
+  ownRank: one Rank,
   /* The rank at which it holds a step. */
   holdRank: one Rank,
   /* Ranks that it has fenced against leaders with lower tokens. */
@@ -50,10 +52,11 @@
 /*
  * The rule that a mutant breaks. NoFence: engines check fencing tokens. NoHold: a rank is armed
  * only after the step was seen held. SomeArmed: a step is released only after all ranks were seen
- * armed. NoEpoch: engines refuse commands of an earlier epoch.
+ * armed. NoEpoch: engines refuse commands of an earlier epoch. OwnNotLast: a leader arms its own
+ * rank only after it has seen all others armed.
  */
 abstract sig Defect {}
-lone sig NoFence, NoHold, SomeArmed, NoEpoch extends Defect {}
+lone sig NoFence, NoHold, SomeArmed, NoEpoch, OwnNotLast extends Defect {}
 
 pred init {
   no fenced and no recovered and no sawPrepared and no sawHeld and no sawArmed and no released
@@ -100,6 +103,40 @@
   sawHeld' = sawHeld and sawArmed' = sawArmed
 }
 
+/* The ranks that can be reached while an earlier leader is unreachable with its own rank. */
+fun reachableWithout[m: Leader]: set Rank { Rank - m.ownRank }
+
+/* All reachable ranks have fetched the map of the leader that is unreachable with its rank. */
+pred preparedWithout[l: Leader, m: Leader] {
+  lt[m, l] and no l.recovered
+  some reachableWithout[m] and reachableWithout[m] in l.fenced
+  all r: reachableWithout[m] | GroupState.prepared[r] = m
+}
+
+/*
+ * A recovering leader disarms a rank without the unreachable one, because another rank is not
+ * armed.
+ */
+pred disarmWithout[l: Leader, m: Leader, r: Rank] {
+  preparedWithout[l, m] and r in reachableWithout[m] and passesFence[l, r]
+  some q: reachableWithout[m] | no GroupState.armedMap[q]
+  GroupState.armedMap' = GroupState.armedMap - r -> Leader
+  GroupState.armedStep' = GroupState.armedStep - r -> Step
+  current' = current and prepared' = prepared and held' = held and fence' = fence and begun' = begun
+  leaders_unchanged
+}
+
+/* A recovering leader reads that a step is held and no reachable rank is armed. */
+pred readHoldWithout[l: Leader, m: Leader, s: Step] {
+  preparedWithout[l, m]
+  no reachableWithout[m].(GroupState.armedMap)
+  s in reachableWithout[m].(GroupState.held)
+  released' = released + l -> s
+  group_unchanged
+  fenced' = fenced and recovered' = recovered and sawPrepared' = sawPrepared
+  sawHeld' = sawHeld and sawArmed' = sawArmed
+}
+
 /* A recovering leader disarms a rank that an earlier leader armed. */
 pred disarm[l: Leader, r: Rank] {
   l.fenced = Rank and no l.recovered and passesFence[l, r]
@@ -144,6 +181,7 @@
 /* Arms a rank for a step that the leader has seen held. */
 pred doArm[l: Leader, r: Rank, s: Step] {
   s in l.sawHeld or (some NoHold and l.sawPrepared = Rank)
+  r = l.ownRank and no OwnNotLast implies Rank - r in l.sawArmed.s
   passesFence[l, r] and GroupState.prepared[r] = l and notBegun[s]
   no GroupState.armedMap[r] or GroupState.armedStep[r] = s
   GroupState.armedMap' = GroupState.armedMap ++ (r -> l)
@@ -211,6 +249,8 @@
   or (some l: Leader | recover[l]
     or (some r: Rank | doFence[l, r] or disarm[l, r] or doPrepare[l, r])
     or (some s: Step | readHoldOnly[l, s] or doHold[l, s])
+    or (some m: Leader, r: Rank | disarmWithout[l, m, r])
+    or (some m: Leader, s: Step | readHoldWithout[l, m, s])
     or (some r: Rank, s: Step | doArm[l, r, s] or doRelease[l, r, s]))
 }
 
@@ -244,3 +284,13 @@
 
 assert MutantNoEpoch { Defect = NoEpoch implies sameMapOnAllRanks }
 check MutantNoEpoch for 2 but 2 Step, 12 steps
+
+assert MutantOwnNotLast { Defect = OwnNotLast implies sameMapOnAllRanks }
+check MutantOwnNotLast for 2 but 2 Step, 12 steps
+
+/* The step that a leader held is released while that leader is unreachable with its rank. */
+pred releasedWithout {
+  no Defect
+  eventually (some l, m: Leader, s: Step | readHoldWithout[l, m, s])
+}
+run releasedWithout for 2 but 2 Step, 12 steps
