--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -319,7 +319,7 @@
                 crashGuard.onAnswered(request, nowNanos);
                 crashGuard.detector().onAnswered(server, request.sentNanos());
                 servers.onAnswered(server);
-                traffic(name).onProgress(nowNanos);
+                traffic(name).onAnswered(nowNanos);
             } else {
                 crashGuard.detector().onAbandoned(request, server, nowNanos);
             }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -62,9 +62,20 @@
     /** Records that a server of the service has made progress on a request. */
     void onProgress(long nowNanos) {
         lastProgressNanos = nowNanos;
+        if (refusalGate.isClosed() && concurrencyLimit != null) {
+            concurrencyLimit.onResumed();
+        }
         refusalGate.onProgress();
     }
 
+    /** Records that a request was answered completely. */
+    void onAnswered(long nowNanos) {
+        onProgress(nowNanos);
+        if (concurrencyLimit != null) {
+            concurrencyLimit.onAnswered();
+        }
+    }
+
     /** Returns whether all servers refuse, or none has made progress for a while. */
     boolean isStalled(long nowNanos) {
         long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
