Compare servers only by present pauses

Cause: the pause of an idle server faded with time, so that an idle server looked twice as fast as the others, and those differed by chance. Change: the shortest pause is taken over servers with an event in the last 0.3 s; that of an idle server is forgotten after 2 s. Test: ServerSelectorTest, TwoGroupsFleetTest.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
@@ -21,8 +21,11 @@
 
     private static final double PAUSE_WEIGHT = 0.3;
 
-    /** The time in which the known pause of a server without events falls to its half. */
-    private static final double PAUSE_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** The time after which the pause of a server without requests is forgotten. */
+    private static final long PAUSE_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** The time after an event in which the pause of its server counts as the present one. */
+    private static final long PRESENT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     /** The time that a stream may take to begin before its server counts as silent. */
     private static final double MAX_START_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
@@ -65,19 +68,31 @@
 
     /**
      * Returns the pause between the events of this entry's streams on the server: the recent one,
-     * or the present silence of its streams if it is longer. What is known of a server without
-     * streams is forgotten with time, so that it is tried again.
+     * or the present silence of its streams if it is longer. The pause of a server without requests
+     * is forgotten after a while, so that it is tried again.
      *
      * @param nowNanos the current time, in nanoseconds
      * @return the pause, in milliseconds; 0 if none is known
      */
     public double pauseMs(long nowNanos) {
-        if (meanPauseMs == 0) {
+        boolean forgotten = inFlight == 0 && nowNanos - lastEventNanos > PAUSE_MEMORY_NANOS;
+        if (meanPauseMs == 0 || forgotten) {
             return 0;
         }
-        double sinceEventNanos = nowNanos - lastEventNanos;
-        double recentMs = meanPauseMs * Math.pow(0.5, sinceEventNanos / PAUSE_HALF_LIFE_NANOS);
-        return inFlight > 0 ? Math.max(recentMs, silenceNanos(nowNanos) / 1e6) : recentMs;
+        return inFlight == 0
+                ? meanPauseMs
+                : Math.max(meanPauseMs, silenceNanos(nowNanos) / 1e6);
+    }
+
+    /**
+     * Returns whether there was an event a moment ago, so that the pause tells how fast the server
+     * is now.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return true if the pause is the present one
+     */
+    public boolean isPausePresent(long nowNanos) {
+        return meanPauseMs > 0 && nowNanos - lastEventNanos <= PRESENT_NANOS;
     }
 
     private double silenceNanos(long nowNanos) {
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
@@ -104,12 +104,13 @@
                 && !(requireFreeSlot && full);
     }
 
-    /** Returns the shortest known pause of the servers; infinite if none is known. */
+    /** Returns the shortest present pause of the servers; infinite if none is known. */
     private static double shortestPauseMs(
             List<ServerInstance> servers, Function<String, ServerHealth> health, long nowNanos) {
         return servers.stream()
-                .mapToDouble(server -> health.apply(server.id()).pauseMs(nowNanos))
-                .filter(pauseMs -> pauseMs > 0)
+                .map(server -> health.apply(server.id()))
+                .filter(serverHealth -> serverHealth.isPausePresent(nowNanos))
+                .mapToDouble(serverHealth -> serverHealth.pauseMs(nowNanos))
                 .min()
                 .orElse(Double.POSITIVE_INFINITY);
     }
--- a/pollenpath/src/main/java/io/pollenpath/state/group/RankStatus.java
+++ b/pollenpath/src/main/java/io/pollenpath/state/group/RankStatus.java
@@ -44,7 +44,7 @@
             throw new IllegalArgumentException(
                     "rank " + rank + " must be at least 0 and less than size " + size);
         }
-        if (!(slowdown > 0)) {
+        if (!(slowdown > 0 && Double.isFinite(slowdown))) {
             throw new IllegalArgumentException(
                     "the slowdown is " + slowdown + "; report a number above 0, 1 if usual");
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupMessages.java
@@ -307,6 +307,12 @@
         };
     }
 
+    /** Returns the slowdown that a message tells; 1 if it tells none that can be used. */
+    private static double slowdown(RankState state) {
+        double slowdown = state.getSlowdown();
+        return slowdown > 0 && Double.isFinite(slowdown) ? slowdown : 1;
+    }
+
     private static RankStatus decodeState(RankState state) {
         return new RankStatus(
                 state.getGroup(),
@@ -324,6 +330,6 @@
                         : Optional.empty(),
                 state.hasHeldStep() ? OptionalLong.of(state.getHeldStep()) : OptionalLong.empty(),
                 state.getBusy(),
-                state.getSlowdown() > 0 ? state.getSlowdown() : 1);
+                slowdown(state));
     }
 }
