--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -186,8 +186,7 @@
 
     private List<AddressedCommand> recover(long nowNanos) {
         if (recovery.isEmpty() || recovery.get().missingRank().isPresent()) {
-            recovery =
-                    Optional.of(new MapRecovery(statuses.size(), MapVersions.fence(token)));
+            recovery = Optional.of(new MapRecovery(statuses.size(), MapVersions.fence(token)));
         }
         MapRecovery current = recovery.get();
         if (current.isComplete()) {
@@ -302,11 +301,7 @@
         }
         samplesAtLastPlan = demand.samples();
         MapPlanner.Plan plan =
-                planner.plan(
-                        current.get().map(),
-                        demand.shares(),
-                        slowdowns(),
-                        changeTimes.cost());
+                planner.plan(current.get().map(), demand.shares(), slowdowns(), changeTimes.cost());
         return RebalanceRule.isWorthwhile(plan, shape) ? startChange(plan, nowNanos) : List.of();
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
@@ -79,9 +79,7 @@
         if (meanPauseMs == 0 || forgotten) {
             return 0;
         }
-        return inFlight == 0
-                ? meanPauseMs
-                : Math.max(meanPauseMs, silenceNanos(nowNanos) / 1e6);
+        return inFlight == 0 ? meanPauseMs : Math.max(meanPauseMs, silenceNanos(nowNanos) / 1e6);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -172,8 +172,7 @@
         if (refuseIfBlocked(request, nowNanos)) {
             return true;
         }
-        if (crashGuard.awaitsPermit(request, nowNanos)
-                || !service.refusalGate().admits(nowNanos)) {
+        if (crashGuard.awaitsPermit(request, nowNanos) || !service.refusalGate().admits(nowNanos)) {
             return false;
         }
         boolean resend = request.sends() > 0;
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
@@ -105,7 +105,8 @@
         }
 
         private boolean isHeld() {
-            return IntStream.range(0, RANKS).anyMatch(rank -> group.status(rank).held().isPresent());
+            return IntStream.range(0, RANKS)
+                    .anyMatch(rank -> group.status(rank).held().isPresent());
         }
 
         private void pollAll(Leader leader) {
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/MapPlannerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/MapPlannerTest.java
@@ -129,7 +129,11 @@
         for (int seed = 0; seed < tries; seed++) {
             Random random = new Random(seed);
             ExpertMap map =
-                    planner.plan(roundRobin(4, 16, 64), powerLawShares(4, 64, random), even(16), FREE_FETCHES)
+                    planner.plan(
+                                    roundRobin(4, 16, 64),
+                                    powerLawShares(4, 64, random),
+                                    even(16),
+                                    FREE_FETCHES)
                             .map();
             MapPlanner.Plan plan =
                     planner.plan(map, powerLawShares(4, 64, random), even(16), FREE_FETCHES);
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/TwoGroupsFleetTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/TwoGroupsFleetTest.java
@@ -104,7 +104,9 @@
             streams.add(new Stream(entry, servers.indexOf(chosen), nowMs));
         }
 
-        /** Ends the pass of a group: its streams get an event, as many as its servers have slots. */
+        /**
+         * Ends the pass of a group: its streams get an event, as many as its servers have slots.
+         */
         private void pass(int group, long nowMs) {
             int[] running = new int[servers.size()];
             for (Stream stream : List.copyOf(streams)) {
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -55,6 +55,7 @@
 
     /** Mean worth per request that the users state for the deployment with 8 ranks a group. */
     private static final double MIN_ANSWERED = 0.73;
+
     private static final String COMPLETE_STREAM = events(1, PlatformEngineStandin.STREAM_EVENTS);
 
     private final NettyLoops loops = new NettyLoops(1);
@@ -331,8 +332,7 @@
     void requestsWaitUntilServersThatAllRefuseRunThemAgain() throws Exception {
         long openNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FORMING_MS);
         Function<PlatformEngineStandin.ReceivedRequest, EngineFault> forming =
-                request ->
-                        System.nanoTime() < openNanos ? EngineFault.NOT_RUN : EngineFault.NONE;
+                request -> System.nanoTime() < openNanos ? EngineFault.NOT_RUN : EngineFault.NONE;
         first.close();
         second.close();
         first = new PlatformEngineStandin("engine-1", freePort(), forming);
