--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -15,7 +15,6 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 
 /**
  * Decisions of the leader of one group under one fencing token. In each epoch it first finishes or
@@ -34,7 +33,7 @@
     private final LeaderListener listener;
     private final StepPace pace = new StepPace();
     private final ChangeTimes changeTimes;
-    private final Map<Integer, RankStatus> statuses = new HashMap<>();
+    private final RankStatuses statuses;
     private final Map<Integer, List<List<Integer>>> hostedExperts = new HashMap<>();
     private final Map<Long, ExpertMap> mapsByVersion = new HashMap<>();
     private Optional<MapRecovery> recovery = Optional.empty();
@@ -61,6 +60,7 @@
         this.ownRank = ownRank;
         this.shape = Objects.requireNonNull(shape, "shape");
         this.listener = Objects.requireNonNull(listener, "listener");
+        statuses = new RankStatuses(ownRank);
         planner = new MapPlanner(shape);
         changeTimes = new ChangeTimes(shape.fetchMs());
         demand = new ExpertDemandEstimator(shape.layers(), shape.experts());
@@ -79,7 +79,7 @@
         if (status.epoch() > epoch) {
             enterEpoch(status.epoch());
         }
-        statuses.put(status.rank(), status);
+        statuses.put(status);
         if (status.rank() == ownRank) {
             pace.onStep(status.step(), readNanos);
         }
@@ -150,7 +150,7 @@
      *     previous command is still in progress
      */
     public List<AddressedCommand> nextCommands(long nowNanos) {
-        if (!allRanksKnown()) {
+        if (!statuses.allOpen()) {
             return recoverWithoutMissingRank();
         }
         if (commit.isPresent()) {
@@ -164,7 +164,7 @@
 
     /** Returns whether a change may start: recovery is complete and no change is in progress. */
     boolean canStartChange() {
-        return allRanksKnown() && recovered && commit.isEmpty() && allRanksQuiet();
+        return statuses.allOpen() && recovered && commit.isEmpty() && statuses.allQuiet();
     }
 
     /**
@@ -177,13 +177,6 @@
         return canStartChange() && !needsExperts();
     }
 
-    private boolean allRanksKnown() {
-        RankStatus own = statuses.get(ownRank);
-        return own != null
-                && statuses.size() == own.size()
-                && statuses.values().stream().allMatch(RankStatus::open);
-    }
-
     private List<AddressedCommand> recover(long nowNanos) {
         if (recovery.isEmpty() || recovery.get().missingRank().isPresent()) {
             recovery = Optional.of(new MapRecovery(statuses.size(), MapVersions.fence(token)));
@@ -218,7 +211,7 @@
      * does not wait for it.
      */
     private List<AddressedCommand> recoverWithoutMissingRank() {
-        OptionalInt missing = missingRank();
+        OptionalInt missing = statuses.missingRank();
         if (recovered || commit.isPresent() || missing.isEmpty()) {
             return List.of();
         }
@@ -229,17 +222,6 @@
         return recoveryCommands(recovery.get());
     }
 
-    /** Returns the only rank without a status; empty unless there is one. */
-    private OptionalInt missingRank() {
-        RankStatus own = statuses.get(ownRank);
-        if (own == null || statuses.size() != own.size() - 1) {
-            return OptionalInt.empty();
-        }
-        return IntStream.range(0, own.size())
-                .filter(rank -> !statuses.containsKey(rank))
-                .findFirst();
-    }
-
     /**
      * Returns the rank at which steps are held. It is not on the VM of the leader, so that another
      * leader can release a step while that VM is unreachable.
@@ -283,16 +265,10 @@
 
     /** Records the next active map, beside the one that the ranks may still report. */
     private void recordMap(long version, ExpertMap map) {
-        mapsByVersion.keySet().retainAll(Set.of(statuses.get(ownRank).mapVersion()));
+        mapsByVersion.keySet().retainAll(Set.of(statuses.own().mapVersion()));
         mapsByVersion.put(version, map);
     }
 
-    private boolean allRanksQuiet() {
-        long version = statuses.get(ownRank).mapVersion();
-        return statuses.values().stream()
-                .allMatch(status -> status.isMapStable() && status.mapVersion() == version);
-    }
-
     private List<AddressedCommand> plan(long nowNanos) {
         Optional<VersionedMap> current = activeMap();
         boolean noNewSample = demand.samples() == samplesAtLastPlan;
@@ -301,16 +277,14 @@
         }
         samplesAtLastPlan = demand.samples();
         MapPlanner.Plan plan =
-                planner.plan(current.get().map(), demand.shares(), slowdowns(), changeTimes.cost());
+                planner.plan(
+                        current.get().map(),
+                        demand.shares(),
+                        statuses.slowdowns(),
+                        changeTimes.cost());
         return RebalanceRule.isWorthwhile(plan, shape) ? startChange(plan, nowNanos) : List.of();
     }
 
-    private double[] slowdowns() {
-        double[] slowdowns = new double[statuses.size()];
-        statuses.values().forEach(status -> slowdowns[status.rank()] = status.slowdown());
-        return slowdowns;
-    }
-
     /**
      * Starts a change to a planned map; {@link #canStartChange} must be true.
      *
@@ -333,7 +307,7 @@
                         holdRank(),
                         lastReleasedStep + 1,
                         deadlineNanos);
-        statuses.values().forEach(started::onStatus);
+        statuses.stream().forEach(started::onStatus);
         commit = Optional.of(started);
         listener.onCommitStarted(started, plan);
         return started.next(pace.holdAheadSteps(), nowNanos);
@@ -345,7 +319,7 @@
      * @return the map; empty while it is not known
      */
     public Optional<VersionedMap> activeMap() {
-        RankStatus own = statuses.get(ownRank);
+        RankStatus own = statuses.own();
         if (own == null) {
             return Optional.empty();
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -167,7 +167,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (current != null) {
-            current.onCallerWritable(ctx.channel().isWritable());
+            current.setReading(ctx.channel().isWritable());
         }
         ctx.fireChannelWritabilityChanged();
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -130,13 +130,15 @@
     private ServiceTraffic traffic(String service) {
         return traffic.computeIfAbsent(
                 service,
-                name ->
+                key ->
                         new ServiceTraffic(
+                                key,
                                 new SharedRetryBudget(
                                         settings.startNanos(),
                                         settings.retryRatio(),
                                         settings.retryAllowance(),
-                                        settings.retryWindowMs())));
+                                        settings.retryWindowMs()),
+                                log));
     }
 
     /**
@@ -249,7 +251,7 @@
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
         if (outcome == SendOutcome.NOT_RUN) {
-            service.refusalGate().onRefused(nowNanos);
+            service.onRefused(nowNanos);
         }
         long timeLeftMs = request.timeLeftMs(nowNanos);
         ResendPolicy.Decision decision =
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -36,14 +36,12 @@
     private ServerInstance server;
     private BackendConnection connection;
     private long sentNanos;
-    private long lastProgressNanos;
-    private boolean readingPaused;
+    private final SendProgress progress = new SendProgress();
     private int status;
     private HttpHeaders head = EmptyHttpHeaders.INSTANCE;
     private ServerAnswer answer = new ServerAnswer();
     private boolean headForwarded;
     private OptionalLong lastEventId;
-    private long lastEventNanos;
     private int events;
 
     ForwardedRequest(Gateway gateway, CallerAnswer caller, RequestContext context) {
@@ -114,7 +112,6 @@
         return events;
     }
 
-    /** Returns the answer of the latest server. */
     ServerAnswer answer() {
         return answer;
     }
@@ -146,15 +143,9 @@
         return sentNanos;
     }
 
-    /**
-     * Returns the time since the current server last made progress: in a stream a whole event,
-     * otherwise any bytes. It is 0 if no server is selected, and while the answer is not read
-     * because the caller takes no more.
-     */
+    /** Returns the time since the server last made progress; 0 if no server is selected. */
     long silenceMs(long nowNanos) {
-        return server == null || readingPaused
-                ? 0
-                : TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
+        return server == null ? 0 : progress.silenceMs(nowNanos);
     }
 
     /** Sends the request to a server, over a pooled or new connection. */
@@ -162,7 +153,7 @@
         server = target;
         selections++;
         int selection = selections;
-        lastProgressNanos = nowNanos;
+        progress.onSend(nowNanos);
         firstSentNanos = firstSentNanos == 0 ? nowNanos : firstSentNanos;
         answer = new ServerAnswer();
         connections.acquire(
@@ -206,11 +197,10 @@
     private void write(ServerInstance target, BackendConnection opened) {
         long nowNanos = System.nanoTime();
         connection = opened;
-        readingPaused = false;
         sends++;
         triedServerIds.add(target.id());
         sentNanos = nowNanos;
-        lastProgressNanos = nowNanos;
+        progress.onSend(nowNanos);
         long timeLeftMs = Math.max(1, timeLeftMs(nowNanos));
         opened.send(
                 context.toHttpRequest(gateway.dialect(), target, timeLeftMs, lastEventId),
@@ -220,7 +210,7 @@
 
     @Override
     public void onHead(int newStatus, HttpHeaders headers) {
-        lastProgressNanos = System.nanoTime();
+        progress.onProgress(System.nanoTime());
         status = newStatus;
         WireDialect.ReplyKind replyKind = gateway.dialect().classify(newStatus, headers);
         answer.onHead(replyKind, headers, context.route().streaming() && status == STATUS_OK);
@@ -241,7 +231,7 @@
             forwardEvents(answer.addEvents(bytes));
             return;
         }
-        lastProgressNanos = System.nanoTime();
+        progress.onProgress(System.nanoTime());
         if (!answer.addBody(bytes)) {
             connection.cancel();
             onFailed(SendOutcome.UNKNOWN, "answer is too large to be buffered");
@@ -249,10 +239,9 @@
     }
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
-        if (!completeEvents.isEmpty()) {
-            lastProgressNanos = System.nanoTime();
-        }
+        long nowNanos = System.nanoTime();
         for (EventSplitter.Event event : completeEvents) {
+            progress.onProgress(nowNanos);
             if (answer.countEvent()) {
                 gateway.onAnswerGoesOn(this);
             }
@@ -268,34 +257,22 @@
             if (event.id().isPresent()) {
                 lastEventId = event.id();
             }
-            recordEventGap();
+            long gapNanos = progress.onEvent(nowNanos);
+            if (gapNanos > 0) {
+                gateway.onEventGap(this, gapNanos, nowNanos);
+            }
         }
         if (!caller.isWritable()) {
             setReading(false);
         }
     }
 
-    private void recordEventGap() {
-        if (lastEventNanos != 0) {
-            gateway.onEventGap(this, lastProgressNanos - lastEventNanos, lastProgressNanos);
-        }
-        lastEventNanos = lastProgressNanos;
-    }
-
-    void onCallerWritable(boolean writable) {
-        setReading(writable);
-    }
-
-    private void setReading(boolean reading) {
-        if (connection == null) {
-            return;
-        }
-        if (reading && readingPaused) {
-            lastProgressNanos = System.nanoTime();
-            lastEventNanos = 0;
+    /** Reads the answer on, or not while the caller takes no more of it. */
+    void setReading(boolean reading) {
+        if (connection != null) {
+            progress.setReading(reading, System.nanoTime());
+            connection.setReading(reading);
         }
-        readingPaused = !reading;
-        connection.setReading(reading);
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -16,6 +16,8 @@
     private static final double INTERVAL_SMOOTHING = 0.1;
     private static final double INITIAL_INTERVAL_MS = 50;
 
+    private final String name;
+    private final RequestLog log;
     private final SharedRetryBudget retryBudget;
     private final WaitingRequests<ForwardedRequest> queue = new WaitingRequests<>();
     private final RefusalGate refusalGate = new RefusalGate();
@@ -25,7 +27,9 @@
     private long lastCompletionNanos;
     private long lastProgressNanos;
 
-    ServiceTraffic(SharedRetryBudget retryBudget) {
+    ServiceTraffic(String name, SharedRetryBudget retryBudget, RequestLog log) {
+        this.name = name;
+        this.log = log;
         this.retryBudget = retryBudget;
     }
 
@@ -59,15 +63,31 @@
         lastCompletionNanos = nowNanos;
     }
 
+    /** Records that a server refused a request without running it. */
+    void onRefused(long nowNanos) {
+        boolean wasClosed = refusalGate.isClosed();
+        refusalGate.onRefused(nowNanos);
+        if (!wasClosed && refusalGate.isClosed()) {
+            log.serviceRefuses(name, this);
+        }
+    }
+
     /** Records that a server of the service has made progress on a request. */
     void onProgress(long nowNanos) {
         lastProgressNanos = nowNanos;
-        if (refusalGate.isClosed() && concurrencyLimit != null) {
-            concurrencyLimit.onResumed();
+        if (refusalGate.isClosed()) {
+            onResumed();
         }
         refusalGate.onProgress();
     }
 
+    private void onResumed() {
+        log.serviceResumes(name, this);
+        if (concurrencyLimit != null) {
+            concurrencyLimit.onResumed();
+        }
+    }
+
     /** Records that a request was answered completely. */
     void onAnswered(long nowNanos) {
         onProgress(nowNanos);
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/SimulatedGroup.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/SimulatedGroup.java
@@ -5,7 +5,9 @@
 import io.pollenpath.state.group.EngineCommand;
 import io.pollenpath.state.group.ExpertMap;
 import io.pollenpath.state.group.RankStatus;
+import io.pollenpath.state.serving.GroupShape;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +66,25 @@
         }
     }
 
+    /**
+     * Returns the map that assigns the experts to the ranks in turn.
+     *
+     * @param ranks the number of ranks
+     * @param shape the shape of the group
+     * @return the map of a new epoch
+     */
+    public static ExpertMap firstMap(int ranks, GroupShape shape) {
+        List<List<Integer>> byRank = new ArrayList<>();
+        for (int rank = 0; rank < ranks; rank++) {
+            List<Integer> experts = new ArrayList<>();
+            for (int expert = rank; expert < shape.experts(); expert += ranks) {
+                experts.add(expert);
+            }
+            byRank.add(experts);
+        }
+        return new ExpertMap(Collections.nCopies(shape.layers(), byRank));
+    }
+
     /**
      * Makes each rank fetch the experts that are new to it one after the other, instead of at once.
      *
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -32,7 +31,6 @@
     private static final long ENGINE_CALL_MS = 1;
     private static final long LOCAL_COMMAND_TIMEOUT_MS = 60;
     private static final long DIRECT_ENGINE_TIMEOUT_MS = 150;
-    private static final long STORE_CALL_MS = 4;
     private static final long FIRST_TOKEN = 101;
     private static final long HELD_STEP_RETRY_MS = 1;
     private static final int HTTP_HEADER_BYTES = 200;
@@ -77,7 +75,7 @@
         this.capacity = capacity;
         random = new Random(seed);
         links = new SimulatedLinks(executor, ranks, capacity.linkBytesPerSecond());
-        group = new SimulatedGroup("large", ranks, true, firstMap());
+        group = new SimulatedGroup("large", ranks, true, SimulatedGroup.firstMap(ranks, shape));
         group.setFetchTime(executor::nowNanos, (long) (shape.fetchMs() * 1e6));
         demand = new SimulatedDemand(shape.layers(), shape.experts(), popularityExponent, random);
         streams = new SimulatedStreams(load);
@@ -87,22 +85,6 @@
         }
     }
 
-    private ExpertMap firstMap() {
-        List<List<List<Integer>>> layers = new ArrayList<>();
-        for (int layer = 0; layer < shape.layers(); layer++) {
-            List<List<Integer>> byRank = new ArrayList<>();
-            for (int rank = 0; rank < ranks; rank++) {
-                List<Integer> experts = new ArrayList<>();
-                for (int expert = rank; expert < shape.experts(); expert += ranks) {
-                    experts.add(expert);
-                }
-                byRank.add(experts);
-            }
-            layers.add(byRank);
-        }
-        return new ExpertMap(layers);
-    }
-
     /** Starts the agents and the passes of the group. */
     void start() {
         List<AgentAddress> addresses = members.stream().map(member -> member.address).toList();
@@ -241,7 +223,7 @@
                     new GroupAgent(
                             engine,
                             election,
-                            new RemoteLease(() -> cutOff),
+                            new RemoteLease(lease, executor, () -> cutOff),
                             scheduler,
                             this::call,
                             other -> Optional.of(new RemoteEngine(this, other.engine().port() - 1)),
@@ -285,35 +267,6 @@
         }
     }
 
-    /** Passes calls of one VM to the lease after the time of a call to the store. */
-    private final class RemoteLease implements LeaderLease {
-        private final BooleanSupplier cutOff;
-
-        RemoteLease(BooleanSupplier cutOff) {
-            this.cutOff = cutOff;
-        }
-
-        private CompletableFuture<Void> reachStore() {
-            return after(STORE_CALL_MS, () -> null)
-                    .thenAccept(
-                            nothing -> {
-                                if (cutOff.getAsBoolean()) {
-                                    throw new IllegalStateException("the store is unreachable");
-                                }
-                            });
-        }
-
-        @Override
-        public CompletableFuture<Long> currentToken(String name) {
-            return reachStore().thenCompose(nothing -> lease.currentToken(name));
-        }
-
-        @Override
-        public CompletableFuture<Long> claim(String name, String holder, long replacedToken) {
-            return reachStore().thenCompose(nothing -> lease.claim(name, holder, replacedToken));
-        }
-    }
-
     private <T> CompletableFuture<T> withTimeout(long timeoutMs) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         executor.schedule(
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -14,7 +14,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 
 /**
@@ -27,9 +26,6 @@
     /** The number of events in a complete stream. */
     public static final int STREAM_EVENTS = 6;
 
-    private static final int STALLED_BYTES = 100;
-    private static final long STALLED_BYTE_NANOS = 100_000_000;
-
     private static final int BACKLOG = 64;
     private static final long LISTENING_AT_END_MS = 10;
     private static final String SIGNATURE_HEADER = "Upstream-Signature: proof\r\n";
@@ -223,7 +219,8 @@
                 return false;
             }
             case STALLS_IN_EVENT -> {
-                writeStalledEvent(socket, request);
+                writePartWithoutLength(socket, request);
+                EventStreams.writeStalledEvent(socket.getOutputStream());
                 return false;
             }
             case SILENT -> {
@@ -334,16 +331,6 @@
                         + "part");
     }
 
-    /** Writes half of a stream, and then a byte of the next event now and then. */
-    private void writeStalledEvent(Socket socket, ReceivedRequest request) throws IOException {
-        writeStreamHead(socket, request);
-        write(socket, EventStreams.chunk(EventStreams.events(request, STREAM_EVENTS / 2)));
-        for (int i = 0; i < STALLED_BYTES; i++) {
-            LockSupport.parkNanos(STALLED_BYTE_NANOS);
-            write(socket, EventStreams.chunk("x"));
-        }
-    }
-
     private void writeStreamHead(Socket socket, ReceivedRequest request) throws IOException {
         write(
                 socket,
@@ -381,10 +368,7 @@
     /** Waits until the caller closes the connection and counts it if it was reset. */
     private void awaitDisconnect(Socket socket) {
         try {
-            int next = socket.getInputStream().read();
-            while (next >= 0) {
-                next = socket.getInputStream().read();
-            }
+            socket.getInputStream().readAllBytes();
         } catch (IOException e) {
             resetCount.incrementAndGet();
         }
