--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/ExpertDemandEstimatorTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/ExpertDemandEstimatorTest.java
@@ -37,6 +37,7 @@
 
     @Test
     void followsAShiftWithTheFirstSampleThatShowsIt() {
+        sample(400, 400, 100, 100);
         sample(400, 400, 100, 100);
         long shifts = demand.shifts();
         sample(200, 200, 400, 200);
@@ -46,6 +47,7 @@
 
     @Test
     void replacesTheSampleThatMixesTheOldAndTheNewDemand() {
+        sample(900, 50, 25, 25);
         sample(900, 50, 25, 25);
         long shifts = demand.shifts();
         sample(450, 25, 25, 500);
