Undo a change without a rank only where a reachable rank holds a step

Cause: a leader of an earlier version holds at its own rank and arms in any order; during an upgrade a version could name a rank by chance. Change: one more condition before anything is disarmed. Test: LeaderStateScheduleTest, all schedules as before.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapRecovery.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapRecovery.java
@@ -134,14 +134,15 @@
     }
 
     /**
-     * Returns whether the missing rank is known not to be armed: the reachable ranks have fetched
-     * the map of a change whose leader is on the VM of the missing rank, and one is not armed for
-     * it. They refuse this leader since they were fenced, so the missing rank will not be armed
-     * later either.
+     * Returns whether the missing rank is known not to be armed: a step is held at a reachable
+     * rank, these ranks have fetched the map of a change whose leader is on the VM of the missing
+     * rank, and one is not armed for it. They refuse this leader since they were fenced, so the
+     * missing rank will not be armed later either.
      */
     private boolean isMissingRankNotArmed() {
         Optional<Long> version = reachable().findFirst().flatMap(MapRecovery::changeVersion);
         return version.isPresent()
+                && reachable().anyMatch(status -> status.held().isPresent())
                 && isMissing(MapVersions.leaderRank(version.get()))
                 && reachable().allMatch(status -> changeVersion(status).equals(version))
                 && reachable().anyMatch(status -> status.armed().isEmpty());
