Remove the wait while all servers refuse

It also took two refusals in a row for "all servers refuse", which an entry with little traffic cannot tell from two full servers.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimit.java
@@ -18,12 +18,6 @@
     /** Streams that an entry may always have, as a fraction of an equal share of all slots. */
     static final double MIN_FRACTION = 0.25;
 
-    /**
-     * Streams that an entry may have right after its servers have run nothing, until it sees how
-     * long their steps last, as a fraction of an equal share of all slots.
-     */
-    static final double RESUME_FRACTION = 0.5;
-
     private static final double GAP_WEIGHT = 0.08;
     private static final double MAX_GAP_PER_OBJECTIVE = 3;
     private static final double MIN_EXCESS_MS = 1;
@@ -31,7 +25,6 @@
     private final double emptyStepMs;
     private double meanGapMs;
     private double limit = Double.POSITIVE_INFINITY;
-    private boolean resuming;
 
     /**
      * Creates a limit that admits all streams until the first gap is recorded.
@@ -51,7 +44,6 @@
      * @param inFlight the streams of this entry on the service
      */
     public void onGap(double gapMs, double objectiveMs, int inFlight) {
-        resuming = false;
         if (objectiveMs <= 0) {
             return;
         }
@@ -63,21 +55,6 @@
         limit = inFlight * targetExcessMs / excessMs;
     }
 
-    /**
-     * Forgets the gaps, since the servers run requests again after they have run none for a while.
-     * All that wait would be sent at once otherwise, and all would be late.
-     */
-    public void onResumed() {
-        resuming = true;
-        meanGapMs = 0;
-        limit = Double.POSITIVE_INFINITY;
-    }
-
-    /** Records a complete answer. */
-    public void onAnswered() {
-        resuming = false;
-    }
-
     /**
      * Returns whether one more stream may be sent.
      *
@@ -86,9 +63,7 @@
      * @return true below the limit, and always below the minimum
      */
     public boolean admits(int inFlight, double equalShare) {
-        return resuming
-                ? inFlight < RESUME_FRACTION * equalShare
-                : inFlight < Math.max(limit, MIN_FRACTION * equalShare);
+        return inFlight < Math.max(limit, MIN_FRACTION * equalShare);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/QueueTimeouts.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/QueueTimeouts.java
@@ -21,7 +21,7 @@
      * Time without any event of a service after which it counts as stalled, in milliseconds. The
      * length of its queue does not predict then when a server is free.
      */
-    public static final long STALL_MS = 700;
+    static final long STALL_MS = 700;
 
     private static final double MIN_RETRY_DELAY_MS = 50;
 
@@ -71,14 +71,14 @@
      *
      * @param expectedWaitMs the time until the queue has capacity at the current rate, in
      *     milliseconds
-     * @param stalled whether the servers of the service refuse all requests or make no progress
+     * @param silentMs the time since any server of the service last sent an event, in milliseconds
      * @param timeLeftMs the time until the caller's timeout, in milliseconds
      * @param random source of the jitter, not null
      * @return the delay, in milliseconds; at most a third of {@code timeLeftMs}, 0 if none is left
      */
     public static long retryAfterMs(
-            double expectedWaitMs, boolean stalled, long timeLeftMs, RandomGenerator random) {
-        double minMs = stalled ? STALLED_RETRY_DELAY_MS : MIN_RETRY_DELAY_MS;
+            double expectedWaitMs, long silentMs, long timeLeftMs, RandomGenerator random) {
+        double minMs = silentMs >= STALL_MS ? STALLED_RETRY_DELAY_MS : MIN_RETRY_DELAY_MS;
         double baseMs = Math.max(minMs, expectedWaitMs);
         double jitteredMs = baseMs * (1 + random.nextDouble());
         return (long) Math.max(0, Math.min(jitteredMs, timeLeftMs * MAX_RETRY_DELAY_FRACTION));
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -130,15 +130,13 @@
     private ServiceTraffic traffic(String service) {
         return traffic.computeIfAbsent(
                 service,
-                key ->
+                name ->
                         new ServiceTraffic(
-                                key,
                                 new SharedRetryBudget(
                                         settings.startNanos(),
                                         settings.retryRatio(),
                                         settings.retryAllowance(),
-                                        settings.retryWindowMs()),
-                                log));
+                                        settings.retryWindowMs())));
     }
 
     /**
@@ -174,7 +172,7 @@
         if (refuseIfBlocked(request, nowNanos)) {
             return true;
         }
-        if (crashGuard.awaitsPermit(request, nowNanos) || !service.refusalGate().admits(nowNanos)) {
+        if (crashGuard.awaitsPermit(request, nowNanos)) {
             return false;
         }
         boolean resend = request.sends() > 0;
@@ -187,7 +185,7 @@
             return false;
         }
         service.queue().remove(request);
-        service.onSent(nowNanos);
+        service.onSent();
         inFlight.add(request);
         servers.onSent(server.get(), nowNanos);
         request.send(server.get(), connections, nowNanos);
@@ -250,9 +248,6 @@
         }
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
-        if (outcome == SendOutcome.NOT_RUN) {
-            service.onRefused(nowNanos);
-        }
         long timeLeftMs = request.timeLeftMs(nowNanos);
         ResendPolicy.Decision decision =
                 ResendPolicy.decide(
@@ -300,7 +295,7 @@
         long retryAfterMs =
                 QueueTimeouts.retryAfterMs(
                         expectedWaitMs(request.context().service(), nowNanos),
-                        service.isStalled(nowNanos),
+                        service.silenceMs(nowNanos),
                         request.timeLeftMs(nowNanos),
                         random);
         int servers = view.get().serversOf(request.context().service()).size();
@@ -320,7 +315,7 @@
                 crashGuard.onAnswered(request, nowNanos);
                 crashGuard.detector().onAnswered(server, request.sentNanos());
                 servers.onAnswered(server);
-                traffic(name).onAnswered(nowNanos);
+                traffic(name).onProgress(nowNanos);
             } else {
                 crashGuard.detector().onAbandoned(request, server, nowNanos);
             }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -72,25 +72,6 @@
                         .with("retry_after_ms", retryAfterMs));
     }
 
-    /** Logs that all servers of a service refuse, so that its requests wait. */
-    void serviceRefuses(String service, ServiceTraffic traffic) {
-        LOG.info(
-                "{}",
-                LogLine.event("service_refuses")
-                        .with("service", service)
-                        .with("in_flight", traffic.inFlight())
-                        .with("waiting", traffic.queue().size()));
-    }
-
-    /** Logs that a server of a service runs requests again. */
-    void serviceResumes(String service, ServiceTraffic traffic) {
-        LOG.info(
-                "{}",
-                LogLine.event("service_resumes")
-                        .with("service", service)
-                        .with("waiting", traffic.queue().size()));
-    }
-
     /** Logs the load of a service as this entry sees it. */
     void serviceState(String service, ServiceTraffic traffic, int servers) {
         LOG.info(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -1,8 +1,6 @@
 package io.pollenpath.transport.serving;
 
 import io.pollenpath.coordination.serving.AdaptiveConcurrencyLimit;
-import io.pollenpath.coordination.serving.QueueTimeouts;
-import io.pollenpath.coordination.serving.RefusalGate;
 import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.WaitingRequests;
 import io.pollenpath.state.serving.EnginePerformance;
@@ -16,20 +14,15 @@
     private static final double INTERVAL_SMOOTHING = 0.1;
     private static final double INITIAL_INTERVAL_MS = 50;
 
-    private final String name;
-    private final RequestLog log;
     private final SharedRetryBudget retryBudget;
     private final WaitingRequests<ForwardedRequest> queue = new WaitingRequests<>();
-    private final RefusalGate refusalGate = new RefusalGate();
     private AdaptiveConcurrencyLimit concurrencyLimit;
     private int inFlight;
     private double meanCompletionIntervalMs = INITIAL_INTERVAL_MS;
     private long lastCompletionNanos;
     private long lastProgressNanos;
 
-    ServiceTraffic(String name, SharedRetryBudget retryBudget, RequestLog log) {
-        this.name = name;
-        this.log = log;
+    ServiceTraffic(SharedRetryBudget retryBudget) {
         this.retryBudget = retryBudget;
     }
 
@@ -45,13 +38,8 @@
         return inFlight;
     }
 
-    RefusalGate refusalGate() {
-        return refusalGate;
-    }
-
-    void onSent(long nowNanos) {
+    void onSent() {
         inFlight++;
-        refusalGate.onSent(nowNanos);
     }
 
     void onEnded(long nowNanos) {
@@ -63,52 +51,21 @@
         lastCompletionNanos = nowNanos;
     }
 
-    /** Records that a server refused a request without running it. */
-    void onRefused(long nowNanos) {
-        boolean wasClosed = refusalGate.isClosed();
-        refusalGate.onRefused(nowNanos);
-        if (!wasClosed && refusalGate.isClosed()) {
-            log.serviceRefuses(name, this);
-        }
-    }
-
     /** Records that a server of the service has made progress on a request. */
     void onProgress(long nowNanos) {
         lastProgressNanos = nowNanos;
-        if (refusalGate.isClosed()) {
-            onResumed();
-        }
-        refusalGate.onProgress();
-    }
-
-    private void onResumed() {
-        log.serviceResumes(name, this);
-        if (concurrencyLimit != null) {
-            concurrencyLimit.onResumed();
-        }
-    }
-
-    /** Records that a request was answered completely. */
-    void onAnswered(long nowNanos) {
-        onProgress(nowNanos);
-        if (concurrencyLimit != null) {
-            concurrencyLimit.onAnswered();
-        }
     }
 
-    /** Returns whether all servers refuse, or none has made progress for a while. */
-    boolean isStalled(long nowNanos) {
-        long silenceMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
-        boolean silent = lastProgressNanos != 0 && silenceMs >= QueueTimeouts.STALL_MS;
-        return silent || refusalGate.isClosed();
+    /** Returns the time since a server last made progress; 0 before the first progress. */
+    long silenceMs(long nowNanos) {
+        return lastProgressNanos == 0
+                ? 0
+                : TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
     }
 
-    /**
-     * Estimates the queue time of a request that is queued now; 0 while all servers refuse, since
-     * the requests that ended before do not tell when they run requests again.
-     */
+    /** Estimates the queue time of a request that is queued now. */
     double expectedWaitMs() {
-        return refusalGate.isClosed() ? 0 : meanCompletionIntervalMs * queue.size();
+        return meanCompletionIntervalMs * queue.size();
     }
 
     /** Returns the adaptive limit of concurrent streams, created with the first known step time. */
