Tell the rank that is armed last from the rank that holds the step

Cause: versions of maps named the leader's rank in ten more bits, so a fencing token above 2 million gave versions that no JSON number holds exactly, and one above 2 billion negative ones. Tokens are revisions of the store, which each heartbeat of a server that changes raises. Change: versions are as before. The rank before the one that holds is armed last, whoever finishes the change, so nothing needs to name the leader. Test: LeaderStateScheduleTest as before; the specification with a cycle of ranks finds no step with two maps, and a counterexample when ranks are armed in any order.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/LeaderState.java
@@ -25,6 +25,12 @@
 
     private static final long PREPARE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /**
+     * Low bits of a map version that number the changes of one leader; its fencing token is in the
+     * bits above, so the versions of a later leader are higher.
+     */
+    private static final int VERSION_BITS = 20;
+
     private final long token;
     private final int ownRank;
     private final GroupShape shape;
@@ -179,7 +185,7 @@
 
     private List<AddressedCommand> recover(long nowNanos) {
         if (recovery.isEmpty() || recovery.get().missingRank().isPresent()) {
-            recovery = Optional.of(new MapRecovery(statuses.size(), MapVersions.fence(token)));
+            recovery = Optional.of(new MapRecovery(statuses.size(), token << VERSION_BITS));
         }
         MapRecovery current = recovery.get();
         if (current.isComplete()) {
@@ -217,19 +223,11 @@
         }
         if (recovery.isEmpty() || !recovery.get().missingRank().equals(missing)) {
             int ranks = statuses.size() + 1;
-            recovery = Optional.of(new MapRecovery(ranks, MapVersions.fence(token), missing));
+            recovery = Optional.of(new MapRecovery(ranks, token << VERSION_BITS, missing));
         }
         return recoveryCommands(recovery.get());
     }
 
-    /**
-     * Returns the rank at which steps are held. It is not on the VM of the leader, so that another
-     * leader can release a step while that VM is unreachable.
-     */
-    private int holdRank() {
-        return (ownRank + 1) % statuses.size();
-    }
-
     private void recordRelease(AddressedCommand sent) {
         if (sent.command() instanceof EngineCommand.Release release) {
             lastReleasedStep = Math.max(lastReleasedStep, release.step());
@@ -297,14 +295,14 @@
         shiftsAtLastChange = demand.shifts();
         lastChangeNanos = nowNanos;
         lastChangeFetches = plan.maxFetches();
-        long version = MapVersions.of(token, changesStarted, ownRank);
+        long version = (token << VERSION_BITS) + changesStarted;
         long deadlineNanos = nowNanos + PREPARE_TIMEOUT_NANOS;
         MapCommit started =
                 new MapCommit(
                         version,
                         plan.map(),
                         epoch,
-                        holdRank(),
+                        MapCommit.holdRank(ownRank, statuses.size()),
                         lastReleasedStep + 1,
                         deadlineNanos);
         statuses.stream().forEach(started::onStatus);
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -20,9 +20,9 @@
  *
  * <p>First, all ranks prepare the map by fetching its experts. Then a future step is held at one
  * rank. The ranks are armed for this step only after a status has confirmed the hold, and the step
- * is released only after every rank is armed. The rank on the VM of the leader that planned the map
- * is armed last: while another rank is not armed, it is not armed either, also if nobody can ask
- * it. From the first arm command on, the commit cannot be undone: commands are resent until they
+ * is released only after every rank is armed. The rank before the one that holds is {@linkplain
+ * #lastRank armed last}: while another rank is not armed, it is not armed either, also if nobody
+ * can ask it. From the first arm command on, the commit cannot be undone: commands are resent until they
  * are known to have taken effect. A late duplicate of a command is harmless, since its step has
  * already begun or the rank is already in the state that it asks for. A new epoch of the group
  * clears this state on all ranks and ends the commit.
@@ -256,16 +256,39 @@
         return commands;
     }
 
+    /**
+     * Returns the rank that is armed last. A leader holds steps so that this is the rank on its own
+     * VM, which may become unreachable together with the leader.
+     *
+     * @param holdRank the rank at which the step is held
+     * @param ranks the number of ranks
+     * @return the rank before the one that holds, by a cycle of all ranks
+     */
+    static int lastRank(int holdRank, int ranks) {
+        return (holdRank + ranks - 1) % ranks;
+    }
+
+    /**
+     * Returns the rank at which a leader holds steps.
+     *
+     * @param leaderRank the rank on the VM of the leader
+     * @param ranks the number of ranks
+     * @return the rank after it, by a cycle of all ranks
+     */
+    static int holdRank(int leaderRank, int ranks) {
+        return (leaderRank + 1) % ranks;
+    }
+
     private void addArms(List<AddressedCommand> commands) {
         EngineCommand arm = new EngineCommand.Arm(version, step);
-        int leaderRank = MapVersions.leaderRank(version);
+        int lastRank = lastRank(holdRank, statuses.length);
         for (int rank = 0; rank < statuses.length; rank++) {
-            if (!armed.contains(rank) && rank != leaderRank) {
+            if (!armed.contains(rank) && rank != lastRank) {
                 commands.add(new AddressedCommand(rank, arm));
             }
         }
         if (commands.isEmpty()) {
-            commands.add(new AddressedCommand(leaderRank, arm));
+            commands.add(new AddressedCommand(lastRank, arm));
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapRecovery.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapRecovery.java
@@ -23,7 +23,8 @@
  * are disarmed. Held steps that belong to no change are released last.
  *
  * <p>The rank on the VM of the earlier leader may be unreachable together with that leader. The
- * change is then undone without it, if another rank is not armed, since that rank is armed last.
+ * change is then undone without it, if another rank is not armed, since {@linkplain
+ * MapCommit#lastRank that rank} is armed last.
  */
 public final class MapRecovery {
 
@@ -134,20 +135,26 @@
     }
 
     /**
-     * Returns whether the missing rank is known not to be armed: a step is held at a reachable
-     * rank, these ranks have fetched the map of a change whose leader is on the VM of the missing
-     * rank, and one is not armed for it. They refuse this leader since they were fenced, so the
-     * missing rank will not be armed later either.
+     * Returns whether the missing rank is known not to be armed: it is the one that is armed last
+     * for the held step, the reachable ranks have fetched one map, and one is not armed for it.
+     * They refuse earlier leaders since they were fenced, so the missing rank will not be armed
+     * later either.
      */
     private boolean isMissingRankNotArmed() {
         Optional<Long> version = reachable().findFirst().flatMap(MapRecovery::changeVersion);
         return version.isPresent()
                 && reachable().anyMatch(status -> status.held().isPresent())
-                && isMissing(MapVersions.leaderRank(version.get()))
+                && reachable().allMatch(this::isLastForStepHeldBy)
                 && reachable().allMatch(status -> changeVersion(status).equals(version))
                 && reachable().anyMatch(status -> status.armed().isEmpty());
     }
 
+    /** Returns whether a rank holds no step, or one for which the missing rank is armed last. */
+    private boolean isLastForStepHeldBy(RankStatus status) {
+        return status.held().isEmpty()
+                || isMissing(MapCommit.lastRank(status.rank(), statuses.length));
+    }
+
     /** Returns the version of the map that a rank is armed for, or else has fetched. */
     private static Optional<Long> changeVersion(RankStatus status) {
         return status.armed()
--- a/pollenpath/src/test/alloy/expertmap.als
+++ b/pollenpath/src/test/alloy/expertmap.als
@@ -13,12 +13,15 @@
 open util/ordering[Leader] as tokens
 open util/ordering[Step] as stepOrder
 
-sig Rank {}
+/* The ranks form a cycle; the one before the rank that holds a step is armed last for it. */
+sig Rank { next: one Rank }
+
+fact cycle { all r: Rank | Rank in r.^next }
+
+fun lastRank[holding: Rank]: set Rank { next.holding }
 
 /* A leader, which also stands for its fencing token, its one planned map and that map's version. */
 sig Leader {
-  /* The rank on its own VM, with which it may be unreachable for others. */
-  ownRank: one Rank,
   /* The rank at which it holds a step. */
   holdRank: one Rank,
   /* Ranks that it has fenced against leaders with lower tokens. */
@@ -52,11 +55,11 @@
 /*
  * The rule that a mutant breaks. NoFence: engines check fencing tokens. NoHold: a rank is armed
  * only after the step was seen held. SomeArmed: a step is released only after all ranks were seen
- * armed. NoEpoch: engines refuse commands of an earlier epoch. OwnNotLast: a leader arms its own
- * rank only after it has seen all others armed.
+ * armed. NoEpoch: engines refuse commands of an earlier epoch. AnyOrder: the last rank is armed
+ * only after all others were seen armed.
  */
 abstract sig Defect {}
-lone sig NoFence, NoHold, SomeArmed, NoEpoch, OwnNotLast extends Defect {}
+lone sig NoFence, NoHold, SomeArmed, NoEpoch, AnyOrder extends Defect {}
 
 pred init {
   no fenced and no recovered and no sawPrepared and no sawHeld and no sawArmed and no released
@@ -103,23 +106,22 @@
   sawHeld' = sawHeld and sawArmed' = sawArmed
 }
 
-/* The ranks that can be reached while an earlier leader is unreachable with its own rank. */
-fun reachableWithout[m: Leader]: set Rank { Rank - m.ownRank }
-
-/* All reachable ranks have fetched the map of the leader that is unreachable with its rank. */
-pred preparedWithout[l: Leader, m: Leader] {
-  lt[m, l] and no l.recovered
-  some reachableWithout[m] and reachableWithout[m] in l.fenced
-  all r: reachableWithout[m] | GroupState.prepared[r] = m
-}
-
 /*
- * A recovering leader disarms a rank without the unreachable one, because another rank is not
- * armed.
+ * A rank is unreachable. All others are fenced and have fetched one map, and a step is held for
+ * which the unreachable rank is armed last.
  */
-pred disarmWithout[l: Leader, m: Leader, r: Rank] {
-  preparedWithout[l, m] and r in reachableWithout[m] and passesFence[l, r]
-  some q: reachableWithout[m] | no GroupState.armedMap[q]
+pred undoableWithout[l: Leader, missing: Rank] {
+  no l.recovered
+  some Rank - missing and Rank - missing in l.fenced
+  some m: Leader | all r: Rank - missing | GroupState.prepared[r] = m
+  some (Rank - missing).(GroupState.held)
+  all r: Rank - missing | some GroupState.held[r] implies lastRank[r] = missing
+}
+
+/* A recovering leader disarms a rank without the unreachable one, as another is not armed. */
+pred disarmWithout[l: Leader, missing: Rank, r: Rank] {
+  undoableWithout[l, missing] and r != missing and passesFence[l, r]
+  some q: Rank - missing | no GroupState.armedMap[q]
   GroupState.armedMap' = GroupState.armedMap - r -> Leader
   GroupState.armedStep' = GroupState.armedStep - r -> Step
   current' = current and prepared' = prepared and held' = held and fence' = fence and begun' = begun
@@ -127,10 +129,10 @@
 }
 
 /* A recovering leader reads that a step is held and no reachable rank is armed. */
-pred readHoldWithout[l: Leader, m: Leader, s: Step] {
-  preparedWithout[l, m]
-  no reachableWithout[m].(GroupState.armedMap)
-  s in reachableWithout[m].(GroupState.held)
+pred readHoldWithout[l: Leader, missing: Rank, s: Step] {
+  undoableWithout[l, missing]
+  no (Rank - missing).(GroupState.armedMap)
+  s in (Rank - missing).(GroupState.held)
   released' = released + l -> s
   group_unchanged
   fenced' = fenced and recovered' = recovered and sawPrepared' = sawPrepared
@@ -181,7 +183,7 @@
 /* Arms a rank for a step that the leader has seen held. */
 pred doArm[l: Leader, r: Rank, s: Step] {
   s in l.sawHeld or (some NoHold and l.sawPrepared = Rank)
-  r = l.ownRank and no OwnNotLast implies Rank - r in l.sawArmed.s
+  r in lastRank[l.holdRank] and no AnyOrder implies Rank - r in l.sawArmed.s
   passesFence[l, r] and GroupState.prepared[r] = l and notBegun[s]
   no GroupState.armedMap[r] or GroupState.armedStep[r] = s
   GroupState.armedMap' = GroupState.armedMap ++ (r -> l)
@@ -249,8 +251,8 @@
   or (some l: Leader | recover[l]
     or (some r: Rank | doFence[l, r] or disarm[l, r] or doPrepare[l, r])
     or (some s: Step | readHoldOnly[l, s] or doHold[l, s])
-    or (some m: Leader, r: Rank | disarmWithout[l, m, r])
-    or (some m: Leader, s: Step | readHoldWithout[l, m, s])
+    or (some missing, r: Rank | disarmWithout[l, missing, r])
+    or (some missing: Rank, s: Step | readHoldWithout[l, missing, s])
     or (some r: Rank, s: Step | doArm[l, r, s] or doRelease[l, r, s]))
 }
 
@@ -285,12 +287,12 @@
 assert MutantNoEpoch { Defect = NoEpoch implies sameMapOnAllRanks }
 check MutantNoEpoch for 2 but 2 Step, 12 steps
 
-assert MutantOwnNotLast { Defect = OwnNotLast implies sameMapOnAllRanks }
-check MutantOwnNotLast for 2 but 2 Step, 12 steps
+assert MutantAnyOrder { Defect = AnyOrder implies sameMapOnAllRanks }
+check MutantAnyOrder for 2 but 2 Step, 12 steps
 
-/* The step that a leader held is released while that leader is unreachable with its rank. */
+/* A step that is held is released while a rank is unreachable. */
 pred releasedWithout {
   no Defect
-  eventually (some l, m: Leader, s: Step | readHoldWithout[l, m, s])
+  eventually (some l: Leader, r: Rank, s: Step | readHoldWithout[l, r, s])
 }
 run releasedWithout for 2 but 2 Step, 12 steps
