Accept a better map that needs no fetch

Cause: since replicas may be dropped, a plan may fetch nothing and still relieve the most loaded rank; the rule refused each plan without a fetch. Change: the rule asks for the gain alone. Test: RebalanceRuleTest, all experts of a slow rank have a replica elsewhere.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/RebalanceRule.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/RebalanceRule.java
@@ -25,7 +25,6 @@
      */
     public static boolean isWorthwhile(MapPlanner.Plan plan, GroupShape shape) {
         double fetchesPerRank = (double) plan.fetches() / (plan.map().ranks() * shape.layers());
-        return plan.fetches() > 0
-                && plan.gain() >= Math.max(MIN_GAIN, GAIN_PER_FULL_FETCH * fetchesPerRank);
+        return plan.gain() >= Math.max(MIN_GAIN, GAIN_PER_FULL_FETCH * fetchesPerRank);
     }
 }
