Release a step past an agent that has missed a call

Cause: steps are held at another rank than the leader's. Was the agent beside it killed in between, the group waited for three unanswered calls. Change: a release goes to the engine itself after the first unanswered one. Test: RankPeerTest.

--- a/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/RankPeer.java
@@ -52,11 +52,14 @@
 
     /**
      * Returns whether a command goes to the engine past its agent. A step is held so, since a
-     * process that passed the command on might stop right after it, with the step held.
+     * process that passed the command on might stop right after it, with the step held. It is
+     * released so once the agent has missed a call, since the whole group waits for the release.
      */
     boolean sendsPastAgent(EngineCommand command) {
         boolean holds = command instanceof EngineCommand.Hold;
-        return canQueryEngine() || (holds && directEngine.isPresent());
+        boolean releasesInVain =
+                command instanceof EngineCommand.Release && unansweredCalls.get() > 0;
+        return canQueryEngine() || (directEngine.isPresent() && (holds || releasesInVain));
     }
 
     /** Queries the agent; the future fails if it does not answer in time. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/RankPeerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/RankPeerTest.java
@@ -87,6 +87,14 @@
         assertThat(agentCalls).isEqualTo(1);
     }
 
+    @Test
+    void aStepIsReleasedPastAnAgentThatMissesOneCall() {
+        assertThat(send(new EngineCommand.Release(5))).isEqualTo(CommandResult.UNKNOWN);
+        assertThat(send(new EngineCommand.Release(5))).isEqualTo(CommandResult.ACCEPTED);
+        assertThat(engineCalls).isEqualTo(1);
+        assertThat(agentCalls).isEqualTo(1);
+    }
+
     @Test
     void anAgentThatMissesOneCallIsNotBypassed() {
         assertThat(send()).isEqualTo(CommandResult.UNKNOWN);
