--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -22,9 +22,9 @@
  * rank. The ranks are armed for this step only after a status has confirmed the hold, and the step
  * is released only after every rank is armed. The rank before the one that holds is {@linkplain
  * #lastRank armed last}: while another rank is not armed, it is not armed either, also if nobody
- * can ask it. From the first arm command on, the commit cannot be undone: commands are resent until they
- * are known to have taken effect. A late duplicate of a command is harmless, since its step has
- * already begun or the rank is already in the state that it asks for. A new epoch of the group
+ * can ask it. From the first arm command on, the commit cannot be undone: commands are resent until
+ * they are known to have taken effect. A late duplicate of a command is harmless, since its step
+ * has already begun or the rank is already in the state that it asks for. A new epoch of the group
  * clears this state on all ranks and ends the commit.
  *
  * <p>The caller sends the commands that {@link #next} returns, and reports each result and status.
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerHealth.java
@@ -19,12 +19,12 @@
     /** The failure rate below which a server counts as well, so that it is tried again. */
     private static final double NEGLIGIBLE_FAILURE_RATE = 0.02;
 
-    private static final double PAUSE_WEIGHT = 0.3;
+    private static final double GAP_WEIGHT = 0.3;
 
-    /** The time after which the pause of a server without requests is forgotten. */
-    private static final long PAUSE_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** The time after which the gap of a server without requests is forgotten. */
+    private static final long GAP_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /** The time after an event in which the pause of its server counts as the present one. */
+    /** The time after an event in which the gap of its server counts as the present one. */
     private static final long PRESENT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     /** The time that a stream may take to begin before its server counts as silent. */
@@ -40,7 +40,7 @@
     private long avoidUntilNanos = Long.MIN_VALUE;
     private long pausedUntilNanos = Long.MIN_VALUE;
     private boolean leaving;
-    private double meanPauseMs;
+    private double meanGapMs;
     private long lastEventNanos;
     private long busySinceNanos;
 
@@ -57,40 +57,40 @@
     /**
      * Records an event of a stream.
      *
-     * @param pauseMs the time since the event of the stream before it, in milliseconds
+     * @param gapMs the time since the event of the stream before it, in milliseconds
      * @param nowNanos the current time, in nanoseconds
      */
-    public void onEvent(double pauseMs, long nowNanos) {
-        boolean known = meanPauseMs > 0;
-        meanPauseMs = known ? meanPauseMs + PAUSE_WEIGHT * (pauseMs - meanPauseMs) : pauseMs;
+    public void onEvent(double gapMs, long nowNanos) {
+        boolean known = meanGapMs > 0;
+        meanGapMs = known ? meanGapMs + GAP_WEIGHT * (gapMs - meanGapMs) : gapMs;
         lastEventNanos = nowNanos;
     }
 
     /**
-     * Returns the pause between the events of this entry's streams on the server: the recent one,
-     * or the present silence of its streams if it is longer. The pause of a server without requests
-     * is forgotten after a while, so that it is tried again.
+     * Returns the gap between the events of this entry's streams on the server: the recent one, or
+     * the present silence of its streams if it is longer. The gap of a server without requests is
+     * forgotten after a while, so that it is tried again.
      *
      * @param nowNanos the current time, in nanoseconds
-     * @return the pause, in milliseconds; 0 if none is known
+     * @return the gap, in milliseconds; 0 if none is known
      */
-    public double pauseMs(long nowNanos) {
-        boolean forgotten = inFlight == 0 && nowNanos - lastEventNanos > PAUSE_MEMORY_NANOS;
-        if (meanPauseMs == 0 || forgotten) {
+    public double eventGapMs(long nowNanos) {
+        boolean forgotten = inFlight == 0 && nowNanos - lastEventNanos > GAP_MEMORY_NANOS;
+        if (meanGapMs == 0 || forgotten) {
             return 0;
         }
-        return inFlight == 0 ? meanPauseMs : Math.max(meanPauseMs, silenceNanos(nowNanos) / 1e6);
+        return inFlight == 0 ? meanGapMs : Math.max(meanGapMs, silenceNanos(nowNanos) / 1e6);
     }
 
     /**
-     * Returns whether there was an event a moment ago, so that the pause tells how fast the server
-     * is now.
+     * Returns whether there was an event a moment ago, so that the gap tells how fast the server is
+     * now.
      *
      * @param nowNanos the current time, in nanoseconds
-     * @return true if the pause is the present one
+     * @return true if the gap is the present one
      */
-    public boolean isPausePresent(long nowNanos) {
-        return meanPauseMs > 0 && nowNanos - lastEventNanos <= PRESENT_NANOS;
+    public boolean isGapPresent(long nowNanos) {
+        return meanGapMs > 0 && nowNanos - lastEventNanos <= PRESENT_NANOS;
     }
 
     private double silenceNanos(long nowNanos) {
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServerSelector.java
@@ -10,8 +10,9 @@
 /**
  * Chooses the backend server for a request, under any load: the one with the lowest ratio of this
  * entry's requests to slots, with penalties for recent failures, for an address that another server
- * has taken over, and for another availability zone. A server whose streams pause much longer than
- * those of the fastest one gets fewer requests in proportion, so that streams go where events come.
+ * has taken over, and for another availability zone. A server with much longer gaps between the
+ * events of its streams than the fastest one gets fewer requests in proportion, so that streams go
+ * where events come.
  */
 public final class ServerSelector {
 
@@ -24,8 +25,10 @@
     /** Cross-zone penalty; small enough to decide only between servers of equal load. */
     static final double CROSS_ZONE_PENALTY = 0.01;
 
-    /** Ratio of two pauses from which they differ by more than chance and the size of prompts. */
-    static final double SLOW_PAUSE_RATIO = 2.0;
+    /**
+     * Ratio of two event gaps from which they differ by more than chance and the size of prompts.
+     */
+    static final double SLOW_GAP_RATIO = 2.0;
 
     private static final double TIE_BREAK_WEIGHT = 0.005;
 
@@ -77,11 +80,11 @@
                                                 requireFreeSlot,
                                                 nowNanos))
                         .toList();
-        double shortestPauseMs = shortestPauseMs(candidates, health, nowNanos);
+        double shortestGapMs = shortestGapMs(candidates, health, nowNanos);
         ServerInstance best = null;
         double bestScore = Double.POSITIVE_INFINITY;
         for (ServerInstance server : candidates) {
-            double score = score(server, health.apply(server.id()), shortestPauseMs, nowNanos);
+            double score = score(server, health.apply(server.id()), shortestGapMs, nowNanos);
             score += outdated.contains(server.id()) ? OUTDATED_PENALTY : 0;
             if (score < bestScore) {
                 best = server;
@@ -104,24 +107,21 @@
                 && !(requireFreeSlot && full);
     }
 
-    /** Returns the shortest present pause of the servers; infinite if none is known. */
-    private static double shortestPauseMs(
+    /** Returns the shortest present event gap of the servers; infinite if none is known. */
+    private static double shortestGapMs(
             List<ServerInstance> servers, Function<String, ServerHealth> health, long nowNanos) {
         return servers.stream()
                 .map(server -> health.apply(server.id()))
-                .filter(serverHealth -> serverHealth.isPausePresent(nowNanos))
-                .mapToDouble(serverHealth -> serverHealth.pauseMs(nowNanos))
+                .filter(serverHealth -> serverHealth.isGapPresent(nowNanos))
+                .mapToDouble(serverHealth -> serverHealth.eventGapMs(nowNanos))
                 .min()
                 .orElse(Double.POSITIVE_INFINITY);
     }
 
     private double score(
-            ServerInstance server,
-            ServerHealth serverHealth,
-            double shortestPauseMs,
-            long nowNanos) {
-        double ratio = serverHealth.pauseMs(nowNanos) / shortestPauseMs;
-        double slowness = ratio >= SLOW_PAUSE_RATIO ? ratio : 1;
+            ServerInstance server, ServerHealth serverHealth, double shortestGapMs, long nowNanos) {
+        double ratio = serverHealth.eventGapMs(nowNanos) / shortestGapMs;
+        double slowness = ratio >= SLOW_GAP_RATIO ? ratio : 1;
         double load = ((serverHealth.inFlight() + 1) * slowness - 1) / server.slots();
         double zonePenalty = server.zone().equals(zone) ? 0 : CROSS_ZONE_PENALTY;
         return load
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
@@ -92,9 +92,9 @@
         healthOf(server.id()).onSent(nowNanos);
     }
 
-    /** Records an event of a stream and the pause before it. */
-    void onEvent(ServerInstance server, double pauseMs, long nowNanos) {
-        healthOf(server.id()).onEvent(pauseMs, nowNanos);
+    /** Records an event of a stream and the gap before it. */
+    void onEvent(ServerInstance server, double gapMs, long nowNanos) {
+        healthOf(server.id()).onEvent(gapMs, nowNanos);
     }
 
     void onEnded(ServerInstance server) {
