Send no retries in the first window after a start

A process that starts again forgets its retries, but those may lie at the end of a window whose requests come first. A window that begins between them holds the retries of before and new ones by the ratio, but not the requests of before.

Change: no retry for one window after the start, also none by the ratio.

Check: both tests failed before and pass now.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SharedRetryBudget.java
@@ -16,8 +16,9 @@
  * wait for a server in between, and windows of sends then hold more than windows of decisions.
  *
  * <p>An entry that has left may have used its part in the same window, so the parts are those of
- * the largest number of entries in the window. A process that has just started has no part of the
- * allowance for one window, because an earlier process in its place may have used it.
+ * the largest number of entries in the window. A process that has just started allows no retry for
+ * one window: an earlier process in its place may have used the allowance, and may have sent its
+ * retries at the end of a window whose requests come first.
  */
 public final class SharedRetryBudget {
 
@@ -118,9 +119,10 @@
 
     private boolean allows(int more, int liveEntries, long nowNanos) {
         onEntries(liveEntries, nowNanos);
-        boolean justStarted = nowNanos - allowedFromNanos < 0;
-        double ownAllowance =
-                justStarted ? 0 : allowance / Arrays.stream(mostEntries).max().getAsInt();
+        if (nowNanos - allowedFromNanos < 0) {
+            return false;
+        }
+        double ownAllowance = allowance / Arrays.stream(mostEntries).max().getAsInt();
         double allowed = ratio * requestsInWindow() + ownAllowance;
         return sum(retries) + more <= allowed;
     }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/SharedRetryBudgetTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/SharedRetryBudgetTest.java
@@ -76,6 +76,36 @@
     @Property(tries = 200)
     void allEntriesTogetherStayWithinTheLimitInEveryWindow(
             @ForAll long seed, @ForAll boolean restarts) {
+        assertEveryWindowIsWithinTheLimit(seed, restarts);
+    }
+
+    /** The retries before a restart come later in the window than the requests they rely on. */
+    @Test
+    void anEntryThatStartsAgainStaysWithinTheLimitInEveryWindow() {
+        assertEveryWindowIsWithinTheLimit(335065, true);
+    }
+
+    @Test
+    void givesNothingTwiceToAnEntryThatStartsAgain() {
+        SharedRetryBudget before =
+                new SharedRetryBudget(LONG_AGO_NANOS, RATIO, ALLOWANCE, WINDOW_MS);
+        addRequests(before, 100, 0);
+        long restartNanos = TimeUnit.MILLISECONDS.toNanos(WINDOW_MS * 8 / 10);
+        int sentBefore = taken(before, 100, 1, restartNanos);
+        SharedRetryBudget after = new SharedRetryBudget(restartNanos, RATIO, ALLOWANCE, WINDOW_MS);
+        addRequests(after, 100, restartNanos);
+        long laterNanos = restartNanos + TimeUnit.MILLISECONDS.toNanos(WINDOW_MS * 9 / 10);
+        int sentAfter = taken(after, 100, 1, laterNanos);
+        assertThat((double) sentBefore + sentAfter).isAtMost(RATIO * 100 + ALLOWANCE);
+    }
+
+    private static void addRequests(SharedRetryBudget budget, int count, long nowNanos) {
+        for (int i = 0; i < count; i++) {
+            budget.onRequest(nowNanos);
+        }
+    }
+
+    private static void assertEveryWindowIsWithinTheLimit(long seed, boolean restarts) {
         Random random = new Random(seed);
         int entries = 1 + random.nextInt(6);
         List<SharedRetryBudget> budgets = new ArrayList<>();
