Log the first event and the longest gap of a stream

A stream is late if one gap is too long; request_done told neither the first event nor the gaps, so late streams could not be told from the logs.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -32,7 +32,6 @@
     private int sends;
     private boolean mayHaveRun;
     private boolean done;
-    private long firstSentNanos;
     private ServerInstance server;
     private BackendConnection connection;
     private long sentNanos;
@@ -124,10 +123,9 @@
         return TimeUnit.NANOSECONDS.toMillis(context.deadlineNanos() - nowNanos);
     }
 
-    /** Returns the time that the request was queued before its first send. */
-    long queuedMs(long nowNanos) {
-        long end = firstSentNanos == 0 ? nowNanos : firstSentNanos;
-        return TimeUnit.NANOSECONDS.toMillis(end - context.arrivedNanos());
+    /** Returns when the request was sent and its events came. */
+    SendProgress progress() {
+        return progress;
     }
 
     /** Returns whether the request was written to a server, which has not answered it yet. */
@@ -154,7 +152,6 @@
         selections++;
         int selection = selections;
         progress.onSend(nowNanos);
-        firstSentNanos = firstSentNanos == 0 ? nowNanos : firstSentNanos;
         answer = new ServerAnswer();
         connections.acquire(
                 target,
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -29,9 +29,11 @@
 
     void done(ForwardedRequest request, int status, String reason, long nowNanos) {
         RequestContext context = request.context();
-        long totalMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - context.arrivedNanos());
+        long arrivedNanos = context.arrivedNanos();
+        long totalMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivedNanos);
+        long queuedMs = request.progress().queuedMs(arrivedNanos, nowNanos);
         latencyMs.update(totalMs);
-        queueWaitMs.update(request.queuedMs(nowNanos));
+        queueWaitMs.update(queuedMs);
         MetricNames.count(metrics, "requests_total", "outcome", reason);
         MetricNames.count(metrics, "answers_total", "framing", request.answer().framing().name());
         LOG.info(
@@ -46,9 +48,11 @@
                         .with("reason", reason)
                         .with("sends", request.sends())
                         .with("server", request.server() == null ? "" : request.server().id())
-                        .with("waited_ms", request.queuedMs(nowNanos))
+                        .with("waited_ms", queuedMs)
                         .with("total_ms", totalMs)
                         .with("events", request.events())
+                        .with("first_event_ms", request.progress().firstEventMs(arrivedNanos))
+                        .with("longest_gap_ms", request.progress().longestGapMs())
                         .with("framing", request.answer().framing()));
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/SendProgressTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/SendProgressTest.java
@@ -46,4 +46,16 @@
         assertThat(progress.onEvent(10 * SECOND)).isEqualTo(0);
         assertThat(progress.onEvent(11 * SECOND)).isEqualTo(SECOND);
     }
+
+    @Test
+    void tellsWhenTheFirstEventCameAndTheLongestGap() {
+        assertThat(progress.firstEventMs(0)).isEqualTo(0);
+        progress.onSend(SECOND);
+        progress.onEvent(2 * SECOND);
+        progress.onEvent(5 * SECOND);
+        progress.onEvent(6 * SECOND);
+        assertThat(progress.queuedMs(0, 7 * SECOND)).isEqualTo(1_000);
+        assertThat(progress.firstEventMs(0)).isEqualTo(2_000);
+        assertThat(progress.longestGapMs()).isEqualTo(3_000);
+    }
 }
