Tell callers of a service that stands when it may run again, also just after a start

Groups form until 36.3 s, entries start at 34.8 s. An entry that had seen no progress yet told callers to return after 50 to 100 ms, when they were refused for good. Times that were limited were one and the same for all callers.

Change: a service without progress since the start of the entry is stalled, like one without progress for 0.7 s; the times to return are spread evenly also where the time left limits them.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/QueueTimeouts.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/QueueTimeouts.java
@@ -17,11 +17,8 @@
     /** Maximum retry delay as a fraction of the time left until the caller's timeout. */
     static final double MAX_RETRY_DELAY_FRACTION = 1.0 / 3;
 
-    /**
-     * Time without any event of a service after which it counts as stalled, in milliseconds. The
-     * length of its queue does not predict then when a server is free.
-     */
-    static final long STALL_MS = 700;
+    /** Fraction of the longest retry delay from which the jitter begins at the latest. */
+    private static final double MAX_BASE_FRACTION = 0.6;
 
     private static final double MIN_RETRY_DELAY_MS = 50;
 
@@ -67,20 +64,22 @@
 
     /**
      * Returns how long a refused caller should wait before it retries, with jitter of up to the
-     * same time again.
+     * same time again. The times of many callers are spread evenly also where they are limited, so
+     * that callers do not all return at once.
      *
      * @param expectedWaitMs the time until the queue has capacity at the current rate, in
      *     milliseconds
-     * @param silentMs the time since any server of the service last sent an event, in milliseconds
+     * @param stalled whether the service is stalled
      * @param timeLeftMs the time until the caller's timeout, in milliseconds
      * @param random source of the jitter, not null
      * @return the delay, in milliseconds; at most a third of {@code timeLeftMs}, 0 if none is left
      */
     public static long retryAfterMs(
-            double expectedWaitMs, long silentMs, long timeLeftMs, RandomGenerator random) {
-        double minMs = silentMs >= STALL_MS ? STALLED_RETRY_DELAY_MS : MIN_RETRY_DELAY_MS;
-        double baseMs = Math.max(minMs, expectedWaitMs);
-        double jitteredMs = baseMs * (1 + random.nextDouble());
-        return (long) Math.max(0, Math.min(jitteredMs, timeLeftMs * MAX_RETRY_DELAY_FRACTION));
+            double expectedWaitMs, boolean stalled, long timeLeftMs, RandomGenerator random) {
+        double minMs = stalled ? STALLED_RETRY_DELAY_MS : MIN_RETRY_DELAY_MS;
+        double limitMs = Math.max(0, timeLeftMs * MAX_RETRY_DELAY_FRACTION);
+        double baseMs = Math.min(MAX_BASE_FRACTION * limitMs, Math.max(minMs, expectedWaitMs));
+        double longestMs = Math.min(limitMs, 2 * baseMs);
+        return (long) (baseMs + (longestMs - baseMs) * random.nextDouble());
     }
 }
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServiceProgress.java
@@ -0,0 +1,41 @@
+package io.pollenpath.coordination.serving;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * When the servers of one service last made progress on a request of this entry. Tells a service
+ * that stands, since its rank groups form or nothing reaches it, from one that is only full.
+ */
+public final class ServiceProgress {
+
+    /**
+     * Time without any progress after which a service counts as stalled, in milliseconds. The
+     * length of its queue does not predict then when a server is free.
+     */
+    static final long STALL_MS = 700;
+
+    private boolean anyProgress;
+    private long lastProgressNanos;
+
+    /**
+     * Records that a server has made progress on a request.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onProgress(long nowNanos) {
+        anyProgress = true;
+        lastProgressNanos = nowNanos;
+    }
+
+    /**
+     * Returns whether the service is stalled. An entry that has just started and has seen no
+     * progress yet knows no reason to expect any soon.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return true without progress for a while, or since the start of the entry
+     */
+    public boolean isStalled(long nowNanos) {
+        long silentMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
+        return !anyProgress || silentMs >= STALL_MS;
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -211,7 +211,7 @@
     void onEventGap(ForwardedRequest request, long gapNanos, long nowNanos) {
         String name = request.context().service();
         ServiceTraffic service = traffic(name);
-        service.onProgress(nowNanos);
+        service.progress().onProgress(nowNanos);
         boolean onOneServer = nowNanos - gapNanos - request.sentNanos() >= 0;
         if (onOneServer && request.server() != null) {
             servers.onEvent(request.server(), gapNanos / 1e6, nowNanos);
@@ -295,7 +295,7 @@
         long retryAfterMs =
                 QueueTimeouts.retryAfterMs(
                         expectedWaitMs(request.context().service(), nowNanos),
-                        service.silenceMs(nowNanos),
+                        service.progress().isStalled(nowNanos),
                         request.timeLeftMs(nowNanos),
                         random);
         int servers = view.get().serversOf(request.context().service()).size();
@@ -315,7 +315,7 @@
                 crashGuard.onAnswered(request, nowNanos);
                 crashGuard.detector().onAnswered(server, request.sentNanos());
                 servers.onAnswered(server);
-                traffic(name).onProgress(nowNanos);
+                traffic(name).progress().onProgress(nowNanos);
             } else {
                 crashGuard.detector().onAbandoned(request, server, nowNanos);
             }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -1,12 +1,12 @@
 package io.pollenpath.transport.serving;
 
 import io.pollenpath.coordination.serving.AdaptiveConcurrencyLimit;
+import io.pollenpath.coordination.serving.ServiceProgress;
 import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.WaitingRequests;
 import io.pollenpath.state.serving.EnginePerformance;
 import io.pollenpath.state.serving.ServerInstance;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 /** The queue, limits and traffic statistics of one service in this entry. */
 final class ServiceTraffic {
@@ -16,11 +16,11 @@
 
     private final SharedRetryBudget retryBudget;
     private final WaitingRequests<ForwardedRequest> queue = new WaitingRequests<>();
+    private final ServiceProgress progress = new ServiceProgress();
     private AdaptiveConcurrencyLimit concurrencyLimit;
     private int inFlight;
     private double meanCompletionIntervalMs = INITIAL_INTERVAL_MS;
     private long lastCompletionNanos;
-    private long lastProgressNanos;
 
     ServiceTraffic(SharedRetryBudget retryBudget) {
         this.retryBudget = retryBudget;
@@ -51,16 +51,9 @@
         lastCompletionNanos = nowNanos;
     }
 
-    /** Records that a server of the service has made progress on a request. */
-    void onProgress(long nowNanos) {
-        lastProgressNanos = nowNanos;
-    }
-
-    /** Returns the time since a server last made progress; 0 before the first progress. */
-    long silenceMs(long nowNanos) {
-        return lastProgressNanos == 0
-                ? 0
-                : TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos);
+    /** Returns when servers of the service made progress. */
+    ServiceProgress progress() {
+        return progress;
     }
 
     /** Estimates the queue time of a request that is queued now. */
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/QueueTimeoutsTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/QueueTimeoutsTest.java
@@ -12,14 +12,14 @@
 
     private final Random random = new Random(1);
 
-    private long retryAfterMs(double expectedWaitMs, long silentMs) {
-        return QueueTimeouts.retryAfterMs(expectedWaitMs, silentMs, TIME_LEFT_MS, random);
+    private long retryAfterMs(double expectedWaitMs, boolean stalled) {
+        return QueueTimeouts.retryAfterMs(expectedWaitMs, stalled, TIME_LEFT_MS, random);
     }
 
     @Test
     void spreadsRetriesBetweenTheExpectedWaitAndTwiceThatWait() {
         for (int i = 0; i < CALLERS; i++) {
-            long ms = retryAfterMs(400, 0);
+            long ms = retryAfterMs(400, false);
             assertThat(ms).isAtLeast(400);
             assertThat(ms).isAtMost(800);
         }
@@ -31,7 +31,7 @@
         long first = Long.MAX_VALUE;
         long last = 0;
         for (int i = 0; i < CALLERS; i++) {
-            long ms = retryAfterMs(0, QueueTimeouts.STALL_MS);
+            long ms = retryAfterMs(0, true);
             first = Math.min(first, ms);
             last = Math.max(last, ms);
         }
@@ -42,8 +42,18 @@
 
     @Test
     void limitsTheRetryDelayToAFractionOfTheTimeLeft() {
-        assertThat(QueueTimeouts.retryAfterMs(9_000, 0, 900, random)).isAtMost(300);
-        assertThat(QueueTimeouts.retryAfterMs(9_000, 0, -5, random)).isEqualTo(0);
+        assertThat(QueueTimeouts.retryAfterMs(9_000, false, 900, random)).isAtMost(300);
+        assertThat(QueueTimeouts.retryAfterMs(9_000, false, -5, random)).isEqualTo(0);
+    }
+
+    /** Callers that are limited to the same time would all return in the same moment. */
+    @Test
+    void spreadsRetriesAlsoWhereTheTimeLeftLimitsThem() {
+        int inTheLastTenth = 0;
+        for (int i = 0; i < CALLERS; i++) {
+            inTheLastTenth += retryAfterMs(0, true) > 2_550 ? 1 : 0;
+        }
+        assertThat(inTheLastTenth).isLessThan(CALLERS / 5);
     }
 
     @Test
