Arm the rank that holds the step only after most others

Change: most ranks, then the rank that holds, then the last one; a leader that hears of no arm leaves a rank that is not armed, and the change is undone without it.

Check: LeaderStateScheduleTest, a new schedule that stood before and goes on now; the others hold.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -20,12 +20,12 @@
  *
  * <p>First, all ranks prepare the map by fetching its experts. Then a future step is held at one
  * rank. The ranks are armed for this step only after a status has confirmed the hold, and the step
- * is released only after every rank is armed. The rank before the one that holds is {@linkplain
- * #lastRank armed last}: while another rank is not armed, it is not armed either, also if nobody
- * can ask it. From the first arm command on, the commit cannot be undone: commands are resent until
- * they are known to have taken effect. A late duplicate of a command is harmless, since its step
- * has already begun or the rank is already in the state that it asks for. A new epoch of the group
- * clears this state on all ranks and ends the commit.
+ * is released only after every rank is armed. The rank that holds is armed after most others, and
+ * the one before it {@linkplain #lastRank last}: while another rank is not armed, the last one is
+ * not armed either, also if nobody can ask it. From the first arm command on, the commit cannot be
+ * undone: commands are resent until they are known to have taken effect. A late duplicate of a
+ * command is harmless, since its step has already begun or the rank is already in the state that it
+ * asks for. A new epoch of the group clears this state on all ranks and ends the commit.
  *
  * <p>The caller sends the commands that {@link #next} returns, and reports each result and status.
  */
@@ -279,16 +279,22 @@
         return (leaderRank + 1) % ranks;
     }
 
+    /**
+     * Adds the arm commands of the present stage: those of most ranks, then that of the rank that
+     * holds the step, then that of the last rank. A leader that is lost before it has heard that
+     * most ranks are armed thus leaves one that is known not to be.
+     */
     private void addArms(List<AddressedCommand> commands) {
         EngineCommand arm = new EngineCommand.Arm(version, step);
         int lastRank = lastRank(holdRank, statuses.length);
         for (int rank = 0; rank < statuses.length; rank++) {
-            if (!armed.contains(rank) && rank != lastRank) {
+            if (!armed.contains(rank) && rank != holdRank && rank != lastRank) {
                 commands.add(new AddressedCommand(rank, arm));
             }
         }
         if (commands.isEmpty()) {
-            commands.add(new AddressedCommand(lastRank, arm));
+            int next = armed.contains(holdRank) ? lastRank : holdRank;
+            commands.add(new AddressedCommand(next, arm));
         }
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
@@ -104,6 +104,13 @@
             }
         }
 
+        /** Lets the engines execute the next commands of a leader that does not hear of it. */
+        void executeUnheard(Leader leader) {
+            for (AddressedCommand command : leader.state.nextCommands(nowNanos)) {
+                execute(command, leader.state.epoch(), leader.token);
+            }
+        }
+
         private boolean isHeld() {
             return IntStream.range(0, RANKS)
                     .anyMatch(rank -> group.status(rank).held().isPresent());
@@ -288,6 +295,24 @@
         int frozen = random.nextInt(RANKS);
         Leader old = new Leader(10, frozen);
         simulation.runUntilHeld(old, random.nextInt(RANKS - 1));
+        checkThatNextLeaderGoesOn(simulation, old, seed);
+    }
+
+    /** A leader freezes with its VM right after it has told most ranks to arm. */
+    @Property(tries = 50)
+    void aHeldStepIsReleasedThoughTheFrozenLeaderHeardOfNoArm(@ForAll long seed) {
+        SimulatedGroup group = new SimulatedGroup(RANKS, true, FIRST);
+        Simulation simulation = new Simulation(seed, false, group);
+        Leader old = new Leader(10, new Random(seed).nextInt(RANKS));
+        simulation.runUntilHeld(old, 0);
+        simulation.executeUnheard(old);
+        checkThatNextLeaderGoesOn(simulation, old, seed);
+    }
+
+    private static void checkThatNextLeaderGoesOn(Simulation simulation, Leader old, long seed) {
+        int frozen = old.rank;
+        SimulatedGroup group = simulation.group;
+        Random random = new Random(seed);
         Leader next = new Leader(11, (frozen + 1 + random.nextInt(RANKS - 1)) % RANKS);
         simulation.leaders.add(next);
         simulation.frozenRank = frozen;
