Let callers that return take only the room that others leave

Change: within a priority requests that can be on time go first, and those of returning callers count as late from the start. The expected wait of a request that can be on time does not count late ones, which it passes.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
@@ -10,9 +10,9 @@
 import java.util.TreeSet;
 
 /**
- * Queue of the requests that wait for a server of one service. Ordered by priority; then requests
- * that were refused or sent before; then requests that can still be answered on time; then by
- * arrival.
+ * Queue of the requests that wait for a server of one service, under any load. Ordered by priority;
+ * then requests that can still be answered on time; then requests that were refused or sent before;
+ * then by arrival.
  *
  * @param <T> the type of a request
  */
@@ -20,13 +20,14 @@
 
     private static final Comparator<QueuedRequest<?>> ORDER =
             Comparator.<QueuedRequest<?>>comparingInt(QueuedRequest::priority)
-                    .thenComparing(queued -> !queued.retried())
                     .thenComparing(QueuedRequest::late)
+                    .thenComparing(queued -> !queued.retried())
                     .thenComparingLong(QueuedRequest::arrivalNumber);
 
     private final TreeSet<QueuedRequest<T>> queue = new TreeSet<>(ORDER);
     private final Map<T, QueuedRequest<T>> byRequest = new HashMap<>();
     private long nextArrivalNumber;
+    private int lateRequests;
 
     /**
      * A queued request with its position in the order.
@@ -72,19 +73,30 @@
      * @param expiryNanos the time at which the request is refused if it is still queued, in
      *     nanoseconds
      * @param request the request, not null
+     * @param nowNanos the current time, in nanoseconds
      */
-    public void add(int priority, boolean retried, long lateAtNanos, long expiryNanos, T request) {
-        QueuedRequest<T> queued =
+    public void add(
+            int priority,
+            boolean retried,
+            long lateAtNanos,
+            long expiryNanos,
+            T request,
+            long nowNanos) {
+        put(
                 new QueuedRequest<>(
                         priority,
                         retried,
-                        false,
+                        nowNanos - lateAtNanos >= 0,
                         nextArrivalNumber++,
                         lateAtNanos,
                         expiryNanos,
-                        request);
+                        request));
+    }
+
+    private void put(QueuedRequest<T> queued) {
         queue.add(queued);
-        byRequest.put(request, queued);
+        byRequest.put(queued.request(), queued);
+        lateRequests += queued.late() ? 1 : 0;
     }
 
     /**
@@ -95,12 +107,16 @@
      */
     public boolean remove(T request) {
         QueuedRequest<T> queued = byRequest.remove(request);
-        return queued != null && queue.remove(queued);
+        if (queued == null || !queue.remove(queued)) {
+            return false;
+        }
+        lateRequests -= queued.late() ? 1 : 0;
+        return true;
     }
 
     /**
-     * Moves requests that can no longer be answered on time behind those that still can, within
-     * their priority and retry state.
+     * Moves requests that can no longer be answered on time behind those of the same priority that
+     * still can.
      *
      * @param nowNanos the current time, in nanoseconds
      */
@@ -108,9 +124,7 @@
         for (QueuedRequest<T> queued : List.copyOf(queue)) {
             if (!queued.late() && nowNanos - queued.lateAtNanos() >= 0) {
                 queue.remove(queued);
-                QueuedRequest<T> late = queued.asLate();
-                queue.add(late);
-                byRequest.put(late.request(), late);
+                put(queued.asLate());
             }
         }
     }
@@ -151,6 +165,15 @@
         return expired;
     }
 
+    /**
+     * Returns the number of queued requests that can still be answered on time.
+     *
+     * @return the number
+     */
+    public int onTimeSize() {
+        return queue.size() - lateRequests;
+    }
+
     /**
      * Returns the number of queued requests.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -8,9 +8,7 @@
 import io.pollenpath.coordination.serving.SuspectPolicy;
 import io.pollenpath.coordination.serving.WaitingRequests.QueuedRequest;
 import io.pollenpath.protocol.Problem;
-import io.pollenpath.state.serving.EnginePerformance;
 import io.pollenpath.state.serving.ServerInstance;
-import io.pollenpath.state.serving.ServiceSpec;
 import io.pollenpath.state.serving.ServingView;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -66,7 +64,11 @@
         this.random = random;
     }
 
-    /** Queues a new request, or refuses it if the expected wait is too long. */
+    /**
+     * Queues a new request, or refuses it if the expected wait is too long.
+     *
+     * @param retried whether the caller was refused before, so that its answer is late already
+     */
     void submit(ForwardedRequest request, boolean retried, long nowNanos) {
         ServiceTraffic service = traffic(request.context().service());
         service.retryBudget().onRequest(nowNanos);
@@ -74,19 +76,27 @@
             return;
         }
         long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
-        if (expectedWaitMs(request.context().service(), nowNanos) > waitMs) {
+        double expectedMs = retried ? service.expectedWaitMs() : service.expectedOnTimeWaitMs();
+        if (Math.max(expectedMs, limitedWaitMs(request, nowNanos)) > waitMs) {
             answerWithProblem(request, "queue_too_long", nowNanos);
             return;
         }
-        enqueue(service, request, request.context().priority(), retried, waitMs, nowNanos);
+        long lateNanos = retried ? nowNanos : lateNanos(request);
+        service.queue()
+                .add(
+                        request.context().priority(),
+                        retried,
+                        lateNanos,
+                        nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs),
+                        request,
+                        nowNanos);
         sendQueued(request.context().service(), nowNanos);
     }
 
-    private double expectedWaitMs(String name, long nowNanos) {
-        ServiceTraffic service = traffic(name);
-        double limitedWaitMs =
-                servers.limitedWaitMs(view.get(), name, service.queue().size(), nowNanos);
-        return Math.max(service.expectedWaitMs(), limitedWaitMs);
+    /** Returns how long a request waits because of the limits that all servers have named. */
+    private double limitedWaitMs(ForwardedRequest request, long nowNanos) {
+        String name = request.context().service();
+        return servers.limitedWaitMs(view.get(), name, traffic(name).queue().size(), nowNanos);
     }
 
     /** Answers a request that is suspected of crashing servers and must not be sent now. */
@@ -112,19 +122,18 @@
                 reason);
     }
 
-    private void enqueue(
-            ServiceTraffic service,
-            ForwardedRequest request,
-            int priority,
-            boolean retried,
-            long waitMs,
-            long nowNanos) {
+    /** Queues a request again that was chosen for a server before. */
+    private void requeue(ForwardedRequest request, int priority, long waitMs, long nowNanos) {
         long giveUpNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
-        long lateNanos =
-                request.context().arrivedNanos()
-                        + TimeUnit.MILLISECONDS.toNanos(
-                                QueueTimeouts.onTimeQueueMs(request.route()));
-        service.queue().add(priority, retried, lateNanos, giveUpNanos, request);
+        traffic(request.context().service())
+                .queue()
+                .add(priority, true, lateNanos(request), giveUpNanos, request, nowNanos);
+    }
+
+    /** Returns the time from which a request that arrived in time can't be answered on time. */
+    private static long lateNanos(ForwardedRequest request) {
+        long onTimeMs = QueueTimeouts.onTimeQueueMs(request.route());
+        return request.context().arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(onTimeMs);
     }
 
     private ServiceTraffic traffic(String service) {
@@ -132,6 +141,7 @@
                 service,
                 name ->
                         new ServiceTraffic(
+                                name,
                                 new SharedRetryBudget(
                                         settings.startNanos(),
                                         settings.retryRatio(),
@@ -142,7 +152,8 @@
     /**
      * Sends queued requests of a service while there is free capacity. No other request is held up
      * by a resend that finds no server other than those it was sent to, or by a request that must
-     * not be sent yet. Nothing is sent before this entry has heard what the others know.
+     * not be sent yet, or that is late and must leave its place. Nothing is sent before this entry
+     * has heard what the others know.
      */
     private void sendQueued(String name, long nowNanos) {
         if (catchUp.isBehind(nowNanos)) {
@@ -153,7 +164,8 @@
         while (next.isPresent()) {
             QueuedRequest<ForwardedRequest> current = next.get();
             boolean mayBePassed =
-                    current.request().sends() > 0
+                    current.late()
+                            || current.request().sends() > 0
                             || crashGuard.awaitsPermit(current.request(), nowNanos);
             if (!trySend(name, service, current, nowNanos) && !mayBePassed) {
                 return;
@@ -176,7 +188,7 @@
             return false;
         }
         boolean resend = request.sends() > 0;
-        if (!resend && !admits(name, service, current)) {
+        if (!resend && !service.admits(current, queued.late())) {
             return false;
         }
         Optional<ServerInstance> server = servers.choose(current, name, request, nowNanos);
@@ -192,21 +204,6 @@
         return true;
     }
 
-    private boolean admits(String name, ServiceTraffic service, ServingView current) {
-        Optional<EnginePerformance> performance = performanceOf(current, name);
-        int totalSlots = ServiceTraffic.totalSlots(current.serversOf(name));
-        double equalShare = (double) totalSlots / current.liveEntries();
-        return performance.isEmpty()
-                || service.concurrencyLimit(performance.get())
-                        .admits(service.inFlight(), equalShare);
-    }
-
-    private static Optional<EnginePerformance> performanceOf(ServingView current, String name) {
-        return current.config()
-                .flatMap(config -> config.service(name))
-                .flatMap(ServiceSpec::performance);
-    }
-
     /** Records the time between two events of a stream. */
     void onEventGap(ForwardedRequest request, long gapNanos, long nowNanos) {
         String name = request.context().service();
@@ -216,21 +213,15 @@
         if (onOneServer && request.server() != null) {
             servers.onEvent(request.server(), gapNanos / 1e6, nowNanos);
         }
-        Optional<EnginePerformance> performance = performanceOf(view.get(), name);
-        if (performance.isPresent()) {
-            double objectiveMs = (double) request.route().gapObjectiveMs();
-            service.concurrencyLimit(performance.get())
-                    .onGap(gapNanos / 1e6, objectiveMs, service.inFlight());
-        }
+        service.onGap(view.get(), gapNanos / 1e6, (double) request.route().gapObjectiveMs());
     }
 
     /** Answers or queues a request that was not written to the server chosen for it. */
     void onWithheld(ForwardedRequest request, ServerInstance server, long nowNanos) {
         releaseServer(request, server, nowNanos);
         if (!refuseIfBlocked(request, nowNanos)) {
-            ServiceTraffic service = traffic(request.context().service());
             long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
-            enqueue(service, request, request.context().priority(), true, waitMs, nowNanos);
+            requeue(request, request.context().priority(), waitMs, nowNanos);
         }
         sendQueued(request.context().service(), nowNanos);
     }
@@ -264,7 +255,7 @@
         log.sendFailed(request, server, outcome, cause, resend ? "RESEND" : decision.name());
         if (resend) {
             long waitMs = Math.min(RESEND_QUEUE_TIMEOUT_MS, timeLeftMs);
-            enqueue(service, request, RESEND_PRIORITY, true, waitMs, nowNanos);
+            requeue(request, RESEND_PRIORITY, waitMs, nowNanos);
         } else if (outcome == SendOutcome.RUN_AND_FAILED && !request.headForwarded()) {
             request.forwardServerError();
         } else {
@@ -294,7 +285,7 @@
         ServiceTraffic service = traffic(request.context().service());
         long retryAfterMs =
                 QueueTimeouts.retryAfterMs(
-                        expectedWaitMs(request.context().service(), nowNanos),
+                        Math.max(service.expectedWaitMs(), limitedWaitMs(request, nowNanos)),
                         service.progress().isStalled(nowNanos),
                         request.timeLeftMs(nowNanos),
                         random);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -6,7 +6,10 @@
 import io.pollenpath.coordination.serving.WaitingRequests;
 import io.pollenpath.state.serving.EnginePerformance;
 import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.state.serving.ServiceSpec;
+import io.pollenpath.state.serving.ServingView;
 import java.util.List;
+import java.util.Optional;
 
 /** The queue, limits and traffic statistics of one service in this entry. */
 final class ServiceTraffic {
@@ -14,6 +17,7 @@
     private static final double INTERVAL_SMOOTHING = 0.1;
     private static final double INITIAL_INTERVAL_MS = 50;
 
+    private final String name;
     private final SharedRetryBudget retryBudget;
     private final WaitingRequests<ForwardedRequest> queue = new WaitingRequests<>();
     private final ServiceProgress progress = new ServiceProgress();
@@ -22,7 +26,8 @@
     private double meanCompletionIntervalMs = INITIAL_INTERVAL_MS;
     private long lastCompletionNanos;
 
-    ServiceTraffic(SharedRetryBudget retryBudget) {
+    ServiceTraffic(String name, SharedRetryBudget retryBudget) {
+        this.name = name;
         this.retryBudget = retryBudget;
     }
 
@@ -56,17 +61,50 @@
         return progress;
     }
 
-    /** Estimates the queue time of a request that is queued now. */
+    /** Estimates the queue time of a request that is queued now and already late. */
     double expectedWaitMs() {
         return meanCompletionIntervalMs * queue.size();
     }
 
-    /** Returns the adaptive limit of concurrent streams, created with the first known step time. */
-    AdaptiveConcurrencyLimit concurrencyLimit(EnginePerformance performance) {
+    /** Estimates the queue time of a request that is queued now and can be on time. */
+    double expectedOnTimeWaitMs() {
+        return meanCompletionIntervalMs * queue.onTimeSize();
+    }
+
+    /** Records the time between two events of a stream. */
+    void onGap(ServingView view, double gapMs, double objectiveMs) {
+        concurrencyLimit(view).ifPresent(known -> known.onGap(gapMs, objectiveMs, inFlight));
+    }
+
+    /**
+     * Returns whether the streams in flight leave room for one more.
+     *
+     * @param late whether the stream can no longer be on time
+     */
+    boolean admits(ServingView view, boolean late) {
+        Optional<AdaptiveConcurrencyLimit> known = concurrencyLimit(view);
+        if (known.isEmpty()) {
+            return true;
+        }
+        double equalShare = (double) totalSlots(view.serversOf(name)) / view.liveEntries();
+        return late
+                ? known.get().admitsLate(inFlight, equalShare)
+                : known.get().admits(inFlight, equalShare);
+    }
+
+    /** Returns the adaptive limit, created with the first known step time. */
+    private Optional<AdaptiveConcurrencyLimit> concurrencyLimit(ServingView view) {
+        Optional<EnginePerformance> performance =
+                view.config()
+                        .flatMap(config -> config.service(name))
+                        .flatMap(ServiceSpec::performance);
+        if (performance.isEmpty()) {
+            return Optional.empty();
+        }
         if (concurrencyLimit == null) {
-            concurrencyLimit = new AdaptiveConcurrencyLimit(performance.decodeStepMs(0));
+            concurrencyLimit = new AdaptiveConcurrencyLimit(performance.get().decodeStepMs(0));
         }
-        return concurrencyLimit;
+        return Optional.of(concurrencyLimit);
     }
 
     /** Returns the adaptive limit of concurrent streams; 0 if there is none. */
@@ -80,7 +118,7 @@
         return concurrencyLimit == null ? 0 : concurrencyLimit.meanGapMs();
     }
 
-    static int totalSlots(List<ServerInstance> servers) {
+    private static int totalSlots(List<ServerInstance> servers) {
         int slots = 0;
         for (ServerInstance server : servers) {
             slots += server.slots();
