Let callers wait that have returned already while all servers refuse

Change: while a service stands and has refused a request in the last 0.3 s, a request that is late already waits in the queue, as long as any may. Requests of new callers show when servers run again.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServiceProgress.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ServiceProgress.java
@@ -14,8 +14,16 @@
      */
     static final long STALL_MS = 700;
 
+    /**
+     * Time after a refusal in which the servers of a stalled service are expected to refuse again,
+     * in milliseconds.
+     */
+    static final long REFUSAL_MEMORY_MS = 300;
+
     private boolean anyProgress;
     private long lastProgressNanos;
+    private boolean anyRefusal;
+    private long lastRefusalNanos;
 
     /**
      * Records that a server has made progress on a request.
@@ -27,6 +35,29 @@
         lastProgressNanos = nowNanos;
     }
 
+    /**
+     * Records that a server has refused a request without running it.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     */
+    public void onRefused(long nowNanos) {
+        anyRefusal = true;
+        lastRefusalNanos = nowNanos;
+    }
+
+    /**
+     * Returns whether a request should wait that gets no further chance after a refusal, since its
+     * caller has returned already. Requests of other callers show when servers run requests again;
+     * without those, one is sent at intervals.
+     *
+     * @param nowNanos the current time, in nanoseconds
+     * @return true while the service is stalled and a server has refused a request a moment ago
+     */
+    public boolean shouldLastChanceWait(long nowNanos) {
+        long sinceRefusalMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastRefusalNanos);
+        return isStalled(nowNanos) && anyRefusal && sinceRefusalMs < REFUSAL_MEMORY_MS;
+    }
+
     /**
      * Returns whether the service is stalled. An entry that has just started and has seen no
      * progress yet knows no reason to expect any soon.
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -188,7 +188,7 @@
             return false;
         }
         boolean resend = request.sends() > 0;
-        if (!resend && !service.admits(current, queued.late())) {
+        if (!resend && !service.admits(current, queued.late(), nowNanos)) {
             return false;
         }
         Optional<ServerInstance> server = servers.choose(current, name, request, nowNanos);
@@ -239,6 +239,9 @@
         }
         releaseServer(request, server, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
+        if (outcome == SendOutcome.NOT_RUN) {
+            service.progress().onRefused(nowNanos);
+        }
         long timeLeftMs = request.timeLeftMs(nowNanos);
         ResendPolicy.Decision decision =
                 ResendPolicy.decide(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -77,11 +77,15 @@
     }
 
     /**
-     * Returns whether the streams in flight leave room for one more.
+     * Returns whether a request may be sent now: the streams in flight leave room for one more, and
+     * a late request does not meet servers that refuse.
      *
-     * @param late whether the stream can no longer be on time
+     * @param late whether the request can no longer be answered on time
      */
-    boolean admits(ServingView view, boolean late) {
+    boolean admits(ServingView view, boolean late, long nowNanos) {
+        if (late && progress.shouldLastChanceWait(nowNanos)) {
+            return false;
+        }
         Optional<AdaptiveConcurrencyLimit> known = concurrencyLimit(view);
         if (known.isEmpty()) {
             return true;
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/RefusedCallersFleetTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/RefusedCallersFleetTest.java
@@ -30,64 +30,129 @@
     /** Mean worth per request that the users state for the deployment with 8 ranks a group. */
     private static final double MIN_WORTH = 0.73;
 
-    private record Attempt(long atMs, long firstAtMs, boolean isReturn, int entry) {
+    /** The stop cut off callers, which return while entries start. */
+    private static final int CUT_CALLERS = 40;
+
+    private static final long CUT_CALLERS_RETURN_MS = 800;
+    private static final long MAX_QUEUE_MS = 1_400;
+
+    private record Attempt(
+            long atMs, long queuedAtMs, long firstAtMs, boolean isReturn, int entry) {
+
+        private Attempt(long atMs, long firstAtMs, boolean isReturn, int entry) {
+            this(atMs, atMs, firstAtMs, isReturn, entry);
+        }
 
         private double worth() {
             return atMs - firstAtMs <= ON_TIME_QUEUE_MS ? 1 : LATE_WORTH;
         }
 
         private Attempt queued() {
-            return new Attempt(atMs + 10, firstAtMs, isReturn, entry);
+            return new Attempt(atMs + 10, queuedAtMs, firstAtMs, isReturn, entry);
         }
-    }
 
-    private static double meanWorth(long formMs, long seed) {
-        Random random = new Random(seed);
-        List<ServiceProgress> progress = new ArrayList<>();
-        for (int entry = 0; entry < ENTRIES; entry++) {
-            progress.add(new ServiceProgress());
+        private boolean isExpired() {
+            return atMs - queuedAtMs >= MAX_QUEUE_MS;
         }
-        PriorityQueue<Attempt> attempts =
+    }
+
+    /** The callers of one play, with entries that have seen nothing yet. */
+    private static final class Play {
+        private final long formMs;
+        private final Random random;
+        private final List<ServiceProgress> progress = new ArrayList<>();
+        private final PriorityQueue<Attempt> attempts =
                 new PriorityQueue<>(Comparator.comparingLong(Attempt::atMs));
-        for (long ms = 0; ms < ARRIVALS_MS; ms++) {
-            if (random.nextDouble() < ARRIVALS_PER_SECOND / 1_000) {
-                attempts.add(new Attempt(ms, ms, false, random.nextInt(ENTRIES)));
+        private final PriorityQueue<Long> streamEndsMs = new PriorityQueue<>();
+        private double worth;
+
+        private Play(long formMs, long seed) {
+            this.formMs = formMs;
+            random = new Random(seed);
+            for (int entry = 0; entry < ENTRIES; entry++) {
+                progress.add(new ServiceProgress());
+            }
+        }
+
+        private int entry() {
+            return random.nextInt(ENTRIES);
+        }
+
+        private void addNewCallers() {
+            for (long ms = 0; ms < ARRIVALS_MS; ms++) {
+                if (random.nextDouble() < ARRIVALS_PER_SECOND / 1_000) {
+                    attempts.add(new Attempt(ms, ms, false, entry()));
+                }
             }
         }
-        int callers = attempts.size();
-        PriorityQueue<Long> streamEndsMs = new PriorityQueue<>();
-        double worth = 0;
-        while (!attempts.isEmpty()) {
-            Attempt attempt = attempts.remove();
+
+        private void addCutCallers() {
+            for (int i = 0; i < CUT_CALLERS; i++) {
+                long atMs = random.nextInt((int) CUT_CALLERS_RETURN_MS);
+                attempts.add(new Attempt(atMs, atMs - CALLER_TIMEOUT_MS / 8, true, entry()));
+            }
+        }
+
+        private void run() {
+            while (!attempts.isEmpty()) {
+                onAttempt(attempts.remove());
+            }
+        }
+
+        private void onAttempt(Attempt attempt) {
             long nowNanos = TimeUnit.MILLISECONDS.toNanos(attempt.atMs());
+            ServiceProgress known = progress.get(attempt.entry());
             streamEndsMs.removeIf(endMs -> endMs <= attempt.atMs());
+            boolean waits = attempt.isReturn() && known.shouldLastChanceWait(nowNanos);
             boolean formed = attempt.atMs() >= formMs;
-            if (formed && streamEndsMs.size() == SLOTS) {
+            boolean full = formed && streamEndsMs.size() == SLOTS;
+            if ((waits || full) && !attempt.isExpired()) {
                 attempts.add(attempt.queued());
-            } else if (formed) {
-                progress.get(attempt.entry()).onProgress(nowNanos);
+            } else if (formed && !full) {
+                known.onProgress(nowNanos);
                 streamEndsMs.add(attempt.atMs() + STREAM_MS);
                 worth += attempt.worth();
-            } else if (!attempt.isReturn()) {
-                long delayMs =
-                        QueueTimeouts.retryAfterMs(
-                                0,
-                                progress.get(attempt.entry()).isStalled(nowNanos),
-                                CALLER_TIMEOUT_MS,
-                                random);
-                long returnMs = attempt.atMs() + Math.max(1, delayMs);
-                attempts.add(
-                        new Attempt(returnMs, attempt.firstAtMs(), true, random.nextInt(ENTRIES)));
+            } else {
+                known.onRefused(nowNanos);
+                onRefused(attempt, known.isStalled(nowNanos));
             }
         }
-        return worth / callers;
+
+        private void onRefused(Attempt attempt, boolean stalled) {
+            if (attempt.isReturn()) {
+                return;
+            }
+            long delayMs = QueueTimeouts.retryAfterMs(0, stalled, CALLER_TIMEOUT_MS, random);
+            long returnMs = attempt.atMs() + Math.max(1, delayMs);
+            attempts.add(new Attempt(returnMs, attempt.firstAtMs(), true, entry()));
+        }
     }
 
     @ParameterizedTest
     @CsvSource({"1500, 1", "1500, 2", "1700, 3", "1900, 4"})
     void callersThatAreRefusedWhileGroupsFormAreServedWhenTheyReturn(long formMs, long seed) {
+        Play play = new Play(formMs, seed);
+        play.addNewCallers();
+        int callers = play.attempts.size();
+        play.run();
         assertWithMessage("mean worth, groups formed after %s ms, seed %s", formMs, seed)
-                .that(meanWorth(formMs, seed))
+                .that(play.worth / callers)
                 .isAtLeast(MIN_WORTH);
     }
+
+    /** Those whose time in the queue ends before the groups are open are lost. */
+    @ParameterizedTest
+    @CsvSource({"1000, 1", "1400, 2", "1400, 3"})
+    void callersThatWereCutOffAreServedOnceGroupsHaveFormed(long formMs, long seed) {
+        Play alone = new Play(formMs, seed);
+        alone.addNewCallers();
+        alone.run();
+        Play play = new Play(formMs, seed);
+        play.addNewCallers();
+        play.addCutCallers();
+        play.run();
+        assertWithMessage("worth of callers cut off, seed %s", seed)
+                .that(play.worth - alone.worth)
+                .isAtLeast(MIN_WORTH * LATE_WORTH * CUT_CALLERS);
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServiceProgressTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ServiceProgressTest.java
@@ -24,4 +24,20 @@
         assertThat(progress.isStalled((ServiceProgress.STALL_MS - 1) * MS)).isFalse();
         assertThat(progress.isStalled(ServiceProgress.STALL_MS * MS)).isTrue();
     }
+
+    @Test
+    void letsALastChanceWaitWhileServersRefuse() {
+        assertThat(progress.shouldLastChanceWait(0)).isFalse();
+        progress.onRefused(0);
+        assertThat(progress.shouldLastChanceWait(MS)).isTrue();
+        assertThat(progress.shouldLastChanceWait(ServiceProgress.REFUSAL_MEMORY_MS * MS)).isFalse();
+    }
+
+    /** One full server is no reason to wait while others make progress. */
+    @Test
+    void sendsALastChanceWhileOtherServersMakeProgress() {
+        progress.onRefused(0);
+        progress.onProgress(MS);
+        assertThat(progress.shouldLastChanceWait(2 * MS)).isFalse();
+    }
 }
