--- a/pollenpath/src/main/java/io/pollenpath/platform/EngineApi.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/EngineApi.java
@@ -11,6 +11,7 @@
 import io.pollenpath.transport.HttpAddress;
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.HttpReply;
+import io.pollenpath.transport.group.CommandTimeouts;
 import io.pollenpath.transport.group.EngineControl;
 import io.pollenpath.util.Json;
 import io.pollenpath.util.LogLine;
@@ -30,7 +31,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(EngineApi.class);
     private static final long CALL_TIMEOUT_MS = 150;
-    private static final long LOCAL_COMMAND_TIMEOUT_MS = 60;
     private static final double USUAL_PACE = 1;
     private static final byte[] NO_BODY = new byte[0];
     private static final int STATUS_OK = 200;
@@ -40,23 +40,23 @@
 
     private final HttpClient http;
     private final HttpAddress address;
-    private final long commandTimeoutMs;
+    private final boolean local;
     private final AtomicBoolean silent = new AtomicBoolean();
 
-    private EngineApi(HttpClient http, HttpAddress address, long commandTimeoutMs) {
+    private EngineApi(HttpClient http, HttpAddress address, boolean local) {
         this.http = http;
         this.address = address;
-        this.commandTimeoutMs = commandTimeoutMs;
+        this.local = local;
     }
 
     /** Creates a client of the engine on the same VM, whose answers need no network. */
     static EngineApi local(HttpClient http, HttpAddress address) {
-        return new EngineApi(http, address, LOCAL_COMMAND_TIMEOUT_MS);
+        return new EngineApi(http, address, true);
     }
 
     /** Creates a client of an engine on another VM. */
     static EngineApi remote(HttpClient http, HttpAddress address) {
-        return new EngineApi(http, address, CALL_TIMEOUT_MS);
+        return new EngineApi(http, address, false);
     }
 
     @Override
@@ -149,8 +149,9 @@
     public CompletableFuture<CommandResult> send(EngineCommand command, long epoch, long token) {
         byte[] body = Json.bytes(encode(command, epoch, token));
         Map<String, String> headers = Map.of("Content-Type", "application/json");
+        long timeoutMs = local ? CommandTimeouts.localMs(command) : CALL_TIMEOUT_MS;
         return http.send(new HttpClient.Request(address, "POST", "/api/order", headers, body))
-                .orTimeout(commandTimeoutMs, TimeUnit.MILLISECONDS)
+                .orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
                 .handle(this::toResult);
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/DemandShiftTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/DemandShiftTest.java
@@ -6,6 +6,7 @@
 import io.pollenpath.state.group.VmCapacity;
 import io.pollenpath.state.serving.GroupShape;
 import io.pollenpath.transport.group.SimulatedStreams.Load;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -61,6 +62,19 @@
         assertWithMessage("streams on time").that(onTime).isAtLeast(MIN_ON_TIME);
     }
 
+    /** A lost command delays the step that is held, and with it all streams of the group. */
+    @Test
+    void streamsOfASmallGroupAreOnTimeAlthoughCommandsAreLost() {
+        double onTime = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            LargeGroupFixture group = settledSmallGroup(seed);
+            group.loseCommands(0.1);
+            playShifts(group, 3_200);
+            onTime += group.onTimeStreamFraction() / SEEDS;
+        }
+        assertWithMessage("streams on time").that(onTime).isAtLeast(MIN_ON_TIME);
+    }
+
     @ParameterizedTest
     @CsvSource({
         "16, 4, 64, 5, 1.0, 217",
--- a/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/group/LargeGroupFixture.java
@@ -29,7 +29,6 @@
 
     private static final long MAX_START_DELAY_MS = 300;
     private static final long ENGINE_CALL_MS = 1;
-    private static final long LOCAL_COMMAND_TIMEOUT_MS = 60;
     private static final long DIRECT_ENGINE_TIMEOUT_MS = 150;
     private static final long FIRST_TOKEN = 101;
     private static final long HELD_STEP_RETRY_MS = 1;
@@ -321,7 +320,7 @@
         public CompletableFuture<CommandResult> send(
                 EngineCommand command, long epoch, long token) {
             return random.nextDouble() < lostCommands
-                    ? after(LOCAL_COMMAND_TIMEOUT_MS, () -> CommandResult.UNKNOWN)
+                    ? after(CommandTimeouts.localMs(command), () -> CommandResult.UNKNOWN)
                     : after(ENGINE_CALL_MS, () -> group.execute(rank, command, epoch, token));
         }
     }
