Revert the room that late requests leave to others

Tried: requests that are late, also those that became late in the queue, are admitted only up to a mean gap of a third of the objective.

Back to callers that have returned first, under one limit. Only requests of callers that have returned and that no server has had yet wait while servers refuse; others pass them. The limit of a service is asked in ServiceTraffic, as it was with the change.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimit.java
@@ -15,13 +15,6 @@
     /** Target of the mean gap, as a fraction of the longest on-time gap. */
     static final double TARGET_FRACTION = 0.7;
 
-    /**
-     * The same target for requests that can no longer be answered on time. A rank group whose
-     * demand for experts shifts makes passes that last up to three times as long for a moment; only
-     * below this target do the streams that are on time bear that.
-     */
-    static final double LATE_TARGET_FRACTION = 1.0 / 3;
-
     /** Streams that an entry may always have, as a fraction of an equal share of all slots. */
     static final double MIN_FRACTION = 0.25;
 
@@ -32,7 +25,6 @@
     private final double emptyStepMs;
     private double meanGapMs;
     private double limit = Double.POSITIVE_INFINITY;
-    private double lateLimit;
 
     /**
      * Creates a limit that admits all streams until the first gap is recorded.
@@ -57,14 +49,10 @@
         }
         double cappedMs = Math.min(gapMs, MAX_GAP_PER_OBJECTIVE * objectiveMs);
         meanGapMs = meanGapMs == 0 ? cappedMs : meanGapMs + GAP_WEIGHT * (cappedMs - meanGapMs);
-        limit = limitFor(TARGET_FRACTION * objectiveMs, inFlight);
-        lateLimit = limitFor(LATE_TARGET_FRACTION * objectiveMs, inFlight);
-    }
-
-    private double limitFor(double targetMs, int inFlight) {
-        double targetExcessMs = Math.max(MIN_EXCESS_MS, targetMs - emptyStepMs);
+        double targetExcessMs =
+                Math.max(MIN_EXCESS_MS, TARGET_FRACTION * objectiveMs - emptyStepMs);
         double excessMs = Math.max(MIN_EXCESS_MS, meanGapMs - emptyStepMs);
-        return inFlight * targetExcessMs / excessMs;
+        limit = inFlight * targetExcessMs / excessMs;
     }
 
     /**
@@ -78,19 +66,6 @@
         return inFlight < Math.max(limit, MIN_FRACTION * equalShare);
     }
 
-    /**
-     * Returns whether one more stream may be sent that can no longer be on time. It takes only
-     * capacity that the others leave.
-     *
-     * @param inFlight the streams of this entry on the service
-     * @param equalShare an equal share of all slots among the entries
-     * @return true below the limit for such streams, which is 0 before the first gap, and always
-     *     below the minimum
-     */
-    public boolean admitsLate(int inFlight, double equalShare) {
-        return inFlight < Math.max(lateLimit, MIN_FRACTION * equalShare);
-    }
-
     /**
      * Returns the limit that follows from the gaps, without the minimum.
      *
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
@@ -10,9 +10,9 @@
 import java.util.TreeSet;
 
 /**
- * Queue of the requests that wait for a server of one service, under any load. Ordered by priority;
- * then requests that can still be answered on time; then requests that were refused or sent before;
- * then by arrival.
+ * Queue of the requests that wait for a server of one service. Ordered by priority; then requests
+ * that were refused or sent before; then requests that can still be answered on time; then by
+ * arrival.
  *
  * @param <T> the type of a request
  */
@@ -20,14 +20,13 @@
 
     private static final Comparator<QueuedRequest<?>> ORDER =
             Comparator.<QueuedRequest<?>>comparingInt(QueuedRequest::priority)
-                    .thenComparing(QueuedRequest::late)
                     .thenComparing(queued -> !queued.retried())
+                    .thenComparing(QueuedRequest::late)
                     .thenComparingLong(QueuedRequest::arrivalNumber);
 
     private final TreeSet<QueuedRequest<T>> queue = new TreeSet<>(ORDER);
     private final Map<T, QueuedRequest<T>> byRequest = new HashMap<>();
     private long nextArrivalNumber;
-    private int lateRequests;
 
     /**
      * A queued request with its position in the order.
@@ -73,30 +72,19 @@
      * @param expiryNanos the time at which the request is refused if it is still queued, in
      *     nanoseconds
      * @param request the request, not null
-     * @param nowNanos the current time, in nanoseconds
      */
-    public void add(
-            int priority,
-            boolean retried,
-            long lateAtNanos,
-            long expiryNanos,
-            T request,
-            long nowNanos) {
-        put(
+    public void add(int priority, boolean retried, long lateAtNanos, long expiryNanos, T request) {
+        QueuedRequest<T> queued =
                 new QueuedRequest<>(
                         priority,
                         retried,
-                        nowNanos - lateAtNanos >= 0,
+                        false,
                         nextArrivalNumber++,
                         lateAtNanos,
                         expiryNanos,
-                        request));
-    }
-
-    private void put(QueuedRequest<T> queued) {
+                        request);
         queue.add(queued);
-        byRequest.put(queued.request(), queued);
-        lateRequests += queued.late() ? 1 : 0;
+        byRequest.put(request, queued);
     }
 
     /**
@@ -107,16 +95,12 @@
      */
     public boolean remove(T request) {
         QueuedRequest<T> queued = byRequest.remove(request);
-        if (queued == null || !queue.remove(queued)) {
-            return false;
-        }
-        lateRequests -= queued.late() ? 1 : 0;
-        return true;
+        return queued != null && queue.remove(queued);
     }
 
     /**
-     * Moves requests that can no longer be answered on time behind those of the same priority that
-     * still can.
+     * Moves requests that can no longer be answered on time behind those that still can, within
+     * their priority and retry state.
      *
      * @param nowNanos the current time, in nanoseconds
      */
@@ -124,7 +108,9 @@
         for (QueuedRequest<T> queued : List.copyOf(queue)) {
             if (!queued.late() && nowNanos - queued.lateAtNanos() >= 0) {
                 queue.remove(queued);
-                put(queued.asLate());
+                QueuedRequest<T> late = queued.asLate();
+                queue.add(late);
+                byRequest.put(late.request(), late);
             }
         }
     }
@@ -165,15 +151,6 @@
         return expired;
     }
 
-    /**
-     * Returns the number of queued requests that can still be answered on time.
-     *
-     * @return the number
-     */
-    public int onTimeSize() {
-        return queue.size() - lateRequests;
-    }
-
     /**
      * Returns the number of queued requests.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -76,27 +76,20 @@
             return;
         }
         long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
-        double expectedMs = retried ? service.expectedWaitMs() : service.expectedOnTimeWaitMs();
-        if (Math.max(expectedMs, limitedWaitMs(request, nowNanos)) > waitMs) {
+        if (expectedWaitMs(request, nowNanos) > waitMs) {
             answerWithProblem(request, "queue_too_long", nowNanos);
             return;
         }
-        long lateNanos = retried ? nowNanos : lateNanos(request);
-        service.queue()
-                .add(
-                        request.context().priority(),
-                        retried,
-                        lateNanos,
-                        nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs),
-                        request,
-                        nowNanos);
+        enqueue(request, request.context().priority(), retried, waitMs, nowNanos);
         sendQueued(request.context().service(), nowNanos);
     }
 
-    /** Returns how long a request waits because of the limits that all servers have named. */
-    private double limitedWaitMs(ForwardedRequest request, long nowNanos) {
+    private double expectedWaitMs(ForwardedRequest request, long nowNanos) {
         String name = request.context().service();
-        return servers.limitedWaitMs(view.get(), name, traffic(name).queue().size(), nowNanos);
+        ServiceTraffic service = traffic(name);
+        double limitedWaitMs =
+                servers.limitedWaitMs(view.get(), name, service.queue().size(), nowNanos);
+        return Math.max(service.expectedWaitMs(), limitedWaitMs);
     }
 
     /** Answers a request that is suspected of crashing servers and must not be sent now. */
@@ -122,18 +115,16 @@
                 reason);
     }
 
-    /** Queues a request again that was chosen for a server before. */
-    private void requeue(ForwardedRequest request, int priority, long waitMs, long nowNanos) {
+    private void enqueue(
+            ForwardedRequest request, int priority, boolean retried, long waitMs, long nowNanos) {
         long giveUpNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        long lateNanos =
+                request.context().arrivedNanos()
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                QueueTimeouts.onTimeQueueMs(request.route()));
         traffic(request.context().service())
                 .queue()
-                .add(priority, true, lateNanos(request), giveUpNanos, request, nowNanos);
-    }
-
-    /** Returns the time from which a request that arrived in time can't be answered on time. */
-    private static long lateNanos(ForwardedRequest request) {
-        long onTimeMs = QueueTimeouts.onTimeQueueMs(request.route());
-        return request.context().arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(onTimeMs);
+                .add(priority, retried, lateNanos, giveUpNanos, request);
     }
 
     private ServiceTraffic traffic(String service) {
@@ -152,8 +143,7 @@
     /**
      * Sends queued requests of a service while there is free capacity. No other request is held up
      * by a resend that finds no server other than those it was sent to, or by a request that must
-     * not be sent yet, or that is late and must leave its place. Nothing is sent before this entry
-     * has heard what the others know.
+     * not be sent yet. Nothing is sent before this entry has heard what the others know.
      */
     private void sendQueued(String name, long nowNanos) {
         if (catchUp.isBehind(nowNanos)) {
@@ -164,7 +154,7 @@
         while (next.isPresent()) {
             QueuedRequest<ForwardedRequest> current = next.get();
             boolean mayBePassed =
-                    current.late()
+                    awaitsServers(service, current, nowNanos)
                             || current.request().sends() > 0
                             || crashGuard.awaitsPermit(current.request(), nowNanos);
             if (!trySend(name, service, current, nowNanos) && !mayBePassed) {
@@ -174,6 +164,13 @@
         }
     }
 
+    /** Returns whether a request with its last chance waits for servers that run requests again. */
+    private static boolean awaitsServers(
+            ServiceTraffic service, QueuedRequest<ForwardedRequest> queued, long nowNanos) {
+        boolean returned = queued.retried() && queued.request().sends() == 0;
+        return returned && service.progress().shouldLastChanceWait(nowNanos);
+    }
+
     private boolean trySend(
             String name,
             ServiceTraffic service,
@@ -184,11 +181,12 @@
         if (refuseIfBlocked(request, nowNanos)) {
             return true;
         }
-        if (crashGuard.awaitsPermit(request, nowNanos)) {
+        if (crashGuard.awaitsPermit(request, nowNanos)
+                || awaitsServers(service, queued, nowNanos)) {
             return false;
         }
         boolean resend = request.sends() > 0;
-        if (!resend && !service.admits(current, queued.late(), nowNanos)) {
+        if (!resend && !service.admits(current)) {
             return false;
         }
         Optional<ServerInstance> server = servers.choose(current, name, request, nowNanos);
@@ -221,7 +219,7 @@
         releaseServer(request, server, nowNanos);
         if (!refuseIfBlocked(request, nowNanos)) {
             long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
-            requeue(request, request.context().priority(), waitMs, nowNanos);
+            enqueue(request, request.context().priority(), true, waitMs, nowNanos);
         }
         sendQueued(request.context().service(), nowNanos);
     }
@@ -258,7 +256,7 @@
         log.sendFailed(request, server, outcome, cause, resend ? "RESEND" : decision.name());
         if (resend) {
             long waitMs = Math.min(RESEND_QUEUE_TIMEOUT_MS, timeLeftMs);
-            requeue(request, RESEND_PRIORITY, waitMs, nowNanos);
+            enqueue(request, RESEND_PRIORITY, true, waitMs, nowNanos);
         } else if (outcome == SendOutcome.RUN_AND_FAILED && !request.headForwarded()) {
             request.forwardServerError();
         } else {
@@ -288,7 +286,7 @@
         ServiceTraffic service = traffic(request.context().service());
         long retryAfterMs =
                 QueueTimeouts.retryAfterMs(
-                        Math.max(service.expectedWaitMs(), limitedWaitMs(request, nowNanos)),
+                        expectedWaitMs(request, nowNanos),
                         service.progress().isStalled(nowNanos),
                         request.timeLeftMs(nowNanos),
                         random);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -61,39 +61,20 @@
         return progress;
     }
 
-    /** Estimates the queue time of a request that is queued now and already late. */
+    /** Estimates the queue time of a request that is queued now. */
     double expectedWaitMs() {
         return meanCompletionIntervalMs * queue.size();
     }
 
-    /** Estimates the queue time of a request that is queued now and can be on time. */
-    double expectedOnTimeWaitMs() {
-        return meanCompletionIntervalMs * queue.onTimeSize();
-    }
-
     /** Records the time between two events of a stream. */
     void onGap(ServingView view, double gapMs, double objectiveMs) {
         concurrencyLimit(view).ifPresent(known -> known.onGap(gapMs, objectiveMs, inFlight));
     }
 
-    /**
-     * Returns whether a request may be sent now: the streams in flight leave room for one more, and
-     * a late request does not meet servers that refuse.
-     *
-     * @param late whether the request can no longer be answered on time
-     */
-    boolean admits(ServingView view, boolean late, long nowNanos) {
-        if (late && progress.shouldLastChanceWait(nowNanos)) {
-            return false;
-        }
-        Optional<AdaptiveConcurrencyLimit> known = concurrencyLimit(view);
-        if (known.isEmpty()) {
-            return true;
-        }
+    /** Returns whether the streams in flight leave room for one more. */
+    boolean admits(ServingView view) {
         double equalShare = (double) totalSlots(view.serversOf(name)) / view.liveEntries();
-        return late
-                ? known.get().admitsLate(inFlight, equalShare)
-                : known.get().admits(inFlight, equalShare);
+        return concurrencyLimit(view).map(known -> known.admits(inFlight, equalShare)).orElse(true);
     }
 
     /** Returns the adaptive limit, created with the first known step time. */
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimitTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/AdaptiveConcurrencyLimitTest.java
@@ -31,22 +31,6 @@
         assertThat(limit.admits(7, 32)).isTrue();
     }
 
-    @Test
-    void admitsLateStreamsOnlyWhileStepsAreShort() {
-        AdaptiveConcurrencyLimit limit = new AdaptiveConcurrencyLimit(EMPTY_STEP_MS);
-        assertThat(limit.admitsLate(8, 32)).isFalse();
-        for (int i = 0; i < 200; i++) {
-            limit.onGap(60, OBJECTIVE_MS, 20);
-        }
-        assertThat(limit.admits(20, 32)).isTrue();
-        assertThat(limit.admitsLate(20, 32)).isFalse();
-        assertThat(limit.admitsLate(7, 32)).isTrue();
-        for (int i = 0; i < 200; i++) {
-            limit.onGap(30, OBJECTIVE_MS, 20);
-        }
-        assertThat(limit.admitsLate(20, 32)).isTrue();
-    }
-
     @Test
     void ignoresStreamsWithoutAGapObjective() {
         AdaptiveConcurrencyLimit limit = new AdaptiveConcurrencyLimit(EMPTY_STEP_MS);
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/WaitingRequestsTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/WaitingRequestsTest.java
@@ -31,44 +31,32 @@
 
     @Test
     void ordersByPriorityThenRetriedThenArrival() {
-        waiting.add(1, false, LATE_AT, EXPIRY, "new", 0);
-        waiting.add(1, true, LATE_AT, EXPIRY, "retried", 0);
-        waiting.add(1, false, LATE_AT, EXPIRY, "newer", 0);
-        waiting.add(0, false, LATE_AT, EXPIRY, "urgent", 0);
+        waiting.add(1, false, LATE_AT, EXPIRY, "new");
+        waiting.add(1, true, LATE_AT, EXPIRY, "retried");
+        waiting.add(1, false, LATE_AT, EXPIRY, "newer");
+        waiting.add(0, false, LATE_AT, EXPIRY, "urgent");
         assertThat(drain()).containsExactly("urgent", "retried", "new", "newer").inOrder();
     }
 
     @Test
     void movesLateRequestsBehindOthers() {
-        waiting.add(1, false, LATE_AT, EXPIRY, "old", 0);
-        waiting.add(1, false, 5 * LATE_AT, EXPIRY, "young", 0);
+        waiting.add(1, false, LATE_AT, EXPIRY, "old");
+        waiting.add(1, false, 5 * LATE_AT, EXPIRY, "young");
         waiting.demoteLate(LATE_AT);
         assertThat(drain()).containsExactly("young", "old").inOrder();
     }
 
-    /** A caller that was refused is late when it returns; others can still be on time. */
-    @Test
-    void servesRequestsThatAreLateOnArrivalAfterOthers() {
-        waiting.add(1, true, 0, EXPIRY, "returned", 0);
-        waiting.add(1, false, LATE_AT, EXPIRY, "new", 0);
-        assertThat(waiting.onTimeSize()).isEqualTo(1);
-        waiting.demoteLate(LATE_AT);
-        assertThat(waiting.onTimeSize()).isEqualTo(0);
-        assertThat(drain()).containsExactly("returned", "new").inOrder();
-        assertThat(waiting.onTimeSize()).isEqualTo(0);
-    }
-
     @Test
     void removesExpiredRequests() {
-        waiting.add(1, false, LATE_AT, EXPIRY, "old", 0);
-        waiting.add(1, false, LATE_AT, 2 * EXPIRY, "young", 0);
+        waiting.add(1, false, LATE_AT, EXPIRY, "old");
+        waiting.add(1, false, LATE_AT, 2 * EXPIRY, "young");
         assertThat(waiting.removeExpired(EXPIRY)).hasSize(1);
         assertThat(drain()).containsExactly("young");
     }
 
     @Test
     void removesADemotedRequest() {
-        waiting.add(1, false, LATE_AT, EXPIRY, "old", 0);
+        waiting.add(1, false, LATE_AT, EXPIRY, "old");
         waiting.demoteLate(LATE_AT);
         assertThat(waiting.remove("old")).isTrue();
         assertThat(waiting.remove("old")).isFalse();
