Leave a caller its answer at a planned stop

Cause: a connection without an open request counted as idle also while its caller had not yet taken all of the last answer. A planned stop, and the end of the idle time, then closed it and cut the answer off; and the process ended as soon as no request was open.

Change: such a connection counts as open until its caller has taken the answer, 30 s at most.

Check: CallerConnectionTest; both tests fail on the code before.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.serving;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -20,6 +21,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Serves one connection of a caller, one request at a time and in order. Pipelined requests wait. A
@@ -29,6 +31,9 @@
 
     private static final int MAX_PIPELINED = 16;
 
+    /** The time in which a caller must take an answer that is complete. */
+    private static final long MAX_TAKE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private final Gateway gateway;
     private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -36,6 +41,7 @@
     private boolean busy;
     private boolean keepAlive;
     private boolean streaming;
+    private int unsentAnswers;
     private long idleSinceNanos;
 
     CallerConnection(Gateway gateway) {
@@ -133,15 +139,21 @@
         }
         current = null;
         busy = false;
-        idleSinceNanos = System.nanoTime();
+        unsentAnswers++;
+        ChannelFuture sent = context.writeAndFlush(last);
+        sent.addListener(future -> onAnswerSent());
         if (!keepAlive) {
-            context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+            sent.addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        context.writeAndFlush(last);
         serveNext();
     }
 
+    private void onAnswerSent() {
+        unsentAnswers--;
+        idleSinceNanos = System.nanoTime();
+    }
+
     private void setConnectionHeader(HttpResponse response) {
         if (gateway.isStopping()) {
             keepAlive = false;
@@ -156,10 +168,19 @@
         return context.channel().isWritable();
     }
 
-    /** Closes the connection if it has had no request for at least the given time. */
+    /** Returns whether a complete answer waits for the caller to take it. */
+    boolean hasUnsentAnswer() {
+        return unsentAnswers > 0 && context.channel().isOpen();
+    }
+
+    /**
+     * Closes the connection if it has had no request for at least the given time. A caller that is
+     * slow to take its answer gets longer, though not for ever.
+     */
     void closeIfIdle(long nowNanos, long limitNanos) {
-        boolean idle = !busy && pipelined.isEmpty() && nowNanos - idleSinceNanos >= limitNanos;
-        if (idle) {
+        boolean inUse = busy || !pipelined.isEmpty();
+        long takeNanos = hasUnsentAnswer() ? MAX_TAKE_NANOS : 0;
+        if (!inUse && nowNanos - idleSinceNanos >= Math.max(limitNanos, takeNanos)) {
             context.close();
         }
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -217,13 +217,18 @@
     }
 
     /**
-     * Returns the number of requests without a final answer. Blocks until the event loop, which
-     * owns them, has counted them.
+     * Returns the number of requests without a final answer, or whose caller has not yet taken all
+     * of it. Blocks until the event loop, which owns them, has counted them.
      *
      * @return the number
      */
     public int openRequests() {
-        return loop.submit(dispatcher::openRequests).syncUninterruptibly().getNow();
+        return loop.submit(this::countOpenRequests).syncUninterruptibly().getNow();
+    }
+
+    private int countOpenRequests() {
+        long unsent = connections.stream().filter(CallerConnection::hasUnsentAnswer).count();
+        return dispatcher.openRequests() + (int) unsent;
     }
 
     boolean isStopping() {
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
@@ -0,0 +1,126 @@
+package io.pollenpath.transport.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.pollenpath.transport.NettyLoops;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class CallerConnectionTest {
+
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final NettyLoops loops = new NettyLoops(1);
+    private final Gateway gateway =
+            new Gateway(
+                    loops.group().next(),
+                    new GatewaySettings("entry-1", "zone-a", 0, 0, 0, 1, 1),
+                    new EmptyDialect(),
+                    new MetricRegistry(),
+                    new Random(1));
+    private final SlowCaller caller = new SlowCaller();
+    private final CallerConnection connection = new CallerConnection(gateway);
+    private final EmbeddedChannel channel = new EmbeddedChannel(caller, connection);
+
+    /** A caller that takes nothing of its answers before it is told to. */
+    private static final class SlowCaller extends ChannelDuplexHandler {
+        private final List<ChannelPromise> waiting = new ArrayList<>();
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            waiting.add(promise);
+        }
+
+        private void takeAll() {
+            waiting.forEach(ChannelPromise::setSuccess);
+            waiting.clear();
+        }
+    }
+
+    /** A dialect without any header. */
+    private static final class EmptyDialect implements WireDialect {
+
+        @Override
+        public CallerHeaders readCallerHeaders(HttpHeaders headers) {
+            return new CallerHeaders(
+                    "r", Optional.empty(), OptionalLong.empty(), OptionalLong.empty(), List.of());
+        }
+
+        @Override
+        public void setForwardHeaders(HttpHeaders headers, ForwardHeaders values) {}
+
+        @Override
+        public ReplyKind classify(int status, HttpHeaders headers) {
+            return ReplyKind.ANSWER;
+        }
+
+        @Override
+        public OptionalDouble serverLimitPerSecond(HttpHeaders headers) {
+            return OptionalDouble.empty();
+        }
+
+        @Override
+        public boolean isLeaving(HttpHeaders headers) {
+            return false;
+        }
+
+        @Override
+        public OptionalLong pauseMs(int status, HttpHeaders headers) {
+            return OptionalLong.empty();
+        }
+
+        @Override
+        public boolean belongsTo(HttpHeaders headers, String requestId) {
+            return true;
+        }
+    }
+
+    @AfterEach
+    void close() {
+        channel.close();
+        loops.close();
+    }
+
+    private void answerOneRequest() {
+        channel.writeInbound(
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/"));
+    }
+
+    @Test
+    void aPlannedStopLeavesACallerItsAnswer() {
+        answerOneRequest();
+        long nowNanos = System.nanoTime();
+        connection.closeIfIdle(nowNanos, 0);
+        assertThat(channel.isOpen()).isTrue();
+        assertThat(gateway.openRequests()).isEqualTo(1);
+        caller.takeAll();
+        assertThat(gateway.openRequests()).isEqualTo(0);
+        connection.closeIfIdle(System.nanoTime(), 0);
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    @Test
+    void aCallerThatNeverTakesItsAnswerIsClosed() {
+        answerOneRequest();
+        connection.closeIfIdle(System.nanoTime() + 20 * SECOND, SECOND);
+        assertThat(channel.isOpen()).isTrue();
+        connection.closeIfIdle(System.nanoTime() + 40 * SECOND, SECOND);
+        assertThat(channel.isOpen()).isFalse();
+    }
+}
