--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessage.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryMessage.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 /**
- * A message from one entry to another.
+ * A message to an entry, from another one or from the agent beside a server.
  *
  * @param knowledge what the sender knows, not null
  * @param claim the trial that the receiver is asked to agree to; empty in replies, not null
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryServer.java
@@ -7,7 +7,7 @@
 import io.pollenpath.transport.NettyLoops;
 import java.util.Map;
 
-/** Receives the calls of other entries. */
+/** Receives the calls of other entries, and of the agents beside servers. */
 public final class EntryServer implements AutoCloseable {
 
     /** Path of the exchange of what entries know. */
