Count a rank as armed only when its own status shows it

Cause: an engine may send a second copy of an answer late, where the answer to the next command is expected. The engines' API for commands names no request in its answers, so a lost arm command then seemed accepted, the step was released, and one rank began it with the old map.

Change: the answer alone no longer counts; the status that comes with it, or the next one, does.

--- a/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/group/MapCommit.java
@@ -155,7 +155,8 @@
     }
 
     /**
-     * Handles the result of a command.
+     * Handles the result of a command. An accepted arm command counts only once the status of the
+     * rank shows it: the answer may be a late copy of that to an earlier command.
      *
      * @param rank the rank
      * @param command the command, not null
@@ -169,9 +170,6 @@
         if (command instanceof EngineCommand.Prepare) {
             prepareAcceptedNanos.put(rank, nowNanos);
         }
-        if (command instanceof EngineCommand.Arm arm && arm.step() == step) {
-            armed.add(rank);
-        }
         if (command instanceof EngineCommand.Release release && release.step() == step) {
             phase = phase == Phase.RELEASING ? Phase.DONE : phase;
         }
--- a/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/group/LeaderStateScheduleTest.java
@@ -104,6 +104,19 @@
             }
         }
 
+        /** Polls until the leader sends an arm command, and returns it unsent. */
+        AddressedCommand nextArm(Leader leader) {
+            while (true) {
+                pollAll(leader);
+                for (AddressedCommand command : leader.state.nextCommands(nowNanos)) {
+                    if (command.command() instanceof EngineCommand.Arm) {
+                        return command;
+                    }
+                    deliver(leader, command);
+                }
+            }
+        }
+
         /** Lets the engines execute the next commands of a leader that does not hear of it. */
         void executeUnheard(Leader leader) {
             for (AddressedCommand command : leader.state.nextCommands(nowNanos)) {
@@ -326,6 +339,20 @@
         assertWithMessage("seed " + seed).that(simulation.mixedMaps).isFalse();
     }
 
+    /** The answer to an earlier command comes twice, so that a lost arm command seems accepted. */
+    @Property(tries = 50)
+    void noStepMixesMapsWhenTheAnswerToALostArmSeemsToBeAcceptance(@ForAll long seed) {
+        SimulatedGroup group = new SimulatedGroup(RANKS, true, FIRST);
+        Simulation simulation = new Simulation(seed, false, group);
+        Leader leader = new Leader(10, new Random(seed).nextInt(RANKS));
+        simulation.runUntilHeld(leader, 0);
+        AddressedCommand lost = simulation.nextArm(leader);
+        leader.state.onOutcome(lost, CommandResult.ACCEPTED, simulation.nowNanos);
+        simulation.runWithoutFaults();
+        assertWithMessage("seed " + seed).that(simulation.mixedMaps).isFalse();
+        assertWithMessage("seed " + seed).that(group.mapSwitches()).isGreaterThan(0);
+    }
+
     @Property(tries = 50)
     void mapsChangeWithoutFaults(@ForAll long seed) {
         Simulation simulation = new Simulation(seed, false, true);
