--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -9,6 +9,7 @@
 import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.coordination.serving.ServerSlowdowns;
+import io.pollenpath.coordination.serving.SlowdownReport;
 import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.HttpLimits;
@@ -113,6 +114,18 @@
         assertThat(calls.get()).isEqualTo(2);
     }
 
+    @Test
+    void hearsOfASlowServerAndKeepsItToItself() throws Exception {
+        guard.setOnLearned(peers::onLearned);
+        setAddressesOften();
+        int before = calls.get();
+        byte[] message = EntryMessages.encode(new SlowdownReport("10.1.0.4:8000", 12));
+        assertThat(loop.submit(() -> peers.receive(message)).get()).isPresent();
+        assertThat(slowdowns.factor("10.1.0.4:8000", System.nanoTime())).isEqualTo(12);
+        Thread.sleep(SETTLE_MS / 3);
+        assertThat(calls.get()).isEqualTo(before);
+    }
+
     @Test
     void callsAnEntryThatFailsRarelyThoughTheViewChangesOften() throws Exception {
         status = 500;
