Give each fleet of a test ports that are free

EntryFleet looked for one free port and used it and the two after it, at each entry's address; another run held one of those.

Change: all ports of all entries are tried before they are given out.

--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -10,6 +10,7 @@
 import io.pollenpath.transport.NettyLoops;
 import io.pollenpath.util.Pause;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -31,6 +32,11 @@
     static final String SERVICE = "drafts";
 
     private static final int PAGE_SIZE = 100;
+
+    /** An entry listens for callers, for its operators and for other entries. */
+    private static final int PORTS_PER_ENTRY = 3;
+
+    private static final int MAX_PORT_ATTEMPTS = 20;
     private static final int ANSWER_TIMEOUT_MS = 5_000;
     private static final long READY_TIMEOUT_MS = 5_000;
     private static final DeploymentBounds BOUNDS =
@@ -88,9 +94,9 @@
 
     private void startEntries(int entryCount, ObjectNode manifest) throws IOException {
         store.put(StoreKinds.CONFIG, StoreKinds.NEWEST_CONFIG, manifest);
-        int port = freePort();
+        int port = freePort(entryCount);
         for (int i = 0; i < entryCount; i++) {
-            settings.add(settings(i, "127.0.1." + (i + 1), port));
+            settings.add(settings(i, ipOf(i), port));
         }
         for (PlatformSettings entry : settings) {
             entries.add(new PlatformEntry(Path.of("unused.yaml"), entry));
@@ -114,12 +120,48 @@
                 BOUNDS);
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.1.1"))) {
+    private static String ipOf(int entry) {
+        return "127.0.1." + (entry + 1);
+    }
+
+    /**
+     * Returns the first of the ports that an entry listens on, all free at each entry's address.
+     */
+    private static int freePort(int entryCount) throws IOException {
+        for (int attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+            int port = anyFreePort();
+            if (areFree(port, entryCount)) {
+                return port;
+            }
+        }
+        throw new IOException("no free ports after " + MAX_PORT_ATTEMPTS + " attempts");
+    }
+
+    private static int anyFreePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ipOf(0)))) {
             return socket.getLocalPort();
         }
     }
 
+    private static boolean areFree(int firstPort, int entryCount) throws IOException {
+        for (int entry = 0; entry < entryCount; entry++) {
+            for (int offset = 0; offset < PORTS_PER_ENTRY; offset++) {
+                if (!isFree(ipOf(entry), firstPort + offset)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private static boolean isFree(String ip, int port) throws IOException {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
+            return socket.isBound();
+        } catch (BindException e) {
+            return false;
+        }
+    }
+
     private void awaitReady() {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
         for (int i = 0; i < settings.size(); i++) {
