--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformEngineStandin.java
@@ -207,26 +207,6 @@
             case OTHER_SERVER -> write(socket, responseHeadWithLength(421, requestId, "", 0));
             case FAILS -> writeFailure(socket, requestId);
             case UNCLEAR_REFUSAL -> write(socket, responseHeadWithLength(503, requestId, "", 0));
-            case GARBAGE -> {
-                write(socket, "\u0016nonsense\r\n\r\n");
-                return false;
-            }
-            case ANSWER_LOST -> {
-                return false;
-            }
-            case CRASHES -> {
-                crash();
-                return false;
-            }
-            case STALLS_IN_EVENT -> {
-                writePartWithoutLength(socket, request);
-                EventStreams.writeStalledEvent(socket.getOutputStream());
-                return false;
-            }
-            case SILENT -> {
-                awaitDisconnect(socket);
-                return false;
-            }
             case FOREIGN_ANSWER_FIRST -> {
                 write(
                         socket,
@@ -239,27 +219,39 @@
                         socket,
                         responseHeadWithLength(200, requestId, SIGNATURE_HEADER, 5) + "extra");
             }
-            case CUT_SHORT -> {
-                writeTruncatedAnswer(socket, request);
+            case NONE -> writeWholeAnswer(socket, request);
+            default -> {
+                endConnection(socket, request, fault);
                 return false;
             }
-            case NO_LENGTH -> {
-                writeWholeWithoutLength(socket, request);
-                return false;
+        }
+        return true;
+    }
+
+    /** Answers a request with a fault after which the connection serves no other one. */
+    private void endConnection(Socket socket, ReceivedRequest request, EngineFault fault)
+            throws IOException {
+        switch (fault) {
+            case ANSWER_LOST -> {}
+            case GARBAGE -> write(socket, "\u0016nonsense\r\n\r\n");
+            case CRASHES -> crash();
+            case STALLS_IN_EVENT -> {
+                writePartWithoutLength(socket, request);
+                EventStreams.writeStalledEvent(socket.getOutputStream());
             }
+            case SILENT -> awaitDisconnect(socket);
+            case CUT_SHORT -> writeTruncatedAnswer(socket, request);
+            case NO_LENGTH -> writeWholeWithoutLength(socket, request);
             case ENDS_IN_ANSWER -> {
                 writePartWithoutLength(socket, request);
                 close();
-                return false;
             }
             case ENDS_IN_ANSWER_LISTENING -> {
                 writePartWithoutLength(socket, request);
                 endListening(socket);
-                return false;
             }
-            case NONE -> writeWholeAnswer(socket, request);
+            default -> throw new IllegalStateException(fault + " leaves the connection open");
         }
-        return true;
     }
 
     private String answerBody(ReceivedRequest request) {
