--- a/review/1/LostAnswerCase.java
+++ b/review/2/LostAnswerCase.java
@@ -58,7 +58,7 @@
     /** Runs the case. */
     public static void main(String[] arguments) {
         CaseMain.run(
-                "review/1", (record, trouble) -> new LostAnswerCase(record, trouble).isBroken());
+                "review/2", (record, trouble) -> new LostAnswerCase(record, trouble).isBroken());
     }
 
     private boolean isBroken() throws IOException {
