--- a/review/1/LateDisarmCase.java
+++ b/review/1/LateDisarmCase.java
@@ -84,7 +84,8 @@
                 Deployment.await("the next leader acts", 20_000, changeUndone::get);
             }
             sendBatch();
-            return group.hasMixedMaps();
+            record.add("passes with mixed maps: " + group.mixedPasses() + " of " + group.passes());
+            return group.mixedPasses() > 0;
         }
     }
 
--- a/review/2/LostAnswerCase.java
+++ b/review/2/LostAnswerCase.java
@@ -72,7 +72,8 @@
             deployment.awaitReady(entry);
             sendAll(new Caller(entry, record));
         }
-        return isAnyRunTwice() || refused;
+        recordRunsBeyondTheFirst();
+        return refused;
     }
 
     private static ObjectNode manifest() {
@@ -105,14 +106,14 @@
         return broken;
     }
 
-    private boolean isAnyRunTwice() {
+    /** An entry that is older than its retry window sends such a request once more instead. */
+    private void recordRunsBeyondTheFirst() {
         runs.forEach(
                 (id, count) -> {
                     if (count.get() > 1) {
                         record.add("TWICE: " + id + " ran " + count + " times");
                     }
                 });
-        return runs.values().stream().anyMatch(count -> count.get() > 1);
     }
 
     private int startEngine(int number) throws IOException {
--- a/review/common/RankGroup.java
+++ b/review/common/RankGroup.java
@@ -48,7 +48,7 @@
     private final List<Stream> streams = new ArrayList<>();
     private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(2, this::daemon);
     private long step;
-    private boolean mixedMaps;
+    private long mixedPasses;
 
     /** Decides which orders get no answer and are carried out late. */
     public interface Faults {
@@ -134,9 +134,14 @@
         return ranks.get(rank).port;
     }
 
-    /** Returns whether some pass began while two ranks had different maps. */
-    public synchronized boolean hasMixedMaps() {
-        return mixedMaps;
+    /** Returns how many passes began while two ranks had different maps. */
+    public synchronized long mixedPasses() {
+        return mixedPasses;
+    }
+
+    /** Returns how many passes the group has begun. */
+    public synchronized long passes() {
+        return step;
     }
 
     /** Returns whether the group has no work. */
@@ -183,8 +188,11 @@
 
     private void checkMaps() {
         long first = ranks.get(0).map;
-        if (!mixedMaps && ranks.stream().anyMatch(rank -> rank.map != first)) {
-            mixedMaps = true;
+        if (ranks.stream().allMatch(rank -> rank.map == first)) {
+            return;
+        }
+        mixedPasses++;
+        if (mixedPasses == 1) {
             record.add(
                     "MAP: pass " + step + " begins with the maps "
                             + ranks.stream().map(rank -> rank.map).toList());
