--- a/review/1/LateDisarmCase.java
+++ b/review/1/LateDisarmCase.java
@@ -74,6 +74,7 @@
                         Manifests.server(DRAFTS, group.port(rank), RankGroup.SLOTS));
                 deployment.startSide(rank + 1, "127.0.0.1:" + group.port(rank), DRAFTS);
             }
+            record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
             deployment.awaitReady(entry);
             caller = new Caller(entry, record);
--- a/review/2/LostAnswerCase.java
+++ b/review/2/LostAnswerCase.java
@@ -68,6 +68,7 @@
             for (int i = 0; i < ENGINES; i++) {
                 store.put("servers", "engine-" + i, Manifests.server(SERVICE, startEngine(i), SLOTS));
             }
+            record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
             deployment.awaitReady(entry);
             sendAll(new Caller(entry, record));
--- a/review/4/EndlessEventCase.java
+++ b/review/4/EndlessEventCase.java
@@ -89,6 +89,7 @@
             for (int i = 0; i < ENGINES; i++) {
                 store.put("servers", "draft-" + i, Manifests.server(DRAFTS, startEngine(i), SLOTS));
             }
+            record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
             deployment.awaitReady(entry);
             sendAll(new Caller(entry, record));
--- a/review/5/RaisedLimitCase.java
+++ b/review/5/RaisedLimitCase.java
@@ -56,6 +56,7 @@
             for (int i = 0; i < ENGINES; i++) {
                 store.put("servers", "engine-" + i, Manifests.server(SERVICE, startEngine(i), SLOTS));
             }
+            record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
             deployment.awaitReady(entry);
             return isOtherRequestRun(store, entry);
--- a/review/common/Deployment.java
+++ b/review/common/Deployment.java
@@ -125,7 +125,7 @@
         builder.directory(ROOT.toFile());
         builder.environment().put("POLLENPATH_BOOT", folder.resolve(node + ".yaml").toString());
         builder.redirectErrorStream(true);
-        File log = logFile(node).toFile();
+        File log = folder.resolve(node + ".log").toFile();
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         processes.put(node, builder.start());
     }
@@ -143,9 +143,9 @@
         throw new IOException("the deploy file has no role " + role);
     }
 
-    /** Returns the file that a machine's program logs to. */
-    public Path logFile(String node) {
-        return folder.resolve(node + ".log");
+    /** Returns the folder with the settings and the logs of the programs. */
+    public Path folder() {
+        return folder;
     }
 
     /** Returns the process of a machine. */
