--- a/review/2/LostAnswerCase.java
+++ b/review/2/LostAnswerCase.java
@@ -31,10 +31,16 @@
     private static final String ROUTE = "alert";
     private static final int ENGINES = 3;
     private static final int SLOTS = 6;
-    private static final int REQUESTS = 50;
-    private static final int BODY_BYTES = 4_000_000;
+    private static final int LONG_REQUESTS = 50;
+    private static final int LONG_BODY_BYTES = 4_000_000;
     private static final long TIMEOUT_MS = 3_000;
 
+    /** Short requests come for longer than BudgetWindowS, in which a new entry repeats nothing. */
+    private static final int SHORT_REQUESTS = 240;
+
+    private static final int SHORT_BODY_BYTES = 600;
+    private static final long SHORT_REQUEST_INTERVAL_MS = 50;
+
     /** The window of a link, and what it carries, about 130 Mbit/s. */
     private static final int WINDOW_BYTES = 16_384;
 
@@ -48,7 +54,6 @@
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final AtomicInteger runsOfFirstEngine = new AtomicInteger();
     private final AtomicInteger lostAnswers = new AtomicInteger();
-    private boolean refused;
 
     private LostAnswerCase(CaseRecord record, boolean trouble) {
         this.record = record;
@@ -73,8 +78,7 @@
             deployment.awaitReady(entry);
             sendAll(new Caller(entry, record));
         }
-        recordRunsBeyondTheFirst();
-        return refused;
+        return isAnyRunTwice();
     }
 
     private static ObjectNode manifest() {
@@ -85,36 +89,41 @@
     }
 
     private void sendAll(Caller caller) {
-        byte[] body = new byte[BODY_BYTES];
-        for (int i = 0; i < REQUESTS; i++) {
-            Caller.Answer answer =
-                    caller.call(
-                            "alert-" + i, "/" + ROUTE + "/x", "", body, TIMEOUT_MS, 2 * TIMEOUT_MS);
-            refused |= isRefusedAfterRun(answer);
+        byte[] shortBody = new byte[SHORT_BODY_BYTES];
+        for (int i = 0; i < SHORT_REQUESTS; i++) {
+            send(caller, "short-" + i, shortBody);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SHORT_REQUEST_INTERVAL_MS));
+        }
+        byte[] longBody = new byte[LONG_BODY_BYTES];
+        for (int i = 0; i < LONG_REQUESTS; i++) {
+            send(caller, "long-" + i, longBody);
         }
         if (trouble) {
             Deployment.await("an answer was lost", 1_000, () -> lostAnswers.get() > 0);
         }
     }
 
+    private void send(Caller caller, String id, byte[] body) {
+        recordIfRefusedAfterRun(
+                caller.call(id, "/" + ROUTE + "/x", "", body, TIMEOUT_MS, 2 * TIMEOUT_MS));
+    }
+
     /** A 429 or 503 promises that the request has not run. */
-    private boolean isRefusedAfterRun(Caller.Answer answer) {
+    private void recordIfRefusedAfterRun(Caller.Answer answer) {
         boolean promised = answer.status() == 429 || answer.status() == 503;
-        boolean broken = promised && runs.containsKey(answer.requestId());
-        if (broken) {
+        if (promised && runs.containsKey(answer.requestId())) {
             record.add("REFUSED: " + answer.requestId() + " has run and got " + answer.status());
         }
-        return broken;
     }
 
-    /** An entry that is older than its retry window sends such a request once more instead. */
-    private void recordRunsBeyondTheFirst() {
+    private boolean isAnyRunTwice() {
         runs.forEach(
                 (id, count) -> {
                     if (count.get() > 1) {
                         record.add("TWICE: " + id + " ran " + count + " times");
                     }
                 });
+        return runs.values().stream().anyMatch(count -> count.get() > 1);
     }
 
     private int startEngine(int number) throws IOException {
@@ -159,7 +168,7 @@
                 String id = head.header("request-id");
                 int run = runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
                 record.add("engine-" + number + " runs " + id + " (run " + run + ")");
-                if (number == 0 && loses()) {
+                if (number == 0 && head.length() == LONG_BODY_BYTES && loses()) {
                     loseAnswer(socket, in, id);
                     return;
                 }
--- a/review/3/LateHoldCase.java
+++ b/review/3/LateHoldCase.java
@@ -93,7 +93,9 @@
             caller = new Caller(entry, record);
             Deployment.await("the group has a leader", 20_000, () -> store.spec("leases", "group-0") != null);
             changeMapAtTheEndOfABatch(group);
+            long passesBefore = group.passes();
             sendNextBatch();
+            record.add("passes during the next batch: " + (group.passes() - passesBefore));
         }
         return isStarved();
     }
