--- a/review/common/Deployment.java
+++ b/review/common/Deployment.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -20,10 +21,15 @@
 
     private static final Path ROOT = Path.of("").toAbsolutePath();
     private static final long POLL_MS = 20;
+    private static final long STABLE_WINDOW_MS = 3_000;
+
+    /** Added to the stable window, since a process takes a moment to start. */
+    private static final long MAX_START_MS = 1_000;
 
     private final String storeAddress;
     private final Path folder;
     private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final Map<String, Long> startedNanos = new ConcurrentHashMap<>();
 
     /** The addresses of one entry. */
     public record Entry(String node, String ip, int callerPort, int readyPort) {}
@@ -128,6 +134,7 @@
         File log = folder.resolve(node + ".log").toFile();
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         processes.put(node, builder.start());
+        startedNanos.put(node, System.nanoTime());
     }
 
     private static List<String> deployCommand(String role) throws IOException {
@@ -153,9 +160,23 @@
         return processes.get(node);
     }
 
-    /** Waits until an entry reports that it is ready. */
-    public void awaitReady(Entry entry) {
+    /**
+     * Waits until an entry reports that it is ready and is in touch: it has run for StableWindowMs,
+     * and nothing has disturbed it or the store meanwhile.
+     */
+    public void awaitInTouch(Entry entry, CaseRecord record) {
         await("entry " + entry.node() + " is ready", 30_000, () -> isReady(entry));
+        await(
+                "entry " + entry.node() + " has run for StableWindowMs",
+                STABLE_WINDOW_MS + MAX_START_MS,
+                () -> runningMs(entry.node()) >= STABLE_WINDOW_MS + MAX_START_MS);
+        record.add(
+                entry.node() + " is ready and in touch: it runs for " + runningMs(entry.node())
+                        + " ms, StableWindowMs is " + STABLE_WINDOW_MS);
+    }
+
+    private long runningMs(String node) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos.get(node));
     }
 
     private static boolean isReady(Entry entry) {
