--- a/review/1/LateDisarmCase.java
+++ b/review/1/LateDisarmCase.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import review.common.Caller;
@@ -31,6 +32,8 @@
     private static final int RANKS = 4;
     private static final long DRAFT_TIMEOUT_MS = 8_000;
     private static final int BATCH_REQUESTS = 60;
+    private static final long LATE_MARGIN_MS = 200;
+
     private static final int CALLERS = 64;
 
     /** Orders without an answer are carried out 2 to 12 s later. */
@@ -45,6 +48,7 @@
     private final Map<Integer, Long> armedVersions = new ConcurrentHashMap<>();
     private final ExecutorService callers = Executors.newFixedThreadPool(CALLERS, LateDisarmCase::daemon);
     private Caller caller;
+    private volatile long lateOrderNanos;
 
     private LateDisarmCase(CaseRecord record, boolean trouble) {
         this.record = record;
@@ -53,7 +57,7 @@
 
     /** Runs the case. */
     public static void main(String[] arguments) {
-        CaseMain.run("review/1", (record, trouble) -> new LateDisarmCase(record, trouble).isBroken());
+        CaseMain.run(arguments, (record, trouble) -> new LateDisarmCase(record, trouble).isBroken());
     }
 
     private static Thread daemon(Runnable task) {
@@ -76,7 +80,7 @@
             }
             record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
-            deployment.awaitReady(entry);
+            deployment.awaitInTouch(entry, record);
             caller = new Caller(entry, record);
             Deployment.await("the group has a leader", 20_000, () -> leader(store) != null);
             changeMapAtTheEndOfABatch(group);
@@ -85,6 +89,9 @@
                 Deployment.await("the next leader acts", 20_000, changeUndone::get);
             }
             sendBatch();
+            if (trouble) {
+                Deployment.await("the late order is carried out", 2 * LATE_MS, this::isLateOrderDue);
+            }
             record.add("passes with mixed maps: " + group.mixedPasses() + " of " + group.passes());
             return group.mixedPasses() > 0;
         }
@@ -117,7 +124,16 @@
             return 0;
         }
         changeUndone.set(true);
-        return disarms.incrementAndGet() == 1 ? LATE_MS : 0;
+        if (disarms.incrementAndGet() > 1) {
+            return 0;
+        }
+        lateOrderNanos = System.nanoTime();
+        return LATE_MS;
+    }
+
+    private boolean isLateOrderDue() {
+        long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lateOrderNanos);
+        return sinceMs > LATE_MS + LATE_MARGIN_MS;
     }
 
     /** The batch ends when the change of the map has begun; the group is idle from then on. */
@@ -144,6 +160,7 @@
         record.add(leader + " has ended with " + process.exitValue());
         leaderStopped.set(true);
         deployment.restart("side", leader);
+        record.add(leader + " is started again");
     }
 
     private void sendBatch() throws Exception {
