--- a/review/2/LostAnswerCase.java
+++ b/review/2/LostAnswerCase.java
@@ -62,8 +62,7 @@
 
     /** Runs the case. */
     public static void main(String[] arguments) {
-        CaseMain.run(
-                "review/2", (record, trouble) -> new LostAnswerCase(record, trouble).isBroken());
+        CaseMain.run(arguments, (record, trouble) -> new LostAnswerCase(record, trouble).isBroken());
     }
 
     private boolean isBroken() throws IOException {
@@ -75,7 +74,7 @@
             }
             record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
-            deployment.awaitReady(entry);
+            deployment.awaitInTouch(entry, record);
             sendAll(new Caller(entry, record));
         }
         return isAnyRunTwice();
