--- a/review/3/LateHoldCase.java
+++ b/review/3/LateHoldCase.java
@@ -64,7 +64,7 @@
 
     /** Runs the case. */
     public static void main(String[] arguments) {
-        CaseMain.run("review/3", (record, trouble) -> new LateHoldCase(record, trouble).isBroken());
+        CaseMain.run(arguments, (record, trouble) -> new LateHoldCase(record, trouble).isBroken());
     }
 
     private static Thread daemon(Runnable task) {
@@ -89,7 +89,7 @@
             }
             record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
-            deployment.awaitReady(entry);
+            deployment.awaitInTouch(entry, record);
             caller = new Caller(entry, record);
             Deployment.await("the group has a leader", 20_000, () -> store.spec("leases", "group-0") != null);
             changeMapAtTheEndOfABatch(group);
