--- a/review/5/RaisedLimitCase.java
+++ b/review/5/RaisedLimitCase.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import review.common.Caller;
 import review.common.CaseMain;
 import review.common.CaseRecord;
@@ -33,6 +34,7 @@
     private static final int LONG_HEADER_BYTES = 10_000;
     private static final int BODY_BYTES = 600;
     private static final long TIMEOUT_MS = 1_000;
+    private static final long CONFIG_APPLY_MS = 2_000;
 
     private final CaseRecord record;
     private final boolean trouble;
@@ -45,8 +47,7 @@
 
     /** Runs the case. */
     public static void main(String[] arguments) {
-        CaseMain.run(
-                "review/5", (record, trouble) -> new RaisedLimitCase(record, trouble).isBroken());
+        CaseMain.run(arguments, (record, trouble) -> new RaisedLimitCase(record, trouble).isBroken());
     }
 
     private boolean isBroken() throws IOException {
@@ -58,7 +59,7 @@
             }
             record.add("settings and logs: " + deployment.folder());
             Deployment.Entry entry = deployment.startEntry(1);
-            deployment.awaitReady(entry);
+            deployment.awaitInTouch(entry, record);
             return isOtherRequestRun(store, entry);
         }
     }
@@ -98,6 +99,12 @@
         store.put("config", "main", raised);
         record.add("the store has acknowledged version 8, MaxHeaderBytes " + RAISED_LIMIT_BYTES);
         Caller prober = new Caller(entry, record);
+        long ackedNanos = System.nanoTime();
+        Deployment.await(
+                "ConfigApplyMs has passed",
+                2 * CONFIG_APPLY_MS,
+                () -> System.nanoTime() - ackedNanos > TimeUnit.MILLISECONDS.toNanos(CONFIG_APPLY_MS));
+        record.add("ConfigApplyMs (" + CONFIG_APPLY_MS + ") has passed since the acknowledgement");
         Deployment.await(
                 "version 8 is in force",
                 10_000,
