--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
@@ -0,0 +1,79 @@
+package io.pollenpath.transport.serving;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Collects the bytes of a body in blocks. A block is never copied into a larger one, and holds the
+ * bytes of many small pieces.
+ */
+final class BodyBuffer {
+
+    private static final int FIRST_BLOCK_BYTES = 1_024;
+    private static final int MAX_BLOCK_BYTES = 65_536;
+
+    private final List<byte[]> blocks = new ArrayList<>();
+    private byte[] last = new byte[0];
+    private int lastLength;
+    private int length;
+    private long allocatedBytes;
+
+    /** Appends all readable bytes of a piece. */
+    void append(ByteBuf piece) {
+        while (piece.isReadable()) {
+            int count = makeRoom(piece.readableBytes());
+            piece.readBytes(last, lastLength, count);
+            onAdded(count);
+        }
+    }
+
+    /** Appends bytes. */
+    void append(byte[] piece) {
+        int start = 0;
+        while (start < piece.length) {
+            int count = makeRoom(piece.length - start);
+            System.arraycopy(piece, start, last, lastLength, count);
+            onAdded(count);
+            start += count;
+        }
+    }
+
+    private int makeRoom(int wanted) {
+        if (lastLength == last.length) {
+            int doubled = Math.max(FIRST_BLOCK_BYTES, 2 * last.length);
+            last = new byte[Math.min(MAX_BLOCK_BYTES, doubled)];
+            blocks.add(last);
+            lastLength = 0;
+            allocatedBytes += last.length;
+        }
+        return Math.min(wanted, last.length - lastLength);
+    }
+
+    private void onAdded(int count) {
+        lastLength += count;
+        length += count;
+    }
+
+    /** Returns the number of bytes that were appended. */
+    int length() {
+        return length;
+    }
+
+    /** Returns the bytes of all blocks, whether used or not. */
+    long allocatedBytes() {
+        return allocatedBytes;
+    }
+
+    /** Returns all appended bytes as one new array. */
+    byte[] toByteArray() {
+        byte[] all = new byte[length];
+        int end = 0;
+        for (byte[] block : blocks) {
+            int count = Math.min(block.length, length - end);
+            System.arraycopy(block, 0, all, end, count);
+            end += count;
+        }
+        return all;
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -35,12 +34,13 @@
     private static final long MAX_TAKE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private final Gateway gateway;
-    private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
+    private final Queue<CallerRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private ForwardedRequest current;
     private boolean busy;
     private boolean keepAlive;
     private boolean streaming;
+    private boolean bodyAwaited;
     private int unsentAnswers;
     private long idleSinceNanos;
 
@@ -62,35 +62,54 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (!(message instanceof FullHttpRequest request)) {
+        if (!(message instanceof CallerRequest request)) {
             ReferenceCountUtil.release(message);
             return;
         }
         if (pipelined.size() >= MAX_PIPELINED) {
-            request.release();
             ctx.close();
             return;
         }
+        bodyAwaited = false;
         pipelined.add(request);
         serveNext();
     }
 
     private void serveNext() {
-        FullHttpRequest request = busy ? null : pipelined.poll();
+        if (busy) {
+            return;
+        }
+        CallerRequest request = pipelined.poll();
         if (request == null) {
+            allowAwaitedBody();
             return;
         }
         busy = true;
-        keepAlive = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
+        keepAlive = request.isKeepAlive();
         streaming = false;
-        try {
-            ForwardedRequest accepted = gateway.accept(request, this);
-            // If the request was answered at once, the next one may already have started.
-            if (accepted != null && !accepted.isDone()) {
-                current = accepted;
-            }
-        } finally {
-            request.release();
+        ForwardedRequest accepted = gateway.accept(request, this);
+        // If the request was answered at once, the next one may already have started.
+        if (accepted != null && !accepted.isDone()) {
+            current = accepted;
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == CallerRequestReader.Event.BODY_AWAITED) {
+            bodyAwaited = true;
+            serveNext();
+            return;
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
+    /** Lets the caller send the body that it holds back, once all answers before it are written. */
+    private void allowAwaitedBody() {
+        if (bodyAwaited) {
+            bodyAwaited = false;
+            context.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
@@ -201,9 +220,7 @@
         if (abandoned != null) {
             abandoned.onCallerDisconnected();
         }
-        while (!pipelined.isEmpty()) {
-            pipelined.poll().release();
-        }
+        pipelined.clear();
         ctx.fireChannelInactive();
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerRequestCheck.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerRequestCheck.java
@@ -1,13 +1,15 @@
 package io.pollenpath.transport.serving;
 
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.CallerLimits;
 import java.util.Map;
 import java.util.Optional;
 
-/** Checks whether a caller's request was read in full and is within the limits. */
+/** Checks whether a caller's request could be decoded and is within the limits. */
 final class CallerRequestCheck {
 
     private static final int FIELD_SEPARATOR_BYTES = 2;
@@ -15,31 +17,55 @@
     private CallerRequestCheck() {}
 
     /**
-     * Returns why a request must not be forwarded. The codec hands on the part that it has read of
-     * a request that it can't decode, as if that were all of it.
+     * Returns why a request must not be forwarded, as far as its head tells.
      *
-     * @param request the request, not null
+     * @param head the decoded head, not null
      * @param limits the limits that are in force, not null
-     * @return the problem; empty if the request is whole and within the limits
+     * @return the problem; empty if there is none
      */
-    static Optional<Problem> problem(FullHttpRequest request, CallerLimits limits) {
-        Throwable failure = request.decoderResult().cause();
-        if (failure instanceof TooLongHttpHeaderException || isHeadTooLarge(request, limits)) {
+    static Optional<Problem> problemOfHead(HttpRequest head, CallerLimits limits) {
+        if (headBytes(head.headers()) > limits.maxHeaderBytes()) {
             return Optional.of(GatewayProblems.headTooLarge(limits.maxHeaderBytes()));
         }
-        if (failure != null) {
-            return Optional.of(GatewayProblems.malformed(failure));
-        }
-        return request.content().readableBytes() > limits.maxBodyBytes()
+        return problemOfBody(declaredBytes(head), limits);
+    }
+
+    /**
+     * Returns why a request must not be forwarded with a body of a given length.
+     *
+     * @param bytes the length of the body so far, in bytes
+     * @param limits the limits that are in force, not null
+     * @return the problem; empty if there is none
+     */
+    static Optional<Problem> problemOfBody(long bytes, CallerLimits limits) {
+        return bytes > limits.maxBodyBytes()
                 ? Optional.of(GatewayProblems.bodyTooLarge(limits.maxBodyBytes()))
                 : Optional.empty();
     }
 
-    private static boolean isHeadTooLarge(FullHttpRequest request, CallerLimits limits) {
+    /**
+     * Returns the answer to a request that the codec could not decode.
+     *
+     * @param failure why it could not, not null
+     * @param limits the limits that are in force, not null
+     * @return the problem
+     */
+    static Problem undecoded(Throwable failure, CallerLimits limits) {
+        return failure instanceof TooLongHttpHeaderException
+                ? GatewayProblems.headTooLarge(limits.maxHeaderBytes())
+                : GatewayProblems.malformed(failure);
+    }
+
+    /** Returns the length that a head names for its body; 0 if it names none. */
+    static long declaredBytes(HttpRequest head) {
+        return HttpUtil.isTransferEncodingChunked(head) ? 0 : HttpUtil.getContentLength(head, 0L);
+    }
+
+    private static long headBytes(HttpHeaders headers) {
         long bytes = 0;
-        for (Map.Entry<String, String> field : request.headers()) {
+        for (Map.Entry<String, String> field : headers) {
             bytes += field.getKey().length() + FIELD_SEPARATOR_BYTES + field.getValue().length();
         }
-        return bytes > limits.maxHeaderBytes();
+        return bytes;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -1,11 +1,10 @@
 package io.pollenpath.transport.serving;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.pollenpath.coordination.serving.EntryCatchUp;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.coordination.serving.ServerLimits;
@@ -248,13 +247,14 @@
     }
 
     /** Accepts a complete request; returns null if it is already answered. */
-    ForwardedRequest accept(FullHttpRequest request, CallerAnswer caller) {
-        CallerHeaders callerHeaders = dialect.readCallerHeaders(request.headers());
+    ForwardedRequest accept(CallerRequest request, CallerAnswer caller) {
+        HttpRequest head = request.head();
+        CallerHeaders callerHeaders = dialect.readCallerHeaders(head.headers());
         Optional<ServingConfig> config = view.config();
         if (config.isEmpty() || refusing) {
             String code = refusing ? "stopping" : "no_configuration";
             reject(
-                    request,
+                    head,
                     caller,
                     callerHeaders,
                     GatewayProblems.notExecuted(
@@ -263,20 +263,19 @@
                             retryAfterMs()));
             return null;
         }
-        Optional<Problem> invalid = CallerRequestCheck.problem(request, config.get().limits());
-        if (invalid.isPresent()) {
-            reject(request, caller, callerHeaders, invalid.get());
+        if (request.problem().isPresent()) {
+            reject(head, caller, callerHeaders, request.problem().get());
             return null;
         }
-        String host = request.headers().get(HttpHeaderNames.HOST, "");
-        Optional<Route> route = config.get().route(host, Uris.pathOf(request.uri()));
+        String host = head.headers().get(HttpHeaderNames.HOST, "");
+        Optional<Route> route = config.get().route(host, Uris.pathOf(head.uri()));
         if (route.isEmpty()) {
-            reject(request, caller, callerHeaders, GatewayProblems.noRoute());
+            reject(head, caller, callerHeaders, GatewayProblems.noRoute());
             return null;
         }
         Optional<ClientAccount> account = callerHeaders.key().flatMap(config.get()::account);
         if (account.isEmpty() && config.get().needsKey(route.get())) {
-            reject(request, caller, callerHeaders, GatewayProblems.unknownKey());
+            reject(head, caller, callerHeaders, GatewayProblems.unknownKey());
             return null;
         }
         return forward(request, caller, callerHeaders, config.get(), route.get(), account);
@@ -287,7 +286,7 @@
     }
 
     private ForwardedRequest forward(
-            FullHttpRequest request,
+            CallerRequest request,
             CallerAnswer caller,
             CallerHeaders callerHeaders,
             ServingConfig config,
@@ -298,10 +297,10 @@
         long timeoutMs = Math.min(callerTimeoutMs, route.timeoutMs());
         RequestContext context =
                 new RequestContext(
-                        request.method().name(),
-                        request.uri(),
-                        HopByHopHeaders.withoutHopByHop(request.headers()),
-                        ByteBufUtil.getBytes(request.content()),
+                        request.head().method().name(),
+                        request.head().uri(),
+                        HopByHopHeaders.withoutHopByHop(request.head().headers()),
+                        request.body(),
                         callerHeaders,
                         route,
                         route.serviceFor(random.nextDouble()),
@@ -320,13 +319,10 @@
     }
 
     private void reject(
-            FullHttpRequest request,
-            CallerAnswer caller,
-            CallerHeaders callerHeaders,
-            Problem problem) {
+            HttpRequest head, CallerAnswer caller, CallerHeaders callerHeaders, Problem problem) {
         long version = view.config().map(ServingConfig::version).orElse(0L);
-        String host = request.headers().get(HttpHeaderNames.HOST, "");
-        log.rejected(callerHeaders, host, request.uri(), version, problem.status());
+        String host = head.headers().get(HttpHeaderNames.HOST, "");
+        log.rejected(callerHeaders, host, head.uri(), version, problem.status());
         HttpHeaders headers = GatewayProblems.headers(problem);
         caller.writeFull(problem.status(), headers, problem.toJson(callerHeaders.requestId()));
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
@@ -55,7 +55,7 @@
         channel.pipeline()
                 .addLast(
                         new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES),
-                        new CallerAggregator(gateway::limits),
+                        new CallerRequestReader(gateway::limits),
                         new CallerConnection(gateway));
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
@@ -7,7 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.pollenpath.transport.NettyLoops;
@@ -56,8 +56,9 @@
     }
 
     private void answerOneRequest() {
-        channel.writeInbound(
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/"));
+        DefaultHttpRequest head =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/");
+        channel.writeInbound(CallerRequest.whole(head, new byte[0]));
     }
 
     @Test
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -257,6 +257,11 @@
         entries.set(entry, new PlatformEntry(Path.of("unused.yaml"), settings.get(entry)));
     }
 
+    /** Returns where an entry listens for callers. */
+    HttpAddress callerAddress(int entry) {
+        return settings.get(entry).callerAddress().orElseThrow();
+    }
+
     int entryCount() {
         return entries.size();
     }
