--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -46,6 +46,9 @@
 
     private static final int MAX_CONNECTIONS_PER_SERVER = 8;
 
+    /** Copies on their way through the sockets need room too, and so does all other state. */
+    private static final int BUFFERS_PER_HEAP = 4;
+
     private final PlatformSettings settings;
     private final NettyLoops loops = new NettyLoops(1);
     private final ScheduledExecutorService control = ControlThreads.newExecutor();
@@ -60,9 +63,10 @@
      *
      * @param file the settings file, which is reloaded when it changes
      * @param settings the settings of the process
+     * @param onOutOfMemory ends the process when its memory has run out
      * @throws IllegalStateException if an address can't be bound
      */
-    PlatformEntry(Path file, PlatformSettings settings) {
+    PlatformEntry(Path file, PlatformSettings settings, Runnable onOutOfMemory) {
         this.settings = settings;
         MetricRegistry metrics = new MetricRegistry();
         ProcessMetrics.register(metrics);
@@ -74,6 +78,7 @@
                         new HeaderDialect(),
                         metrics,
                         new SplittableRandom());
+        gateway.setOnOutOfMemory(onOutOfMemory);
         HttpClient http = HttpClient.bounded(loops, MAX_CONNECTIONS_PER_SERVER);
         store = new StoreClient(http, settings.store());
         HttpAddress peerAddress = new HttpAddress(settings.ip(), settings.firstInternalPort() + 1);
@@ -108,7 +113,8 @@
                 bounds.retryRatio(),
                 bounds.retryAllowance(),
                 bounds.retryWindowMs(),
-                bounds.stallMs() + STALL_MARGIN_MS);
+                bounds.stallMs() + STALL_MARGIN_MS,
+                Runtime.getRuntime().maxMemory() / BUFFERS_PER_HEAP);
     }
 
     private void serveReadiness(HttpAddress address) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -236,6 +236,7 @@
     /** Puts the connection into the pool. */
     void becomeIdle() {
         idleSinceNanos = System.nanoTime();
+        setReading(true);
         pool.release(this);
     }
 
@@ -250,11 +251,11 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         // The decoder ends a body delimited by connection close after this event; the error marks
-        // it
-        // as incomplete.
+        // it as incomplete.
         error = cause.toString();
         fail(SendOutcome.UNKNOWN, error);
         close();
+        pool.onFailure(cause);
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
@@ -41,11 +41,13 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final WireDialect dialect;
+    private final Consumer<Throwable> onFailure;
     private final Map<String, Deque<BackendConnection>> idle = new HashMap<>();
 
-    BackendConnectionPool(EventLoop loop, WireDialect dialect) {
+    BackendConnectionPool(EventLoop loop, WireDialect dialect, Consumer<Throwable> onFailure) {
         this.loop = loop;
         this.dialect = dialect;
+        this.onFailure = onFailure;
         bootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -175,6 +177,11 @@
         }
     }
 
+    /** Hears of a connection whose work failed. */
+    void onFailure(Throwable cause) {
+        onFailure.accept(cause);
+    }
+
     /** Removes a closed connection from the pool. */
     void remove(BackendConnection connection) {
         Deque<BackendConnection> connections = idle.get(connection.serverId());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
@@ -6,7 +6,7 @@
 
 /**
  * Collects the bytes of a body in blocks. A block is never copied into a larger one, and holds the
- * bytes of many small pieces.
+ * bytes of many small pieces. A body whose length is expected has one block.
  */
 final class BodyBuffer {
 
@@ -15,10 +15,20 @@
 
     private final List<byte[]> blocks = new ArrayList<>();
     private byte[] last = new byte[0];
+    private int expectedLength;
     private int lastLength;
     private int length;
     private long allocatedBytes;
 
+    /**
+     * Expects a body of a given length. Has no effect once bytes were appended.
+     *
+     * @param bytes the length, in bytes, at least 0
+     */
+    void expect(int bytes) {
+        expectedLength = bytes;
+    }
+
     /** Appends all readable bytes of a piece. */
     void append(ByteBuf piece) {
         while (piece.isReadable()) {
@@ -41,8 +51,7 @@
 
     private int makeRoom(int wanted) {
         if (lastLength == last.length) {
-            int doubled = Math.max(FIRST_BLOCK_BYTES, 2 * last.length);
-            last = new byte[Math.min(MAX_BLOCK_BYTES, doubled)];
+            last = new byte[nextBlockBytes()];
             blocks.add(last);
             lastLength = 0;
             allocatedBytes += last.length;
@@ -50,6 +59,13 @@
         return Math.min(wanted, last.length - lastLength);
     }
 
+    private int nextBlockBytes() {
+        if (blocks.isEmpty() && expectedLength > 0) {
+            return expectedLength;
+        }
+        return Math.min(MAX_BLOCK_BYTES, Math.max(FIRST_BLOCK_BYTES, 2 * last.length));
+    }
+
     private void onAdded(int count) {
         lastLength += count;
         length += count;
@@ -65,8 +81,11 @@
         return allocatedBytes;
     }
 
-    /** Returns all appended bytes as one new array. */
+    /** Returns all appended bytes as one array, to be called when the body is complete. */
     byte[] toByteArray() {
+        if (blocks.size() == 1 && last.length == length) {
+            return last;
+        }
         byte[] all = new byte[length];
         int end = 0;
         for (byte[] block : blocks) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.pollenpath.coordination.serving.MemoryBudget;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -33,10 +34,21 @@
     /** The time in which a caller must take an answer that is complete. */
     private static final long MAX_TAKE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+    /** An answer that a caller has not taken waits for nothing and is not cut. */
+    private static final MemoryBudget.Owner UNTAKEN_ANSWER =
+            new MemoryBudget.Owner() {
+                @Override
+                public void onGranted() {}
+
+                @Override
+                public void onCut() {}
+            };
+
     private final Gateway gateway;
     private final Queue<CallerRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private ForwardedRequest current;
+    private MemoryBudget.Share requestMemory;
     private boolean busy;
     private boolean keepAlive;
     private boolean streaming;
@@ -67,6 +79,7 @@
             return;
         }
         if (pipelined.size() >= MAX_PIPELINED) {
+            request.memory().close();
             ctx.close();
             return;
         }
@@ -85,6 +98,7 @@
             return;
         }
         busy = true;
+        requestMemory = request.memory();
         keepAlive = request.isKeepAlive();
         streaming = false;
         ForwardedRequest accepted = gateway.accept(request, this);
@@ -122,7 +136,7 @@
                         Unpooled.wrappedBuffer(body));
         response.headers().add(headers);
         HttpUtil.setContentLength(response, body.length);
-        finish(response, response);
+        finish(response, response, body.length);
     }
 
     @Override
@@ -143,24 +157,28 @@
 
     @Override
     public void finishStream() {
-        finish(LastHttpContent.EMPTY_LAST_CONTENT, null);
+        finish(LastHttpContent.EMPTY_LAST_CONTENT, null, 0);
     }
 
     @Override
     public void abort() {
         current = null;
+        releaseRequest();
         context.close();
     }
 
-    private void finish(Object last, HttpResponse response) {
+    private void finish(Object last, HttpResponse response, int bytes) {
         if (response != null) {
             setConnectionHeader(response);
         }
         current = null;
         busy = false;
+        releaseRequest();
         unsentAnswers++;
+        MemoryBudget.Share untaken = gateway.memory().open(UNTAKEN_ANSWER);
+        untaken.hold(bytes);
         ChannelFuture sent = context.writeAndFlush(last);
-        sent.addListener(future -> onAnswerSent());
+        sent.addListener(future -> onAnswerSent(untaken));
         if (!keepAlive) {
             sent.addListener(ChannelFutureListener.CLOSE);
             return;
@@ -168,7 +186,16 @@
         serveNext();
     }
 
-    private void onAnswerSent() {
+    /** Gives back the memory of the request that is served, which is sent to no server any more. */
+    private void releaseRequest() {
+        if (requestMemory != null) {
+            requestMemory.close();
+            requestMemory = null;
+        }
+    }
+
+    private void onAnswerSent(MemoryBudget.Share untaken) {
+        untaken.close();
         unsentAnswers--;
         idleSinceNanos = System.nanoTime();
     }
@@ -207,7 +234,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (current != null) {
-            current.setReading(ctx.channel().isWritable());
+            current.reading().setCallerTakes(ctx.channel().isWritable());
         }
         ctx.fireChannelWritabilityChanged();
     }
@@ -220,6 +247,8 @@
         if (abandoned != null) {
             abandoned.onCallerDisconnected();
         }
+        releaseRequest();
+        pipelined.forEach(request -> request.memory().close());
         pipelined.clear();
         ctx.fireChannelInactive();
     }
@@ -228,5 +257,6 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         gateway.log().callerConnectionFailed(cause, streaming);
         ctx.close();
+        gateway.onFailure(cause);
     }
 }
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
@@ -0,0 +1,107 @@
+package io.pollenpath.transport.serving;
+
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.OptionalLong;
+
+/**
+ * What a caller gets as the answer to its request, over all sends of the request: the head of the
+ * first server whose events were forwarded, and each event once.
+ */
+final class CallerReply {
+
+    private final CallerAnswer caller;
+    private int status;
+    private HttpHeaders head = EmptyHttpHeaders.INSTANCE;
+    private boolean begun;
+    private OptionalLong lastEventId;
+    private int events;
+
+    /**
+     * Creates a reply of which nothing is written.
+     *
+     * @param caller writes to the caller's connection, not null
+     * @param lastEventId the event from which the caller resumes a stream
+     */
+    CallerReply(CallerAnswer caller, OptionalLong lastEventId) {
+        this.caller = caller;
+        this.lastEventId = lastEventId;
+    }
+
+    /** Takes the head of a server's answer, unless that of another one was forwarded. */
+    void onHead(int newStatus, HttpHeaders headers) {
+        status = newStatus;
+        head = begun ? head : HopByHopHeaders.withoutHopByHop(headers);
+    }
+
+    /** Returns the status of the latest answer. */
+    int status() {
+        return status;
+    }
+
+    /** Returns whether a part of a stream was forwarded. */
+    boolean isBegun() {
+        return begun;
+    }
+
+    /** Returns the number of events that were forwarded. */
+    int events() {
+        return events;
+    }
+
+    /** Returns the event after which a stream goes on; empty at its beginning. */
+    OptionalLong lastEventId() {
+        return lastEventId;
+    }
+
+    /** Returns whether the caller takes more bytes. */
+    boolean isWritable() {
+        return caller.isWritable();
+    }
+
+    /** Forwards an event, unless the caller has it; returns whether it was forwarded. */
+    boolean writeEvent(EventSplitter.Event event) {
+        if (event.isUpTo(lastEventId)) {
+            return false;
+        }
+        begin();
+        caller.writeChunk(event.bytes());
+        events++;
+        if (event.id().isPresent()) {
+            lastEventId = event.id();
+        }
+        return true;
+    }
+
+    private void begin() {
+        if (!begun) {
+            begun = true;
+            caller.writeHead(status, head);
+        }
+    }
+
+    /** Ends a complete stream. */
+    void finishStream() {
+        begin();
+        caller.finishStream();
+    }
+
+    /** Writes a server's answer that was buffered as a whole. */
+    void writeFull(byte[] body) {
+        caller.writeFull(status, head, body);
+    }
+
+    /** Takes the status of an error of this entry, if the caller can still get it. */
+    void onProblem(int problemStatus) {
+        status = begun ? status : problemStatus;
+    }
+
+    /** Writes an error of this entry, or breaks off an answer that has begun. */
+    void writeProblem(HttpHeaders headers, byte[] problem) {
+        if (begun) {
+            caller.abort();
+        } else {
+            caller.writeFull(status, headers, problem);
+        }
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerRequestReader.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerRequestReader.java
@@ -8,18 +8,20 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.pollenpath.coordination.serving.MemoryBudget;
 import io.pollenpath.protocol.Problem;
-import io.pollenpath.state.serving.CallerLimits;
 import java.util.Optional;
-import java.util.function.Supplier;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Collects the parts of each request of a connection, and passes on one {@link CallerRequest} for
  * each. Every request is held against the limits that are in force while it is read, since a
  * connection outlives changes of the limits. A request that can't be taken is passed on at once, so
- * that its answer comes in its turn; what follows of its body is discarded.
+ * that its answer comes in its turn; what follows of its body is discarded. While there is no
+ * memory for a body it is not read, and after a while it is refused.
  */
-final class CallerRequestReader extends ChannelInboundHandlerAdapter {
+final class CallerRequestReader extends ChannelInboundHandlerAdapter implements MemoryBudget.Owner {
 
     /** The user event that says that a caller waits for leave to send its body. */
     enum Event {
@@ -27,79 +29,160 @@
         BODY_AWAITED
     }
 
-    private final Supplier<CallerLimits> limits;
+    private final Gateway gateway;
+    private ChannelHandlerContext context;
     private HttpRequest head;
     private BodyBuffer body;
+    private MemoryBudget.Share memory;
+    private ScheduledFuture<?> waitEnd;
 
     /**
      * Creates the reader of one connection.
      *
-     * @param limits returns the limits that are in force, not null
+     * @param gateway knows the limits that are in force and the memory that is left, not null
      */
-    CallerRequestReader(Supplier<CallerLimits> limits) {
-        this.limits = limits;
+    CallerRequestReader(Gateway gateway) {
+        this.gateway = gateway;
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
             if (message instanceof HttpRequest newHead) {
-                begin(context, newHead);
+                begin(newHead);
             }
             if (message instanceof HttpContent content) {
-                add(context, content);
+                add(content);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void begin(ChannelHandlerContext context, HttpRequest newHead) {
+    private void begin(HttpRequest newHead) {
         head = newHead;
         body = new BodyBuffer();
+        memory = gateway.memory().open(this);
         if (newHead.decoderResult().isFailure()) {
-            refuseUndecoded(context, newHead.decoderResult().cause());
+            refuseUndecoded(newHead.decoderResult().cause());
             return;
         }
-        Optional<Problem> problem = CallerRequestCheck.problemOfHead(newHead, limits.get());
+        Optional<Problem> problem = CallerRequestCheck.problemOfHead(newHead, gateway.limits());
         boolean awaited = HttpUtil.is100ContinueExpected(newHead);
         if (problem.isPresent()) {
             // A caller that awaits leave for its body may send it all the same, or not at all.
-            refuse(context, problem.get(), awaited);
-        } else if (awaited) {
+            refuse(problem.get(), awaited);
+            return;
+        }
+        if (awaited) {
             newHead.headers().remove(HttpHeaderNames.EXPECT);
             context.fireUserEventTriggered(Event.BODY_AWAITED);
         }
+        reserve(CallerRequestCheck.declaredBytes(newHead));
+    }
+
+    private void reserve(long declaredBytes) {
+        if (!gateway.memory().isPossible(declaredBytes)) {
+            refuse(gateway.memory().problem(head), false);
+        } else if (memory.reserve(declaredBytes)) {
+            body.expect((int) declaredBytes);
+        } else {
+            pause();
+        }
     }
 
-    private void add(ChannelHandlerContext context, HttpContent content) {
+    private void add(HttpContent content) {
         if (head == null) {
             return;
         }
         if (content.decoderResult().isFailure()) {
-            refuseUndecoded(context, content.decoderResult().cause());
+            refuseUndecoded(content.decoderResult().cause());
             return;
         }
         body.append(content.content());
-        Optional<Problem> problem = CallerRequestCheck.problemOfBody(body.length(), limits.get());
+        boolean roomLeft = memory.cover(body.allocatedBytes());
+        Optional<Problem> problem =
+                CallerRequestCheck.problemOfBody(body.length(), gateway.limits());
         if (problem.isPresent()) {
-            refuse(context, problem.get(), false);
+            refuse(problem.get(), false);
         } else if (content instanceof LastHttpContent) {
-            passOn(context, CallerRequest.whole(head, body.toByteArray()));
+            memory.stopWaiting();
+            passOn(CallerRequest.whole(head, body.toByteArray(), memory));
+        } else if (!roomLeft) {
+            pause();
         }
     }
 
-    private void refuseUndecoded(ChannelHandlerContext context, Throwable failure) {
-        refuse(context, CallerRequestCheck.undecoded(failure, limits.get()), true);
+    /** Reads nothing until there is memory, or until the request is refused. */
+    private void pause() {
+        if (waitEnd == null) {
+            context.channel().config().setAutoRead(false);
+            waitEnd =
+                    context.executor()
+                            .schedule(
+                                    this::onWaitOver,
+                                    gateway.memory().maxWaitMs(head),
+                                    TimeUnit.MILLISECONDS);
+        }
     }
 
-    private void refuse(ChannelHandlerContext context, Problem problem, boolean endsConnection) {
-        passOn(context, CallerRequest.refused(head, problem, endsConnection));
+    private void onWaitOver() {
+        waitEnd = null;
+        if (head != null) {
+            refuse(gateway.memory().problem(head), false);
+        }
     }
 
-    private void passOn(ChannelHandlerContext context, CallerRequest request) {
+    @Override
+    public void onGranted() {
+        if (head != null && CallerRequestCheck.declaredBytes(head) > 0) {
+            body.expect((int) CallerRequestCheck.declaredBytes(head));
+        }
+        resume();
+    }
+
+    @Override
+    public void onCut() {
+        throw new IllegalStateException("the memory of a request is not cut");
+    }
+
+    private void resume() {
+        if (waitEnd != null) {
+            waitEnd.cancel(false);
+            waitEnd = null;
+        }
+        context.channel().config().setAutoRead(true);
+    }
+
+    private void refuseUndecoded(Throwable failure) {
+        refuse(CallerRequestCheck.undecoded(failure, gateway.limits()), true);
+    }
+
+    private void refuse(Problem problem, boolean endsConnection) {
+        memory.close();
+        passOn(CallerRequest.refused(head, memory, problem, endsConnection));
+    }
+
+    private void passOn(CallerRequest request) {
         head = null;
         body = null;
+        memory = null;
+        resume();
         context.fireChannelRead(request);
     }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (memory != null) {
+            memory.close();
+        }
+        head = null;
+        resume();
+        ctx.fireChannelInactive();
+    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -17,6 +17,10 @@
     static final int MAX_EVENT_BYTES = 262_144;
 
     private static final int INITIAL_BYTES = 512;
+
+    /** A buffer of this size is used for the next events too; a larger one is given back. */
+    private static final int KEPT_BYTES = 16_384;
+
     private static final String ID_FIELD = "id:";
 
     private byte[] pending = new byte[INITIAL_BYTES];
@@ -89,6 +93,11 @@
         return length > 0;
     }
 
+    /** Returns the bytes that are kept for the incomplete event. */
+    long bufferedBytes() {
+        return pending.length;
+    }
+
     /** Returns whether the incomplete event is longer than any event may be. */
     boolean isTooLong() {
         return length > MAX_EVENT_BYTES;
@@ -135,5 +144,8 @@
         System.arraycopy(pending, count, pending, 0, length - count);
         length -= count;
         lineStart -= count;
+        if (length == 0 && pending.length > KEPT_BYTES) {
+            pending = new byte[INITIAL_BYTES];
+        }
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package io.pollenpath.transport.serving;
 
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.state.serving.CrashSuspect;
@@ -8,7 +7,6 @@
 import io.pollenpath.state.serving.ServerInstance;
 import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -23,7 +21,6 @@
     private static final int STATUS_SERVER_ERROR = 500;
 
     private final Gateway gateway;
-    private final CallerAnswer caller;
     private final RequestContext context;
     private final RequestSuspects suspects;
     private final Set<String> triedServerIds = new HashSet<>();
@@ -36,19 +33,16 @@
     private BackendConnection connection;
     private long sentNanos;
     private final SendProgress progress = new SendProgress();
-    private int status;
-    private HttpHeaders head = EmptyHttpHeaders.INSTANCE;
+    private final AnswerReading reading;
+    private final CallerReply reply;
     private ServerAnswer answer = new ServerAnswer();
-    private boolean headForwarded;
-    private OptionalLong lastEventId;
-    private int events;
 
     ForwardedRequest(Gateway gateway, CallerAnswer caller, RequestContext context) {
         this.gateway = gateway;
-        this.caller = caller;
         this.context = context;
         suspects = new RequestSuspects(context);
-        lastEventId = context.callerHeaders().lastEventId();
+        reading = new AnswerReading(gateway.memory(), progress, () -> breakOff("memory is short"));
+        reply = new CallerReply(caller, context.callerHeaders().lastEventId());
     }
 
     RequestContext context() {
@@ -79,7 +73,7 @@
 
     /** Returns whether the server has answered as the route promises, with events if it streams. */
     boolean isAnsweredBySuccess() {
-        return status == STATUS_OK && (!context.route().streaming() || answer.events() > 0);
+        return reply.status() == STATUS_OK && (!context.route().streaming() || answer.events() > 0);
     }
 
     Set<String> triedServerIds() {
@@ -100,7 +94,7 @@
     }
 
     boolean headForwarded() {
-        return headForwarded;
+        return reply.isBegun();
     }
 
     boolean isDone() {
@@ -108,7 +102,7 @@
     }
 
     int events() {
-        return events;
+        return reply.events();
     }
 
     ServerAnswer answer() {
@@ -194,13 +188,14 @@
     private void write(ServerInstance target, BackendConnection opened) {
         long nowNanos = System.nanoTime();
         connection = opened;
+        reading.begin(opened);
         sends++;
         triedServerIds.add(target.id());
         sentNanos = nowNanos;
         progress.onSend(nowNanos);
         long timeLeftMs = Math.max(1, timeLeftMs(nowNanos));
         opened.send(
-                context.toHttpRequest(gateway.dialect(), target, timeLeftMs, lastEventId),
+                context.toHttpRequest(gateway.dialect(), target, timeLeftMs, reply.lastEventId()),
                 context.callerHeaders().requestId(),
                 this);
     }
@@ -208,25 +203,32 @@
     @Override
     public void onHead(int newStatus, HttpHeaders headers) {
         progress.onProgress(System.nanoTime());
-        status = newStatus;
         WireDialect.ReplyKind replyKind = gateway.dialect().classify(newStatus, headers);
-        answer.onHead(replyKind, headers, context.route().streaming() && status == STATUS_OK);
+        answer.onHead(replyKind, headers, context.route().streaming() && newStatus == STATUS_OK);
         if (replyKind == WireDialect.ReplyKind.ANSWER) {
             mayHaveRun = true;
         }
         if (replyKind != WireDialect.ReplyKind.OTHER_SERVER) {
             gateway.onAnswerHead(this, newStatus, headers);
         }
-        head = headForwarded ? head : HopByHopHeaders.withoutHopByHop(headers);
+        reply.onHead(newStatus, headers);
+        long declaredBytes = answer.declaredBytes(headers);
+        if (answer.flaw().isPresent()) {
+            breakOff(answer.flaw().get());
+        } else if (reading.onLength(declaredBytes)) {
+            answer.expectBody(declaredBytes);
+        }
     }
 
     @Override
     public void onData(byte[] bytes) {
         if (answer.isForwardedStream()) {
             forwardEvents(answer.addEvents(bytes, gateway.dialect()));
+            reading.onEvents(answer.bufferedBytes());
         } else {
             progress.onProgress(System.nanoTime());
             answer.addBody(bytes);
+            reading.onBody(answer.bufferedBytes());
         }
         answer.flaw().filter(flaw -> !done).ifPresent(this::breakOff);
     }
@@ -244,44 +246,30 @@
             if (answer.countEvent()) {
                 gateway.onAnswerGoesOn(this);
             }
-            if (event.isUpTo(lastEventId)) {
+            if (!reply.writeEvent(event)) {
                 continue;
             }
-            if (!headForwarded) {
-                headForwarded = true;
-                caller.writeHead(status, head);
-            }
-            caller.writeChunk(event.bytes());
-            events++;
-            if (event.id().isPresent()) {
-                lastEventId = event.id();
-            }
             long gapNanos = progress.onEvent(nowNanos);
             if (gapNanos > 0) {
                 gateway.onEventGap(this, gapNanos, nowNanos);
             }
         }
-        if (!caller.isWritable()) {
-            setReading(false);
-        }
+        reading.setCallerTakes(reply.isWritable());
     }
 
-    /** Reads the answer on, or not while the caller takes no more of it. */
-    void setReading(boolean reading) {
-        if (connection != null) {
-            progress.setReading(reading, System.nanoTime());
-            connection.setReading(reading);
-        }
+    /** Returns what decides whether the answer is read on. */
+    AnswerReading reading() {
+        return reading;
     }
 
     @Override
     public void onEnd() {
-        connection = null;
+        endReading();
         switch (answer.kindAtEnd()) {
             case NOT_RUN ->
                     failSend(
                             SendOutcome.NOT_RUN,
-                            "server refused the request with status " + status);
+                            "server refused the request with status " + reply.status());
             case OTHER_SERVER ->
                     failSend(SendOutcome.OTHER_SERVER, "address belongs to another server");
             case UNPROVEN -> failSend(SendOutcome.UNKNOWN, "answer could not be verified");
@@ -295,7 +283,7 @@
             onEnd();
             return;
         }
-        connection = null;
+        endReading();
         answer.setCheckingEnd(true);
         int selection = selections;
         gateway.checkServer(this, result -> onServerChecked(selection, result));
@@ -320,27 +308,24 @@
                 return;
             }
             finish("answered");
-            if (!headForwarded) {
-                caller.writeHead(status, head);
-            }
-            caller.finishStream();
+            reply.finishStream();
             return;
         }
-        if (headForwarded) {
+        if (reply.isBegun()) {
             failSend(
                     SendOutcome.RUN_AND_FAILED,
-                    "resumed stream was answered with status " + status);
-        } else if (status >= STATUS_SERVER_ERROR) {
-            failSend(SendOutcome.RUN_AND_FAILED, "server failed with status " + status);
+                    "resumed stream was answered with status " + reply.status());
+        } else if (reply.status() >= STATUS_SERVER_ERROR) {
+            failSend(SendOutcome.RUN_AND_FAILED, "server failed with status " + reply.status());
         } else {
             finish("answered");
-            caller.writeFull(status, head, answer.body());
+            reply.writeFull(answer.body());
         }
     }
 
     @Override
     public void onFailed(SendOutcome outcome, String cause) {
-        connection = null;
+        endReading();
         failSend(outcome, cause);
     }
 
@@ -350,6 +335,10 @@
         if (!outcome.notRun()) {
             mayHaveRun = true;
         }
+        if (outcome != SendOutcome.RUN_AND_FAILED) {
+            answer.discardBody();
+            reading.end();
+        }
         gateway.onSendFailed(this, failed, outcome, cause);
     }
 
@@ -362,19 +351,15 @@
     /** Forwards the error answer of the last server to the caller. */
     void forwardServerError() {
         finish("server_failed");
-        caller.writeFull(status, head, answer.body());
+        reply.writeFull(answer.body());
     }
 
     /** Answers with an error of this entry, or aborts an answer that has started. */
     void fail(int problemStatus, HttpHeaders headers, byte[] problem, String reason) {
         cancelSend();
-        status = headForwarded ? status : problemStatus;
+        reply.onProblem(problemStatus);
         finish(reason);
-        if (headForwarded) {
-            caller.abort();
-        } else {
-            caller.writeFull(problemStatus, headers, problem);
-        }
+        reply.writeProblem(headers, problem);
     }
 
     void onCallerDisconnected() {
@@ -387,13 +372,19 @@
     private void cancelSend() {
         if (connection != null) {
             connection.cancel();
-            connection = null;
+            endReading();
         }
     }
 
+    private void endReading() {
+        connection = null;
+        reading.detach();
+    }
+
     private void finish(String reason) {
         done = true;
-        gateway.onDone(this, status, reason);
+        reading.end();
+        gateway.onDone(this, reply.status(), reason);
         server = null;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -18,10 +18,8 @@
 import io.pollenpath.state.serving.ServingConfig;
 import io.pollenpath.state.serving.ServingView;
 import io.pollenpath.transport.HttpClient;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -40,16 +38,11 @@
     private static final long STATE_LOG_INTERVAL_MS = 1_000;
     private static final long NOT_READY_RETRY_AFTER_MS = 500;
 
-    /**
-     * A request whose caller timeout is below this fraction of the longest one seen on its route
-     * counts as a retry after a refusal, because a retry has only the remaining time.
-     */
-    private static final double RETRY_TIMEOUT_FRACTION = 0.95;
-
     private final EventLoop loop;
     private final WireDialect dialect;
     private final RequestLog log;
-    private final LimitLog limitLog;
+    private final EntryMemory memory;
+    private final ServerSignals signals;
     private final String ownName;
     private final Dispatcher dispatcher;
     private final BackendConnectionPool backends;
@@ -58,11 +51,12 @@
     private final EntryCatchUp catchUp = new EntryCatchUp(System.nanoTime());
     private final RandomGenerator random;
     private final Set<CallerConnection> connections = new HashSet<>();
-    private final Map<String, Long> longestCallerTimeoutMs = new HashMap<>();
+    private final ReturningCallers returning = new ReturningCallers();
     private volatile ServingView view = ServingView.EMPTY;
     private volatile boolean stopping;
     private boolean refusing;
     private EntryPeers peers;
+    private Runnable onOutOfMemory = () -> {};
 
     /**
      * Creates a gateway and starts its timers.
@@ -83,26 +77,23 @@
         this.dialect = dialect;
         this.random = random;
         log = new RequestLog(metrics);
-        limitLog = new LimitLog(metrics);
-        backends = new BackendConnectionPool(loop, dialect);
+        memory = new EntryMemory(settings.bufferBytes(), dialect, metrics, random);
+        backends = new BackendConnectionPool(loop, dialect, this::onFailure);
         ownName = settings.entry();
         crashGuard =
                 new CrashGuard(ownName, backends, new CrashLog(metrics), random, System.nanoTime());
         ServerLimits limits = new ServerLimits(ownName, random);
         ServerSlowdowns slowdowns = new ServerSlowdowns();
         ServerSelector selector = new ServerSelector(settings.zone(), limits, slowdowns, random);
+        LimitLog limitLog = new LimitLog(metrics);
         servers = new BackendServers(limits, slowdowns, selector, limitLog);
+        signals = new ServerSignals(dialect, servers, limitLog);
         dispatcher =
                 new Dispatcher(
                         settings, this::view, backends, servers, log, crashGuard, catchUp, random);
-        loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(
-                this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(
-                dispatcher::logState,
-                STATE_LOG_INTERVAL_MS,
-                STATE_LOG_INTERVAL_MS,
-                TimeUnit.MILLISECONDS);
+        RepeatedTask.start(loop, TICK_MS, this::tick, this::onFailure);
+        RepeatedTask.start(loop, HOUSEKEEPING_MS, this::housekeep, this::onFailure);
+        RepeatedTask.start(loop, STATE_LOG_INTERVAL_MS, dispatcher::logState, this::onFailure);
     }
 
     private void tick() {
@@ -111,6 +102,7 @@
             peers.hearAll();
         }
         dispatcher.tick(nowNanos);
+        memory.onTick(nowNanos);
     }
 
     private void housekeep() {
@@ -238,6 +230,27 @@
         return dialect;
     }
 
+    /**
+     * Sets what happens when memory has run out in the middle of some work, so that nothing tells
+     * what state that work has left.
+     *
+     * @param newOnOutOfMemory ends the process, not null
+     */
+    public void setOnOutOfMemory(Runnable newOnOutOfMemory) {
+        onOutOfMemory = newOnOutOfMemory;
+    }
+
+    /** Hears of work on the event loop that failed. */
+    void onFailure(Throwable cause) {
+        if (log.workFailed(cause)) {
+            onOutOfMemory.run();
+        }
+    }
+
+    EntryMemory memory() {
+        return memory;
+    }
+
     RequestLog log() {
         return log;
     }
@@ -309,15 +322,10 @@
                         nowNanos,
                         nowNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs));
         ForwardedRequest forwarded = new ForwardedRequest(this, caller, context);
-        dispatcher.submit(forwarded, isRetry(route, callerTimeoutMs), nowNanos);
+        dispatcher.submit(forwarded, returning.isRetry(route, callerTimeoutMs), nowNanos);
         return forwarded.isDone() ? null : forwarded;
     }
 
-    private boolean isRetry(Route route, long callerTimeoutMs) {
-        long longestMs = longestCallerTimeoutMs.merge(route.name(), callerTimeoutMs, Math::max);
-        return callerTimeoutMs < RETRY_TIMEOUT_FRACTION * longestMs;
-    }
-
     private void reject(
             HttpRequest head, CallerAnswer caller, CallerHeaders callerHeaders, Problem problem) {
         long version = view.config().map(ServingConfig::version).orElse(0L);
@@ -353,19 +361,7 @@
 
     /** Hears what a server says of itself in an answer. */
     void onAnswerHead(ForwardedRequest request, int status, HttpHeaders headers) {
-        String serverId = request.server().id();
-        String requestId = request.context().callerHeaders().requestId();
-        long nowNanos = System.nanoTime();
-        if (dialect.isLeaving(headers)) {
-            servers.onLeaving(request.server(), requestId);
-        }
-        try {
-            servers.onLimit(serverId, requestId, dialect.serverLimitPerSecond(headers), nowNanos);
-            dialect.pauseMs(status, headers)
-                    .ifPresent(pauseMs -> servers.onPause(serverId, requestId, pauseMs, nowNanos));
-        } catch (NumberFormatException e) {
-            limitLog.unreadable(requestId, serverId, e);
-        }
+        signals.onAnswerHead(request, status, headers, System.nanoTime());
     }
 
     /** Checks whether the server of an answer that ended with its connection still runs. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
@@ -55,7 +55,7 @@
         channel.pipeline()
                 .addLast(
                         new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES),
-                        new CallerRequestReader(gateway::limits),
+                        new CallerRequestReader(gateway),
                         new CallerConnection(gateway));
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewaySettings.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewaySettings.java
@@ -13,6 +13,7 @@
  * @param retryWindowMs the length of the window, in milliseconds, above 0
  * @param silenceMs the longest time without bytes from a server before a stream on it counts as
  *     stalled, in milliseconds, above 0
+ * @param bufferBytes the memory for all requests and answers in progress, in bytes, above 0
  */
 public record GatewaySettings(
         String entry,
@@ -21,14 +22,16 @@
         double retryRatio,
         double retryAllowance,
         long retryWindowMs,
-        long silenceMs) {
+        long silenceMs,
+        long bufferBytes) {
 
     /** Checks the components. */
     public GatewaySettings {
         Objects.requireNonNull(entry, "entry");
         Objects.requireNonNull(zone, "zone");
-        if (retryWindowMs < 1 || silenceMs < 1) {
-            throw new IllegalArgumentException("set retryWindowMs and silenceMs above 0");
+        if (retryWindowMs < 1 || silenceMs < 1 || bufferBytes < 1) {
+            throw new IllegalArgumentException(
+                    "set retryWindowMs, silenceMs and bufferBytes above 0");
         }
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -6,8 +6,10 @@
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.transport.MetricNames;
 import io.pollenpath.util.LogLine;
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -152,4 +154,23 @@
                         .with("cause", cause)
                         .with("within_stream", withinStream));
     }
+
+    /** Logs work that failed for no reason of the network; returns whether memory has run out. */
+    boolean workFailed(Throwable cause) {
+        boolean outOfMemory = causes(cause).anyMatch(OutOfMemoryError.class::isInstance);
+        if (outOfMemory || !(cause instanceof IOException)) {
+            MetricNames.count(
+                    metrics, "work_failed_total", "cause", cause.getClass().getSimpleName());
+            LOG.error(
+                    "{}",
+                    LogLine.event("work_failed")
+                            .with("cause", cause)
+                            .with("out_of_memory", outOfMemory));
+        }
+        return outOfMemory;
+    }
+
+    private static Stream<Throwable> causes(Throwable failure) {
+        return Stream.iterate(failure, cause -> cause != null, Throwable::getCause);
+    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -11,13 +10,14 @@
 final class ServerAnswer {
 
     private static final String EVENT_STREAM = "text/event-stream";
+    private static final String TOO_LARGE = "answer is too large to be buffered";
     private static final int MAX_BODY_BYTES = 8_388_608;
 
     /** The number of events from which the server has worked on the whole prompt. */
     private static final int EVENTS_IF_IT_GOES_ON = 2;
 
-    private final EventSplitter splitter = new EventSplitter();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private EventSplitter splitter = new EventSplitter();
+    private BodyBuffer body = new BodyBuffer();
     private Optional<String> flaw = Optional.empty();
     private WireDialect.ReplyKind kind;
     private AnswerFraming framing = AnswerFraming.NONE;
@@ -31,6 +31,25 @@
         framing = AnswerFraming.of(headers);
         String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
         stream = mayBeStream && type.startsWith(EVENT_STREAM);
+        if (declaredBytes(headers) > MAX_BODY_BYTES) {
+            flaw = Optional.of(TOO_LARGE);
+        }
+    }
+
+    /** Returns the length that the head names for an answer that is buffered as a whole; or 0. */
+    long declaredBytes(HttpHeaders headers) {
+        boolean named = framing == AnswerFraming.LENGTH && !isForwardedStream();
+        return named ? Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH).trim()) : 0;
+    }
+
+    /** Expects a body whose length is named and for which there is memory. */
+    void expectBody(long bytes) {
+        body.expect((int) bytes);
+    }
+
+    /** Returns the bytes in memory. */
+    long bufferedBytes() {
+        return isForwardedStream() ? splitter.bufferedBytes() : body.allocatedBytes();
     }
 
     /** Returns what the head says; null before it has arrived. */
@@ -117,9 +136,9 @@
 
     /** Appends bytes of a body. */
     void addBody(byte[] bytes) {
-        body.writeBytes(bytes);
-        if (body.size() > MAX_BODY_BYTES) {
-            flaw = Optional.of("answer is too large to be buffered");
+        body.append(bytes);
+        if (body.length() > MAX_BODY_BYTES) {
+            flaw = Optional.of(TOO_LARGE);
         }
     }
 
@@ -127,6 +146,12 @@
         return body.toByteArray();
     }
 
+    /** Forgets the bytes of an answer that is not forwarded any further. */
+    void discardBody() {
+        body = new BodyBuffer();
+        splitter = new EventSplitter();
+    }
+
     /** Records that it is being checked whether the server still runs. */
     void setCheckingEnd(boolean newCheckingEnd) {
         checkingEnd = newCheckingEnd;
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.pollenpath.coordination.serving.MemoryBudget;
 import io.pollenpath.transport.NettyLoops;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,7 +27,7 @@
     private final Gateway gateway =
             new Gateway(
                     loops.group().next(),
-                    new GatewaySettings("entry-1", "zone-a", 0, 0, 0, 1, 1),
+                    new GatewaySettings("entry-1", "zone-a", 0, 0, 0, 1, 1, 1_000_000),
                     new TestDialect(),
                     new MetricRegistry(),
                     new Random(1));
@@ -58,7 +59,8 @@
     private void answerOneRequest() {
         DefaultHttpRequest head =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/");
-        channel.writeInbound(CallerRequest.whole(head, new byte[0]));
+        MemoryBudget.Share memory = gateway.memory().open(new CallerRequestReader(gateway));
+        channel.writeInbound(CallerRequest.whole(head, new byte[0], memory));
     }
 
     @Test
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -40,7 +40,7 @@
     private final CrashGuard guard =
             new CrashGuard(
                     "entry-1",
-                    new BackendConnectionPool(loop, null),
+                    new BackendConnectionPool(loop, null, cause -> {}),
                     new CrashLog(metrics),
                     new Random(1),
                     System.nanoTime());
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -99,7 +99,7 @@
             settings.add(settings(i, ipOf(i), port));
         }
         for (PlatformSettings entry : settings) {
-            entries.add(new PlatformEntry(Path.of("unused.yaml"), entry));
+            entries.add(new PlatformEntry(Path.of("unused.yaml"), entry, () -> {}));
         }
         awaitReady();
     }
@@ -254,7 +254,8 @@
     /** Ends an entry as a kill of its process does and starts it again. */
     void restartEntry(int entry) {
         entries.get(entry).close();
-        entries.set(entry, new PlatformEntry(Path.of("unused.yaml"), settings.get(entry)));
+        entries.set(
+                entry, new PlatformEntry(Path.of("unused.yaml"), settings.get(entry), () -> {}));
     }
 
     /** Returns where an entry listens for callers. */
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -69,7 +69,14 @@
         long startNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(RETRY_WINDOW_MS);
         GatewaySettings settings =
                 new GatewaySettings(
-                        "entry-1", "zone-a", startNanos, 0.2, 90, RETRY_WINDOW_MS, 1_000);
+                        "entry-1",
+                        "zone-a",
+                        startNanos,
+                        0.2,
+                        90,
+                        RETRY_WINDOW_MS,
+                        1_000,
+                        20_000_000);
         gateway =
                 new Gateway(
                         loop,
