--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/WaitingRequests.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Queue of the requests that wait for a server of one service. Ordered by priority; then requests
@@ -151,6 +152,23 @@
         return expired;
     }
 
+    /**
+     * Removes the requests to which a condition applies.
+     *
+     * @param condition the condition, not null
+     * @return the removed requests, in queue order
+     */
+    public List<QueuedRequest<T>> removeIf(Predicate<T> condition) {
+        List<QueuedRequest<T>> removed = new ArrayList<>();
+        for (QueuedRequest<T> queued : queue) {
+            if (condition.test(queued.request())) {
+                removed.add(queued);
+            }
+        }
+        removed.forEach(queued -> remove(queued.request()));
+        return removed;
+    }
+
     /**
      * Returns the number of queued requests.
      *
--- a/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/PlatformEntry.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -137,14 +138,17 @@
         gateway.closeConnectionsAfterAnswer();
         directory.withdraw();
         long startNanos = System.nanoTime();
+        long drainEndMs = Math.max(READINESS_LAG_MS, settings.bounds().graceMs() - EXIT_MARGIN_MS);
+        gateway.expectEnd(startNanos + TimeUnit.MILLISECONDS.toNanos(drainEndMs));
         sleepUntil(startNanos, READINESS_LAG_MS);
         gateway.refuseNewRequests();
-        long drainEndMs = Math.max(READINESS_LAG_MS, settings.bounds().graceMs() - EXIT_MARGIN_MS);
         while (gateway.openRequests() > 0 && elapsedMs(startNanos) < drainEndMs) {
             Pause.forMs(DRAIN_POLL_MS);
         }
+        boolean completed = gateway.openRequests() == 0;
+        gateway.endRequests();
         Pause.forMs(DRAIN_POLL_MS);
-        return gateway.openRequests() == 0;
+        return completed;
     }
 
     /** Ends at once all that the entry does, without a graceful stop. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -18,10 +18,7 @@
 import io.pollenpath.state.serving.ServingConfig;
 import io.pollenpath.state.serving.ServingView;
 import io.pollenpath.transport.HttpClient;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -50,7 +47,7 @@
     private final CrashGuard crashGuard;
     private final EntryCatchUp catchUp = new EntryCatchUp(System.nanoTime());
     private final RandomGenerator random;
-    private final Set<CallerConnection> connections = new HashSet<>();
+    private final CallerConnections connections = new CallerConnections();
     private final ReturningCallers returning = new ReturningCallers();
     private volatile ServingView view = ServingView.EMPTY;
     private volatile boolean stopping;
@@ -110,8 +107,7 @@
         backends.closeStale(nowNanos);
         crashGuard.expire(nowNanos);
         long limitNanos = TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMs());
-        List.copyOf(connections)
-                .forEach(connection -> connection.closeIfIdle(nowNanos, limitNanos));
+        connections.closeIdle(nowNanos, limitNanos);
     }
 
     /**
@@ -197,13 +193,26 @@
         stopping = true;
     }
 
+    /**
+     * Sends no more requests that would be cut by the end of the process; they are refused.
+     *
+     * @param endNanos the time at which the process cuts what is in progress, in nanoseconds
+     */
+    public void expectEnd(long endNanos) {
+        loop.execute(() -> dispatcher.onStop(endNanos));
+    }
+
+    /** Answers all requests that have no answer yet, before the process ends. */
+    public void endRequests() {
+        loop.submit(() -> dispatcher.endAll(System.nanoTime())).syncUninterruptibly();
+    }
+
     /** Refuses new requests and closes idle connections; accepted requests continue. */
     public void refuseNewRequests() {
         loop.execute(
                 () -> {
                     refusing = true;
-                    long nowNanos = System.nanoTime();
-                    List.copyOf(connections).forEach(open -> open.closeIfIdle(nowNanos, 0));
+                    connections.closeIdle(System.nanoTime(), 0);
                 });
     }
 
@@ -218,8 +227,7 @@
     }
 
     private int countOpenRequests() {
-        long unsent = connections.stream().filter(CallerConnection::hasUnsentAnswer).count();
-        return dispatcher.openRequests() + (int) unsent;
+        return dispatcher.openRequests() + connections.unsentAnswers();
     }
 
     boolean isStopping() {
@@ -255,7 +263,7 @@
         return log;
     }
 
-    Set<CallerConnection> connections() {
+    CallerConnections connections() {
         return connections;
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -347,6 +347,27 @@
         assertThat(runs()).isEqualTo(1);
     }
 
+    /** Guards against a request that is sent again although a planned stop would cut it. */
+    @Test
+    void sendsNothingAgainThatAPlannedStopWouldCut() throws Exception {
+        faults.add(EngineFault.SILENT);
+        addSecondEngine();
+        gateway.expectEnd(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(1_500));
+        assertThat(send("plain", Map.of()).status()).isEqualTo(502);
+        assertThat(runs()).isEqualTo(1);
+    }
+
+    /** Guards against a request that is cut without an answer as the process ends. */
+    @Test
+    void answersWhatIsLeftWhenTheProcessEnds() throws Exception {
+        faults.add(EngineFault.SILENT);
+        CompletableFuture<HttpReply> reply = client.send(request("once", Map.of()));
+        await(() -> first.received().size() == 1);
+        gateway.endRequests();
+        assertThat(reply.get(TIMEOUT_S, TimeUnit.SECONDS).status()).isEqualTo(502);
+        assertThat(gateway.openRequests()).isEqualTo(0);
+    }
+
     @Test
     void ignoresOlderConfiguration() {
         ServingView newer =
