--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
@@ -32,6 +32,10 @@
             return;
         }
         if (message instanceof HttpResponse response) {
+            if (SplicedHead.isIn(response)) {
+                fail(context, new IOException("the head holds the status line of a second answer"));
+                return;
+            }
             keepAlive = HttpUtil.isKeepAlive(response);
             current.onHead(response.status().code(), response.headers());
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.pollenpath.coordination.serving.SendOutcome;
+import io.pollenpath.transport.SplicedHead;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -162,6 +163,11 @@
     }
 
     private void onHead(HttpResponse head) {
+        if (SplicedHead.isIn(head)) {
+            fail(SendOutcome.UNKNOWN, "the head holds the status line of a second answer");
+            close();
+            return;
+        }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             onInterimAnswer();
             return;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
@@ -158,7 +158,7 @@
                 });
     }
 
-    private static HttpClientCodec codec() {
+    static HttpClientCodec codec() {
         HttpDecoderConfig config =
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_LINE_BYTES)
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/TestDialect.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/TestDialect.java
@@ -6,7 +6,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
-/** A dialect without any header, whose events have two fields. */
+/** A dialect whose answers may name their request, and whose events have two fields. */
 final class TestDialect implements WireDialect {
 
     @Override
@@ -40,7 +40,7 @@
 
     @Override
     public boolean belongsTo(HttpHeaders headers, String requestId) {
-        return true;
+        return headers.get("Request-Id", requestId).equals(requestId);
     }
 
     @Override
