--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -7,10 +7,12 @@
 /**
  * Finds the head of an HTTP answer within the bytes of a body. A server that answers twice writes
  * its second answer where the body of the first one goes on, if only the end of the connection ends
- * that body. The work grows with the length of the body, whatever its bytes are.
+ * that body, or if it has stopped within a body or chunk whose length it has named. The work grows
+ * with the length of the body, whatever its bytes are.
  */
 final class EmbeddedHead {
 
+    private static final String VERSION = "HTTP/1.";
     private static final Pattern STATUS = Pattern.compile("HTTP/1\\.\\d \\d{3}( |$)");
 
     private boolean open;
@@ -18,6 +20,31 @@
 
     private EmbeddedHead() {}
 
+    /**
+     * Returns whether a body holds a status line and then, among the fields that follow it, one
+     * that names a request. The body may end before the head does.
+     *
+     * @param body the body, not null
+     * @param requestId the ID of the request, not null
+     * @return false also if the ID is empty
+     */
+    static boolean namesRequest(byte[] body, String requestId) {
+        String text = new String(body, StandardCharsets.ISO_8859_1);
+        if (requestId.isEmpty() || !text.contains(VERSION) || !text.contains(requestId)) {
+            return false;
+        }
+        EmbeddedHead head = new EmbeddedHead();
+        Iterator<String> lines = text.lines().iterator();
+        while (lines.hasNext()) {
+            String line = lines.next();
+            head.isEndedBy(line);
+            if (head.hasFields && line.substring(line.indexOf(':') + 1).trim().equals(requestId)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether a status line, fields and an empty line follow each other in a body. */
     static boolean isIn(byte[] body) {
         EmbeddedHead head = new EmbeddedHead();
@@ -35,6 +62,7 @@
         if (line.isEmpty()) {
             boolean ended = open && hasFields;
             open = false;
+            hasFields = false;
             return ended;
         }
         if (STATUS.matcher(line).find()) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -35,12 +35,13 @@
     private final SendProgress progress = new SendProgress();
     private final AnswerReading reading;
     private final CallerReply reply;
-    private ServerAnswer answer = new ServerAnswer();
+    private ServerAnswer answer;
 
     ForwardedRequest(Gateway gateway, CallerAnswer caller, RequestContext context) {
         this.gateway = gateway;
         this.context = context;
         suspects = new RequestSuspects(context);
+        answer = new ServerAnswer(context.callerHeaders().requestId());
         reading = new AnswerReading(gateway.memory(), progress, () -> breakOff("memory is short"));
         reply = new CallerReply(caller, context.callerHeaders().lastEventId());
     }
@@ -146,7 +147,7 @@
         selections++;
         int selection = selections;
         progress.onSend(nowNanos);
-        answer = new ServerAnswer();
+        answer = new ServerAnswer(context.callerHeaders().requestId());
         connections.acquire(
                 target,
                 context.route().mayRunAgain(),
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -17,6 +17,7 @@
     private static final int EVENTS_IF_IT_GOES_ON = 2;
 
     private EventSplitter splitter = new EventSplitter();
+    private final String requestId;
     private BodyBuffer body = new BodyBuffer();
     private Optional<String> flaw = Optional.empty();
     private WireDialect.ReplyKind kind;
@@ -25,6 +26,15 @@
     private int events;
     private boolean checkingEnd;
 
+    /**
+     * Creates an answer of which nothing has arrived.
+     *
+     * @param requestId the ID of the request, which a second answer names too, not null
+     */
+    ServerAnswer(String requestId) {
+        this.requestId = requestId;
+    }
+
     /** Records the head of the answer, and whether the answer may be a stream. */
     void onHead(WireDialect.ReplyKind newKind, HttpHeaders headers, boolean mayBeStream) {
         kind = newKind;
@@ -72,12 +82,18 @@
      * to be whole.
      */
     WireDialect.ReplyKind kindAtEnd() {
-        boolean second = framing == AnswerFraming.CLOSE && EmbeddedHead.isIn(body.toByteArray());
-        return kind == WireDialect.ReplyKind.ANSWER && second
+        return kind == WireDialect.ReplyKind.ANSWER && holdsSecondAnswer()
                 ? WireDialect.ReplyKind.UNPROVEN
                 : kind;
     }
 
+    private boolean holdsSecondAnswer() {
+        byte[] bytes = body.toByteArray();
+        return framing == AnswerFraming.CLOSE
+                ? EmbeddedHead.isIn(bytes)
+                : EmbeddedHead.namesRequest(bytes, requestId);
+    }
+
     /**
      * Appends bytes of a stream and returns the events that they complete, up to the first bytes
      * that are no event.
@@ -100,12 +116,15 @@
     /**
      * Returns whether an event can be a part of this stream. What follows a stream that only the
      * end of its connection ends looks like a part of it, also the head of a second answer. Text
-     * that names a status is no head while each line is a field of an event.
+     * that names a status is no head while each line is a field of an event. With a length or
+     * chunks, a second answer is inside only if the server stopped within them; it names the
+     * request.
      */
     private boolean mayContain(EventSplitter.Event event, WireDialect dialect) {
-        return framing != AnswerFraming.CLOSE
-                || event.hasOnlyFields(dialect::isEventField)
-                || !EmbeddedHead.isIn(event.bytes());
+        if (framing != AnswerFraming.CLOSE) {
+            return !EmbeddedHead.namesRequest(event.bytes(), requestId);
+        }
+        return event.hasOnlyFields(dialect::isEventField) || !EmbeddedHead.isIn(event.bytes());
     }
 
     /** Returns why no more of the answer can be forwarded; empty if it can. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -11,7 +11,7 @@
 /** Tests what counts as an event of a stream that only the end of its connection ends. */
 class ServerAnswerTest {
 
-    private final ServerAnswer answer = new ServerAnswer();
+    private final ServerAnswer answer = new ServerAnswer("r-1");
 
     private List<EventSplitter.Event> add(String text) {
         HttpHeaders headers = new DefaultHttpHeaders().set("Content-Type", "text/event-stream");
@@ -39,4 +39,25 @@
         assertThat(add("id: 1\ndata: a\n\nid: 2\ndata: b" + head)).hasSize(1);
         assertThat(answer.flaw().isPresent()).isTrue();
     }
+
+    private WireDialect.ReplyKind kindAtEnd(String body) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Content-Length", body.length());
+        answer.onHead(WireDialect.ReplyKind.ANSWER, headers, false);
+        answer.addBody(body.getBytes(StandardCharsets.UTF_8));
+        return answer.kindAtEnd();
+    }
+
+    /** Guards against a body that goes on with a second answer where the first one stopped. */
+    @Test
+    void aLengthMayHideASecondAnswer() {
+        assertThat(kindAtEnd("lettHTTP/1.1 500 Status\r\nRequest-Id: r-1\r\nKeep-Al"))
+                .isEqualTo(WireDialect.ReplyKind.UNPROVEN);
+    }
+
+    /** Guards against a sound answer that is refused because its text shows another one. */
+    @Test
+    void aBodyMayShowAnswersToOtherRequests() {
+        String shown = "HTTP/1.1 200 OK\r\nRequest-Id: r-2\r\n\r\nr-1: HTTP/1.1 200 OK\r\nr-1\r\n";
+        assertThat(kindAtEnd(shown)).isEqualTo(WireDialect.ReplyKind.ANSWER);
+    }
 }
--- a/standins/src/test/java/io/pollenpath/platform/RawCaller.java
+++ b/standins/src/test/java/io/pollenpath/platform/RawCaller.java
@@ -89,6 +89,11 @@
         return new Answer(status, headers, body);
     }
 
+    /** Returns all bytes until the entry closes the connection. */
+    String readAll() throws IOException {
+        return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
     /** Returns whether the entry closes the connection without another byte. */
     boolean isClosedByEntry() throws IOException {
         return in.read() < 0;
