--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
@@ -36,7 +36,11 @@
     /** The largest answer that is collected; a longer one could fill the heap. */
     private static final int MAX_COLLECTED_BYTES = 16_777_216;
 
+    /** The part of the heap that the collected answers of all calls may use together. */
+    private static final int COLLECTED_PER_HEAP = 8;
+
     private final AbstractChannelPoolMap<HttpAddress, ChannelPool> pools;
+    private final CollectedBytes collected;
 
     /**
      * Creates a client that opens a connection whenever all connections to a server are in use.
@@ -44,7 +48,15 @@
      * @param loops the event loops on which connections run, not null
      */
     public HttpClient(NettyLoops loops) {
-        this(loops, bootstrap -> new SimpleChannelPool(bootstrap, new PoolHandler()));
+        this(loops, Runtime.getRuntime().maxMemory() / COLLECTED_PER_HEAP);
+    }
+
+    /** Creates a client that collects answers up to a number of bytes, all calls together. */
+    HttpClient(NettyLoops loops, long maxCollectedBytes) {
+        this(
+                loops,
+                maxCollectedBytes,
+                bootstrap -> new SimpleChannelPool(bootstrap, new PoolHandler()));
     }
 
     /**
@@ -58,6 +70,7 @@
     public static HttpClient bounded(NettyLoops loops, int maxConnectionsPerServer) {
         return new HttpClient(
                 loops,
+                Runtime.getRuntime().maxMemory() / COLLECTED_PER_HEAP,
                 bootstrap ->
                         new FixedChannelPool(
                                 bootstrap,
@@ -69,7 +82,9 @@
                                 MAX_WAITING_CALLS_PER_SERVER));
     }
 
-    private HttpClient(NettyLoops loops, Function<Bootstrap, ChannelPool> newPool) {
+    private HttpClient(
+            NettyLoops loops, long maxCollectedBytes, Function<Bootstrap, ChannelPool> newPool) {
+        collected = new CollectedBytes(maxCollectedBytes);
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loops.group())
@@ -156,17 +171,20 @@
     }
 
     /**
-     * Sends a request and collects the whole answer in memory, up to 16 MiB. Cancelling or timing
-     * out the future cancels the call, and so does a longer answer.
+     * Sends a request and collects the whole answer in memory, up to 16 MiB, and up to an eighth of
+     * the heap for all calls together. Cancelling or timing out the future cancels the call, and so
+     * does an answer for which there is no room.
      *
      * @param request the request, not null
      * @return the answer; completes exceptionally with {@link HttpCallException} if the call fails
      */
     public CompletableFuture<HttpReply> send(Request request) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
-        HttpClientCall call = stream(request, new AnswerCollector(reply));
+        AnswerCollector collector = new AnswerCollector(reply, collected);
+        HttpClientCall call = stream(request, collector);
         reply.whenComplete(
                 (answer, failure) -> {
+                    collector.release();
                     if (failure != null) {
                         call.cancel();
                     }
@@ -225,12 +243,34 @@
 
     private static final class AnswerCollector implements Listener {
         private final CompletableFuture<HttpReply> reply;
+        private final CollectedBytes collected;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
         private HttpHeaders headers;
+        private long bytes;
+        private boolean released;
 
-        AnswerCollector(CompletableFuture<HttpReply> reply) {
+        AnswerCollector(CompletableFuture<HttpReply> reply, CollectedBytes collected) {
             this.reply = reply;
+            this.collected = collected;
+        }
+
+        /** Counts a piece; returns whether there is room for it. */
+        private synchronized boolean count(int piece) {
+            if (released) {
+                return false;
+            }
+            boolean room = collected.add(bytes, piece);
+            bytes += piece;
+            return room;
+        }
+
+        /** Gives back the memory of an answer that was passed on or has failed. */
+        synchronized void release() {
+            if (!released) {
+                released = true;
+                collected.remove(bytes);
+            }
         }
 
         @Override
@@ -245,6 +285,10 @@
                 onFailure(new IOException("the answer exceeds " + MAX_COLLECTED_BYTES), true);
                 return;
             }
+            if (!count(piece.length)) {
+                onFailure(new IOException("the answers to all calls are too large"), true);
+                return;
+            }
             body.writeBytes(piece);
         }
 
