--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -361,8 +361,8 @@
         }
         ServingView current = view.get();
         String name = request.context().service();
-        return mayResend(request, SendOutcome.UNKNOWN, true, nowNanos)
-                && traffic(name).retryBudget().isAllowed(current.liveEntries(), nowNanos)
+        return traffic(name).retryBudget().isAllowed(current.liveEntries(), nowNanos)
+                && mayResend(request, SendOutcome.UNKNOWN, true, nowNanos)
                 && servers.choose(current, name, request, nowNanos).isPresent();
     }
 
