--- a/standins/src/test/java/io/pollenpath/platform/HoldingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/HoldingEngine.java
@@ -15,8 +15,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -29,44 +27,27 @@
     private static final int PIECE_BYTES = 50_000;
     private static final long BYTE_PERIOD_MS = 100;
 
-    private final ServerSocket listener = new ServerSocket(0, BACKLOG, loopback());
+    private final SocketServer server;
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
-    private final ExecutorService threads = Executors.newCachedThreadPool();
 
     HoldingEngine(String id, PlatformStoreStandin store) throws IOException {
-        threads.execute(this::acceptAll);
+        server =
+                new SocketServer(
+                        new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()),
+                        this::serve);
         store.put(
                 StoreKinds.SERVERS,
                 id,
-                PlatformFixtures.serverEntry(EntryFleet.SERVICE, listener.getLocalPort()));
+                PlatformFixtures.serverEntry(EntryFleet.SERVICE, server.port()));
     }
 
-    private static InetAddress loopback() {
-        return InetAddress.getLoopbackAddress();
-    }
-
-    private void acceptAll() {
-        try {
-            while (!listener.isClosed()) {
-                Socket socket = listener.accept();
-                threads.execute(() -> serve(socket));
-            }
-        } catch (IOException e) {
-            // The listener was closed, so no more connections arrive.
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            while (true) {
-                PlatformEngineStandin.ReceivedRequest request = RequestReader.read(in);
-                String id = request.header("request-id");
-                runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
-                answer(socket.getOutputStream(), request);
-            }
-        } catch (IOException e) {
-            // The entry has closed the connection.
+    private void serve(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        while (true) {
+            PlatformEngineStandin.ReceivedRequest request = RequestReader.read(in);
+            String id = request.header("request-id");
+            runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+            answer(socket.getOutputStream(), request);
         }
     }
 
@@ -119,7 +100,6 @@
 
     @Override
     public void close() throws IOException {
-        listener.close();
-        threads.shutdownNow();
+        server.close();
     }
 }
--- a/standins/src/test/java/io/pollenpath/platform/LosingEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/LosingEngine.java
@@ -15,8 +15,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -29,10 +27,9 @@
     private static final int WINDOW_BYTES = 16_384;
     private static final int LONG_BODY_BYTES = 100_000;
 
-    private final ServerSocket listener = new ServerSocket();
+    private final SocketServer server;
     private final boolean losing;
     private final Map<String, AtomicInteger> runs;
-    private final ExecutorService threads = Executors.newCachedThreadPool();
 
     /**
      * Starts an engine.
@@ -49,48 +46,31 @@
             throws IOException {
         this.losing = losing;
         this.runs = runs;
+        ServerSocket listener = new ServerSocket();
         listener.setReceiveBufferSize(WINDOW_BYTES);
         listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
-        threads.execute(this::acceptAll);
-        store.put(
-                StoreKinds.SERVERS,
-                id,
-                PlatformFixtures.serverEntry(service, listener.getLocalPort()));
+        server = new SocketServer(listener, this::serve);
+        store.put(StoreKinds.SERVERS, id, PlatformFixtures.serverEntry(service, server.port()));
     }
 
-    private void acceptAll() {
-        try {
-            while (!listener.isClosed()) {
-                Socket socket = listener.accept();
-                threads.execute(() -> serve(socket));
+    private void serve(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        Map<String, String> head = readHead(in);
+        while (!head.isEmpty()) {
+            String id = head.get("request-id");
+            runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+            int length = Integer.parseInt(head.getOrDefault("content-length", "0"));
+            if (losing && length > LONG_BODY_BYTES) {
+                loseAnswer(socket, in);
+                return;
             }
-        } catch (IOException e) {
-            // The listener was closed, so no more connections arrive.
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            Map<String, String> head = readHead(in);
-            while (!head.isEmpty()) {
-                String id = head.get("request-id");
-                runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
-                int length = Integer.parseInt(head.getOrDefault("content-length", "0"));
-                if (losing && length > LONG_BODY_BYTES) {
-                    loseAnswer(socket, in);
-                    return;
-                }
-                in.readNBytes(length);
-                String answer =
-                        "HTTP/1.1 200 OK\r\nRequest-Id: "
-                                + id
-                                + "\r\nUpstream-Signature: proof\r\nContent-Length: 4\r\n\r\ndone";
-                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
-                head = readHead(in);
-            }
-        } catch (IOException e) {
-            // The entry has closed the connection.
+            in.readNBytes(length);
+            String answer =
+                    "HTTP/1.1 200 OK\r\nRequest-Id: "
+                            + id
+                            + "\r\nUpstream-Signature: proof\r\nContent-Length: 4\r\n\r\ndone";
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            head = readHead(in);
         }
     }
 
@@ -128,7 +108,6 @@
 
     @Override
     public void close() throws IOException {
-        listener.close();
-        threads.shutdownNow();
+        server.close();
     }
 }
--- a/standins/src/test/java/io/pollenpath/platform/ScriptedEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/ScriptedEngine.java
@@ -11,8 +11,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.function.Function;
 
 /** An engine whose answers are the bytes that a test gives; it keeps its connections open. */
@@ -20,9 +18,8 @@
 
     private static final int BACKLOG = 64;
 
-    private final ServerSocket listener;
+    private final SocketServer server;
     private final Function<PlatformEngineStandin.ReceivedRequest, String> answers;
-    private final ExecutorService threads = Executors.newCachedThreadPool();
 
     /**
      * Starts an engine.
@@ -35,41 +32,27 @@
             Function<PlatformEngineStandin.ReceivedRequest, String> answers)
             throws IOException {
         this.answers = answers;
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-        threads.execute(this::acceptAll);
+        server =
+                new SocketServer(
+                        new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()),
+                        this::serve);
         store.put(
                 StoreKinds.SERVERS,
                 id,
-                PlatformFixtures.serverEntry(EntryFleet.SERVICE, listener.getLocalPort()));
+                PlatformFixtures.serverEntry(EntryFleet.SERVICE, server.port()));
     }
 
-    private void acceptAll() {
-        try {
-            while (!listener.isClosed()) {
-                Socket socket = listener.accept();
-                threads.execute(() -> serve(socket));
-            }
-        } catch (IOException e) {
-            // The listener was closed, so no more connections arrive.
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            while (true) {
-                String answer = answers.apply(RequestReader.read(in));
-                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
-                socket.getOutputStream().flush();
-            }
-        } catch (IOException e) {
-            // The entry has closed the connection.
+    private void serve(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        while (true) {
+            String answer = answers.apply(RequestReader.read(in));
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
         }
     }
 
     @Override
     public void close() throws IOException {
-        listener.close();
-        threads.shutdownNow();
+        server.close();
     }
 }
