--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -20,6 +20,9 @@
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
 
+    /** The length that its answer names is that of the answer to another method. */
+    private static final String METHOD_WITHOUT_BODY = "HEAD";
+
     private final Gateway gateway;
     private final RequestContext context;
     private final RequestSuspects suspects;
@@ -213,7 +216,9 @@
             gateway.onAnswerHead(this, newStatus, headers);
         }
         reply.onHead(newStatus, headers);
-        long declaredBytes = answer.declaredBytes(headers);
+        boolean hasBody = !context.method().equals(METHOD_WITHOUT_BODY);
+        long declaredBytes = hasBody ? answer.declaredBytes(headers) : 0;
+        answer.checkLength(declaredBytes);
         if (answer.flaw().isPresent()) {
             breakOff(answer.flaw().get());
         } else if (reading.onLength(declaredBytes)) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -41,9 +41,6 @@
         framing = AnswerFraming.of(headers);
         String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
         stream = mayBeStream && type.startsWith(EVENT_STREAM);
-        if (declaredBytes(headers) > MAX_BODY_BYTES) {
-            flaw = Optional.of(TOO_LARGE);
-        }
     }
 
     /** Returns the length that the head names for an answer that is buffered as a whole; or 0. */
@@ -52,6 +49,13 @@
         return named ? Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH).trim()) : 0;
     }
 
+    /** Finds a flaw in an answer whose named length is above that of any answer. */
+    void checkLength(long bytes) {
+        if (bytes > MAX_BODY_BYTES) {
+            flaw = Optional.of(TOO_LARGE);
+        }
+    }
+
     /** Expects a body whose length is named and for which there is memory. */
     void expectBody(long bytes) {
         body.expect((int) bytes);
