--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -286,7 +287,9 @@
                     entry.getValue().queue().removeExpired(nowNanos)) {
                 answerWithProblem(expired.request(), "no_free_server", nowNanos);
             }
-            refuseTooLate(entry.getValue(), nowNanos);
+            Predicate<ForwardedRequest> tooLate =
+                    request -> stopPolicy.isTooLate(request.route(), nowNanos);
+            refuse(entry.getValue(), tooLate, nowNanos);
             sendQueued(entry.getKey(), nowNanos);
         }
         for (ForwardedRequest request : Set.copyOf(inFlight)) {
@@ -294,14 +297,12 @@
         }
     }
 
-    /** Refuses queued requests that a planned stop would cut if they were sent. */
-    private void refuseTooLate(ServiceTraffic service, long nowNanos) {
+    /** Answers the queued requests of a service to which a condition applies. */
+    private void refuse(
+            ServiceTraffic service, Predicate<ForwardedRequest> condition, long nowNanos) {
         service.queue()
-                .removeIf(request -> stopPolicy.isTooLate(request.route(), nowNanos))
-                .forEach(
-                        late ->
-                                answerWithProblem(
-                                        late.request(), ProblemAnswers.STOPPING, nowNanos));
+                .removeIf(condition)
+                .forEach(q -> answerWithProblem(q.request(), ProblemAnswers.STOPPING, nowNanos));
     }
 
     /** Hears that the process stops, and when it cuts what is still in progress. */
@@ -311,23 +312,13 @@
 
     /** Answers all requests that have no answer, since the process ends. */
     void endAll(long nowNanos) {
-        traffic.values()
-                .forEach(
-                        service ->
-                                service.queue()
-                                        .removeIf(request -> true)
-                                        .forEach(q -> end(q.request(), nowNanos)));
-        Set.copyOf(inFlight).forEach(request -> end(request, nowNanos));
-    }
-
-    private void end(ForwardedRequest request, long nowNanos) {
-        if (request.isDone()) {
-            return;
-        }
-        if (request.sends() > 0) {
-            request.markMayHaveRun();
+        traffic.values().forEach(service -> refuse(service, request -> true, nowNanos));
+        for (ForwardedRequest request : Set.copyOf(inFlight)) {
+            if (request.sends() > 0) {
+                request.markMayHaveRun();
+            }
+            answerWithProblem(request, ProblemAnswers.STOPPING, nowNanos);
         }
-        answerWithProblem(request, ProblemAnswers.STOPPING, nowNanos);
     }
 
     private void checkTimeouts(ForwardedRequest request, long nowNanos) {
--- a/standins/src/test/java/io/pollenpath/platform/EntryProcess.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryProcess.java
@@ -97,6 +97,11 @@
         return callerAddress;
     }
 
+    /** Returns where the entry serves its metrics. */
+    HttpAddress metricsAddress() {
+        return new HttpAddress(IP, callerAddress.port() + 1);
+    }
+
     /** Waits until the entry answers a request with 200. */
     void awaitServing(String path) throws IOException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
