--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -337,17 +337,18 @@
                         && request.silenceMs(nowNanos)
                                 > QueueTimeouts.silenceLimitMs(
                                         request.route(), settings.silenceMs());
-        if (silent && canMoveOn(request, nowNanos)) {
+        if (silent && leavesSilentServer(request, nowNanos)) {
             request.abandonSilentServer();
         }
     }
 
     /**
-     * Returns whether another server can take a request from a silent one. If none can, the silent
-     * one may still answer in time.
+     * Returns whether a request leaves a silent server. A stream that is silent for so long stands,
+     * and its caller can still come back in time. A plain answer may only be late, so its server is
+     * left if another one can take the request.
      */
-    private boolean canMoveOn(ForwardedRequest request, long nowNanos) {
-        if (request.sends() == 0) {
+    private boolean leavesSilentServer(ForwardedRequest request, long nowNanos) {
+        if (request.sends() == 0 || request.route().streaming()) {
             return true;
         }
         ServingView current = view.get();
