--- a/wire/src/main/java/io/pollenpath/protocol/wire/EntryNotice.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryNotice.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * What an entry knows about servers. The receiver replies with the same message.
  * </pre>
@@ -13,2537 +15,2631 @@
  * Protobuf type {@code pollenpath.entry.EntryNotice}
  */
 @com.google.protobuf.Generated
-public final class EntryNotice extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.entry.EntryNotice)
-    EntryNoticeOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      EntryNotice.class.getName());
-  }
-  // Use EntryNotice.newBuilder() to construct.
-  private EntryNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private EntryNotice() {
-    crashes_ = java.util.Collections.emptyList();
-    clearances_ = java.util.Collections.emptyList();
-    trials_ = java.util.Collections.emptyList();
-    limits_ = java.util.Collections.emptyList();
-    slowdowns_ = java.util.Collections.emptyList();
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_EntryNotice_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.EntryNotice.class, io.pollenpath.protocol.wire.EntryNotice.Builder.class);
-  }
-
-  private int bitField0_;
-  public static final int CRASHES_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.ServerCrash> crashes_;
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.ServerCrash> getCrashesList() {
-    return crashes_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.ServerCrashOrBuilder> 
-      getCrashesOrBuilderList() {
-    return crashes_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  @java.lang.Override
-  public int getCrashesCount() {
-    return crashes_.size();
-  }
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ServerCrash getCrashes(int index) {
-    return crashes_.get(index);
-  }
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ServerCrashOrBuilder getCrashesOrBuilder(
-      int index) {
-    return crashes_.get(index);
-  }
-
-  public static final int CLEARANCES_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.RequestClearance> clearances_;
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.RequestClearance> getClearancesList() {
-    return clearances_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.RequestClearanceOrBuilder> 
-      getClearancesOrBuilderList() {
-    return clearances_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  @java.lang.Override
-  public int getClearancesCount() {
-    return clearances_.size();
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RequestClearance getClearances(int index) {
-    return clearances_.get(index);
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RequestClearanceOrBuilder getClearancesOrBuilder(
-      int index) {
-    return clearances_.get(index);
-  }
-
-  public static final int TRIALS_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.RequestTrial> trials_;
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.RequestTrial> getTrialsList() {
-    return trials_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.RequestTrialOrBuilder> 
-      getTrialsOrBuilderList() {
-    return trials_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  @java.lang.Override
-  public int getTrialsCount() {
-    return trials_.size();
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RequestTrial getTrials(int index) {
-    return trials_.get(index);
-  }
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RequestTrialOrBuilder getTrialsOrBuilder(
-      int index) {
-    return trials_.get(index);
-  }
-
-  public static final int LIMITS_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.NamedLimit> limits_;
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList() {
-    return limits_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder> 
-      getLimitsOrBuilderList() {
-    return limits_;
-  }
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  @java.lang.Override
-  public int getLimitsCount() {
-    return limits_.size();
-  }
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.NamedLimit getLimits(int index) {
-    return limits_.get(index);
-  }
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(
-      int index) {
-    return limits_.get(index);
-  }
-
-  public static final int CLAIM_FIELD_NUMBER = 5;
-  private io.pollenpath.protocol.wire.TrialClaim claim_;
-  /**
-   * <pre>
-   * Set in a call that asks for agreement to a test run.
-   * </pre>
-   *
-   * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-   * @return Whether the claim field is set.
-   */
-  @java.lang.Override
-  public boolean hasClaim() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <pre>
-   * Set in a call that asks for agreement to a test run.
-   * </pre>
-   *
-   * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-   * @return The claim.
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.TrialClaim getClaim() {
-    return claim_ == null ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance() : claim_;
-  }
-  /**
-   * <pre>
-   * Set in a call that asks for agreement to a test run.
-   * </pre>
-   *
-   * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder() {
-    return claim_ == null ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance() : claim_;
-  }
-
-  public static final int AGREED_FIELD_NUMBER = 6;
-  private boolean agreed_ = false;
-  /**
-   * <pre>
-   * Set in a reply that agrees to the claim of the call.
-   * </pre>
-   *
-   * <code>bool agreed = 6;</code>
-   * @return The agreed.
-   */
-  @java.lang.Override
-  public boolean getAgreed() {
-    return agreed_;
-  }
-
-  public static final int SLOWDOWNS_FIELD_NUMBER = 7;
-  @SuppressWarnings("serial")
-  private java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> slowdowns_;
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> getSlowdownsList() {
-    return slowdowns_;
-  }
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.pollenpath.protocol.wire.ServerSlowdownOrBuilder> 
-      getSlowdownsOrBuilderList() {
-    return slowdowns_;
-  }
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  @java.lang.Override
-  public int getSlowdownsCount() {
-    return slowdowns_.size();
-  }
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ServerSlowdown getSlowdowns(int index) {
-    return slowdowns_.get(index);
-  }
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ServerSlowdownOrBuilder getSlowdownsOrBuilder(
-      int index) {
-    return slowdowns_.get(index);
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    for (int i = 0; i < crashes_.size(); i++) {
-      output.writeMessage(1, crashes_.get(i));
-    }
-    for (int i = 0; i < clearances_.size(); i++) {
-      output.writeMessage(2, clearances_.get(i));
-    }
-    for (int i = 0; i < trials_.size(); i++) {
-      output.writeMessage(3, trials_.get(i));
-    }
-    for (int i = 0; i < limits_.size(); i++) {
-      output.writeMessage(4, limits_.get(i));
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(5, getClaim());
-    }
-    if (agreed_ != false) {
-      output.writeBool(6, agreed_);
-    }
-    for (int i = 0; i < slowdowns_.size(); i++) {
-      output.writeMessage(7, slowdowns_.get(i));
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    for (int i = 0; i < crashes_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(1, crashes_.get(i));
-    }
-    for (int i = 0; i < clearances_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, clearances_.get(i));
-    }
-    for (int i = 0; i < trials_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, trials_.get(i));
-    }
-    for (int i = 0; i < limits_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, limits_.get(i));
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, getClaim());
-    }
-    if (agreed_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(6, agreed_);
-    }
-    for (int i = 0; i < slowdowns_.size(); i++) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(7, slowdowns_.get(i));
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.EntryNotice)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.EntryNotice other = (io.pollenpath.protocol.wire.EntryNotice) obj;
-
-    if (!getCrashesList()
-        .equals(other.getCrashesList())) return false;
-    if (!getClearancesList()
-        .equals(other.getClearancesList())) return false;
-    if (!getTrialsList()
-        .equals(other.getTrialsList())) return false;
-    if (!getLimitsList()
-        .equals(other.getLimitsList())) return false;
-    if (hasClaim() != other.hasClaim()) return false;
-    if (hasClaim()) {
-      if (!getClaim()
-          .equals(other.getClaim())) return false;
-    }
-    if (getAgreed()
-        != other.getAgreed()) return false;
-    if (!getSlowdownsList()
-        .equals(other.getSlowdownsList())) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    if (getCrashesCount() > 0) {
-      hash = (37 * hash) + CRASHES_FIELD_NUMBER;
-      hash = (53 * hash) + getCrashesList().hashCode();
-    }
-    if (getClearancesCount() > 0) {
-      hash = (37 * hash) + CLEARANCES_FIELD_NUMBER;
-      hash = (53 * hash) + getClearancesList().hashCode();
-    }
-    if (getTrialsCount() > 0) {
-      hash = (37 * hash) + TRIALS_FIELD_NUMBER;
-      hash = (53 * hash) + getTrialsList().hashCode();
-    }
-    if (getLimitsCount() > 0) {
-      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
-      hash = (53 * hash) + getLimitsList().hashCode();
-    }
-    if (hasClaim()) {
-      hash = (37 * hash) + CLAIM_FIELD_NUMBER;
-      hash = (53 * hash) + getClaim().hashCode();
-    }
-    hash = (37 * hash) + AGREED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getAgreed());
-    if (getSlowdownsCount() > 0) {
-      hash = (37 * hash) + SLOWDOWNS_FIELD_NUMBER;
-      hash = (53 * hash) + getSlowdownsList().hashCode();
-    }
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.EntryNotice parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.EntryNotice parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.EntryNotice prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * What an entry knows about servers. The receiver replies with the same message.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.entry.EntryNotice}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.entry.EntryNotice)
-      io.pollenpath.protocol.wire.EntryNoticeOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_EntryNotice_descriptor;
-    }
+public final class EntryNotice extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.EntryNotice)
+        EntryNoticeOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.EntryNotice.class, io.pollenpath.protocol.wire.EntryNotice.Builder.class);
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                EntryNotice.class.getName());
     }
 
-    // Construct using io.pollenpath.protocol.wire.EntryNotice.newBuilder()
-    private Builder() {
-      maybeForceBuilderInitialization();
+    // Use EntryNotice.newBuilder() to construct.
+    private EntryNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-      maybeForceBuilderInitialization();
-    }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetCrashesFieldBuilder();
-        internalGetClearancesFieldBuilder();
-        internalGetTrialsFieldBuilder();
-        internalGetLimitsFieldBuilder();
-        internalGetClaimFieldBuilder();
-        internalGetSlowdownsFieldBuilder();
-      }
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      if (crashesBuilder_ == null) {
+    private EntryNotice() {
         crashes_ = java.util.Collections.emptyList();
-      } else {
-        crashes_ = null;
-        crashesBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000001);
-      if (clearancesBuilder_ == null) {
         clearances_ = java.util.Collections.emptyList();
-      } else {
-        clearances_ = null;
-        clearancesBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000002);
-      if (trialsBuilder_ == null) {
         trials_ = java.util.Collections.emptyList();
-      } else {
-        trials_ = null;
-        trialsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000004);
-      if (limitsBuilder_ == null) {
         limits_ = java.util.Collections.emptyList();
-      } else {
-        limits_ = null;
-        limitsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000008);
-      claim_ = null;
-      if (claimBuilder_ != null) {
-        claimBuilder_.dispose();
-        claimBuilder_ = null;
-      }
-      agreed_ = false;
-      if (slowdownsBuilder_ == null) {
         slowdowns_ = java.util.Collections.emptyList();
-      } else {
-        slowdowns_ = null;
-        slowdownsBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000040);
-      return this;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_EntryNotice_descriptor;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_EntryNotice_descriptor;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.EntryNotice.class,
+                        io.pollenpath.protocol.wire.EntryNotice.Builder.class);
     }
 
+    private int bitField0_;
+    public static final int CRASHES_FIELD_NUMBER = 1;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.ServerCrash> crashes_;
+
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.EntryNotice getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.EntryNotice.getDefaultInstance();
+    public java.util.List<io.pollenpath.protocol.wire.ServerCrash> getCrashesList() {
+        return crashes_;
     }
 
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.EntryNotice build() {
-      io.pollenpath.protocol.wire.EntryNotice result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public java.util.List<? extends io.pollenpath.protocol.wire.ServerCrashOrBuilder>
+            getCrashesOrBuilderList() {
+        return crashes_;
     }
 
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
     @java.lang.Override
-    public io.pollenpath.protocol.wire.EntryNotice buildPartial() {
-      io.pollenpath.protocol.wire.EntryNotice result = new io.pollenpath.protocol.wire.EntryNotice(this);
-      buildPartialRepeatedFields(result);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public int getCrashesCount() {
+        return crashes_.size();
     }
 
-    private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.EntryNotice result) {
-      if (crashesBuilder_ == null) {
-        if (((bitField0_ & 0x00000001) != 0)) {
-          crashes_ = java.util.Collections.unmodifiableList(crashes_);
-          bitField0_ = (bitField0_ & ~0x00000001);
-        }
-        result.crashes_ = crashes_;
-      } else {
-        result.crashes_ = crashesBuilder_.build();
-      }
-      if (clearancesBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0)) {
-          clearances_ = java.util.Collections.unmodifiableList(clearances_);
-          bitField0_ = (bitField0_ & ~0x00000002);
-        }
-        result.clearances_ = clearances_;
-      } else {
-        result.clearances_ = clearancesBuilder_.build();
-      }
-      if (trialsBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
-          trials_ = java.util.Collections.unmodifiableList(trials_);
-          bitField0_ = (bitField0_ & ~0x00000004);
-        }
-        result.trials_ = trials_;
-      } else {
-        result.trials_ = trialsBuilder_.build();
-      }
-      if (limitsBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
-          limits_ = java.util.Collections.unmodifiableList(limits_);
-          bitField0_ = (bitField0_ & ~0x00000008);
-        }
-        result.limits_ = limits_;
-      } else {
-        result.limits_ = limitsBuilder_.build();
-      }
-      if (slowdownsBuilder_ == null) {
-        if (((bitField0_ & 0x00000040) != 0)) {
-          slowdowns_ = java.util.Collections.unmodifiableList(slowdowns_);
-          bitField0_ = (bitField0_ & ~0x00000040);
-        }
-        result.slowdowns_ = slowdowns_;
-      } else {
-        result.slowdowns_ = slowdownsBuilder_.build();
-      }
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ServerCrash getCrashes(int index) {
+        return crashes_.get(index);
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.EntryNotice result) {
-      int from_bitField0_ = bitField0_;
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.claim_ = claimBuilder_ == null
-            ? claim_
-            : claimBuilder_.build();
-        to_bitField0_ |= 0x00000001;
-      }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.agreed_ = agreed_;
-      }
-      result.bitField0_ |= to_bitField0_;
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ServerCrashOrBuilder getCrashesOrBuilder(int index) {
+        return crashes_.get(index);
     }
 
+    public static final int CLEARANCES_FIELD_NUMBER = 2;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.RequestClearance> clearances_;
+
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
     @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.EntryNotice) {
-        return mergeFrom((io.pollenpath.protocol.wire.EntryNotice)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
+    public java.util.List<io.pollenpath.protocol.wire.RequestClearance> getClearancesList() {
+        return clearances_;
     }
 
-    public Builder mergeFrom(io.pollenpath.protocol.wire.EntryNotice other) {
-      if (other == io.pollenpath.protocol.wire.EntryNotice.getDefaultInstance()) return this;
-      if (crashesBuilder_ == null) {
-        if (!other.crashes_.isEmpty()) {
-          if (crashes_.isEmpty()) {
-            crashes_ = other.crashes_;
-            bitField0_ = (bitField0_ & ~0x00000001);
-          } else {
-            ensureCrashesIsMutable();
-            crashes_.addAll(other.crashes_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.crashes_.isEmpty()) {
-          if (crashesBuilder_.isEmpty()) {
-            crashesBuilder_.dispose();
-            crashesBuilder_ = null;
-            crashes_ = other.crashes_;
-            bitField0_ = (bitField0_ & ~0x00000001);
-            crashesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetCrashesFieldBuilder() : null;
-          } else {
-            crashesBuilder_.addAllMessages(other.crashes_);
-          }
-        }
-      }
-      if (clearancesBuilder_ == null) {
-        if (!other.clearances_.isEmpty()) {
-          if (clearances_.isEmpty()) {
-            clearances_ = other.clearances_;
-            bitField0_ = (bitField0_ & ~0x00000002);
-          } else {
-            ensureClearancesIsMutable();
-            clearances_.addAll(other.clearances_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.clearances_.isEmpty()) {
-          if (clearancesBuilder_.isEmpty()) {
-            clearancesBuilder_.dispose();
-            clearancesBuilder_ = null;
-            clearances_ = other.clearances_;
-            bitField0_ = (bitField0_ & ~0x00000002);
-            clearancesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetClearancesFieldBuilder() : null;
-          } else {
-            clearancesBuilder_.addAllMessages(other.clearances_);
-          }
-        }
-      }
-      if (trialsBuilder_ == null) {
-        if (!other.trials_.isEmpty()) {
-          if (trials_.isEmpty()) {
-            trials_ = other.trials_;
-            bitField0_ = (bitField0_ & ~0x00000004);
-          } else {
-            ensureTrialsIsMutable();
-            trials_.addAll(other.trials_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.trials_.isEmpty()) {
-          if (trialsBuilder_.isEmpty()) {
-            trialsBuilder_.dispose();
-            trialsBuilder_ = null;
-            trials_ = other.trials_;
-            bitField0_ = (bitField0_ & ~0x00000004);
-            trialsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetTrialsFieldBuilder() : null;
-          } else {
-            trialsBuilder_.addAllMessages(other.trials_);
-          }
-        }
-      }
-      if (limitsBuilder_ == null) {
-        if (!other.limits_.isEmpty()) {
-          if (limits_.isEmpty()) {
-            limits_ = other.limits_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-          } else {
-            ensureLimitsIsMutable();
-            limits_.addAll(other.limits_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.limits_.isEmpty()) {
-          if (limitsBuilder_.isEmpty()) {
-            limitsBuilder_.dispose();
-            limitsBuilder_ = null;
-            limits_ = other.limits_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-            limitsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLimitsFieldBuilder() : null;
-          } else {
-            limitsBuilder_.addAllMessages(other.limits_);
-          }
-        }
-      }
-      if (other.hasClaim()) {
-        mergeClaim(other.getClaim());
-      }
-      if (other.getAgreed() != false) {
-        setAgreed(other.getAgreed());
-      }
-      if (slowdownsBuilder_ == null) {
-        if (!other.slowdowns_.isEmpty()) {
-          if (slowdowns_.isEmpty()) {
-            slowdowns_ = other.slowdowns_;
-            bitField0_ = (bitField0_ & ~0x00000040);
-          } else {
-            ensureSlowdownsIsMutable();
-            slowdowns_.addAll(other.slowdowns_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.slowdowns_.isEmpty()) {
-          if (slowdownsBuilder_.isEmpty()) {
-            slowdownsBuilder_.dispose();
-            slowdownsBuilder_ = null;
-            slowdowns_ = other.slowdowns_;
-            bitField0_ = (bitField0_ & ~0x00000040);
-            slowdownsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetSlowdownsFieldBuilder() : null;
-          } else {
-            slowdownsBuilder_.addAllMessages(other.slowdowns_);
-          }
-        }
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+    @java.lang.Override
+    public java.util.List<? extends io.pollenpath.protocol.wire.RequestClearanceOrBuilder>
+            getClearancesOrBuilderList() {
+        return clearances_;
     }
 
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public int getClearancesCount() {
+        return clearances_.size();
     }
 
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
     @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              io.pollenpath.protocol.wire.ServerCrash m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.ServerCrash.parser(),
-                      extensionRegistry);
-              if (crashesBuilder_ == null) {
-                ensureCrashesIsMutable();
-                crashes_.add(m);
-              } else {
-                crashesBuilder_.addMessage(m);
-              }
-              break;
-            } // case 10
-            case 18: {
-              io.pollenpath.protocol.wire.RequestClearance m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.RequestClearance.parser(),
-                      extensionRegistry);
-              if (clearancesBuilder_ == null) {
-                ensureClearancesIsMutable();
-                clearances_.add(m);
-              } else {
-                clearancesBuilder_.addMessage(m);
-              }
-              break;
-            } // case 18
-            case 26: {
-              io.pollenpath.protocol.wire.RequestTrial m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.RequestTrial.parser(),
-                      extensionRegistry);
-              if (trialsBuilder_ == null) {
-                ensureTrialsIsMutable();
-                trials_.add(m);
-              } else {
-                trialsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 26
-            case 34: {
-              io.pollenpath.protocol.wire.NamedLimit m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.NamedLimit.parser(),
-                      extensionRegistry);
-              if (limitsBuilder_ == null) {
-                ensureLimitsIsMutable();
-                limits_.add(m);
-              } else {
-                limitsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 34
-            case 42: {
-              input.readMessage(
-                  internalGetClaimFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 42
-            case 48: {
-              agreed_ = input.readBool();
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 48
-            case 58: {
-              io.pollenpath.protocol.wire.ServerSlowdown m =
-                  input.readMessage(
-                      io.pollenpath.protocol.wire.ServerSlowdown.parser(),
-                      extensionRegistry);
-              if (slowdownsBuilder_ == null) {
-                ensureSlowdownsIsMutable();
-                slowdowns_.add(m);
-              } else {
-                slowdownsBuilder_.addMessage(m);
-              }
-              break;
-            } // case 58
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
+    public io.pollenpath.protocol.wire.RequestClearance getClearances(int index) {
+        return clearances_.get(index);
     }
-    private int bitField0_;
 
-    private java.util.List<io.pollenpath.protocol.wire.ServerCrash> crashes_ =
-      java.util.Collections.emptyList();
-    private void ensureCrashesIsMutable() {
-      if (!((bitField0_ & 0x00000001) != 0)) {
-        crashes_ = new java.util.ArrayList<io.pollenpath.protocol.wire.ServerCrash>(crashes_);
-        bitField0_ |= 0x00000001;
-       }
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RequestClearanceOrBuilder getClearancesOrBuilder(int index) {
+        return clearances_.get(index);
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ServerCrash, io.pollenpath.protocol.wire.ServerCrash.Builder, io.pollenpath.protocol.wire.ServerCrashOrBuilder> crashesBuilder_;
+    public static final int TRIALS_FIELD_NUMBER = 3;
 
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.ServerCrash> getCrashesList() {
-      if (crashesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(crashes_);
-      } else {
-        return crashesBuilder_.getMessageList();
-      }
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.RequestTrial> trials_;
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    @java.lang.Override
+    public java.util.List<io.pollenpath.protocol.wire.RequestTrial> getTrialsList() {
+        return trials_;
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public int getCrashesCount() {
-      if (crashesBuilder_ == null) {
-        return crashes_.size();
-      } else {
-        return crashesBuilder_.getCount();
-      }
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    @java.lang.Override
+    public java.util.List<? extends io.pollenpath.protocol.wire.RequestTrialOrBuilder>
+            getTrialsOrBuilderList() {
+        return trials_;
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public io.pollenpath.protocol.wire.ServerCrash getCrashes(int index) {
-      if (crashesBuilder_ == null) {
-        return crashes_.get(index);
-      } else {
-        return crashesBuilder_.getMessage(index);
-      }
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    @java.lang.Override
+    public int getTrialsCount() {
+        return trials_.size();
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public Builder setCrashes(
-        int index, io.pollenpath.protocol.wire.ServerCrash value) {
-      if (crashesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureCrashesIsMutable();
-        crashes_.set(index, value);
-        onChanged();
-      } else {
-        crashesBuilder_.setMessage(index, value);
-      }
-      return this;
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RequestTrial getTrials(int index) {
+        return trials_.get(index);
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public Builder setCrashes(
-        int index, io.pollenpath.protocol.wire.ServerCrash.Builder builderForValue) {
-      if (crashesBuilder_ == null) {
-        ensureCrashesIsMutable();
-        crashes_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        crashesBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RequestTrialOrBuilder getTrialsOrBuilder(int index) {
+        return trials_.get(index);
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public Builder addCrashes(io.pollenpath.protocol.wire.ServerCrash value) {
-      if (crashesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureCrashesIsMutable();
-        crashes_.add(value);
-        onChanged();
-      } else {
-        crashesBuilder_.addMessage(value);
-      }
-      return this;
+
+    public static final int LIMITS_FIELD_NUMBER = 4;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.NamedLimit> limits_;
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList() {
+        return limits_;
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public Builder addCrashes(
-        int index, io.pollenpath.protocol.wire.ServerCrash value) {
-      if (crashesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureCrashesIsMutable();
-        crashes_.add(index, value);
-        onChanged();
-      } else {
-        crashesBuilder_.addMessage(index, value);
-      }
-      return this;
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+            getLimitsOrBuilderList() {
+        return limits_;
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public Builder addCrashes(
-        io.pollenpath.protocol.wire.ServerCrash.Builder builderForValue) {
-      if (crashesBuilder_ == null) {
-        ensureCrashesIsMutable();
-        crashes_.add(builderForValue.build());
-        onChanged();
-      } else {
-        crashesBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public int getLimitsCount() {
+        return limits_.size();
     }
-    /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-     */
-    public Builder addCrashes(
-        int index, io.pollenpath.protocol.wire.ServerCrash.Builder builderForValue) {
-      if (crashesBuilder_ == null) {
-        ensureCrashesIsMutable();
-        crashes_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        crashesBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.NamedLimit getLimits(int index) {
+        return limits_.get(index);
+    }
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(int index) {
+        return limits_.get(index);
     }
+
+    public static final int CLAIM_FIELD_NUMBER = 5;
+    private io.pollenpath.protocol.wire.TrialClaim claim_;
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return Whether the claim field is set.
      */
-    public Builder addAllCrashes(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.ServerCrash> values) {
-      if (crashesBuilder_ == null) {
-        ensureCrashesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, crashes_);
-        onChanged();
-      } else {
-        crashesBuilder_.addAllMessages(values);
-      }
-      return this;
+    @java.lang.Override
+    public boolean hasClaim() {
+        return ((bitField0_ & 0x00000001) != 0);
     }
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return The claim.
      */
-    public Builder clearCrashes() {
-      if (crashesBuilder_ == null) {
-        crashes_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-      } else {
-        crashesBuilder_.clear();
-      }
-      return this;
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.TrialClaim getClaim() {
+        return claim_ == null
+                ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                : claim_;
     }
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
      */
-    public Builder removeCrashes(int index) {
-      if (crashesBuilder_ == null) {
-        ensureCrashesIsMutable();
-        crashes_.remove(index);
-        onChanged();
-      } else {
-        crashesBuilder_.remove(index);
-      }
-      return this;
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder() {
+        return claim_ == null
+                ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                : claim_;
     }
+
+    public static final int AGREED_FIELD_NUMBER = 6;
+    private boolean agreed_ = false;
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in a reply that agrees to the claim of the call.
+     * </pre>
+     *
+     * <code>bool agreed = 6;</code>
+     *
+     * @return The agreed.
      */
-    public io.pollenpath.protocol.wire.ServerCrash.Builder getCrashesBuilder(
-        int index) {
-      return internalGetCrashesFieldBuilder().getBuilder(index);
+    @java.lang.Override
+    public boolean getAgreed() {
+        return agreed_;
     }
+
+    public static final int SLOWDOWNS_FIELD_NUMBER = 7;
+
+    @SuppressWarnings("serial")
+    private java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> slowdowns_;
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
      */
-    public io.pollenpath.protocol.wire.ServerCrashOrBuilder getCrashesOrBuilder(
-        int index) {
-      if (crashesBuilder_ == null) {
-        return crashes_.get(index);  } else {
-        return crashesBuilder_.getMessageOrBuilder(index);
-      }
+    @java.lang.Override
+    public java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> getSlowdownsList() {
+        return slowdowns_;
     }
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
      */
-    public java.util.List<? extends io.pollenpath.protocol.wire.ServerCrashOrBuilder> 
-         getCrashesOrBuilderList() {
-      if (crashesBuilder_ != null) {
-        return crashesBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(crashes_);
-      }
+    @java.lang.Override
+    public java.util.List<? extends io.pollenpath.protocol.wire.ServerSlowdownOrBuilder>
+            getSlowdownsOrBuilderList() {
+        return slowdowns_;
     }
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
      */
-    public io.pollenpath.protocol.wire.ServerCrash.Builder addCrashesBuilder() {
-      return internalGetCrashesFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance());
+    @java.lang.Override
+    public int getSlowdownsCount() {
+        return slowdowns_.size();
     }
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
      */
-    public io.pollenpath.protocol.wire.ServerCrash.Builder addCrashesBuilder(
-        int index) {
-      return internalGetCrashesFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance());
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ServerSlowdown getSlowdowns(int index) {
+        return slowdowns_.get(index);
     }
+
     /**
-     * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
      */
-    public java.util.List<io.pollenpath.protocol.wire.ServerCrash.Builder> 
-         getCrashesBuilderList() {
-      return internalGetCrashesFieldBuilder().getBuilderList();
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ServerSlowdownOrBuilder getSlowdownsOrBuilder(int index) {
+        return slowdowns_.get(index);
     }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ServerCrash, io.pollenpath.protocol.wire.ServerCrash.Builder, io.pollenpath.protocol.wire.ServerCrashOrBuilder> 
-        internalGetCrashesFieldBuilder() {
-      if (crashesBuilder_ == null) {
-        crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.ServerCrash, io.pollenpath.protocol.wire.ServerCrash.Builder, io.pollenpath.protocol.wire.ServerCrashOrBuilder>(
-                crashes_,
-                ((bitField0_ & 0x00000001) != 0),
-                getParentForChildren(),
-                isClean());
-        crashes_ = null;
-      }
-      return crashesBuilder_;
+
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
-    private java.util.List<io.pollenpath.protocol.wire.RequestClearance> clearances_ =
-      java.util.Collections.emptyList();
-    private void ensureClearancesIsMutable() {
-      if (!((bitField0_ & 0x00000002) != 0)) {
-        clearances_ = new java.util.ArrayList<io.pollenpath.protocol.wire.RequestClearance>(clearances_);
-        bitField0_ |= 0x00000002;
-       }
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        for (int i = 0; i < crashes_.size(); i++) {
+            output.writeMessage(1, crashes_.get(i));
+        }
+        for (int i = 0; i < clearances_.size(); i++) {
+            output.writeMessage(2, clearances_.get(i));
+        }
+        for (int i = 0; i < trials_.size(); i++) {
+            output.writeMessage(3, trials_.get(i));
+        }
+        for (int i = 0; i < limits_.size(); i++) {
+            output.writeMessage(4, limits_.get(i));
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            output.writeMessage(5, getClaim());
+        }
+        if (agreed_ != false) {
+            output.writeBool(6, agreed_);
+        }
+        for (int i = 0; i < slowdowns_.size(); i++) {
+            output.writeMessage(7, slowdowns_.get(i));
+        }
+        getUnknownFields().writeTo(output);
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.RequestClearance, io.pollenpath.protocol.wire.RequestClearance.Builder, io.pollenpath.protocol.wire.RequestClearanceOrBuilder> clearancesBuilder_;
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
 
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.RequestClearance> getClearancesList() {
-      if (clearancesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(clearances_);
-      } else {
-        return clearancesBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public int getClearancesCount() {
-      if (clearancesBuilder_ == null) {
-        return clearances_.size();
-      } else {
-        return clearancesBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestClearance getClearances(int index) {
-      if (clearancesBuilder_ == null) {
-        return clearances_.get(index);
-      } else {
-        return clearancesBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder setClearances(
-        int index, io.pollenpath.protocol.wire.RequestClearance value) {
-      if (clearancesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureClearancesIsMutable();
-        clearances_.set(index, value);
-        onChanged();
-      } else {
-        clearancesBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder setClearances(
-        int index, io.pollenpath.protocol.wire.RequestClearance.Builder builderForValue) {
-      if (clearancesBuilder_ == null) {
-        ensureClearancesIsMutable();
-        clearances_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        clearancesBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder addClearances(io.pollenpath.protocol.wire.RequestClearance value) {
-      if (clearancesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureClearancesIsMutable();
-        clearances_.add(value);
-        onChanged();
-      } else {
-        clearancesBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder addClearances(
-        int index, io.pollenpath.protocol.wire.RequestClearance value) {
-      if (clearancesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureClearancesIsMutable();
-        clearances_.add(index, value);
-        onChanged();
-      } else {
-        clearancesBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder addClearances(
-        io.pollenpath.protocol.wire.RequestClearance.Builder builderForValue) {
-      if (clearancesBuilder_ == null) {
-        ensureClearancesIsMutable();
-        clearances_.add(builderForValue.build());
-        onChanged();
-      } else {
-        clearancesBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder addClearances(
-        int index, io.pollenpath.protocol.wire.RequestClearance.Builder builderForValue) {
-      if (clearancesBuilder_ == null) {
-        ensureClearancesIsMutable();
-        clearances_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        clearancesBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder addAllClearances(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.RequestClearance> values) {
-      if (clearancesBuilder_ == null) {
-        ensureClearancesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, clearances_);
-        onChanged();
-      } else {
-        clearancesBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder clearClearances() {
-      if (clearancesBuilder_ == null) {
-        clearances_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-      } else {
-        clearancesBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public Builder removeClearances(int index) {
-      if (clearancesBuilder_ == null) {
-        ensureClearancesIsMutable();
-        clearances_.remove(index);
-        onChanged();
-      } else {
-        clearancesBuilder_.remove(index);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestClearance.Builder getClearancesBuilder(
-        int index) {
-      return internalGetClearancesFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestClearanceOrBuilder getClearancesOrBuilder(
-        int index) {
-      if (clearancesBuilder_ == null) {
-        return clearances_.get(index);  } else {
-        return clearancesBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public java.util.List<? extends io.pollenpath.protocol.wire.RequestClearanceOrBuilder> 
-         getClearancesOrBuilderList() {
-      if (clearancesBuilder_ != null) {
-        return clearancesBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(clearances_);
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestClearance.Builder addClearancesBuilder() {
-      return internalGetClearancesFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestClearance.Builder addClearancesBuilder(
-        int index) {
-      return internalGetClearancesFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.RequestClearance.Builder> 
-         getClearancesBuilderList() {
-      return internalGetClearancesFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.RequestClearance, io.pollenpath.protocol.wire.RequestClearance.Builder, io.pollenpath.protocol.wire.RequestClearanceOrBuilder> 
-        internalGetClearancesFieldBuilder() {
-      if (clearancesBuilder_ == null) {
-        clearancesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.RequestClearance, io.pollenpath.protocol.wire.RequestClearance.Builder, io.pollenpath.protocol.wire.RequestClearanceOrBuilder>(
-                clearances_,
-                ((bitField0_ & 0x00000002) != 0),
-                getParentForChildren(),
-                isClean());
-        clearances_ = null;
-      }
-      return clearancesBuilder_;
+        size = 0;
+        for (int i = 0; i < crashes_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, crashes_.get(i));
+        }
+        for (int i = 0; i < clearances_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, clearances_.get(i));
+        }
+        for (int i = 0; i < trials_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(3, trials_.get(i));
+        }
+        for (int i = 0; i < limits_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, limits_.get(i));
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(5, getClaim());
+        }
+        if (agreed_ != false) {
+            size += com.google.protobuf.CodedOutputStream.computeBoolSize(6, agreed_);
+        }
+        for (int i = 0; i < slowdowns_.size(); i++) {
+            size += com.google.protobuf.CodedOutputStream.computeMessageSize(7, slowdowns_.get(i));
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
-    private java.util.List<io.pollenpath.protocol.wire.RequestTrial> trials_ =
-      java.util.Collections.emptyList();
-    private void ensureTrialsIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
-        trials_ = new java.util.ArrayList<io.pollenpath.protocol.wire.RequestTrial>(trials_);
-        bitField0_ |= 0x00000004;
-       }
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.EntryNotice)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.EntryNotice other =
+                (io.pollenpath.protocol.wire.EntryNotice) obj;
+
+        if (!getCrashesList().equals(other.getCrashesList())) return false;
+        if (!getClearancesList().equals(other.getClearancesList())) return false;
+        if (!getTrialsList().equals(other.getTrialsList())) return false;
+        if (!getLimitsList().equals(other.getLimitsList())) return false;
+        if (hasClaim() != other.hasClaim()) return false;
+        if (hasClaim()) {
+            if (!getClaim().equals(other.getClaim())) return false;
+        }
+        if (getAgreed() != other.getAgreed()) return false;
+        if (!getSlowdownsList().equals(other.getSlowdownsList())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.RequestTrial, io.pollenpath.protocol.wire.RequestTrial.Builder, io.pollenpath.protocol.wire.RequestTrialOrBuilder> trialsBuilder_;
-
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.RequestTrial> getTrialsList() {
-      if (trialsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(trials_);
-      } else {
-        return trialsBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public int getTrialsCount() {
-      if (trialsBuilder_ == null) {
-        return trials_.size();
-      } else {
-        return trialsBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestTrial getTrials(int index) {
-      if (trialsBuilder_ == null) {
-        return trials_.get(index);
-      } else {
-        return trialsBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder setTrials(
-        int index, io.pollenpath.protocol.wire.RequestTrial value) {
-      if (trialsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureTrialsIsMutable();
-        trials_.set(index, value);
-        onChanged();
-      } else {
-        trialsBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder setTrials(
-        int index, io.pollenpath.protocol.wire.RequestTrial.Builder builderForValue) {
-      if (trialsBuilder_ == null) {
-        ensureTrialsIsMutable();
-        trials_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        trialsBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder addTrials(io.pollenpath.protocol.wire.RequestTrial value) {
-      if (trialsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureTrialsIsMutable();
-        trials_.add(value);
-        onChanged();
-      } else {
-        trialsBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder addTrials(
-        int index, io.pollenpath.protocol.wire.RequestTrial value) {
-      if (trialsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureTrialsIsMutable();
-        trials_.add(index, value);
-        onChanged();
-      } else {
-        trialsBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder addTrials(
-        io.pollenpath.protocol.wire.RequestTrial.Builder builderForValue) {
-      if (trialsBuilder_ == null) {
-        ensureTrialsIsMutable();
-        trials_.add(builderForValue.build());
-        onChanged();
-      } else {
-        trialsBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder addTrials(
-        int index, io.pollenpath.protocol.wire.RequestTrial.Builder builderForValue) {
-      if (trialsBuilder_ == null) {
-        ensureTrialsIsMutable();
-        trials_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        trialsBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder addAllTrials(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.RequestTrial> values) {
-      if (trialsBuilder_ == null) {
-        ensureTrialsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, trials_);
-        onChanged();
-      } else {
-        trialsBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder clearTrials() {
-      if (trialsBuilder_ == null) {
-        trials_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
-        onChanged();
-      } else {
-        trialsBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public Builder removeTrials(int index) {
-      if (trialsBuilder_ == null) {
-        ensureTrialsIsMutable();
-        trials_.remove(index);
-        onChanged();
-      } else {
-        trialsBuilder_.remove(index);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestTrial.Builder getTrialsBuilder(
-        int index) {
-      return internalGetTrialsFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestTrialOrBuilder getTrialsOrBuilder(
-        int index) {
-      if (trialsBuilder_ == null) {
-        return trials_.get(index);  } else {
-        return trialsBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public java.util.List<? extends io.pollenpath.protocol.wire.RequestTrialOrBuilder> 
-         getTrialsOrBuilderList() {
-      if (trialsBuilder_ != null) {
-        return trialsBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(trials_);
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestTrial.Builder addTrialsBuilder() {
-      return internalGetTrialsFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public io.pollenpath.protocol.wire.RequestTrial.Builder addTrialsBuilder(
-        int index) {
-      return internalGetTrialsFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.RequestTrial.Builder> 
-         getTrialsBuilderList() {
-      return internalGetTrialsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.RequestTrial, io.pollenpath.protocol.wire.RequestTrial.Builder, io.pollenpath.protocol.wire.RequestTrialOrBuilder> 
-        internalGetTrialsFieldBuilder() {
-      if (trialsBuilder_ == null) {
-        trialsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.RequestTrial, io.pollenpath.protocol.wire.RequestTrial.Builder, io.pollenpath.protocol.wire.RequestTrialOrBuilder>(
-                trials_,
-                ((bitField0_ & 0x00000004) != 0),
-                getParentForChildren(),
-                isClean());
-        trials_ = null;
-      }
-      return trialsBuilder_;
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        if (getCrashesCount() > 0) {
+            hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+            hash = (53 * hash) + getCrashesList().hashCode();
+        }
+        if (getClearancesCount() > 0) {
+            hash = (37 * hash) + CLEARANCES_FIELD_NUMBER;
+            hash = (53 * hash) + getClearancesList().hashCode();
+        }
+        if (getTrialsCount() > 0) {
+            hash = (37 * hash) + TRIALS_FIELD_NUMBER;
+            hash = (53 * hash) + getTrialsList().hashCode();
+        }
+        if (getLimitsCount() > 0) {
+            hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+            hash = (53 * hash) + getLimitsList().hashCode();
+        }
+        if (hasClaim()) {
+            hash = (37 * hash) + CLAIM_FIELD_NUMBER;
+            hash = (53 * hash) + getClaim().hashCode();
+        }
+        hash = (37 * hash) + AGREED_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getAgreed());
+        if (getSlowdownsCount() > 0) {
+            hash = (37 * hash) + SLOWDOWNS_FIELD_NUMBER;
+            hash = (53 * hash) + getSlowdownsList().hashCode();
+        }
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    private java.util.List<io.pollenpath.protocol.wire.NamedLimit> limits_ =
-      java.util.Collections.emptyList();
-    private void ensureLimitsIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
-        limits_ = new java.util.ArrayList<io.pollenpath.protocol.wire.NamedLimit>(limits_);
-        bitField0_ |= 0x00000008;
-       }
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.NamedLimit, io.pollenpath.protocol.wire.NamedLimit.Builder, io.pollenpath.protocol.wire.NamedLimitOrBuilder> limitsBuilder_;
-
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList() {
-      if (limitsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(limits_);
-      } else {
-        return limitsBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public int getLimitsCount() {
-      if (limitsBuilder_ == null) {
-        return limits_.size();
-      } else {
-        return limitsBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.NamedLimit getLimits(int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);
-      } else {
-        return limitsBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder setLimits(
-        int index, io.pollenpath.protocol.wire.NamedLimit value) {
-      if (limitsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLimitsIsMutable();
-        limits_.set(index, value);
-        onChanged();
-      } else {
-        limitsBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder setLimits(
-        int index, io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        limitsBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder addLimits(io.pollenpath.protocol.wire.NamedLimit value) {
-      if (limitsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLimitsIsMutable();
-        limits_.add(value);
-        onChanged();
-      } else {
-        limitsBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder addLimits(
-        int index, io.pollenpath.protocol.wire.NamedLimit value) {
-      if (limitsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLimitsIsMutable();
-        limits_.add(index, value);
-        onChanged();
-      } else {
-        limitsBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder addLimits(
-        io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(builderForValue.build());
-        onChanged();
-      } else {
-        limitsBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder addLimits(
-        int index, io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        limitsBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder addAllLimits(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.NamedLimit> values) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, limits_);
-        onChanged();
-      } else {
-        limitsBuilder_.addAllMessages(values);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder clearLimits() {
-      if (limitsBuilder_ == null) {
-        limits_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
-        onChanged();
-      } else {
-        limitsBuilder_.clear();
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public Builder removeLimits(int index) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.remove(index);
-        onChanged();
-      } else {
-        limitsBuilder_.remove(index);
-      }
-      return this;
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.NamedLimit.Builder getLimitsBuilder(
-        int index) {
-      return internalGetLimitsFieldBuilder().getBuilder(index);
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(
-        int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);  } else {
-        return limitsBuilder_.getMessageOrBuilder(index);
-      }
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder> 
-         getLimitsOrBuilderList() {
-      if (limitsBuilder_ != null) {
-        return limitsBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(limits_);
-      }
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.NamedLimit.Builder addLimitsBuilder() {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance());
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public io.pollenpath.protocol.wire.NamedLimit.Builder addLimitsBuilder(
-        int index) {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance());
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.NamedLimit.Builder> 
-         getLimitsBuilderList() {
-      return internalGetLimitsFieldBuilder().getBuilderList();
+
+    public static io.pollenpath.protocol.wire.EntryNotice parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.NamedLimit, io.pollenpath.protocol.wire.NamedLimit.Builder, io.pollenpath.protocol.wire.NamedLimitOrBuilder> 
-        internalGetLimitsFieldBuilder() {
-      if (limitsBuilder_ == null) {
-        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.NamedLimit, io.pollenpath.protocol.wire.NamedLimit.Builder, io.pollenpath.protocol.wire.NamedLimitOrBuilder>(
-                limits_,
-                ((bitField0_ & 0x00000008) != 0),
-                getParentForChildren(),
-                isClean());
-        limits_ = null;
-      }
-      return limitsBuilder_;
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
 
-    private io.pollenpath.protocol.wire.TrialClaim claim_;
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.TrialClaim, io.pollenpath.protocol.wire.TrialClaim.Builder, io.pollenpath.protocol.wire.TrialClaimOrBuilder> claimBuilder_;
-    /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
-     *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     * @return Whether the claim field is set.
-     */
-    public boolean hasClaim() {
-      return ((bitField0_ & 0x00000010) != 0);
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
-     *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     * @return The claim.
-     */
-    public io.pollenpath.protocol.wire.TrialClaim getClaim() {
-      if (claimBuilder_ == null) {
-        return claim_ == null ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance() : claim_;
-      } else {
-        return claimBuilder_.getMessage();
-      }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.EntryNotice prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
-    /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
-     *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     */
-    public Builder setClaim(io.pollenpath.protocol.wire.TrialClaim value) {
-      if (claimBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        claim_ = value;
-      } else {
-        claimBuilder_.setMessage(value);
-      }
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
-     *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     */
-    public Builder setClaim(
-        io.pollenpath.protocol.wire.TrialClaim.Builder builderForValue) {
-      if (claimBuilder_ == null) {
-        claim_ = builderForValue.build();
-      } else {
-        claimBuilder_.setMessage(builderForValue.build());
-      }
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
      *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     */
-    public Builder mergeClaim(io.pollenpath.protocol.wire.TrialClaim value) {
-      if (claimBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0) &&
-          claim_ != null &&
-          claim_ != io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()) {
-          getClaimBuilder().mergeFrom(value);
-        } else {
-          claim_ = value;
-        }
-      } else {
-        claimBuilder_.mergeFrom(value);
-      }
-      if (claim_ != null) {
-        bitField0_ |= 0x00000010;
-        onChanged();
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
      *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     */
-    public Builder clearClaim() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      claim_ = null;
-      if (claimBuilder_ != null) {
-        claimBuilder_.dispose();
-        claimBuilder_ = null;
-      }
-      onChanged();
-      return this;
-    }
-    /**
      * <pre>
-     * Set in a call that asks for agreement to a test run.
+     * What an entry knows about servers. The receiver replies with the same message.
      * </pre>
      *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     */
-    public io.pollenpath.protocol.wire.TrialClaim.Builder getClaimBuilder() {
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return internalGetClaimFieldBuilder().getBuilder();
-    }
-    /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
-     *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     */
-    public io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder() {
-      if (claimBuilder_ != null) {
-        return claimBuilder_.getMessageOrBuilder();
-      } else {
-        return claim_ == null ?
-            io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance() : claim_;
-      }
-    }
-    /**
-     * <pre>
-     * Set in a call that asks for agreement to a test run.
-     * </pre>
-     *
-     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.pollenpath.protocol.wire.TrialClaim, io.pollenpath.protocol.wire.TrialClaim.Builder, io.pollenpath.protocol.wire.TrialClaimOrBuilder> 
-        internalGetClaimFieldBuilder() {
-      if (claimBuilder_ == null) {
-        claimBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.pollenpath.protocol.wire.TrialClaim, io.pollenpath.protocol.wire.TrialClaim.Builder, io.pollenpath.protocol.wire.TrialClaimOrBuilder>(
-                getClaim(),
-                getParentForChildren(),
-                isClean());
-        claim_ = null;
-      }
-      return claimBuilder_;
-    }
+     * Protobuf type {@code pollenpath.entry.EntryNotice}
+     */
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.EntryNotice)
+            io.pollenpath.protocol.wire.EntryNoticeOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_EntryNotice_descriptor;
+        }
 
-    private boolean agreed_ ;
-    /**
-     * <pre>
-     * Set in a reply that agrees to the claim of the call.
-     * </pre>
-     *
-     * <code>bool agreed = 6;</code>
-     * @return The agreed.
-     */
-    @java.lang.Override
-    public boolean getAgreed() {
-      return agreed_;
-    }
-    /**
-     * <pre>
-     * Set in a reply that agrees to the claim of the call.
-     * </pre>
-     *
-     * <code>bool agreed = 6;</code>
-     * @param value The agreed to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAgreed(boolean value) {
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.EntryNotice.class,
+                            io.pollenpath.protocol.wire.EntryNotice.Builder.class);
+        }
 
-      agreed_ = value;
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in a reply that agrees to the claim of the call.
-     * </pre>
-     *
-     * <code>bool agreed = 6;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearAgreed() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      agreed_ = false;
-      onChanged();
-      return this;
-    }
+        // Construct using io.pollenpath.protocol.wire.EntryNotice.newBuilder()
+        private Builder() {
+            maybeForceBuilderInitialization();
+        }
 
-    private java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> slowdowns_ =
-      java.util.Collections.emptyList();
-    private void ensureSlowdownsIsMutable() {
-      if (!((bitField0_ & 0x00000040) != 0)) {
-        slowdowns_ = new java.util.ArrayList<io.pollenpath.protocol.wire.ServerSlowdown>(slowdowns_);
-        bitField0_ |= 0x00000040;
-       }
-    }
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+            maybeForceBuilderInitialization();
+        }
 
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ServerSlowdown, io.pollenpath.protocol.wire.ServerSlowdown.Builder, io.pollenpath.protocol.wire.ServerSlowdownOrBuilder> slowdownsBuilder_;
+        private void maybeForceBuilderInitialization() {
+            if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
+                internalGetCrashesFieldBuilder();
+                internalGetClearancesFieldBuilder();
+                internalGetTrialsFieldBuilder();
+                internalGetLimitsFieldBuilder();
+                internalGetClaimFieldBuilder();
+                internalGetSlowdownsFieldBuilder();
+            }
+        }
 
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> getSlowdownsList() {
-      if (slowdownsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(slowdowns_);
-      } else {
-        return slowdownsBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public int getSlowdownsCount() {
-      if (slowdownsBuilder_ == null) {
-        return slowdowns_.size();
-      } else {
-        return slowdownsBuilder_.getCount();
-      }
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public io.pollenpath.protocol.wire.ServerSlowdown getSlowdowns(int index) {
-      if (slowdownsBuilder_ == null) {
-        return slowdowns_.get(index);
-      } else {
-        return slowdownsBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder setSlowdowns(
-        int index, io.pollenpath.protocol.wire.ServerSlowdown value) {
-      if (slowdownsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureSlowdownsIsMutable();
-        slowdowns_.set(index, value);
-        onChanged();
-      } else {
-        slowdownsBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder setSlowdowns(
-        int index, io.pollenpath.protocol.wire.ServerSlowdown.Builder builderForValue) {
-      if (slowdownsBuilder_ == null) {
-        ensureSlowdownsIsMutable();
-        slowdowns_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        slowdownsBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder addSlowdowns(io.pollenpath.protocol.wire.ServerSlowdown value) {
-      if (slowdownsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureSlowdownsIsMutable();
-        slowdowns_.add(value);
-        onChanged();
-      } else {
-        slowdownsBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder addSlowdowns(
-        int index, io.pollenpath.protocol.wire.ServerSlowdown value) {
-      if (slowdownsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureSlowdownsIsMutable();
-        slowdowns_.add(index, value);
-        onChanged();
-      } else {
-        slowdownsBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder addSlowdowns(
-        io.pollenpath.protocol.wire.ServerSlowdown.Builder builderForValue) {
-      if (slowdownsBuilder_ == null) {
-        ensureSlowdownsIsMutable();
-        slowdowns_.add(builderForValue.build());
-        onChanged();
-      } else {
-        slowdownsBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder addSlowdowns(
-        int index, io.pollenpath.protocol.wire.ServerSlowdown.Builder builderForValue) {
-      if (slowdownsBuilder_ == null) {
-        ensureSlowdownsIsMutable();
-        slowdowns_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        slowdownsBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder addAllSlowdowns(
-        java.lang.Iterable<? extends io.pollenpath.protocol.wire.ServerSlowdown> values) {
-      if (slowdownsBuilder_ == null) {
-        ensureSlowdownsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, slowdowns_);
-        onChanged();
-      } else {
-        slowdownsBuilder_.addAllMessages(values);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder clearSlowdowns() {
-      if (slowdownsBuilder_ == null) {
-        slowdowns_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000040);
-        onChanged();
-      } else {
-        slowdownsBuilder_.clear();
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public Builder removeSlowdowns(int index) {
-      if (slowdownsBuilder_ == null) {
-        ensureSlowdownsIsMutable();
-        slowdowns_.remove(index);
-        onChanged();
-      } else {
-        slowdownsBuilder_.remove(index);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public io.pollenpath.protocol.wire.ServerSlowdown.Builder getSlowdownsBuilder(
-        int index) {
-      return internalGetSlowdownsFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public io.pollenpath.protocol.wire.ServerSlowdownOrBuilder getSlowdownsOrBuilder(
-        int index) {
-      if (slowdownsBuilder_ == null) {
-        return slowdowns_.get(index);  } else {
-        return slowdownsBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public java.util.List<? extends io.pollenpath.protocol.wire.ServerSlowdownOrBuilder> 
-         getSlowdownsOrBuilderList() {
-      if (slowdownsBuilder_ != null) {
-        return slowdownsBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(slowdowns_);
-      }
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public io.pollenpath.protocol.wire.ServerSlowdown.Builder addSlowdownsBuilder() {
-      return internalGetSlowdownsFieldBuilder().addBuilder(
-          io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public io.pollenpath.protocol.wire.ServerSlowdown.Builder addSlowdownsBuilder(
-        int index) {
-      return internalGetSlowdownsFieldBuilder().addBuilder(
-          index, io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * Set in calls of the agents beside servers.
-     * </pre>
-     *
-     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-     */
-    public java.util.List<io.pollenpath.protocol.wire.ServerSlowdown.Builder> 
-         getSlowdownsBuilderList() {
-      return internalGetSlowdownsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.pollenpath.protocol.wire.ServerSlowdown, io.pollenpath.protocol.wire.ServerSlowdown.Builder, io.pollenpath.protocol.wire.ServerSlowdownOrBuilder> 
-        internalGetSlowdownsFieldBuilder() {
-      if (slowdownsBuilder_ == null) {
-        slowdownsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.pollenpath.protocol.wire.ServerSlowdown, io.pollenpath.protocol.wire.ServerSlowdown.Builder, io.pollenpath.protocol.wire.ServerSlowdownOrBuilder>(
-                slowdowns_,
-                ((bitField0_ & 0x00000040) != 0),
-                getParentForChildren(),
-                isClean());
-        slowdowns_ = null;
-      }
-      return slowdownsBuilder_;
-    }
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            if (crashesBuilder_ == null) {
+                crashes_ = java.util.Collections.emptyList();
+            } else {
+                crashes_ = null;
+                crashesBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000001);
+            if (clearancesBuilder_ == null) {
+                clearances_ = java.util.Collections.emptyList();
+            } else {
+                clearances_ = null;
+                clearancesBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000002);
+            if (trialsBuilder_ == null) {
+                trials_ = java.util.Collections.emptyList();
+            } else {
+                trials_ = null;
+                trialsBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000004);
+            if (limitsBuilder_ == null) {
+                limits_ = java.util.Collections.emptyList();
+            } else {
+                limits_ = null;
+                limitsBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000008);
+            claim_ = null;
+            if (claimBuilder_ != null) {
+                claimBuilder_.dispose();
+                claimBuilder_ = null;
+            }
+            agreed_ = false;
+            if (slowdownsBuilder_ == null) {
+                slowdowns_ = java.util.Collections.emptyList();
+            } else {
+                slowdowns_ = null;
+                slowdownsBuilder_.clear();
+            }
+            bitField0_ = (bitField0_ & ~0x00000040);
+            return this;
+        }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.entry.EntryNotice)
-  }
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_EntryNotice_descriptor;
+        }
 
-  // @@protoc_insertion_point(class_scope:pollenpath.entry.EntryNotice)
-  private static final io.pollenpath.protocol.wire.EntryNotice DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.EntryNotice();
-  }
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.EntryNotice getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.EntryNotice.getDefaultInstance();
+        }
 
-  public static io.pollenpath.protocol.wire.EntryNotice getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.EntryNotice build() {
+            io.pollenpath.protocol.wire.EntryNotice result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
 
-  private static final com.google.protobuf.Parser<EntryNotice>
-      PARSER = new com.google.protobuf.AbstractParser<EntryNotice>() {
-    @java.lang.Override
-    public EntryNotice parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.EntryNotice buildPartial() {
+            io.pollenpath.protocol.wire.EntryNotice result =
+                    new io.pollenpath.protocol.wire.EntryNotice(this);
+            buildPartialRepeatedFields(result);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartialRepeatedFields(io.pollenpath.protocol.wire.EntryNotice result) {
+            if (crashesBuilder_ == null) {
+                if (((bitField0_ & 0x00000001) != 0)) {
+                    crashes_ = java.util.Collections.unmodifiableList(crashes_);
+                    bitField0_ = (bitField0_ & ~0x00000001);
+                }
+                result.crashes_ = crashes_;
+            } else {
+                result.crashes_ = crashesBuilder_.build();
+            }
+            if (clearancesBuilder_ == null) {
+                if (((bitField0_ & 0x00000002) != 0)) {
+                    clearances_ = java.util.Collections.unmodifiableList(clearances_);
+                    bitField0_ = (bitField0_ & ~0x00000002);
+                }
+                result.clearances_ = clearances_;
+            } else {
+                result.clearances_ = clearancesBuilder_.build();
+            }
+            if (trialsBuilder_ == null) {
+                if (((bitField0_ & 0x00000004) != 0)) {
+                    trials_ = java.util.Collections.unmodifiableList(trials_);
+                    bitField0_ = (bitField0_ & ~0x00000004);
+                }
+                result.trials_ = trials_;
+            } else {
+                result.trials_ = trialsBuilder_.build();
+            }
+            if (limitsBuilder_ == null) {
+                if (((bitField0_ & 0x00000008) != 0)) {
+                    limits_ = java.util.Collections.unmodifiableList(limits_);
+                    bitField0_ = (bitField0_ & ~0x00000008);
+                }
+                result.limits_ = limits_;
+            } else {
+                result.limits_ = limitsBuilder_.build();
+            }
+            if (slowdownsBuilder_ == null) {
+                if (((bitField0_ & 0x00000040) != 0)) {
+                    slowdowns_ = java.util.Collections.unmodifiableList(slowdowns_);
+                    bitField0_ = (bitField0_ & ~0x00000040);
+                }
+                result.slowdowns_ = slowdowns_;
+            } else {
+                result.slowdowns_ = slowdownsBuilder_.build();
+            }
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.EntryNotice result) {
+            int from_bitField0_ = bitField0_;
+            int to_bitField0_ = 0;
+            if (((from_bitField0_ & 0x00000010) != 0)) {
+                result.claim_ = claimBuilder_ == null ? claim_ : claimBuilder_.build();
+                to_bitField0_ |= 0x00000001;
+            }
+            if (((from_bitField0_ & 0x00000020) != 0)) {
+                result.agreed_ = agreed_;
+            }
+            result.bitField0_ |= to_bitField0_;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.EntryNotice) {
+                return mergeFrom((io.pollenpath.protocol.wire.EntryNotice) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.EntryNotice other) {
+            if (other == io.pollenpath.protocol.wire.EntryNotice.getDefaultInstance()) return this;
+            if (crashesBuilder_ == null) {
+                if (!other.crashes_.isEmpty()) {
+                    if (crashes_.isEmpty()) {
+                        crashes_ = other.crashes_;
+                        bitField0_ = (bitField0_ & ~0x00000001);
+                    } else {
+                        ensureCrashesIsMutable();
+                        crashes_.addAll(other.crashes_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.crashes_.isEmpty()) {
+                    if (crashesBuilder_.isEmpty()) {
+                        crashesBuilder_.dispose();
+                        crashesBuilder_ = null;
+                        crashes_ = other.crashes_;
+                        bitField0_ = (bitField0_ & ~0x00000001);
+                        crashesBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetCrashesFieldBuilder()
+                                        : null;
+                    } else {
+                        crashesBuilder_.addAllMessages(other.crashes_);
+                    }
+                }
+            }
+            if (clearancesBuilder_ == null) {
+                if (!other.clearances_.isEmpty()) {
+                    if (clearances_.isEmpty()) {
+                        clearances_ = other.clearances_;
+                        bitField0_ = (bitField0_ & ~0x00000002);
+                    } else {
+                        ensureClearancesIsMutable();
+                        clearances_.addAll(other.clearances_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.clearances_.isEmpty()) {
+                    if (clearancesBuilder_.isEmpty()) {
+                        clearancesBuilder_.dispose();
+                        clearancesBuilder_ = null;
+                        clearances_ = other.clearances_;
+                        bitField0_ = (bitField0_ & ~0x00000002);
+                        clearancesBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetClearancesFieldBuilder()
+                                        : null;
+                    } else {
+                        clearancesBuilder_.addAllMessages(other.clearances_);
+                    }
+                }
+            }
+            if (trialsBuilder_ == null) {
+                if (!other.trials_.isEmpty()) {
+                    if (trials_.isEmpty()) {
+                        trials_ = other.trials_;
+                        bitField0_ = (bitField0_ & ~0x00000004);
+                    } else {
+                        ensureTrialsIsMutable();
+                        trials_.addAll(other.trials_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.trials_.isEmpty()) {
+                    if (trialsBuilder_.isEmpty()) {
+                        trialsBuilder_.dispose();
+                        trialsBuilder_ = null;
+                        trials_ = other.trials_;
+                        bitField0_ = (bitField0_ & ~0x00000004);
+                        trialsBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetTrialsFieldBuilder()
+                                        : null;
+                    } else {
+                        trialsBuilder_.addAllMessages(other.trials_);
+                    }
+                }
+            }
+            if (limitsBuilder_ == null) {
+                if (!other.limits_.isEmpty()) {
+                    if (limits_.isEmpty()) {
+                        limits_ = other.limits_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                    } else {
+                        ensureLimitsIsMutable();
+                        limits_.addAll(other.limits_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.limits_.isEmpty()) {
+                    if (limitsBuilder_.isEmpty()) {
+                        limitsBuilder_.dispose();
+                        limitsBuilder_ = null;
+                        limits_ = other.limits_;
+                        bitField0_ = (bitField0_ & ~0x00000008);
+                        limitsBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetLimitsFieldBuilder()
+                                        : null;
+                    } else {
+                        limitsBuilder_.addAllMessages(other.limits_);
+                    }
+                }
+            }
+            if (other.hasClaim()) {
+                mergeClaim(other.getClaim());
+            }
+            if (other.getAgreed() != false) {
+                setAgreed(other.getAgreed());
+            }
+            if (slowdownsBuilder_ == null) {
+                if (!other.slowdowns_.isEmpty()) {
+                    if (slowdowns_.isEmpty()) {
+                        slowdowns_ = other.slowdowns_;
+                        bitField0_ = (bitField0_ & ~0x00000040);
+                    } else {
+                        ensureSlowdownsIsMutable();
+                        slowdowns_.addAll(other.slowdowns_);
+                    }
+                    onChanged();
+                }
+            } else {
+                if (!other.slowdowns_.isEmpty()) {
+                    if (slowdownsBuilder_.isEmpty()) {
+                        slowdownsBuilder_.dispose();
+                        slowdownsBuilder_ = null;
+                        slowdowns_ = other.slowdowns_;
+                        bitField0_ = (bitField0_ & ~0x00000040);
+                        slowdownsBuilder_ =
+                                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
+                                        ? internalGetSlowdownsFieldBuilder()
+                                        : null;
+                    } else {
+                        slowdownsBuilder_.addAllMessages(other.slowdowns_);
+                    }
+                }
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                io.pollenpath.protocol.wire.ServerCrash m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.ServerCrash.parser(),
+                                                extensionRegistry);
+                                if (crashesBuilder_ == null) {
+                                    ensureCrashesIsMutable();
+                                    crashes_.add(m);
+                                } else {
+                                    crashesBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 10
+                        case 18:
+                            {
+                                io.pollenpath.protocol.wire.RequestClearance m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.RequestClearance
+                                                        .parser(),
+                                                extensionRegistry);
+                                if (clearancesBuilder_ == null) {
+                                    ensureClearancesIsMutable();
+                                    clearances_.add(m);
+                                } else {
+                                    clearancesBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 18
+                        case 26:
+                            {
+                                io.pollenpath.protocol.wire.RequestTrial m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.RequestTrial.parser(),
+                                                extensionRegistry);
+                                if (trialsBuilder_ == null) {
+                                    ensureTrialsIsMutable();
+                                    trials_.add(m);
+                                } else {
+                                    trialsBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 26
+                        case 34:
+                            {
+                                io.pollenpath.protocol.wire.NamedLimit m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.NamedLimit.parser(),
+                                                extensionRegistry);
+                                if (limitsBuilder_ == null) {
+                                    ensureLimitsIsMutable();
+                                    limits_.add(m);
+                                } else {
+                                    limitsBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 34
+                        case 42:
+                            {
+                                input.readMessage(
+                                        internalGetClaimFieldBuilder().getBuilder(),
+                                        extensionRegistry);
+                                bitField0_ |= 0x00000010;
+                                break;
+                            } // case 42
+                        case 48:
+                            {
+                                agreed_ = input.readBool();
+                                bitField0_ |= 0x00000020;
+                                break;
+                            } // case 48
+                        case 58:
+                            {
+                                io.pollenpath.protocol.wire.ServerSlowdown m =
+                                        input.readMessage(
+                                                io.pollenpath.protocol.wire.ServerSlowdown.parser(),
+                                                extensionRegistry);
+                                if (slowdownsBuilder_ == null) {
+                                    ensureSlowdownsIsMutable();
+                                    slowdowns_.add(m);
+                                } else {
+                                    slowdownsBuilder_.addMessage(m);
+                                }
+                                break;
+                            } // case 58
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private java.util.List<io.pollenpath.protocol.wire.ServerCrash> crashes_ =
+                java.util.Collections.emptyList();
+
+        private void ensureCrashesIsMutable() {
+            if (!((bitField0_ & 0x00000001) != 0)) {
+                crashes_ =
+                        new java.util.ArrayList<io.pollenpath.protocol.wire.ServerCrash>(crashes_);
+                bitField0_ |= 0x00000001;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ServerCrash,
+                        io.pollenpath.protocol.wire.ServerCrash.Builder,
+                        io.pollenpath.protocol.wire.ServerCrashOrBuilder>
+                crashesBuilder_;
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.ServerCrash> getCrashesList() {
+            if (crashesBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(crashes_);
+            } else {
+                return crashesBuilder_.getMessageList();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public int getCrashesCount() {
+            if (crashesBuilder_ == null) {
+                return crashes_.size();
+            } else {
+                return crashesBuilder_.getCount();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public io.pollenpath.protocol.wire.ServerCrash getCrashes(int index) {
+            if (crashesBuilder_ == null) {
+                return crashes_.get(index);
+            } else {
+                return crashesBuilder_.getMessage(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder setCrashes(int index, io.pollenpath.protocol.wire.ServerCrash value) {
+            if (crashesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureCrashesIsMutable();
+                crashes_.set(index, value);
+                onChanged();
+            } else {
+                crashesBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder setCrashes(
+                int index, io.pollenpath.protocol.wire.ServerCrash.Builder builderForValue) {
+            if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                crashes_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                crashesBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder addCrashes(io.pollenpath.protocol.wire.ServerCrash value) {
+            if (crashesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureCrashesIsMutable();
+                crashes_.add(value);
+                onChanged();
+            } else {
+                crashesBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder addCrashes(int index, io.pollenpath.protocol.wire.ServerCrash value) {
+            if (crashesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureCrashesIsMutable();
+                crashes_.add(index, value);
+                onChanged();
+            } else {
+                crashesBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder addCrashes(io.pollenpath.protocol.wire.ServerCrash.Builder builderForValue) {
+            if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                crashes_.add(builderForValue.build());
+                onChanged();
+            } else {
+                crashesBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder addCrashes(
+                int index, io.pollenpath.protocol.wire.ServerCrash.Builder builderForValue) {
+            if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                crashes_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                crashesBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder addAllCrashes(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.ServerCrash> values) {
+            if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, crashes_);
+                onChanged();
+            } else {
+                crashesBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder clearCrashes() {
+            if (crashesBuilder_ == null) {
+                crashes_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000001);
+                onChanged();
+            } else {
+                crashesBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public Builder removeCrashes(int index) {
+            if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                crashes_.remove(index);
+                onChanged();
+            } else {
+                crashesBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public io.pollenpath.protocol.wire.ServerCrash.Builder getCrashesBuilder(int index) {
+            return internalGetCrashesFieldBuilder().getBuilder(index);
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public io.pollenpath.protocol.wire.ServerCrashOrBuilder getCrashesOrBuilder(int index) {
+            if (crashesBuilder_ == null) {
+                return crashes_.get(index);
+            } else {
+                return crashesBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public java.util.List<? extends io.pollenpath.protocol.wire.ServerCrashOrBuilder>
+                getCrashesOrBuilderList() {
+            if (crashesBuilder_ != null) {
+                return crashesBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(crashes_);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public io.pollenpath.protocol.wire.ServerCrash.Builder addCrashesBuilder() {
+            return internalGetCrashesFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public io.pollenpath.protocol.wire.ServerCrash.Builder addCrashesBuilder(int index) {
+            return internalGetCrashesFieldBuilder()
+                    .addBuilder(
+                            index, io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.ServerCrash.Builder>
+                getCrashesBuilderList() {
+            return internalGetCrashesFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ServerCrash,
+                        io.pollenpath.protocol.wire.ServerCrash.Builder,
+                        io.pollenpath.protocol.wire.ServerCrashOrBuilder>
+                internalGetCrashesFieldBuilder() {
+            if (crashesBuilder_ == null) {
+                crashesBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.ServerCrash,
+                                io.pollenpath.protocol.wire.ServerCrash.Builder,
+                                io.pollenpath.protocol.wire.ServerCrashOrBuilder>(
+                                crashes_,
+                                ((bitField0_ & 0x00000001) != 0),
+                                getParentForChildren(),
+                                isClean());
+                crashes_ = null;
+            }
+            return crashesBuilder_;
+        }
+
+        private java.util.List<io.pollenpath.protocol.wire.RequestClearance> clearances_ =
+                java.util.Collections.emptyList();
+
+        private void ensureClearancesIsMutable() {
+            if (!((bitField0_ & 0x00000002) != 0)) {
+                clearances_ =
+                        new java.util.ArrayList<io.pollenpath.protocol.wire.RequestClearance>(
+                                clearances_);
+                bitField0_ |= 0x00000002;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.RequestClearance,
+                        io.pollenpath.protocol.wire.RequestClearance.Builder,
+                        io.pollenpath.protocol.wire.RequestClearanceOrBuilder>
+                clearancesBuilder_;
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.RequestClearance> getClearancesList() {
+            if (clearancesBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(clearances_);
+            } else {
+                return clearancesBuilder_.getMessageList();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public int getClearancesCount() {
+            if (clearancesBuilder_ == null) {
+                return clearances_.size();
+            } else {
+                return clearancesBuilder_.getCount();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public io.pollenpath.protocol.wire.RequestClearance getClearances(int index) {
+            if (clearancesBuilder_ == null) {
+                return clearances_.get(index);
+            } else {
+                return clearancesBuilder_.getMessage(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder setClearances(
+                int index, io.pollenpath.protocol.wire.RequestClearance value) {
+            if (clearancesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureClearancesIsMutable();
+                clearances_.set(index, value);
+                onChanged();
+            } else {
+                clearancesBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder setClearances(
+                int index, io.pollenpath.protocol.wire.RequestClearance.Builder builderForValue) {
+            if (clearancesBuilder_ == null) {
+                ensureClearancesIsMutable();
+                clearances_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                clearancesBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder addClearances(io.pollenpath.protocol.wire.RequestClearance value) {
+            if (clearancesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureClearancesIsMutable();
+                clearances_.add(value);
+                onChanged();
+            } else {
+                clearancesBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder addClearances(
+                int index, io.pollenpath.protocol.wire.RequestClearance value) {
+            if (clearancesBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureClearancesIsMutable();
+                clearances_.add(index, value);
+                onChanged();
+            } else {
+                clearancesBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder addClearances(
+                io.pollenpath.protocol.wire.RequestClearance.Builder builderForValue) {
+            if (clearancesBuilder_ == null) {
+                ensureClearancesIsMutable();
+                clearances_.add(builderForValue.build());
+                onChanged();
+            } else {
+                clearancesBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder addClearances(
+                int index, io.pollenpath.protocol.wire.RequestClearance.Builder builderForValue) {
+            if (clearancesBuilder_ == null) {
+                ensureClearancesIsMutable();
+                clearances_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                clearancesBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder addAllClearances(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.RequestClearance> values) {
+            if (clearancesBuilder_ == null) {
+                ensureClearancesIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, clearances_);
+                onChanged();
+            } else {
+                clearancesBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder clearClearances() {
+            if (clearancesBuilder_ == null) {
+                clearances_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000002);
+                onChanged();
+            } else {
+                clearancesBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public Builder removeClearances(int index) {
+            if (clearancesBuilder_ == null) {
+                ensureClearancesIsMutable();
+                clearances_.remove(index);
+                onChanged();
+            } else {
+                clearancesBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public io.pollenpath.protocol.wire.RequestClearance.Builder getClearancesBuilder(
+                int index) {
+            return internalGetClearancesFieldBuilder().getBuilder(index);
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public io.pollenpath.protocol.wire.RequestClearanceOrBuilder getClearancesOrBuilder(
+                int index) {
+            if (clearancesBuilder_ == null) {
+                return clearances_.get(index);
+            } else {
+                return clearancesBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public java.util.List<? extends io.pollenpath.protocol.wire.RequestClearanceOrBuilder>
+                getClearancesOrBuilderList() {
+            if (clearancesBuilder_ != null) {
+                return clearancesBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(clearances_);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public io.pollenpath.protocol.wire.RequestClearance.Builder addClearancesBuilder() {
+            return internalGetClearancesFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public io.pollenpath.protocol.wire.RequestClearance.Builder addClearancesBuilder(
+                int index) {
+            return internalGetClearancesFieldBuilder()
+                    .addBuilder(
+                            index,
+                            io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.RequestClearance.Builder>
+                getClearancesBuilderList() {
+            return internalGetClearancesFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.RequestClearance,
+                        io.pollenpath.protocol.wire.RequestClearance.Builder,
+                        io.pollenpath.protocol.wire.RequestClearanceOrBuilder>
+                internalGetClearancesFieldBuilder() {
+            if (clearancesBuilder_ == null) {
+                clearancesBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.RequestClearance,
+                                io.pollenpath.protocol.wire.RequestClearance.Builder,
+                                io.pollenpath.protocol.wire.RequestClearanceOrBuilder>(
+                                clearances_,
+                                ((bitField0_ & 0x00000002) != 0),
+                                getParentForChildren(),
+                                isClean());
+                clearances_ = null;
+            }
+            return clearancesBuilder_;
+        }
+
+        private java.util.List<io.pollenpath.protocol.wire.RequestTrial> trials_ =
+                java.util.Collections.emptyList();
+
+        private void ensureTrialsIsMutable() {
+            if (!((bitField0_ & 0x00000004) != 0)) {
+                trials_ =
+                        new java.util.ArrayList<io.pollenpath.protocol.wire.RequestTrial>(trials_);
+                bitField0_ |= 0x00000004;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.RequestTrial,
+                        io.pollenpath.protocol.wire.RequestTrial.Builder,
+                        io.pollenpath.protocol.wire.RequestTrialOrBuilder>
+                trialsBuilder_;
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.RequestTrial> getTrialsList() {
+            if (trialsBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(trials_);
+            } else {
+                return trialsBuilder_.getMessageList();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public int getTrialsCount() {
+            if (trialsBuilder_ == null) {
+                return trials_.size();
+            } else {
+                return trialsBuilder_.getCount();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public io.pollenpath.protocol.wire.RequestTrial getTrials(int index) {
+            if (trialsBuilder_ == null) {
+                return trials_.get(index);
+            } else {
+                return trialsBuilder_.getMessage(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder setTrials(int index, io.pollenpath.protocol.wire.RequestTrial value) {
+            if (trialsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureTrialsIsMutable();
+                trials_.set(index, value);
+                onChanged();
+            } else {
+                trialsBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder setTrials(
+                int index, io.pollenpath.protocol.wire.RequestTrial.Builder builderForValue) {
+            if (trialsBuilder_ == null) {
+                ensureTrialsIsMutable();
+                trials_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                trialsBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder addTrials(io.pollenpath.protocol.wire.RequestTrial value) {
+            if (trialsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureTrialsIsMutable();
+                trials_.add(value);
+                onChanged();
+            } else {
+                trialsBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder addTrials(int index, io.pollenpath.protocol.wire.RequestTrial value) {
+            if (trialsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureTrialsIsMutable();
+                trials_.add(index, value);
+                onChanged();
+            } else {
+                trialsBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder addTrials(io.pollenpath.protocol.wire.RequestTrial.Builder builderForValue) {
+            if (trialsBuilder_ == null) {
+                ensureTrialsIsMutable();
+                trials_.add(builderForValue.build());
+                onChanged();
+            } else {
+                trialsBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder addTrials(
+                int index, io.pollenpath.protocol.wire.RequestTrial.Builder builderForValue) {
+            if (trialsBuilder_ == null) {
+                ensureTrialsIsMutable();
+                trials_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                trialsBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder addAllTrials(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.RequestTrial> values) {
+            if (trialsBuilder_ == null) {
+                ensureTrialsIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, trials_);
+                onChanged();
+            } else {
+                trialsBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder clearTrials() {
+            if (trialsBuilder_ == null) {
+                trials_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000004);
+                onChanged();
+            } else {
+                trialsBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public Builder removeTrials(int index) {
+            if (trialsBuilder_ == null) {
+                ensureTrialsIsMutable();
+                trials_.remove(index);
+                onChanged();
+            } else {
+                trialsBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public io.pollenpath.protocol.wire.RequestTrial.Builder getTrialsBuilder(int index) {
+            return internalGetTrialsFieldBuilder().getBuilder(index);
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public io.pollenpath.protocol.wire.RequestTrialOrBuilder getTrialsOrBuilder(int index) {
+            if (trialsBuilder_ == null) {
+                return trials_.get(index);
+            } else {
+                return trialsBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public java.util.List<? extends io.pollenpath.protocol.wire.RequestTrialOrBuilder>
+                getTrialsOrBuilderList() {
+            if (trialsBuilder_ != null) {
+                return trialsBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(trials_);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public io.pollenpath.protocol.wire.RequestTrial.Builder addTrialsBuilder() {
+            return internalGetTrialsFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public io.pollenpath.protocol.wire.RequestTrial.Builder addTrialsBuilder(int index) {
+            return internalGetTrialsFieldBuilder()
+                    .addBuilder(
+                            index, io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.RequestTrial.Builder>
+                getTrialsBuilderList() {
+            return internalGetTrialsFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.RequestTrial,
+                        io.pollenpath.protocol.wire.RequestTrial.Builder,
+                        io.pollenpath.protocol.wire.RequestTrialOrBuilder>
+                internalGetTrialsFieldBuilder() {
+            if (trialsBuilder_ == null) {
+                trialsBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.RequestTrial,
+                                io.pollenpath.protocol.wire.RequestTrial.Builder,
+                                io.pollenpath.protocol.wire.RequestTrialOrBuilder>(
+                                trials_,
+                                ((bitField0_ & 0x00000004) != 0),
+                                getParentForChildren(),
+                                isClean());
+                trials_ = null;
+            }
+            return trialsBuilder_;
+        }
+
+        private java.util.List<io.pollenpath.protocol.wire.NamedLimit> limits_ =
+                java.util.Collections.emptyList();
+
+        private void ensureLimitsIsMutable() {
+            if (!((bitField0_ & 0x00000008) != 0)) {
+                limits_ = new java.util.ArrayList<io.pollenpath.protocol.wire.NamedLimit>(limits_);
+                bitField0_ |= 0x00000008;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.NamedLimit,
+                        io.pollenpath.protocol.wire.NamedLimit.Builder,
+                        io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+                limitsBuilder_;
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList() {
+            if (limitsBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(limits_);
+            } else {
+                return limitsBuilder_.getMessageList();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public int getLimitsCount() {
+            if (limitsBuilder_ == null) {
+                return limits_.size();
+            } else {
+                return limitsBuilder_.getCount();
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit getLimits(int index) {
+            if (limitsBuilder_ == null) {
+                return limits_.get(index);
+            } else {
+                return limitsBuilder_.getMessage(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder setLimits(int index, io.pollenpath.protocol.wire.NamedLimit value) {
+            if (limitsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLimitsIsMutable();
+                limits_.set(index, value);
+                onChanged();
+            } else {
+                limitsBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder setLimits(
+                int index, io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                limitsBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(io.pollenpath.protocol.wire.NamedLimit value) {
+            if (limitsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLimitsIsMutable();
+                limits_.add(value);
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(int index, io.pollenpath.protocol.wire.NamedLimit value) {
+            if (limitsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureLimitsIsMutable();
+                limits_.add(index, value);
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(builderForValue.build());
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addLimits(
+                int index, io.pollenpath.protocol.wire.NamedLimit.Builder builderForValue) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                limitsBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder addAllLimits(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.NamedLimit> values) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, limits_);
+                onChanged();
+            } else {
+                limitsBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder clearLimits() {
+            if (limitsBuilder_ == null) {
+                limits_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000008);
+                onChanged();
+            } else {
+                limitsBuilder_.clear();
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public Builder removeLimits(int index) {
+            if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.remove(index);
+                onChanged();
+            } else {
+                limitsBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit.Builder getLimitsBuilder(int index) {
+            return internalGetLimitsFieldBuilder().getBuilder(index);
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(int index) {
+            if (limitsBuilder_ == null) {
+                return limits_.get(index);
+            } else {
+                return limitsBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+                getLimitsOrBuilderList() {
+            if (limitsBuilder_ != null) {
+                return limitsBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(limits_);
+            }
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit.Builder addLimitsBuilder() {
+            return internalGetLimitsFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public io.pollenpath.protocol.wire.NamedLimit.Builder addLimitsBuilder(int index) {
+            return internalGetLimitsFieldBuilder()
+                    .addBuilder(index, io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance());
+        }
+
+        /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+        public java.util.List<io.pollenpath.protocol.wire.NamedLimit.Builder>
+                getLimitsBuilderList() {
+            return internalGetLimitsFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.NamedLimit,
+                        io.pollenpath.protocol.wire.NamedLimit.Builder,
+                        io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+                internalGetLimitsFieldBuilder() {
+            if (limitsBuilder_ == null) {
+                limitsBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.NamedLimit,
+                                io.pollenpath.protocol.wire.NamedLimit.Builder,
+                                io.pollenpath.protocol.wire.NamedLimitOrBuilder>(
+                                limits_,
+                                ((bitField0_ & 0x00000008) != 0),
+                                getParentForChildren(),
+                                isClean());
+                limits_ = null;
+            }
+            return limitsBuilder_;
+        }
+
+        private io.pollenpath.protocol.wire.TrialClaim claim_;
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.TrialClaim,
+                        io.pollenpath.protocol.wire.TrialClaim.Builder,
+                        io.pollenpath.protocol.wire.TrialClaimOrBuilder>
+                claimBuilder_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         *
+         * @return Whether the claim field is set.
+         */
+        public boolean hasClaim() {
+            return ((bitField0_ & 0x00000010) != 0);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         *
+         * @return The claim.
+         */
+        public io.pollenpath.protocol.wire.TrialClaim getClaim() {
+            if (claimBuilder_ == null) {
+                return claim_ == null
+                        ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                        : claim_;
+            } else {
+                return claimBuilder_.getMessage();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder setClaim(io.pollenpath.protocol.wire.TrialClaim value) {
+            if (claimBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                claim_ = value;
+            } else {
+                claimBuilder_.setMessage(value);
+            }
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder setClaim(io.pollenpath.protocol.wire.TrialClaim.Builder builderForValue) {
+            if (claimBuilder_ == null) {
+                claim_ = builderForValue.build();
+            } else {
+                claimBuilder_.setMessage(builderForValue.build());
+            }
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder mergeClaim(io.pollenpath.protocol.wire.TrialClaim value) {
+            if (claimBuilder_ == null) {
+                if (((bitField0_ & 0x00000010) != 0)
+                        && claim_ != null
+                        && claim_ != io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()) {
+                    getClaimBuilder().mergeFrom(value);
+                } else {
+                    claim_ = value;
+                }
+            } else {
+                claimBuilder_.mergeFrom(value);
+            }
+            if (claim_ != null) {
+                bitField0_ |= 0x00000010;
+                onChanged();
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public Builder clearClaim() {
+            bitField0_ = (bitField0_ & ~0x00000010);
+            claim_ = null;
+            if (claimBuilder_ != null) {
+                claimBuilder_.dispose();
+                claimBuilder_ = null;
+            }
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public io.pollenpath.protocol.wire.TrialClaim.Builder getClaimBuilder() {
+            bitField0_ |= 0x00000010;
+            onChanged();
+            return internalGetClaimFieldBuilder().getBuilder();
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        public io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder() {
+            if (claimBuilder_ != null) {
+                return claimBuilder_.getMessageOrBuilder();
+            } else {
+                return claim_ == null
+                        ? io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()
+                        : claim_;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a call that asks for agreement to a test run.
+         * </pre>
+         *
+         * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+         */
+        private com.google.protobuf.SingleFieldBuilder<
+                        io.pollenpath.protocol.wire.TrialClaim,
+                        io.pollenpath.protocol.wire.TrialClaim.Builder,
+                        io.pollenpath.protocol.wire.TrialClaimOrBuilder>
+                internalGetClaimFieldBuilder() {
+            if (claimBuilder_ == null) {
+                claimBuilder_ =
+                        new com.google.protobuf.SingleFieldBuilder<
+                                io.pollenpath.protocol.wire.TrialClaim,
+                                io.pollenpath.protocol.wire.TrialClaim.Builder,
+                                io.pollenpath.protocol.wire.TrialClaimOrBuilder>(
+                                getClaim(), getParentForChildren(), isClean());
+                claim_ = null;
+            }
+            return claimBuilder_;
+        }
+
+        private boolean agreed_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a reply that agrees to the claim of the call.
+         * </pre>
+         *
+         * <code>bool agreed = 6;</code>
+         *
+         * @return The agreed.
+         */
+        @java.lang.Override
+        public boolean getAgreed() {
+            return agreed_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a reply that agrees to the claim of the call.
+         * </pre>
+         *
+         * <code>bool agreed = 6;</code>
+         *
+         * @param value The agreed to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAgreed(boolean value) {
+
+            agreed_ = value;
+            bitField0_ |= 0x00000020;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in a reply that agrees to the claim of the call.
+         * </pre>
+         *
+         * <code>bool agreed = 6;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearAgreed() {
+            bitField0_ = (bitField0_ & ~0x00000020);
+            agreed_ = false;
+            onChanged();
+            return this;
+        }
+
+        private java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> slowdowns_ =
+                java.util.Collections.emptyList();
+
+        private void ensureSlowdownsIsMutable() {
+            if (!((bitField0_ & 0x00000040) != 0)) {
+                slowdowns_ =
+                        new java.util.ArrayList<io.pollenpath.protocol.wire.ServerSlowdown>(
+                                slowdowns_);
+                bitField0_ |= 0x00000040;
+            }
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ServerSlowdown,
+                        io.pollenpath.protocol.wire.ServerSlowdown.Builder,
+                        io.pollenpath.protocol.wire.ServerSlowdownOrBuilder>
+                slowdownsBuilder_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> getSlowdownsList() {
+            if (slowdownsBuilder_ == null) {
+                return java.util.Collections.unmodifiableList(slowdowns_);
+            } else {
+                return slowdownsBuilder_.getMessageList();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public int getSlowdownsCount() {
+            if (slowdownsBuilder_ == null) {
+                return slowdowns_.size();
+            } else {
+                return slowdownsBuilder_.getCount();
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public io.pollenpath.protocol.wire.ServerSlowdown getSlowdowns(int index) {
+            if (slowdownsBuilder_ == null) {
+                return slowdowns_.get(index);
+            } else {
+                return slowdownsBuilder_.getMessage(index);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder setSlowdowns(int index, io.pollenpath.protocol.wire.ServerSlowdown value) {
+            if (slowdownsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureSlowdownsIsMutable();
+                slowdowns_.set(index, value);
+                onChanged();
+            } else {
+                slowdownsBuilder_.setMessage(index, value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder setSlowdowns(
+                int index, io.pollenpath.protocol.wire.ServerSlowdown.Builder builderForValue) {
+            if (slowdownsBuilder_ == null) {
+                ensureSlowdownsIsMutable();
+                slowdowns_.set(index, builderForValue.build());
+                onChanged();
+            } else {
+                slowdownsBuilder_.setMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder addSlowdowns(io.pollenpath.protocol.wire.ServerSlowdown value) {
+            if (slowdownsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureSlowdownsIsMutable();
+                slowdowns_.add(value);
+                onChanged();
+            } else {
+                slowdownsBuilder_.addMessage(value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder addSlowdowns(int index, io.pollenpath.protocol.wire.ServerSlowdown value) {
+            if (slowdownsBuilder_ == null) {
+                if (value == null) {
+                    throw new NullPointerException();
+                }
+                ensureSlowdownsIsMutable();
+                slowdowns_.add(index, value);
+                onChanged();
+            } else {
+                slowdownsBuilder_.addMessage(index, value);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder addSlowdowns(
+                io.pollenpath.protocol.wire.ServerSlowdown.Builder builderForValue) {
+            if (slowdownsBuilder_ == null) {
+                ensureSlowdownsIsMutable();
+                slowdowns_.add(builderForValue.build());
+                onChanged();
+            } else {
+                slowdownsBuilder_.addMessage(builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder addSlowdowns(
+                int index, io.pollenpath.protocol.wire.ServerSlowdown.Builder builderForValue) {
+            if (slowdownsBuilder_ == null) {
+                ensureSlowdownsIsMutable();
+                slowdowns_.add(index, builderForValue.build());
+                onChanged();
+            } else {
+                slowdownsBuilder_.addMessage(index, builderForValue.build());
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder addAllSlowdowns(
+                java.lang.Iterable<? extends io.pollenpath.protocol.wire.ServerSlowdown> values) {
+            if (slowdownsBuilder_ == null) {
+                ensureSlowdownsIsMutable();
+                com.google.protobuf.AbstractMessageLite.Builder.addAll(values, slowdowns_);
+                onChanged();
+            } else {
+                slowdownsBuilder_.addAllMessages(values);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder clearSlowdowns() {
+            if (slowdownsBuilder_ == null) {
+                slowdowns_ = java.util.Collections.emptyList();
+                bitField0_ = (bitField0_ & ~0x00000040);
+                onChanged();
+            } else {
+                slowdownsBuilder_.clear();
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public Builder removeSlowdowns(int index) {
+            if (slowdownsBuilder_ == null) {
+                ensureSlowdownsIsMutable();
+                slowdowns_.remove(index);
+                onChanged();
+            } else {
+                slowdownsBuilder_.remove(index);
+            }
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public io.pollenpath.protocol.wire.ServerSlowdown.Builder getSlowdownsBuilder(int index) {
+            return internalGetSlowdownsFieldBuilder().getBuilder(index);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public io.pollenpath.protocol.wire.ServerSlowdownOrBuilder getSlowdownsOrBuilder(
+                int index) {
+            if (slowdownsBuilder_ == null) {
+                return slowdowns_.get(index);
+            } else {
+                return slowdownsBuilder_.getMessageOrBuilder(index);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public java.util.List<? extends io.pollenpath.protocol.wire.ServerSlowdownOrBuilder>
+                getSlowdownsOrBuilderList() {
+            if (slowdownsBuilder_ != null) {
+                return slowdownsBuilder_.getMessageOrBuilderList();
+            } else {
+                return java.util.Collections.unmodifiableList(slowdowns_);
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public io.pollenpath.protocol.wire.ServerSlowdown.Builder addSlowdownsBuilder() {
+            return internalGetSlowdownsFieldBuilder()
+                    .addBuilder(io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance());
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public io.pollenpath.protocol.wire.ServerSlowdown.Builder addSlowdownsBuilder(int index) {
+            return internalGetSlowdownsFieldBuilder()
+                    .addBuilder(
+                            index, io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance());
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Set in calls of the agents beside servers.
+         * </pre>
+         *
+         * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+         */
+        public java.util.List<io.pollenpath.protocol.wire.ServerSlowdown.Builder>
+                getSlowdownsBuilderList() {
+            return internalGetSlowdownsFieldBuilder().getBuilderList();
+        }
+
+        private com.google.protobuf.RepeatedFieldBuilder<
+                        io.pollenpath.protocol.wire.ServerSlowdown,
+                        io.pollenpath.protocol.wire.ServerSlowdown.Builder,
+                        io.pollenpath.protocol.wire.ServerSlowdownOrBuilder>
+                internalGetSlowdownsFieldBuilder() {
+            if (slowdownsBuilder_ == null) {
+                slowdownsBuilder_ =
+                        new com.google.protobuf.RepeatedFieldBuilder<
+                                io.pollenpath.protocol.wire.ServerSlowdown,
+                                io.pollenpath.protocol.wire.ServerSlowdown.Builder,
+                                io.pollenpath.protocol.wire.ServerSlowdownOrBuilder>(
+                                slowdowns_,
+                                ((bitField0_ & 0x00000040) != 0),
+                                getParentForChildren(),
+                                isClean());
+                slowdowns_ = null;
+            }
+            return slowdownsBuilder_;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.EntryNotice)
     }
-  };
 
-  public static com.google.protobuf.Parser<EntryNotice> parser() {
-    return PARSER;
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.EntryNotice)
+    private static final io.pollenpath.protocol.wire.EntryNotice DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.EntryNotice();
+    }
 
-  @java.lang.Override
-  public com.google.protobuf.Parser<EntryNotice> getParserForType() {
-    return PARSER;
-  }
+    public static io.pollenpath.protocol.wire.EntryNotice getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
 
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.EntryNotice getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    private static final com.google.protobuf.Parser<EntryNotice> PARSER =
+            new com.google.protobuf.AbstractParser<EntryNotice>() {
+                @java.lang.Override
+                public EntryNotice parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
 
-}
+    public static com.google.protobuf.Parser<EntryNotice> parser() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public com.google.protobuf.Parser<EntryNotice> getParserForType() {
+        return PARSER;
+    }
+
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.EntryNotice getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
+}
