--- a/wire/src/main/java/io/pollenpath/protocol/wire/EntryNoticeOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryNoticeOrBuilder.java
@@ -6,184 +6,178 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface EntryNoticeOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.entry.EntryNotice)
-    com.google.protobuf.MessageOrBuilder {
-
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.ServerCrash> 
-      getCrashesList();
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  io.pollenpath.protocol.wire.ServerCrash getCrashes(int index);
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  int getCrashesCount();
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.ServerCrashOrBuilder> 
-      getCrashesOrBuilderList();
-  /**
-   * <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code>
-   */
-  io.pollenpath.protocol.wire.ServerCrashOrBuilder getCrashesOrBuilder(
-      int index);
-
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.RequestClearance> 
-      getClearancesList();
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  io.pollenpath.protocol.wire.RequestClearance getClearances(int index);
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  int getClearancesCount();
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.RequestClearanceOrBuilder> 
-      getClearancesOrBuilderList();
-  /**
-   * <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code>
-   */
-  io.pollenpath.protocol.wire.RequestClearanceOrBuilder getClearancesOrBuilder(
-      int index);
-
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.RequestTrial> 
-      getTrialsList();
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  io.pollenpath.protocol.wire.RequestTrial getTrials(int index);
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  int getTrialsCount();
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.RequestTrialOrBuilder> 
-      getTrialsOrBuilderList();
-  /**
-   * <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code>
-   */
-  io.pollenpath.protocol.wire.RequestTrialOrBuilder getTrialsOrBuilder(
-      int index);
-
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.NamedLimit> 
-      getLimitsList();
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  io.pollenpath.protocol.wire.NamedLimit getLimits(int index);
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  int getLimitsCount();
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder> 
-      getLimitsOrBuilderList();
-  /**
-   * <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code>
-   */
-  io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(
-      int index);
-
-  /**
-   * <pre>
-   * Set in a call that asks for agreement to a test run.
-   * </pre>
-   *
-   * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-   * @return Whether the claim field is set.
-   */
-  boolean hasClaim();
-  /**
-   * <pre>
-   * Set in a call that asks for agreement to a test run.
-   * </pre>
-   *
-   * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-   * @return The claim.
-   */
-  io.pollenpath.protocol.wire.TrialClaim getClaim();
-  /**
-   * <pre>
-   * Set in a call that asks for agreement to a test run.
-   * </pre>
-   *
-   * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
-   */
-  io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder();
-
-  /**
-   * <pre>
-   * Set in a reply that agrees to the claim of the call.
-   * </pre>
-   *
-   * <code>bool agreed = 6;</code>
-   * @return The agreed.
-   */
-  boolean getAgreed();
-
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> 
-      getSlowdownsList();
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  io.pollenpath.protocol.wire.ServerSlowdown getSlowdowns(int index);
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  int getSlowdownsCount();
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  java.util.List<? extends io.pollenpath.protocol.wire.ServerSlowdownOrBuilder> 
-      getSlowdownsOrBuilderList();
-  /**
-   * <pre>
-   * Set in calls of the agents beside servers.
-   * </pre>
-   *
-   * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
-   */
-  io.pollenpath.protocol.wire.ServerSlowdownOrBuilder getSlowdownsOrBuilder(
-      int index);
+public interface EntryNoticeOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.EntryNotice)
+        com.google.protobuf.MessageOrBuilder {
+
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+    java.util.List<io.pollenpath.protocol.wire.ServerCrash> getCrashesList();
+
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+    io.pollenpath.protocol.wire.ServerCrash getCrashes(int index);
+
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+    int getCrashesCount();
+
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+    java.util.List<? extends io.pollenpath.protocol.wire.ServerCrashOrBuilder>
+            getCrashesOrBuilderList();
+
+    /** <code>repeated .pollenpath.entry.ServerCrash crashes = 1;</code> */
+    io.pollenpath.protocol.wire.ServerCrashOrBuilder getCrashesOrBuilder(int index);
+
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+    java.util.List<io.pollenpath.protocol.wire.RequestClearance> getClearancesList();
+
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+    io.pollenpath.protocol.wire.RequestClearance getClearances(int index);
+
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+    int getClearancesCount();
+
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+    java.util.List<? extends io.pollenpath.protocol.wire.RequestClearanceOrBuilder>
+            getClearancesOrBuilderList();
+
+    /** <code>repeated .pollenpath.entry.RequestClearance clearances = 2;</code> */
+    io.pollenpath.protocol.wire.RequestClearanceOrBuilder getClearancesOrBuilder(int index);
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    java.util.List<io.pollenpath.protocol.wire.RequestTrial> getTrialsList();
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    io.pollenpath.protocol.wire.RequestTrial getTrials(int index);
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    int getTrialsCount();
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    java.util.List<? extends io.pollenpath.protocol.wire.RequestTrialOrBuilder>
+            getTrialsOrBuilderList();
+
+    /** <code>repeated .pollenpath.entry.RequestTrial trials = 3;</code> */
+    io.pollenpath.protocol.wire.RequestTrialOrBuilder getTrialsOrBuilder(int index);
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    java.util.List<io.pollenpath.protocol.wire.NamedLimit> getLimitsList();
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    io.pollenpath.protocol.wire.NamedLimit getLimits(int index);
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    int getLimitsCount();
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    java.util.List<? extends io.pollenpath.protocol.wire.NamedLimitOrBuilder>
+            getLimitsOrBuilderList();
+
+    /** <code>repeated .pollenpath.entry.NamedLimit limits = 4;</code> */
+    io.pollenpath.protocol.wire.NamedLimitOrBuilder getLimitsOrBuilder(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return Whether the claim field is set.
+     */
+    boolean hasClaim();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     *
+     * @return The claim.
+     */
+    io.pollenpath.protocol.wire.TrialClaim getClaim();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a call that asks for agreement to a test run.
+     * </pre>
+     *
+     * <code>optional .pollenpath.entry.TrialClaim claim = 5;</code>
+     */
+    io.pollenpath.protocol.wire.TrialClaimOrBuilder getClaimOrBuilder();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in a reply that agrees to the claim of the call.
+     * </pre>
+     *
+     * <code>bool agreed = 6;</code>
+     *
+     * @return The agreed.
+     */
+    boolean getAgreed();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+     */
+    java.util.List<io.pollenpath.protocol.wire.ServerSlowdown> getSlowdownsList();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+     */
+    io.pollenpath.protocol.wire.ServerSlowdown getSlowdowns(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+     */
+    int getSlowdownsCount();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+     */
+    java.util.List<? extends io.pollenpath.protocol.wire.ServerSlowdownOrBuilder>
+            getSlowdownsOrBuilderList();
+
+    /**
+     *
+     *
+     * <pre>
+     * Set in calls of the agents beside servers.
+     * </pre>
+     *
+     * <code>repeated .pollenpath.entry.ServerSlowdown slowdowns = 7;</code>
+     */
+    io.pollenpath.protocol.wire.ServerSlowdownOrBuilder getSlowdownsOrBuilder(int index);
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/EntryProto.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/EntryProto.java
@@ -7,139 +7,150 @@
 
 @com.google.protobuf.Generated
 public final class EntryProto {
-  private EntryProto() {}
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      EntryProto.class.getName());
-  }
-  public static void registerAllExtensions(
-      com.google.protobuf.ExtensionRegistryLite registry) {
-  }
+    private EntryProto() {}
 
-  public static void registerAllExtensions(
-      com.google.protobuf.ExtensionRegistry registry) {
-    registerAllExtensions(
-        (com.google.protobuf.ExtensionRegistryLite) registry);
-  }
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_pollenpath_entry_EntryNotice_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_pollenpath_entry_ServerSlowdown_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_pollenpath_entry_NamedLimit_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_pollenpath_entry_ServerCrash_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_pollenpath_entry_RequestClearance_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_pollenpath_entry_RequestTrial_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_pollenpath_entry_TrialClaim_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable;
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                EntryProto.class.getName());
+    }
 
-  public static com.google.protobuf.Descriptors.FileDescriptor
-      getDescriptor() {
-    return descriptor;
-  }
-  private static  com.google.protobuf.Descriptors.FileDescriptor
-      descriptor;
-  static {
-    java.lang.String[] descriptorData = {
-      "\n\013entry.proto\022\020pollenpath.entry\"\324\002\n\013Entr" +
-      "yNotice\022.\n\007crashes\030\001 \003(\0132\035.pollenpath.en" +
-      "try.ServerCrash\0226\n\nclearances\030\002 \003(\0132\".po" +
-      "llenpath.entry.RequestClearance\022.\n\006trial" +
-      "s\030\003 \003(\0132\036.pollenpath.entry.RequestTrial\022" +
-      ",\n\006limits\030\004 \003(\0132\034.pollenpath.entry.Named" +
-      "Limit\0220\n\005claim\030\005 \001(\0132\034.pollenpath.entry." +
-      "TrialClaimH\000\210\001\001\022\016\n\006agreed\030\006 \001(\010\0223\n\tslowd" +
-      "owns\030\007 \003(\0132 .pollenpath.entry.ServerSlow" +
-      "downB\010\n\006_claim\"1\n\016ServerSlowdown\022\017\n\007addr" +
-      "ess\030\001 \001(\t\022\016\n\006factor\030\002 \001(\001\"T\n\nNamedLimit\022" +
-      "\016\n\006server\030\001 \001(\t\022\027\n\nper_second\030\002 \001(\001H\000\210\001\001" +
-      "\022\016\n\006age_ms\030\003 \001(\003B\r\n\013_per_second\"P\n\013Serve" +
-      "rCrash\022\016\n\006server\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022" +
-      "\020\n\010suspects\030\003 \003(\014\022\016\n\006age_ms\030\004 \001(\003\"3\n\020Req" +
-      "uestClearance\022\017\n\007request\030\001 \001(\014\022\016\n\006age_ms" +
-      "\030\002 \001(\003\";\n\014RequestTrial\022\017\n\007request\030\001 \001(\014\022" +
-      "\n\n\002id\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"?\n\nTrialClai" +
-      "m\022\017\n\007request\030\001 \001(\014\022\016\n\006number\030\002 \001(\005\022\020\n\010cl" +
-      "aimant\030\003 \001(\tB+\n\033io.pollenpath.protocol.w" +
-      "ireB\nEntryProtoP\001b\006proto3"
-    };
-    descriptor = com.google.protobuf.Descriptors.FileDescriptor
-      .internalBuildGeneratedFileFrom(descriptorData,
-        new com.google.protobuf.Descriptors.FileDescriptor[] {
-        });
-    internal_static_pollenpath_entry_EntryNotice_descriptor =
-      getDescriptor().getMessageTypes().get(0);
-    internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_pollenpath_entry_EntryNotice_descriptor,
-        new java.lang.String[] { "Crashes", "Clearances", "Trials", "Limits", "Claim", "Agreed", "Slowdowns", });
-    internal_static_pollenpath_entry_ServerSlowdown_descriptor =
-      getDescriptor().getMessageTypes().get(1);
-    internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_pollenpath_entry_ServerSlowdown_descriptor,
-        new java.lang.String[] { "Address", "Factor", });
-    internal_static_pollenpath_entry_NamedLimit_descriptor =
-      getDescriptor().getMessageTypes().get(2);
-    internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_pollenpath_entry_NamedLimit_descriptor,
-        new java.lang.String[] { "Server", "PerSecond", "AgeMs", });
-    internal_static_pollenpath_entry_ServerCrash_descriptor =
-      getDescriptor().getMessageTypes().get(3);
-    internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_pollenpath_entry_ServerCrash_descriptor,
-        new java.lang.String[] { "Server", "Service", "Suspects", "AgeMs", });
-    internal_static_pollenpath_entry_RequestClearance_descriptor =
-      getDescriptor().getMessageTypes().get(4);
-    internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_pollenpath_entry_RequestClearance_descriptor,
-        new java.lang.String[] { "Request", "AgeMs", });
-    internal_static_pollenpath_entry_RequestTrial_descriptor =
-      getDescriptor().getMessageTypes().get(5);
-    internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_pollenpath_entry_RequestTrial_descriptor,
-        new java.lang.String[] { "Request", "Id", "AgeMs", });
-    internal_static_pollenpath_entry_TrialClaim_descriptor =
-      getDescriptor().getMessageTypes().get(6);
-    internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_pollenpath_entry_TrialClaim_descriptor,
-        new java.lang.String[] { "Request", "Number", "Claimant", });
-    descriptor.resolveAllFeaturesImmutable();
-  }
+    public static void registerAllExtensions(com.google.protobuf.ExtensionRegistryLite registry) {}
 
-  // @@protoc_insertion_point(outer_class_scope)
+    public static void registerAllExtensions(com.google.protobuf.ExtensionRegistry registry) {
+        registerAllExtensions((com.google.protobuf.ExtensionRegistryLite) registry);
+    }
+
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_EntryNotice_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_ServerSlowdown_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_NamedLimit_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_ServerCrash_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_RequestClearance_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_RequestTrial_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable;
+    static final com.google.protobuf.Descriptors.Descriptor
+            internal_static_pollenpath_entry_TrialClaim_descriptor;
+    static final com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable;
+
+    public static com.google.protobuf.Descriptors.FileDescriptor getDescriptor() {
+        return descriptor;
+    }
+
+    private static com.google.protobuf.Descriptors.FileDescriptor descriptor;
+
+    static {
+        java.lang.String[] descriptorData = {
+            "\n\013entry.proto\022\020pollenpath.entry\"\324\002\n\013Entr"
+                    + "yNotice\022.\n\007crashes\030\001 \003(\0132\035.pollenpath.en"
+                    + "try.ServerCrash\0226\n\nclearances\030\002 \003(\0132\".po"
+                    + "llenpath.entry.RequestClearance\022.\n\006trial"
+                    + "s\030\003 \003(\0132\036.pollenpath.entry.RequestTrial\022"
+                    + ",\n\006limits\030\004 \003(\0132\034.pollenpath.entry.Named"
+                    + "Limit\0220\n\005claim\030\005 \001(\0132\034.pollenpath.entry."
+                    + "TrialClaimH\000\210\001\001\022\016\n\006agreed\030\006 \001(\010\0223\n\tslowd"
+                    + "owns\030\007 \003(\0132 .pollenpath.entry.ServerSlow"
+                    + "downB\010\n\006_claim\"1\n\016ServerSlowdown\022\017\n\007addr"
+                    + "ess\030\001 \001(\t\022\016\n\006factor\030\002 \001(\001\"T\n\nNamedLimit\022"
+                    + "\016\n\006server\030\001 \001(\t\022\027\n\nper_second\030\002 \001(\001H\000\210\001\001"
+                    + "\022\016\n\006age_ms\030\003 \001(\003B\r\n\013_per_second\"P\n\013Serve"
+                    + "rCrash\022\016\n\006server\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022"
+                    + "\020\n\010suspects\030\003 \003(\014\022\016\n\006age_ms\030\004 \001(\003\"3\n\020Req"
+                    + "uestClearance\022\017\n\007request\030\001 \001(\014\022\016\n\006age_ms"
+                    + "\030\002 \001(\003\";\n\014RequestTrial\022\017\n\007request\030\001 \001(\014\022"
+                    + "\n\n\002id\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"?\n\nTrialClai"
+                    + "m\022\017\n\007request\030\001 \001(\014\022\016\n\006number\030\002 \001(\005\022\020\n\010cl"
+                    + "aimant\030\003 \001(\tB+\n\033io.pollenpath.protocol.w"
+                    + "ireB\nEntryProtoP\001b\006proto3"
+        };
+        descriptor =
+                com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(
+                        descriptorData, new com.google.protobuf.Descriptors.FileDescriptor[] {});
+        internal_static_pollenpath_entry_EntryNotice_descriptor =
+                getDescriptor().getMessageTypes().get(0);
+        internal_static_pollenpath_entry_EntryNotice_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_EntryNotice_descriptor,
+                        new java.lang.String[] {
+                            "Crashes",
+                            "Clearances",
+                            "Trials",
+                            "Limits",
+                            "Claim",
+                            "Agreed",
+                            "Slowdowns",
+                        });
+        internal_static_pollenpath_entry_ServerSlowdown_descriptor =
+                getDescriptor().getMessageTypes().get(1);
+        internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_ServerSlowdown_descriptor,
+                        new java.lang.String[] {
+                            "Address", "Factor",
+                        });
+        internal_static_pollenpath_entry_NamedLimit_descriptor =
+                getDescriptor().getMessageTypes().get(2);
+        internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_NamedLimit_descriptor,
+                        new java.lang.String[] {
+                            "Server", "PerSecond", "AgeMs",
+                        });
+        internal_static_pollenpath_entry_ServerCrash_descriptor =
+                getDescriptor().getMessageTypes().get(3);
+        internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_ServerCrash_descriptor,
+                        new java.lang.String[] {
+                            "Server", "Service", "Suspects", "AgeMs",
+                        });
+        internal_static_pollenpath_entry_RequestClearance_descriptor =
+                getDescriptor().getMessageTypes().get(4);
+        internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_RequestClearance_descriptor,
+                        new java.lang.String[] {
+                            "Request", "AgeMs",
+                        });
+        internal_static_pollenpath_entry_RequestTrial_descriptor =
+                getDescriptor().getMessageTypes().get(5);
+        internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_RequestTrial_descriptor,
+                        new java.lang.String[] {
+                            "Request", "Id", "AgeMs",
+                        });
+        internal_static_pollenpath_entry_TrialClaim_descriptor =
+                getDescriptor().getMessageTypes().get(6);
+        internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable =
+                new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+                        internal_static_pollenpath_entry_TrialClaim_descriptor,
+                        new java.lang.String[] {
+                            "Request", "Number", "Claimant",
+                        });
+        descriptor.resolveAllFeaturesImmutable();
+    }
+
+    // @@protoc_insertion_point(outer_class_scope)
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/NamedLimit.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/NamedLimit.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * The rate of requests that a server takes from all entries together.
  * </pre>
@@ -13,726 +15,805 @@
  * Protobuf type {@code pollenpath.entry.NamedLimit}
  */
 @com.google.protobuf.Generated
-public final class NamedLimit extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.entry.NamedLimit)
-    NamedLimitOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      NamedLimit.class.getName());
-  }
-  // Use NamedLimit.newBuilder() to construct.
-  private NamedLimit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private NamedLimit() {
-    server_ = "";
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_NamedLimit_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.NamedLimit.class, io.pollenpath.protocol.wire.NamedLimit.Builder.class);
-  }
-
-  private int bitField0_;
-  public static final int SERVER_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object server_ = "";
-  /**
-   * <pre>
-   * Identity of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The server.
-   */
-  @java.lang.Override
-  public java.lang.String getServer() {
-    java.lang.Object ref = server_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      server_ = s;
-      return s;
-    }
-  }
-  /**
-   * <pre>
-   * Identity of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The bytes for server.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getServerBytes() {
-    java.lang.Object ref = server_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      server_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int PER_SECOND_FIELD_NUMBER = 2;
-  private double perSecond_ = 0D;
-  /**
-   * <pre>
-   * Requests a second; unset if the server names no limit any more.
-   * </pre>
-   *
-   * <code>optional double per_second = 2;</code>
-   * @return Whether the perSecond field is set.
-   */
-  @java.lang.Override
-  public boolean hasPerSecond() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <pre>
-   * Requests a second; unset if the server names no limit any more.
-   * </pre>
-   *
-   * <code>optional double per_second = 2;</code>
-   * @return The perSecond.
-   */
-  @java.lang.Override
-  public double getPerSecond() {
-    return perSecond_;
-  }
-
-  public static final int AGE_MS_FIELD_NUMBER = 3;
-  private long ageMs_ = 0L;
-  /**
-   * <pre>
-   * Time since the answer that said so, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 3;</code>
-   * @return The ageMs.
-   */
-  @java.lang.Override
-  public long getAgeMs() {
-    return ageMs_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeDouble(2, perSecond_);
-    }
-    if (ageMs_ != 0L) {
-      output.writeInt64(3, ageMs_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
-    }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(2, perSecond_);
-    }
-    if (ageMs_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, ageMs_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.NamedLimit)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.NamedLimit other = (io.pollenpath.protocol.wire.NamedLimit) obj;
-
-    if (!getServer()
-        .equals(other.getServer())) return false;
-    if (hasPerSecond() != other.hasPerSecond()) return false;
-    if (hasPerSecond()) {
-      if (java.lang.Double.doubleToLongBits(getPerSecond())
-          != java.lang.Double.doubleToLongBits(
-              other.getPerSecond())) return false;
-    }
-    if (getAgeMs()
-        != other.getAgeMs()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + SERVER_FIELD_NUMBER;
-    hash = (53 * hash) + getServer().hashCode();
-    if (hasPerSecond()) {
-      hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          java.lang.Double.doubleToLongBits(getPerSecond()));
-    }
-    hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAgeMs());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.NamedLimit parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.NamedLimit parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.NamedLimit prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * The rate of requests that a server takes from all entries together.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.entry.NamedLimit}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.entry.NamedLimit)
-      io.pollenpath.protocol.wire.NamedLimitOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_NamedLimit_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.NamedLimit.class, io.pollenpath.protocol.wire.NamedLimit.Builder.class);
-    }
-
-    // Construct using io.pollenpath.protocol.wire.NamedLimit.newBuilder()
-    private Builder() {
-
-    }
+public final class NamedLimit extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.NamedLimit)
+        NamedLimitOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      server_ = "";
-      perSecond_ = 0D;
-      ageMs_ = 0L;
-      return this;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_NamedLimit_descriptor;
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.NamedLimit getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance();
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                NamedLimit.class.getName());
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.NamedLimit build() {
-      io.pollenpath.protocol.wire.NamedLimit result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    // Use NamedLimit.newBuilder() to construct.
+    private NamedLimit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.NamedLimit buildPartial() {
-      io.pollenpath.protocol.wire.NamedLimit result = new io.pollenpath.protocol.wire.NamedLimit(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
-    }
-
-    private void buildPartial0(io.pollenpath.protocol.wire.NamedLimit result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.server_ = server_;
-      }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.perSecond_ = perSecond_;
-        to_bitField0_ |= 0x00000001;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.ageMs_ = ageMs_;
-      }
-      result.bitField0_ |= to_bitField0_;
+    private NamedLimit() {
+        server_ = "";
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.NamedLimit) {
-        return mergeFrom((io.pollenpath.protocol.wire.NamedLimit)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.NamedLimit other) {
-      if (other == io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance()) return this;
-      if (!other.getServer().isEmpty()) {
-        server_ = other.server_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (other.hasPerSecond()) {
-        setPerSecond(other.getPerSecond());
-      }
-      if (other.getAgeMs() != 0L) {
-        setAgeMs(other.getAgeMs());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_NamedLimit_descriptor;
     }
 
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.NamedLimit.class,
+                        io.pollenpath.protocol.wire.NamedLimit.Builder.class);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              server_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 17: {
-              perSecond_ = input.readDouble();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 17
-            case 24: {
-              ageMs_ = input.readInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
     private int bitField0_;
+    public static final int SERVER_FIELD_NUMBER = 1;
+
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
 
-    private java.lang.Object server_ = "";
     /**
+     *
+     *
      * <pre>
      * Identity of the server.
      * </pre>
      *
      * <code>string server = 1;</code>
+     *
      * @return The server.
      */
+    @java.lang.Override
     public java.lang.String getServer() {
-      java.lang.Object ref = server_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        server_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+        java.lang.Object ref = server_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            server_ = s;
+            return s;
+        }
     }
+
     /**
-     * <pre>
-     * Identity of the server.
-     * </pre>
      *
-     * <code>string server = 1;</code>
-     * @return The bytes for server.
-     */
-    public com.google.protobuf.ByteString
-        getServerBytes() {
-      java.lang.Object ref = server_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        server_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <pre>
-     * Identity of the server.
-     * </pre>
      *
-     * <code>string server = 1;</code>
-     * @param value The server to set.
-     * @return This builder for chaining.
-     */
-    public Builder setServer(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      server_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
      * <pre>
      * Identity of the server.
      * </pre>
      *
      * <code>string server = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearServer() {
-      server_ = getDefaultInstance().getServer();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Identity of the server.
-     * </pre>
      *
-     * <code>string server = 1;</code>
-     * @param value The bytes for server to set.
-     * @return This builder for chaining.
+     * @return The bytes for server.
      */
-    public Builder setServerBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      server_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    public com.google.protobuf.ByteString getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            server_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
     }
 
-    private double perSecond_ ;
+    public static final int PER_SECOND_FIELD_NUMBER = 2;
+    private double perSecond_ = 0D;
+
     /**
+     *
+     *
      * <pre>
      * Requests a second; unset if the server names no limit any more.
      * </pre>
      *
      * <code>optional double per_second = 2;</code>
+     *
      * @return Whether the perSecond field is set.
      */
     @java.lang.Override
     public boolean hasPerSecond() {
-      return ((bitField0_ & 0x00000002) != 0);
+        return ((bitField0_ & 0x00000001) != 0);
     }
+
     /**
+     *
+     *
      * <pre>
      * Requests a second; unset if the server names no limit any more.
      * </pre>
      *
      * <code>optional double per_second = 2;</code>
+     *
      * @return The perSecond.
      */
     @java.lang.Override
     public double getPerSecond() {
-      return perSecond_;
+        return perSecond_;
     }
-    /**
-     * <pre>
-     * Requests a second; unset if the server names no limit any more.
-     * </pre>
-     *
-     * <code>optional double per_second = 2;</code>
-     * @param value The perSecond to set.
-     * @return This builder for chaining.
-     */
-    public Builder setPerSecond(double value) {
 
-      perSecond_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Requests a second; unset if the server names no limit any more.
-     * </pre>
-     *
-     * <code>optional double per_second = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearPerSecond() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      perSecond_ = 0D;
-      onChanged();
-      return this;
-    }
+    public static final int AGE_MS_FIELD_NUMBER = 3;
+    private long ageMs_ = 0L;
 
-    private long ageMs_ ;
     /**
+     *
+     *
      * <pre>
      * Time since the answer that said so, in milliseconds.
      * </pre>
      *
      * <code>int64 age_ms = 3;</code>
+     *
      * @return The ageMs.
      */
     @java.lang.Override
     public long getAgeMs() {
-      return ageMs_;
+        return ageMs_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            output.writeDouble(2, perSecond_);
+        }
+        if (ageMs_ != 0L) {
+            output.writeInt64(3, ageMs_);
+        }
+        getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+        }
+        if (((bitField0_ & 0x00000001) != 0)) {
+            size += com.google.protobuf.CodedOutputStream.computeDoubleSize(2, perSecond_);
+        }
+        if (ageMs_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, ageMs_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.NamedLimit)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.NamedLimit other = (io.pollenpath.protocol.wire.NamedLimit) obj;
+
+        if (!getServer().equals(other.getServer())) return false;
+        if (hasPerSecond() != other.hasPerSecond()) return false;
+        if (hasPerSecond()) {
+            if (java.lang.Double.doubleToLongBits(getPerSecond())
+                    != java.lang.Double.doubleToLongBits(other.getPerSecond())) return false;
+        }
+        if (getAgeMs() != other.getAgeMs()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + SERVER_FIELD_NUMBER;
+        hash = (53 * hash) + getServer().hashCode();
+        if (hasPerSecond()) {
+            hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
+            hash =
+                    (53 * hash)
+                            + com.google.protobuf.Internal.hashLong(
+                                    java.lang.Double.doubleToLongBits(getPerSecond()));
+        }
+        hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAgeMs());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <pre>
-     * Time since the answer that said so, in milliseconds.
-     * </pre>
-     *
-     * <code>int64 age_ms = 3;</code>
-     * @param value The ageMs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAgeMs(long value) {
 
-      ageMs_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+    public static Builder newBuilder(io.pollenpath.protocol.wire.NamedLimit prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
+
     /**
+     *
+     *
      * <pre>
-     * Time since the answer that said so, in milliseconds.
+     * The rate of requests that a server takes from all entries together.
      * </pre>
      *
-     * <code>int64 age_ms = 3;</code>
-     * @return This builder for chaining.
+     * Protobuf type {@code pollenpath.entry.NamedLimit}
      */
-    public Builder clearAgeMs() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      ageMs_ = 0L;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.NamedLimit)
+            io.pollenpath.protocol.wire.NamedLimitOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_NamedLimit_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_NamedLimit_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.NamedLimit.class,
+                            io.pollenpath.protocol.wire.NamedLimit.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.NamedLimit.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            server_ = "";
+            perSecond_ = 0D;
+            ageMs_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_NamedLimit_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.NamedLimit getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.NamedLimit build() {
+            io.pollenpath.protocol.wire.NamedLimit result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.NamedLimit buildPartial() {
+            io.pollenpath.protocol.wire.NamedLimit result =
+                    new io.pollenpath.protocol.wire.NamedLimit(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.NamedLimit result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.server_ = server_;
+            }
+            int to_bitField0_ = 0;
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.perSecond_ = perSecond_;
+                to_bitField0_ |= 0x00000001;
+            }
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                result.ageMs_ = ageMs_;
+            }
+            result.bitField0_ |= to_bitField0_;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.NamedLimit) {
+                return mergeFrom((io.pollenpath.protocol.wire.NamedLimit) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.NamedLimit other) {
+            if (other == io.pollenpath.protocol.wire.NamedLimit.getDefaultInstance()) return this;
+            if (!other.getServer().isEmpty()) {
+                server_ = other.server_;
+                bitField0_ |= 0x00000001;
+                onChanged();
+            }
+            if (other.hasPerSecond()) {
+                setPerSecond(other.getPerSecond());
+            }
+            if (other.getAgeMs() != 0L) {
+                setAgeMs(other.getAgeMs());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                server_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 10
+                        case 17:
+                            {
+                                perSecond_ = input.readDouble();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 17
+                        case 24:
+                            {
+                                ageMs_ = input.readInt64();
+                                bitField0_ |= 0x00000004;
+                                break;
+                            } // case 24
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private java.lang.Object server_ = "";
+
+        /**
+         *
+         *
+         * <pre>
+         * Identity of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @return The server.
+         */
+        public java.lang.String getServer() {
+            java.lang.Object ref = server_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                server_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Identity of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @return The bytes for server.
+         */
+        public com.google.protobuf.ByteString getServerBytes() {
+            java.lang.Object ref = server_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                server_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Identity of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @param value The server to set.
+         * @return This builder for chaining.
+         */
+        public Builder setServer(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            server_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Identity of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearServer() {
+            server_ = getDefaultInstance().getServer();
+            bitField0_ = (bitField0_ & ~0x00000001);
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Identity of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @param value The bytes for server to set.
+         * @return This builder for chaining.
+         */
+        public Builder setServerBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            server_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        private double perSecond_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Requests a second; unset if the server names no limit any more.
+         * </pre>
+         *
+         * <code>optional double per_second = 2;</code>
+         *
+         * @return Whether the perSecond field is set.
+         */
+        @java.lang.Override
+        public boolean hasPerSecond() {
+            return ((bitField0_ & 0x00000002) != 0);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Requests a second; unset if the server names no limit any more.
+         * </pre>
+         *
+         * <code>optional double per_second = 2;</code>
+         *
+         * @return The perSecond.
+         */
+        @java.lang.Override
+        public double getPerSecond() {
+            return perSecond_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Requests a second; unset if the server names no limit any more.
+         * </pre>
+         *
+         * <code>optional double per_second = 2;</code>
+         *
+         * @param value The perSecond to set.
+         * @return This builder for chaining.
+         */
+        public Builder setPerSecond(double value) {
+
+            perSecond_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Requests a second; unset if the server names no limit any more.
+         * </pre>
+         *
+         * <code>optional double per_second = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearPerSecond() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            perSecond_ = 0D;
+            onChanged();
+            return this;
+        }
+
+        private long ageMs_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the answer that said so, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 3;</code>
+         *
+         * @return The ageMs.
+         */
+        @java.lang.Override
+        public long getAgeMs() {
+            return ageMs_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the answer that said so, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 3;</code>
+         *
+         * @param value The ageMs to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAgeMs(long value) {
+
+            ageMs_ = value;
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the answer that said so, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearAgeMs() {
+            bitField0_ = (bitField0_ & ~0x00000004);
+            ageMs_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.NamedLimit)
+    }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.NamedLimit)
+    private static final io.pollenpath.protocol.wire.NamedLimit DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.NamedLimit();
+    }
+
+    public static io.pollenpath.protocol.wire.NamedLimit getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<NamedLimit> PARSER =
+            new com.google.protobuf.AbstractParser<NamedLimit>() {
+                @java.lang.Override
+                public NamedLimit parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<NamedLimit> parser() {
+        return PARSER;
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.entry.NamedLimit)
-  }
-
-  // @@protoc_insertion_point(class_scope:pollenpath.entry.NamedLimit)
-  private static final io.pollenpath.protocol.wire.NamedLimit DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.NamedLimit();
-  }
-
-  public static io.pollenpath.protocol.wire.NamedLimit getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
-
-  private static final com.google.protobuf.Parser<NamedLimit>
-      PARSER = new com.google.protobuf.AbstractParser<NamedLimit>() {
     @java.lang.Override
-    public NamedLimit parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<NamedLimit> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<NamedLimit> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.NamedLimit getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<NamedLimit> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.NamedLimit getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/NamedLimitOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/NamedLimitOrBuilder.java
@@ -6,56 +6,73 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface NamedLimitOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.entry.NamedLimit)
-    com.google.protobuf.MessageOrBuilder {
+public interface NamedLimitOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.NamedLimit)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <pre>
-   * Identity of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The server.
-   */
-  java.lang.String getServer();
-  /**
-   * <pre>
-   * Identity of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The bytes for server.
-   */
-  com.google.protobuf.ByteString
-      getServerBytes();
+    /**
+     *
+     *
+     * <pre>
+     * Identity of the server.
+     * </pre>
+     *
+     * <code>string server = 1;</code>
+     *
+     * @return The server.
+     */
+    java.lang.String getServer();
 
-  /**
-   * <pre>
-   * Requests a second; unset if the server names no limit any more.
-   * </pre>
-   *
-   * <code>optional double per_second = 2;</code>
-   * @return Whether the perSecond field is set.
-   */
-  boolean hasPerSecond();
-  /**
-   * <pre>
-   * Requests a second; unset if the server names no limit any more.
-   * </pre>
-   *
-   * <code>optional double per_second = 2;</code>
-   * @return The perSecond.
-   */
-  double getPerSecond();
+    /**
+     *
+     *
+     * <pre>
+     * Identity of the server.
+     * </pre>
+     *
+     * <code>string server = 1;</code>
+     *
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString getServerBytes();
 
-  /**
-   * <pre>
-   * Time since the answer that said so, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 3;</code>
-   * @return The ageMs.
-   */
-  long getAgeMs();
+    /**
+     *
+     *
+     * <pre>
+     * Requests a second; unset if the server names no limit any more.
+     * </pre>
+     *
+     * <code>optional double per_second = 2;</code>
+     *
+     * @return Whether the perSecond field is set.
+     */
+    boolean hasPerSecond();
+
+    /**
+     *
+     *
+     * <pre>
+     * Requests a second; unset if the server names no limit any more.
+     * </pre>
+     *
+     * <code>optional double per_second = 2;</code>
+     *
+     * @return The perSecond.
+     */
+    double getPerSecond();
+
+    /**
+     *
+     *
+     * <pre>
+     * Time since the answer that said so, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 age_ms = 3;</code>
+     *
+     * @return The ageMs.
+     */
+    long getAgeMs();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RequestClearance.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RequestClearance.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * A request that was answered completely after a crash.
  * </pre>
@@ -13,528 +15,576 @@
  * Protobuf type {@code pollenpath.entry.RequestClearance}
  */
 @com.google.protobuf.Generated
-public final class RequestClearance extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.entry.RequestClearance)
-    RequestClearanceOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      RequestClearance.class.getName());
-  }
-  // Use RequestClearance.newBuilder() to construct.
-  private RequestClearance(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private RequestClearance() {
-    request_ = com.google.protobuf.ByteString.EMPTY;
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestClearance_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.RequestClearance.class, io.pollenpath.protocol.wire.RequestClearance.Builder.class);
-  }
-
-  public static final int REQUEST_FIELD_NUMBER = 1;
-  private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
-  /**
-   * <pre>
-   * Fingerprint of the request, 16 bytes.
-   * </pre>
-   *
-   * <code>bytes request = 1;</code>
-   * @return The request.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getRequest() {
-    return request_;
-  }
-
-  public static final int AGE_MS_FIELD_NUMBER = 2;
-  private long ageMs_ = 0L;
-  /**
-   * <pre>
-   * Time since the answer, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 2;</code>
-   * @return The ageMs.
-   */
-  @java.lang.Override
-  public long getAgeMs() {
-    return ageMs_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!request_.isEmpty()) {
-      output.writeBytes(1, request_);
-    }
-    if (ageMs_ != 0L) {
-      output.writeInt64(2, ageMs_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (!request_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(1, request_);
-    }
-    if (ageMs_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, ageMs_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.RequestClearance)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.RequestClearance other = (io.pollenpath.protocol.wire.RequestClearance) obj;
-
-    if (!getRequest()
-        .equals(other.getRequest())) return false;
-    if (getAgeMs()
-        != other.getAgeMs()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + REQUEST_FIELD_NUMBER;
-    hash = (53 * hash) + getRequest().hashCode();
-    hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAgeMs());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.RequestClearance parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.RequestClearance parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.RequestClearance prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * A request that was answered completely after a crash.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.entry.RequestClearance}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.entry.RequestClearance)
-      io.pollenpath.protocol.wire.RequestClearanceOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestClearance_descriptor;
+public final class RequestClearance extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.RequestClearance)
+        RequestClearanceOrBuilder {
+    private static final long serialVersionUID = 0L;
+
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                RequestClearance.class.getName());
+    }
+
+    // Use RequestClearance.newBuilder() to construct.
+    private RequestClearance(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
+    }
+
+    private RequestClearance() {
+        request_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_RequestClearance_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.RequestClearance.class, io.pollenpath.protocol.wire.RequestClearance.Builder.class);
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.RequestClearance.class,
+                        io.pollenpath.protocol.wire.RequestClearance.Builder.class);
     }
 
-    // Construct using io.pollenpath.protocol.wire.RequestClearance.newBuilder()
-    private Builder() {
+    public static final int REQUEST_FIELD_NUMBER = 1;
+    private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
 
+    /**
+     *
+     *
+     * <pre>
+     * Fingerprint of the request, 16 bytes.
+     * </pre>
+     *
+     * <code>bytes request = 1;</code>
+     *
+     * @return The request.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getRequest() {
+        return request_;
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
+    public static final int AGE_MS_FIELD_NUMBER = 2;
+    private long ageMs_ = 0L;
 
+    /**
+     *
+     *
+     * <pre>
+     * Time since the answer, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 age_ms = 2;</code>
+     *
+     * @return The ageMs.
+     */
+    @java.lang.Override
+    public long getAgeMs() {
+        return ageMs_;
     }
+
+    private byte memoizedIsInitialized = -1;
+
     @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      request_ = com.google.protobuf.ByteString.EMPTY;
-      ageMs_ = 0L;
-      return this;
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestClearance_descriptor;
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (!request_.isEmpty()) {
+            output.writeBytes(1, request_);
+        }
+        if (ageMs_ != 0L) {
+            output.writeInt64(2, ageMs_);
+        }
+        getUnknownFields().writeTo(output);
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.RequestClearance getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance();
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (!request_.isEmpty()) {
+            size += com.google.protobuf.CodedOutputStream.computeBytesSize(1, request_);
+        }
+        if (ageMs_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(2, ageMs_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.RequestClearance build() {
-      io.pollenpath.protocol.wire.RequestClearance result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.RequestClearance)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.RequestClearance other =
+                (io.pollenpath.protocol.wire.RequestClearance) obj;
+
+        if (!getRequest().equals(other.getRequest())) return false;
+        if (getAgeMs() != other.getAgeMs()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.RequestClearance buildPartial() {
-      io.pollenpath.protocol.wire.RequestClearance result = new io.pollenpath.protocol.wire.RequestClearance(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getRequest().hashCode();
+        hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAgeMs());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
     }
 
-    private void buildPartial0(io.pollenpath.protocol.wire.RequestClearance result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.request_ = request_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.ageMs_ = ageMs_;
-      }
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.RequestClearance) {
-        return mergeFrom((io.pollenpath.protocol.wire.RequestClearance)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.RequestClearance other) {
-      if (other == io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance()) return this;
-      if (!other.getRequest().isEmpty()) {
-        setRequest(other.getRequest());
-      }
-      if (other.getAgeMs() != 0L) {
-        setAgeMs(other.getAgeMs());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
     }
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              request_ = input.readBytes();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              ageMs_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestClearance parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
 
-    private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
-    /**
-     * <pre>
-     * Fingerprint of the request, 16 bytes.
-     * </pre>
-     *
-     * <code>bytes request = 1;</code>
-     * @return The request.
-     */
     @java.lang.Override
-    public com.google.protobuf.ByteString getRequest() {
-      return request_;
+    public Builder newBuilderForType() {
+        return newBuilder();
     }
-    /**
-     * <pre>
-     * Fingerprint of the request, 16 bytes.
-     * </pre>
-     *
-     * <code>bytes request = 1;</code>
-     * @param value The request to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRequest(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      request_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <pre>
-     * Fingerprint of the request, 16 bytes.
-     * </pre>
-     *
-     * <code>bytes request = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRequest() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      request_ = getDefaultInstance().getRequest();
-      onChanged();
-      return this;
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.RequestClearance prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
 
-    private long ageMs_ ;
-    /**
-     * <pre>
-     * Time since the answer, in milliseconds.
-     * </pre>
-     *
-     * <code>int64 age_ms = 2;</code>
-     * @return The ageMs.
-     */
     @java.lang.Override
-    public long getAgeMs() {
-      return ageMs_;
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
-    /**
-     * <pre>
-     * Time since the answer, in milliseconds.
-     * </pre>
-     *
-     * <code>int64 age_ms = 2;</code>
-     * @param value The ageMs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAgeMs(long value) {
 
-      ageMs_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
     }
+
     /**
+     *
+     *
      * <pre>
-     * Time since the answer, in milliseconds.
+     * A request that was answered completely after a crash.
      * </pre>
      *
-     * <code>int64 age_ms = 2;</code>
-     * @return This builder for chaining.
+     * Protobuf type {@code pollenpath.entry.RequestClearance}
      */
-    public Builder clearAgeMs() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      ageMs_ = 0L;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.RequestClearance)
+            io.pollenpath.protocol.wire.RequestClearanceOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_RequestClearance_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_RequestClearance_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.RequestClearance.class,
+                            io.pollenpath.protocol.wire.RequestClearance.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.RequestClearance.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            request_ = com.google.protobuf.ByteString.EMPTY;
+            ageMs_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_RequestClearance_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RequestClearance getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RequestClearance build() {
+            io.pollenpath.protocol.wire.RequestClearance result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RequestClearance buildPartial() {
+            io.pollenpath.protocol.wire.RequestClearance result =
+                    new io.pollenpath.protocol.wire.RequestClearance(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.RequestClearance result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.request_ = request_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.ageMs_ = ageMs_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.RequestClearance) {
+                return mergeFrom((io.pollenpath.protocol.wire.RequestClearance) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.RequestClearance other) {
+            if (other == io.pollenpath.protocol.wire.RequestClearance.getDefaultInstance())
+                return this;
+            if (!other.getRequest().isEmpty()) {
+                setRequest(other.getRequest());
+            }
+            if (other.getAgeMs() != 0L) {
+                setAgeMs(other.getAgeMs());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                request_ = input.readBytes();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 10
+                        case 16:
+                            {
+                                ageMs_ = input.readInt64();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 16
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @return The request.
+         */
+        @java.lang.Override
+        public com.google.protobuf.ByteString getRequest() {
+            return request_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @param value The request to set.
+         * @return This builder for chaining.
+         */
+        public Builder setRequest(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            request_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearRequest() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            request_ = getDefaultInstance().getRequest();
+            onChanged();
+            return this;
+        }
+
+        private long ageMs_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the answer, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 2;</code>
+         *
+         * @return The ageMs.
+         */
+        @java.lang.Override
+        public long getAgeMs() {
+            return ageMs_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the answer, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 2;</code>
+         *
+         * @param value The ageMs to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAgeMs(long value) {
+
+            ageMs_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the answer, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearAgeMs() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            ageMs_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.RequestClearance)
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.entry.RequestClearance)
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.RequestClearance)
+    private static final io.pollenpath.protocol.wire.RequestClearance DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RequestClearance();
+    }
 
-  // @@protoc_insertion_point(class_scope:pollenpath.entry.RequestClearance)
-  private static final io.pollenpath.protocol.wire.RequestClearance DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RequestClearance();
-  }
+    public static io.pollenpath.protocol.wire.RequestClearance getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
 
-  public static io.pollenpath.protocol.wire.RequestClearance getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    private static final com.google.protobuf.Parser<RequestClearance> PARSER =
+            new com.google.protobuf.AbstractParser<RequestClearance>() {
+                @java.lang.Override
+                public RequestClearance parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<RequestClearance> parser() {
+        return PARSER;
+    }
 
-  private static final com.google.protobuf.Parser<RequestClearance>
-      PARSER = new com.google.protobuf.AbstractParser<RequestClearance>() {
     @java.lang.Override
-    public RequestClearance parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<RequestClearance> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<RequestClearance> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RequestClearance getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<RequestClearance> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RequestClearance getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RequestClearanceOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RequestClearanceOrBuilder.java
@@ -6,27 +6,34 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RequestClearanceOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.entry.RequestClearance)
-    com.google.protobuf.MessageOrBuilder {
+public interface RequestClearanceOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.RequestClearance)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <pre>
-   * Fingerprint of the request, 16 bytes.
-   * </pre>
-   *
-   * <code>bytes request = 1;</code>
-   * @return The request.
-   */
-  com.google.protobuf.ByteString getRequest();
+    /**
+     *
+     *
+     * <pre>
+     * Fingerprint of the request, 16 bytes.
+     * </pre>
+     *
+     * <code>bytes request = 1;</code>
+     *
+     * @return The request.
+     */
+    com.google.protobuf.ByteString getRequest();
 
-  /**
-   * <pre>
-   * Time since the answer, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 2;</code>
-   * @return The ageMs.
-   */
-  long getAgeMs();
+    /**
+     *
+     *
+     * <pre>
+     * Time since the answer, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 age_ms = 2;</code>
+     *
+     * @return The ageMs.
+     */
+    long getAgeMs();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RequestTrial.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RequestTrial.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * A test run of a blocked request.
  * </pre>
@@ -13,611 +15,672 @@
  * Protobuf type {@code pollenpath.entry.RequestTrial}
  */
 @com.google.protobuf.Generated
-public final class RequestTrial extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.entry.RequestTrial)
-    RequestTrialOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      RequestTrial.class.getName());
-  }
-  // Use RequestTrial.newBuilder() to construct.
-  private RequestTrial(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private RequestTrial() {
-    request_ = com.google.protobuf.ByteString.EMPTY;
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestTrial_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.RequestTrial.class, io.pollenpath.protocol.wire.RequestTrial.Builder.class);
-  }
-
-  public static final int REQUEST_FIELD_NUMBER = 1;
-  private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
-  /**
-   * <pre>
-   * Fingerprint of the request, 16 bytes.
-   * </pre>
-   *
-   * <code>bytes request = 1;</code>
-   * @return The request.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getRequest() {
-    return request_;
-  }
-
-  public static final int ID_FIELD_NUMBER = 2;
-  private long id_ = 0L;
-  /**
-   * <pre>
-   * Distinguishes the trials of one request.
-   * </pre>
-   *
-   * <code>int64 id = 2;</code>
-   * @return The id.
-   */
-  @java.lang.Override
-  public long getId() {
-    return id_;
-  }
-
-  public static final int AGE_MS_FIELD_NUMBER = 3;
-  private long ageMs_ = 0L;
-  /**
-   * <pre>
-   * Time since the trial started, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 3;</code>
-   * @return The ageMs.
-   */
-  @java.lang.Override
-  public long getAgeMs() {
-    return ageMs_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!request_.isEmpty()) {
-      output.writeBytes(1, request_);
-    }
-    if (id_ != 0L) {
-      output.writeInt64(2, id_);
-    }
-    if (ageMs_ != 0L) {
-      output.writeInt64(3, ageMs_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (!request_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(1, request_);
-    }
-    if (id_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, id_);
-    }
-    if (ageMs_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, ageMs_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.RequestTrial)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.RequestTrial other = (io.pollenpath.protocol.wire.RequestTrial) obj;
-
-    if (!getRequest()
-        .equals(other.getRequest())) return false;
-    if (getId()
-        != other.getId()) return false;
-    if (getAgeMs()
-        != other.getAgeMs()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + REQUEST_FIELD_NUMBER;
-    hash = (53 * hash) + getRequest().hashCode();
-    hash = (37 * hash) + ID_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getId());
-    hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAgeMs());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.RequestTrial parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.RequestTrial parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.RequestTrial prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * A test run of a blocked request.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.entry.RequestTrial}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.entry.RequestTrial)
-      io.pollenpath.protocol.wire.RequestTrialOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestTrial_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.RequestTrial.class, io.pollenpath.protocol.wire.RequestTrial.Builder.class);
-    }
-
-    // Construct using io.pollenpath.protocol.wire.RequestTrial.newBuilder()
-    private Builder() {
-
-    }
-
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      request_ = com.google.protobuf.ByteString.EMPTY;
-      id_ = 0L;
-      ageMs_ = 0L;
-      return this;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_RequestTrial_descriptor;
-    }
+public final class RequestTrial extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.RequestTrial)
+        RequestTrialOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RequestTrial getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance();
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                RequestTrial.class.getName());
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RequestTrial build() {
-      io.pollenpath.protocol.wire.RequestTrial result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    // Use RequestTrial.newBuilder() to construct.
+    private RequestTrial(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.RequestTrial buildPartial() {
-      io.pollenpath.protocol.wire.RequestTrial result = new io.pollenpath.protocol.wire.RequestTrial(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
-    }
-
-    private void buildPartial0(io.pollenpath.protocol.wire.RequestTrial result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.request_ = request_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.id_ = id_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.ageMs_ = ageMs_;
-      }
+    private RequestTrial() {
+        request_ = com.google.protobuf.ByteString.EMPTY;
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.RequestTrial) {
-        return mergeFrom((io.pollenpath.protocol.wire.RequestTrial)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.RequestTrial other) {
-      if (other == io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance()) return this;
-      if (!other.getRequest().isEmpty()) {
-        setRequest(other.getRequest());
-      }
-      if (other.getId() != 0L) {
-        setId(other.getId());
-      }
-      if (other.getAgeMs() != 0L) {
-        setAgeMs(other.getAgeMs());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_RequestTrial_descriptor;
     }
 
     @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.RequestTrial.class,
+                        io.pollenpath.protocol.wire.RequestTrial.Builder.class);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              request_ = input.readBytes();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              id_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 24: {
-              ageMs_ = input.readInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
+    public static final int REQUEST_FIELD_NUMBER = 1;
     private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
+
     /**
+     *
+     *
      * <pre>
      * Fingerprint of the request, 16 bytes.
      * </pre>
      *
      * <code>bytes request = 1;</code>
+     *
      * @return The request.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString getRequest() {
-      return request_;
+        return request_;
     }
+
+    public static final int ID_FIELD_NUMBER = 2;
+    private long id_ = 0L;
+
     /**
-     * <pre>
-     * Fingerprint of the request, 16 bytes.
-     * </pre>
      *
-     * <code>bytes request = 1;</code>
-     * @param value The request to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRequest(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      request_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Fingerprint of the request, 16 bytes.
-     * </pre>
      *
-     * <code>bytes request = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRequest() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      request_ = getDefaultInstance().getRequest();
-      onChanged();
-      return this;
-    }
-
-    private long id_ ;
-    /**
      * <pre>
      * Distinguishes the trials of one request.
      * </pre>
      *
      * <code>int64 id = 2;</code>
+     *
      * @return The id.
      */
     @java.lang.Override
     public long getId() {
-      return id_;
+        return id_;
     }
-    /**
-     * <pre>
-     * Distinguishes the trials of one request.
-     * </pre>
-     *
-     * <code>int64 id = 2;</code>
-     * @param value The id to set.
-     * @return This builder for chaining.
-     */
-    public Builder setId(long value) {
 
-      id_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Distinguishes the trials of one request.
-     * </pre>
-     *
-     * <code>int64 id = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearId() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      id_ = 0L;
-      onChanged();
-      return this;
-    }
+    public static final int AGE_MS_FIELD_NUMBER = 3;
+    private long ageMs_ = 0L;
 
-    private long ageMs_ ;
     /**
+     *
+     *
      * <pre>
      * Time since the trial started, in milliseconds.
      * </pre>
      *
      * <code>int64 age_ms = 3;</code>
+     *
      * @return The ageMs.
      */
     @java.lang.Override
     public long getAgeMs() {
-      return ageMs_;
+        return ageMs_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (!request_.isEmpty()) {
+            output.writeBytes(1, request_);
+        }
+        if (id_ != 0L) {
+            output.writeInt64(2, id_);
+        }
+        if (ageMs_ != 0L) {
+            output.writeInt64(3, ageMs_);
+        }
+        getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (!request_.isEmpty()) {
+            size += com.google.protobuf.CodedOutputStream.computeBytesSize(1, request_);
+        }
+        if (id_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(2, id_);
+        }
+        if (ageMs_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, ageMs_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.RequestTrial)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.RequestTrial other =
+                (io.pollenpath.protocol.wire.RequestTrial) obj;
+
+        if (!getRequest().equals(other.getRequest())) return false;
+        if (getId() != other.getId()) return false;
+        if (getAgeMs() != other.getAgeMs()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getRequest().hashCode();
+        hash = (37 * hash) + ID_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getId());
+        hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAgeMs());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
     }
-    /**
-     * <pre>
-     * Time since the trial started, in milliseconds.
-     * </pre>
-     *
-     * <code>int64 age_ms = 3;</code>
-     * @param value The ageMs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAgeMs(long value) {
 
-      ageMs_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+    public static io.pollenpath.protocol.wire.RequestTrial parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
     }
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.RequestTrial prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
+
     /**
+     *
+     *
      * <pre>
-     * Time since the trial started, in milliseconds.
+     * A test run of a blocked request.
      * </pre>
      *
-     * <code>int64 age_ms = 3;</code>
-     * @return This builder for chaining.
+     * Protobuf type {@code pollenpath.entry.RequestTrial}
      */
-    public Builder clearAgeMs() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      ageMs_ = 0L;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.RequestTrial)
+            io.pollenpath.protocol.wire.RequestTrialOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_RequestTrial_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_RequestTrial_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.RequestTrial.class,
+                            io.pollenpath.protocol.wire.RequestTrial.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.RequestTrial.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            request_ = com.google.protobuf.ByteString.EMPTY;
+            id_ = 0L;
+            ageMs_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_RequestTrial_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RequestTrial getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RequestTrial build() {
+            io.pollenpath.protocol.wire.RequestTrial result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.RequestTrial buildPartial() {
+            io.pollenpath.protocol.wire.RequestTrial result =
+                    new io.pollenpath.protocol.wire.RequestTrial(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.RequestTrial result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.request_ = request_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.id_ = id_;
+            }
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                result.ageMs_ = ageMs_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.RequestTrial) {
+                return mergeFrom((io.pollenpath.protocol.wire.RequestTrial) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.RequestTrial other) {
+            if (other == io.pollenpath.protocol.wire.RequestTrial.getDefaultInstance()) return this;
+            if (!other.getRequest().isEmpty()) {
+                setRequest(other.getRequest());
+            }
+            if (other.getId() != 0L) {
+                setId(other.getId());
+            }
+            if (other.getAgeMs() != 0L) {
+                setAgeMs(other.getAgeMs());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                request_ = input.readBytes();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 10
+                        case 16:
+                            {
+                                id_ = input.readInt64();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 16
+                        case 24:
+                            {
+                                ageMs_ = input.readInt64();
+                                bitField0_ |= 0x00000004;
+                                break;
+                            } // case 24
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @return The request.
+         */
+        @java.lang.Override
+        public com.google.protobuf.ByteString getRequest() {
+            return request_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @param value The request to set.
+         * @return This builder for chaining.
+         */
+        public Builder setRequest(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            request_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearRequest() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            request_ = getDefaultInstance().getRequest();
+            onChanged();
+            return this;
+        }
+
+        private long id_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Distinguishes the trials of one request.
+         * </pre>
+         *
+         * <code>int64 id = 2;</code>
+         *
+         * @return The id.
+         */
+        @java.lang.Override
+        public long getId() {
+            return id_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Distinguishes the trials of one request.
+         * </pre>
+         *
+         * <code>int64 id = 2;</code>
+         *
+         * @param value The id to set.
+         * @return This builder for chaining.
+         */
+        public Builder setId(long value) {
+
+            id_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Distinguishes the trials of one request.
+         * </pre>
+         *
+         * <code>int64 id = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearId() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            id_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        private long ageMs_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the trial started, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 3;</code>
+         *
+         * @return The ageMs.
+         */
+        @java.lang.Override
+        public long getAgeMs() {
+            return ageMs_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the trial started, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 3;</code>
+         *
+         * @param value The ageMs to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAgeMs(long value) {
+
+            ageMs_ = value;
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the trial started, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearAgeMs() {
+            bitField0_ = (bitField0_ & ~0x00000004);
+            ageMs_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.RequestTrial)
+    }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.RequestTrial)
+    private static final io.pollenpath.protocol.wire.RequestTrial DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RequestTrial();
+    }
+
+    public static io.pollenpath.protocol.wire.RequestTrial getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RequestTrial> PARSER =
+            new com.google.protobuf.AbstractParser<RequestTrial>() {
+                @java.lang.Override
+                public RequestTrial parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<RequestTrial> parser() {
+        return PARSER;
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.entry.RequestTrial)
-  }
-
-  // @@protoc_insertion_point(class_scope:pollenpath.entry.RequestTrial)
-  private static final io.pollenpath.protocol.wire.RequestTrial DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.RequestTrial();
-  }
-
-  public static io.pollenpath.protocol.wire.RequestTrial getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
-
-  private static final com.google.protobuf.Parser<RequestTrial>
-      PARSER = new com.google.protobuf.AbstractParser<RequestTrial>() {
     @java.lang.Override
-    public RequestTrial parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<RequestTrial> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<RequestTrial> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.RequestTrial getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<RequestTrial> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.RequestTrial getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/RequestTrialOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/RequestTrialOrBuilder.java
@@ -6,37 +6,47 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface RequestTrialOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.entry.RequestTrial)
-    com.google.protobuf.MessageOrBuilder {
+public interface RequestTrialOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.RequestTrial)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <pre>
-   * Fingerprint of the request, 16 bytes.
-   * </pre>
-   *
-   * <code>bytes request = 1;</code>
-   * @return The request.
-   */
-  com.google.protobuf.ByteString getRequest();
+    /**
+     *
+     *
+     * <pre>
+     * Fingerprint of the request, 16 bytes.
+     * </pre>
+     *
+     * <code>bytes request = 1;</code>
+     *
+     * @return The request.
+     */
+    com.google.protobuf.ByteString getRequest();
 
-  /**
-   * <pre>
-   * Distinguishes the trials of one request.
-   * </pre>
-   *
-   * <code>int64 id = 2;</code>
-   * @return The id.
-   */
-  long getId();
+    /**
+     *
+     *
+     * <pre>
+     * Distinguishes the trials of one request.
+     * </pre>
+     *
+     * <code>int64 id = 2;</code>
+     *
+     * @return The id.
+     */
+    long getId();
 
-  /**
-   * <pre>
-   * Time since the trial started, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 3;</code>
-   * @return The ageMs.
-   */
-  long getAgeMs();
+    /**
+     *
+     *
+     * <pre>
+     * Time since the trial started, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 age_ms = 3;</code>
+     *
+     * @return The ageMs.
+     */
+    long getAgeMs();
 }
