--- a/wire/src/main/java/io/pollenpath/protocol/wire/ServerCrash.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ServerCrash.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * A server that ended while it ran requests.
  * </pre>
@@ -13,967 +15,1091 @@
  * Protobuf type {@code pollenpath.entry.ServerCrash}
  */
 @com.google.protobuf.Generated
-public final class ServerCrash extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.entry.ServerCrash)
-    ServerCrashOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      ServerCrash.class.getName());
-  }
-  // Use ServerCrash.newBuilder() to construct.
-  private ServerCrash(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private ServerCrash() {
-    server_ = "";
-    service_ = "";
-    suspects_ = emptyList(com.google.protobuf.ByteString.class);
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerCrash_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.ServerCrash.class, io.pollenpath.protocol.wire.ServerCrash.Builder.class);
-  }
-
-  public static final int SERVER_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object server_ = "";
-  /**
-   * <pre>
-   * Incarnation of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The server.
-   */
-  @java.lang.Override
-  public java.lang.String getServer() {
-    java.lang.Object ref = server_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      server_ = s;
-      return s;
-    }
-  }
-  /**
-   * <pre>
-   * Incarnation of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The bytes for server.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getServerBytes() {
-    java.lang.Object ref = server_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      server_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int SERVICE_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object service_ = "";
-  /**
-   * <pre>
-   * Service that the server belonged to.
-   * </pre>
-   *
-   * <code>string service = 2;</code>
-   * @return The service.
-   */
-  @java.lang.Override
-  public java.lang.String getService() {
-    java.lang.Object ref = service_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      service_ = s;
-      return s;
-    }
-  }
-  /**
-   * <pre>
-   * Service that the server belonged to.
-   * </pre>
-   *
-   * <code>string service = 2;</code>
-   * @return The bytes for service.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getServiceBytes() {
-    java.lang.Object ref = service_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      service_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int SUSPECTS_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> suspects_ =
-      emptyList(com.google.protobuf.ByteString.class);
-  /**
-   * <pre>
-   * Fingerprints of the requests that were in flight on it, 16 bytes each.
-   * </pre>
-   *
-   * <code>repeated bytes suspects = 3;</code>
-   * @return A list containing the suspects.
-   */
-  @java.lang.Override
-  public java.util.List<com.google.protobuf.ByteString>
-      getSuspectsList() {
-    return suspects_;
-  }
-  /**
-   * <pre>
-   * Fingerprints of the requests that were in flight on it, 16 bytes each.
-   * </pre>
-   *
-   * <code>repeated bytes suspects = 3;</code>
-   * @return The count of suspects.
-   */
-  public int getSuspectsCount() {
-    return suspects_.size();
-  }
-  /**
-   * <pre>
-   * Fingerprints of the requests that were in flight on it, 16 bytes each.
-   * </pre>
-   *
-   * <code>repeated bytes suspects = 3;</code>
-   * @param index The index of the element to return.
-   * @return The suspects at the given index.
-   */
-  public com.google.protobuf.ByteString getSuspects(int index) {
-    return suspects_.get(index);
-  }
-
-  public static final int AGE_MS_FIELD_NUMBER = 4;
-  private long ageMs_ = 0L;
-  /**
-   * <pre>
-   * Time since the crash, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 4;</code>
-   * @return The ageMs.
-   */
-  @java.lang.Override
-  public long getAgeMs() {
-    return ageMs_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
-    }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, service_);
-    }
-    for (int i = 0; i < suspects_.size(); i++) {
-      output.writeBytes(3, suspects_.get(i));
-    }
-    if (ageMs_ != 0L) {
-      output.writeInt64(4, ageMs_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
-    }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, service_);
-    }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < suspects_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeBytesSizeNoTag(suspects_.get(i));
-      }
-      size += dataSize;
-      size += 1 * getSuspectsList().size();
-    }
-    if (ageMs_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(4, ageMs_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.ServerCrash)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.ServerCrash other = (io.pollenpath.protocol.wire.ServerCrash) obj;
-
-    if (!getServer()
-        .equals(other.getServer())) return false;
-    if (!getService()
-        .equals(other.getService())) return false;
-    if (!getSuspectsList()
-        .equals(other.getSuspectsList())) return false;
-    if (getAgeMs()
-        != other.getAgeMs()) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + SERVER_FIELD_NUMBER;
-    hash = (53 * hash) + getServer().hashCode();
-    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
-    hash = (53 * hash) + getService().hashCode();
-    if (getSuspectsCount() > 0) {
-      hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
-      hash = (53 * hash) + getSuspectsList().hashCode();
-    }
-    hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAgeMs());
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.ServerCrash parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.ServerCrash parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.ServerCrash prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * A server that ended while it ran requests.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.entry.ServerCrash}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.entry.ServerCrash)
-      io.pollenpath.protocol.wire.ServerCrashOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerCrash_descriptor;
-    }
+public final class ServerCrash extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.ServerCrash)
+        ServerCrashOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.ServerCrash.class, io.pollenpath.protocol.wire.ServerCrash.Builder.class);
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                ServerCrash.class.getName());
     }
 
-    // Construct using io.pollenpath.protocol.wire.ServerCrash.newBuilder()
-    private Builder() {
-
+    // Use ServerCrash.newBuilder() to construct.
+    private ServerCrash(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      server_ = "";
-      service_ = "";
-      suspects_ = emptyList(com.google.protobuf.ByteString.class);
-      ageMs_ = 0L;
-      return this;
+    private ServerCrash() {
+        server_ = "";
+        service_ = "";
+        suspects_ = emptyList(com.google.protobuf.ByteString.class);
     }
 
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerCrash_descriptor;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_ServerCrash_descriptor;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ServerCrash getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance();
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.ServerCrash.class,
+                        io.pollenpath.protocol.wire.ServerCrash.Builder.class);
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.ServerCrash build() {
-      io.pollenpath.protocol.wire.ServerCrash result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
-    }
+    public static final int SERVER_FIELD_NUMBER = 1;
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.ServerCrash buildPartial() {
-      io.pollenpath.protocol.wire.ServerCrash result = new io.pollenpath.protocol.wire.ServerCrash(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
-    }
-
-    private void buildPartial0(io.pollenpath.protocol.wire.ServerCrash result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.server_ = server_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.service_ = service_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        suspects_.makeImmutable();
-        result.suspects_ = suspects_;
-      }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.ageMs_ = ageMs_;
-      }
-    }
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.ServerCrash) {
-        return mergeFrom((io.pollenpath.protocol.wire.ServerCrash)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.ServerCrash other) {
-      if (other == io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance()) return this;
-      if (!other.getServer().isEmpty()) {
-        server_ = other.server_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (!other.getService().isEmpty()) {
-        service_ = other.service_;
-        bitField0_ |= 0x00000002;
-        onChanged();
-      }
-      if (!other.suspects_.isEmpty()) {
-        if (suspects_.isEmpty()) {
-          suspects_ = other.suspects_;
-          suspects_.makeImmutable();
-          bitField0_ |= 0x00000004;
-        } else {
-          ensureSuspectsIsMutable();
-          suspects_.addAll(other.suspects_);
-        }
-        onChanged();
-      }
-      if (other.getAgeMs() != 0L) {
-        setAgeMs(other.getAgeMs());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
-    }
-
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
-    }
-
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              server_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 18: {
-              service_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 26: {
-              com.google.protobuf.ByteString v = input.readBytes();
-              ensureSuspectsIsMutable();
-              suspects_.add(v);
-              break;
-            } // case 26
-            case 32: {
-              ageMs_ = input.readInt64();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private java.lang.Object server_ = "";
     /**
+     *
+     *
      * <pre>
      * Incarnation of the server.
      * </pre>
      *
      * <code>string server = 1;</code>
+     *
      * @return The server.
      */
+    @java.lang.Override
     public java.lang.String getServer() {
-      java.lang.Object ref = server_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        server_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+        java.lang.Object ref = server_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            server_ = s;
+            return s;
+        }
     }
+
     /**
-     * <pre>
-     * Incarnation of the server.
-     * </pre>
      *
-     * <code>string server = 1;</code>
-     * @return The bytes for server.
-     */
-    public com.google.protobuf.ByteString
-        getServerBytes() {
-      java.lang.Object ref = server_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        server_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <pre>
-     * Incarnation of the server.
-     * </pre>
      *
-     * <code>string server = 1;</code>
-     * @param value The server to set.
-     * @return This builder for chaining.
-     */
-    public Builder setServer(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      server_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
      * <pre>
      * Incarnation of the server.
      * </pre>
      *
      * <code>string server = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearServer() {
-      server_ = getDefaultInstance().getServer();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Incarnation of the server.
-     * </pre>
      *
-     * <code>string server = 1;</code>
-     * @param value The bytes for server to set.
-     * @return This builder for chaining.
+     * @return The bytes for server.
      */
-    public Builder setServerBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      server_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    public com.google.protobuf.ByteString getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            server_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
     }
 
-    private java.lang.Object service_ = "";
+    public static final int SERVICE_FIELD_NUMBER = 2;
+
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+
     /**
+     *
+     *
      * <pre>
      * Service that the server belonged to.
      * </pre>
      *
      * <code>string service = 2;</code>
+     *
      * @return The service.
      */
+    @java.lang.Override
     public java.lang.String getService() {
-      java.lang.Object ref = service_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        service_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+        java.lang.Object ref = service_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            service_ = s;
+            return s;
+        }
     }
+
     /**
-     * <pre>
-     * Service that the server belonged to.
-     * </pre>
      *
-     * <code>string service = 2;</code>
-     * @return The bytes for service.
-     */
-    public com.google.protobuf.ByteString
-        getServiceBytes() {
-      java.lang.Object ref = service_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        service_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <pre>
-     * Service that the server belonged to.
-     * </pre>
      *
-     * <code>string service = 2;</code>
-     * @param value The service to set.
-     * @return This builder for chaining.
-     */
-    public Builder setService(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      service_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
      * <pre>
      * Service that the server belonged to.
      * </pre>
      *
      * <code>string service = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearService() {
-      service_ = getDefaultInstance().getService();
-      bitField0_ = (bitField0_ & ~0x00000002);
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Service that the server belonged to.
-     * </pre>
      *
-     * <code>string service = 2;</code>
-     * @param value The bytes for service to set.
-     * @return This builder for chaining.
+     * @return The bytes for service.
      */
-    public Builder setServiceBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      service_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-
-    private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> suspects_ = emptyList(com.google.protobuf.ByteString.class);
-    private void ensureSuspectsIsMutable() {
-      if (!suspects_.isModifiable()) {
-        suspects_ = makeMutableCopy(suspects_);
-      }
-      bitField0_ |= 0x00000004;
+    @java.lang.Override
+    public com.google.protobuf.ByteString getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            service_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
     }
+
+    public static final int SUSPECTS_FIELD_NUMBER = 3;
+
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> suspects_ =
+            emptyList(com.google.protobuf.ByteString.class);
+
     /**
+     *
+     *
      * <pre>
      * Fingerprints of the requests that were in flight on it, 16 bytes each.
      * </pre>
      *
      * <code>repeated bytes suspects = 3;</code>
+     *
      * @return A list containing the suspects.
      */
-    public java.util.List<com.google.protobuf.ByteString>
-        getSuspectsList() {
-      suspects_.makeImmutable();
-      return suspects_;
+    @java.lang.Override
+    public java.util.List<com.google.protobuf.ByteString> getSuspectsList() {
+        return suspects_;
     }
+
     /**
+     *
+     *
      * <pre>
      * Fingerprints of the requests that were in flight on it, 16 bytes each.
      * </pre>
      *
      * <code>repeated bytes suspects = 3;</code>
+     *
      * @return The count of suspects.
      */
     public int getSuspectsCount() {
-      return suspects_.size();
+        return suspects_.size();
     }
+
     /**
+     *
+     *
      * <pre>
      * Fingerprints of the requests that were in flight on it, 16 bytes each.
      * </pre>
      *
      * <code>repeated bytes suspects = 3;</code>
+     *
      * @param index The index of the element to return.
      * @return The suspects at the given index.
      */
     public com.google.protobuf.ByteString getSuspects(int index) {
-      return suspects_.get(index);
-    }
-    /**
-     * <pre>
-     * Fingerprints of the requests that were in flight on it, 16 bytes each.
-     * </pre>
-     *
-     * <code>repeated bytes suspects = 3;</code>
-     * @param index The index to set the value at.
-     * @param value The suspects to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSuspects(
-        int index, com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureSuspectsIsMutable();
-      suspects_.set(index, value);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Fingerprints of the requests that were in flight on it, 16 bytes each.
-     * </pre>
-     *
-     * <code>repeated bytes suspects = 3;</code>
-     * @param value The suspects to add.
-     * @return This builder for chaining.
-     */
-    public Builder addSuspects(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureSuspectsIsMutable();
-      suspects_.add(value);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+        return suspects_.get(index);
     }
+
+    public static final int AGE_MS_FIELD_NUMBER = 4;
+    private long ageMs_ = 0L;
+
     /**
-     * <pre>
-     * Fingerprints of the requests that were in flight on it, 16 bytes each.
-     * </pre>
      *
-     * <code>repeated bytes suspects = 3;</code>
-     * @param values The suspects to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllSuspects(
-        java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
-      ensureSuspectsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, suspects_);
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Fingerprints of the requests that were in flight on it, 16 bytes each.
-     * </pre>
      *
-     * <code>repeated bytes suspects = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearSuspects() {
-      suspects_ = emptyList(com.google.protobuf.ByteString.class);
-      bitField0_ = (bitField0_ & ~0x00000004);
-      onChanged();
-      return this;
-    }
-
-    private long ageMs_ ;
-    /**
      * <pre>
      * Time since the crash, in milliseconds.
      * </pre>
      *
      * <code>int64 age_ms = 4;</code>
+     *
      * @return The ageMs.
      */
     @java.lang.Override
     public long getAgeMs() {
-      return ageMs_;
+        return ageMs_;
     }
-    /**
-     * <pre>
-     * Time since the crash, in milliseconds.
-     * </pre>
-     *
-     * <code>int64 age_ms = 4;</code>
-     * @param value The ageMs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAgeMs(long value) {
 
-      ageMs_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+        }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 2, service_);
+        }
+        for (int i = 0; i < suspects_.size(); i++) {
+            output.writeBytes(3, suspects_.get(i));
+        }
+        if (ageMs_ != 0L) {
+            output.writeInt64(4, ageMs_);
+        }
+        getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+        }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(2, service_);
+        }
+        {
+            int dataSize = 0;
+            for (int i = 0; i < suspects_.size(); i++) {
+                dataSize +=
+                        com.google.protobuf.CodedOutputStream.computeBytesSizeNoTag(
+                                suspects_.get(i));
+            }
+            size += dataSize;
+            size += 1 * getSuspectsList().size();
+        }
+        if (ageMs_ != 0L) {
+            size += com.google.protobuf.CodedOutputStream.computeInt64Size(4, ageMs_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.ServerCrash)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.ServerCrash other =
+                (io.pollenpath.protocol.wire.ServerCrash) obj;
+
+        if (!getServer().equals(other.getServer())) return false;
+        if (!getService().equals(other.getService())) return false;
+        if (!getSuspectsList().equals(other.getSuspectsList())) return false;
+        if (getAgeMs() != other.getAgeMs()) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + SERVER_FIELD_NUMBER;
+        hash = (53 * hash) + getServer().hashCode();
+        hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+        hash = (53 * hash) + getService().hashCode();
+        if (getSuspectsCount() > 0) {
+            hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
+            hash = (53 * hash) + getSuspectsList().hashCode();
+        }
+        hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAgeMs());
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerCrash parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.ServerCrash prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
+
     /**
+     *
+     *
      * <pre>
-     * Time since the crash, in milliseconds.
+     * A server that ended while it ran requests.
      * </pre>
      *
-     * <code>int64 age_ms = 4;</code>
-     * @return This builder for chaining.
+     * Protobuf type {@code pollenpath.entry.ServerCrash}
      */
-    public Builder clearAgeMs() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      ageMs_ = 0L;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.ServerCrash)
+            io.pollenpath.protocol.wire.ServerCrashOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_ServerCrash_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_ServerCrash_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.ServerCrash.class,
+                            io.pollenpath.protocol.wire.ServerCrash.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.ServerCrash.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            server_ = "";
+            service_ = "";
+            suspects_ = emptyList(com.google.protobuf.ByteString.class);
+            ageMs_ = 0L;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_ServerCrash_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ServerCrash getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ServerCrash build() {
+            io.pollenpath.protocol.wire.ServerCrash result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ServerCrash buildPartial() {
+            io.pollenpath.protocol.wire.ServerCrash result =
+                    new io.pollenpath.protocol.wire.ServerCrash(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.ServerCrash result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.server_ = server_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.service_ = service_;
+            }
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                suspects_.makeImmutable();
+                result.suspects_ = suspects_;
+            }
+            if (((from_bitField0_ & 0x00000008) != 0)) {
+                result.ageMs_ = ageMs_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.ServerCrash) {
+                return mergeFrom((io.pollenpath.protocol.wire.ServerCrash) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.ServerCrash other) {
+            if (other == io.pollenpath.protocol.wire.ServerCrash.getDefaultInstance()) return this;
+            if (!other.getServer().isEmpty()) {
+                server_ = other.server_;
+                bitField0_ |= 0x00000001;
+                onChanged();
+            }
+            if (!other.getService().isEmpty()) {
+                service_ = other.service_;
+                bitField0_ |= 0x00000002;
+                onChanged();
+            }
+            if (!other.suspects_.isEmpty()) {
+                if (suspects_.isEmpty()) {
+                    suspects_ = other.suspects_;
+                    suspects_.makeImmutable();
+                    bitField0_ |= 0x00000004;
+                } else {
+                    ensureSuspectsIsMutable();
+                    suspects_.addAll(other.suspects_);
+                }
+                onChanged();
+            }
+            if (other.getAgeMs() != 0L) {
+                setAgeMs(other.getAgeMs());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                server_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 10
+                        case 18:
+                            {
+                                service_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 18
+                        case 26:
+                            {
+                                com.google.protobuf.ByteString v = input.readBytes();
+                                ensureSuspectsIsMutable();
+                                suspects_.add(v);
+                                break;
+                            } // case 26
+                        case 32:
+                            {
+                                ageMs_ = input.readInt64();
+                                bitField0_ |= 0x00000008;
+                                break;
+                            } // case 32
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private java.lang.Object server_ = "";
+
+        /**
+         *
+         *
+         * <pre>
+         * Incarnation of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @return The server.
+         */
+        public java.lang.String getServer() {
+            java.lang.Object ref = server_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                server_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Incarnation of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @return The bytes for server.
+         */
+        public com.google.protobuf.ByteString getServerBytes() {
+            java.lang.Object ref = server_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                server_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Incarnation of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @param value The server to set.
+         * @return This builder for chaining.
+         */
+        public Builder setServer(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            server_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Incarnation of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearServer() {
+            server_ = getDefaultInstance().getServer();
+            bitField0_ = (bitField0_ & ~0x00000001);
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Incarnation of the server.
+         * </pre>
+         *
+         * <code>string server = 1;</code>
+         *
+         * @param value The bytes for server to set.
+         * @return This builder for chaining.
+         */
+        public Builder setServerBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            server_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        private java.lang.Object service_ = "";
+
+        /**
+         *
+         *
+         * <pre>
+         * Service that the server belonged to.
+         * </pre>
+         *
+         * <code>string service = 2;</code>
+         *
+         * @return The service.
+         */
+        public java.lang.String getService() {
+            java.lang.Object ref = service_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                service_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Service that the server belonged to.
+         * </pre>
+         *
+         * <code>string service = 2;</code>
+         *
+         * @return The bytes for service.
+         */
+        public com.google.protobuf.ByteString getServiceBytes() {
+            java.lang.Object ref = service_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                service_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Service that the server belonged to.
+         * </pre>
+         *
+         * <code>string service = 2;</code>
+         *
+         * @param value The service to set.
+         * @return This builder for chaining.
+         */
+        public Builder setService(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            service_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Service that the server belonged to.
+         * </pre>
+         *
+         * <code>string service = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearService() {
+            service_ = getDefaultInstance().getService();
+            bitField0_ = (bitField0_ & ~0x00000002);
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Service that the server belonged to.
+         * </pre>
+         *
+         * <code>string service = 2;</code>
+         *
+         * @param value The bytes for service to set.
+         * @return This builder for chaining.
+         */
+        public Builder setServiceBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            service_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString>
+                suspects_ = emptyList(com.google.protobuf.ByteString.class);
+
+        private void ensureSuspectsIsMutable() {
+            if (!suspects_.isModifiable()) {
+                suspects_ = makeMutableCopy(suspects_);
+            }
+            bitField0_ |= 0x00000004;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprints of the requests that were in flight on it, 16 bytes each.
+         * </pre>
+         *
+         * <code>repeated bytes suspects = 3;</code>
+         *
+         * @return A list containing the suspects.
+         */
+        public java.util.List<com.google.protobuf.ByteString> getSuspectsList() {
+            suspects_.makeImmutable();
+            return suspects_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprints of the requests that were in flight on it, 16 bytes each.
+         * </pre>
+         *
+         * <code>repeated bytes suspects = 3;</code>
+         *
+         * @return The count of suspects.
+         */
+        public int getSuspectsCount() {
+            return suspects_.size();
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprints of the requests that were in flight on it, 16 bytes each.
+         * </pre>
+         *
+         * <code>repeated bytes suspects = 3;</code>
+         *
+         * @param index The index of the element to return.
+         * @return The suspects at the given index.
+         */
+        public com.google.protobuf.ByteString getSuspects(int index) {
+            return suspects_.get(index);
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprints of the requests that were in flight on it, 16 bytes each.
+         * </pre>
+         *
+         * <code>repeated bytes suspects = 3;</code>
+         *
+         * @param index The index to set the value at.
+         * @param value The suspects to set.
+         * @return This builder for chaining.
+         */
+        public Builder setSuspects(int index, com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            ensureSuspectsIsMutable();
+            suspects_.set(index, value);
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprints of the requests that were in flight on it, 16 bytes each.
+         * </pre>
+         *
+         * <code>repeated bytes suspects = 3;</code>
+         *
+         * @param value The suspects to add.
+         * @return This builder for chaining.
+         */
+        public Builder addSuspects(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            ensureSuspectsIsMutable();
+            suspects_.add(value);
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprints of the requests that were in flight on it, 16 bytes each.
+         * </pre>
+         *
+         * <code>repeated bytes suspects = 3;</code>
+         *
+         * @param values The suspects to add.
+         * @return This builder for chaining.
+         */
+        public Builder addAllSuspects(
+                java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
+            ensureSuspectsIsMutable();
+            com.google.protobuf.AbstractMessageLite.Builder.addAll(values, suspects_);
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprints of the requests that were in flight on it, 16 bytes each.
+         * </pre>
+         *
+         * <code>repeated bytes suspects = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearSuspects() {
+            suspects_ = emptyList(com.google.protobuf.ByteString.class);
+            bitField0_ = (bitField0_ & ~0x00000004);
+            onChanged();
+            return this;
+        }
+
+        private long ageMs_;
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the crash, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 4;</code>
+         *
+         * @return The ageMs.
+         */
+        @java.lang.Override
+        public long getAgeMs() {
+            return ageMs_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the crash, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 4;</code>
+         *
+         * @param value The ageMs to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAgeMs(long value) {
+
+            ageMs_ = value;
+            bitField0_ |= 0x00000008;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Time since the crash, in milliseconds.
+         * </pre>
+         *
+         * <code>int64 age_ms = 4;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearAgeMs() {
+            bitField0_ = (bitField0_ & ~0x00000008);
+            ageMs_ = 0L;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.ServerCrash)
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.entry.ServerCrash)
-  }
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.ServerCrash)
+    private static final io.pollenpath.protocol.wire.ServerCrash DEFAULT_INSTANCE;
 
-  // @@protoc_insertion_point(class_scope:pollenpath.entry.ServerCrash)
-  private static final io.pollenpath.protocol.wire.ServerCrash DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ServerCrash();
-  }
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ServerCrash();
+    }
 
-  public static io.pollenpath.protocol.wire.ServerCrash getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
+    public static io.pollenpath.protocol.wire.ServerCrash getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServerCrash> PARSER =
+            new com.google.protobuf.AbstractParser<ServerCrash>() {
+                @java.lang.Override
+                public ServerCrash parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<ServerCrash> parser() {
+        return PARSER;
+    }
 
-  private static final com.google.protobuf.Parser<ServerCrash>
-      PARSER = new com.google.protobuf.AbstractParser<ServerCrash>() {
     @java.lang.Override
-    public ServerCrash parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<ServerCrash> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<ServerCrash> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ServerCrash getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<ServerCrash> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ServerCrash getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ServerCrashOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ServerCrashOrBuilder.java
@@ -6,86 +6,113 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ServerCrashOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.entry.ServerCrash)
-    com.google.protobuf.MessageOrBuilder {
+public interface ServerCrashOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.ServerCrash)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <pre>
-   * Incarnation of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The server.
-   */
-  java.lang.String getServer();
-  /**
-   * <pre>
-   * Incarnation of the server.
-   * </pre>
-   *
-   * <code>string server = 1;</code>
-   * @return The bytes for server.
-   */
-  com.google.protobuf.ByteString
-      getServerBytes();
+    /**
+     *
+     *
+     * <pre>
+     * Incarnation of the server.
+     * </pre>
+     *
+     * <code>string server = 1;</code>
+     *
+     * @return The server.
+     */
+    java.lang.String getServer();
 
-  /**
-   * <pre>
-   * Service that the server belonged to.
-   * </pre>
-   *
-   * <code>string service = 2;</code>
-   * @return The service.
-   */
-  java.lang.String getService();
-  /**
-   * <pre>
-   * Service that the server belonged to.
-   * </pre>
-   *
-   * <code>string service = 2;</code>
-   * @return The bytes for service.
-   */
-  com.google.protobuf.ByteString
-      getServiceBytes();
+    /**
+     *
+     *
+     * <pre>
+     * Incarnation of the server.
+     * </pre>
+     *
+     * <code>string server = 1;</code>
+     *
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString getServerBytes();
 
-  /**
-   * <pre>
-   * Fingerprints of the requests that were in flight on it, 16 bytes each.
-   * </pre>
-   *
-   * <code>repeated bytes suspects = 3;</code>
-   * @return A list containing the suspects.
-   */
-  java.util.List<com.google.protobuf.ByteString> getSuspectsList();
-  /**
-   * <pre>
-   * Fingerprints of the requests that were in flight on it, 16 bytes each.
-   * </pre>
-   *
-   * <code>repeated bytes suspects = 3;</code>
-   * @return The count of suspects.
-   */
-  int getSuspectsCount();
-  /**
-   * <pre>
-   * Fingerprints of the requests that were in flight on it, 16 bytes each.
-   * </pre>
-   *
-   * <code>repeated bytes suspects = 3;</code>
-   * @param index The index of the element to return.
-   * @return The suspects at the given index.
-   */
-  com.google.protobuf.ByteString getSuspects(int index);
+    /**
+     *
+     *
+     * <pre>
+     * Service that the server belonged to.
+     * </pre>
+     *
+     * <code>string service = 2;</code>
+     *
+     * @return The service.
+     */
+    java.lang.String getService();
 
-  /**
-   * <pre>
-   * Time since the crash, in milliseconds.
-   * </pre>
-   *
-   * <code>int64 age_ms = 4;</code>
-   * @return The ageMs.
-   */
-  long getAgeMs();
+    /**
+     *
+     *
+     * <pre>
+     * Service that the server belonged to.
+     * </pre>
+     *
+     * <code>string service = 2;</code>
+     *
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString getServiceBytes();
+
+    /**
+     *
+     *
+     * <pre>
+     * Fingerprints of the requests that were in flight on it, 16 bytes each.
+     * </pre>
+     *
+     * <code>repeated bytes suspects = 3;</code>
+     *
+     * @return A list containing the suspects.
+     */
+    java.util.List<com.google.protobuf.ByteString> getSuspectsList();
+
+    /**
+     *
+     *
+     * <pre>
+     * Fingerprints of the requests that were in flight on it, 16 bytes each.
+     * </pre>
+     *
+     * <code>repeated bytes suspects = 3;</code>
+     *
+     * @return The count of suspects.
+     */
+    int getSuspectsCount();
+
+    /**
+     *
+     *
+     * <pre>
+     * Fingerprints of the requests that were in flight on it, 16 bytes each.
+     * </pre>
+     *
+     * <code>repeated bytes suspects = 3;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The suspects at the given index.
+     */
+    com.google.protobuf.ByteString getSuspects(int index);
+
+    /**
+     *
+     *
+     * <pre>
+     * Time since the crash, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 age_ms = 4;</code>
+     *
+     * @return The ageMs.
+     */
+    long getAgeMs();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ServerSlowdown.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ServerSlowdown.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * How slow a server is, as the agent beside it knows.
  * </pre>
@@ -13,610 +15,669 @@
  * Protobuf type {@code pollenpath.entry.ServerSlowdown}
  */
 @com.google.protobuf.Generated
-public final class ServerSlowdown extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.entry.ServerSlowdown)
-    ServerSlowdownOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      ServerSlowdown.class.getName());
-  }
-  // Use ServerSlowdown.newBuilder() to construct.
-  private ServerSlowdown(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private ServerSlowdown() {
-    address_ = "";
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerSlowdown_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.ServerSlowdown.class, io.pollenpath.protocol.wire.ServerSlowdown.Builder.class);
-  }
-
-  public static final int ADDRESS_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object address_ = "";
-  /**
-   * <pre>
-   * Address of the server, IP:port.
-   * </pre>
-   *
-   * <code>string address = 1;</code>
-   * @return The address.
-   */
-  @java.lang.Override
-  public java.lang.String getAddress() {
-    java.lang.Object ref = address_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      address_ = s;
-      return s;
-    }
-  }
-  /**
-   * <pre>
-   * Address of the server, IP:port.
-   * </pre>
-   *
-   * <code>string address = 1;</code>
-   * @return The bytes for address.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getAddressBytes() {
-    java.lang.Object ref = address_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      address_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int FACTOR_FIELD_NUMBER = 2;
-  private double factor_ = 0D;
-  /**
-   * <pre>
-   * How many times longer the server takes for its work than usual, above 0.
-   * </pre>
-   *
-   * <code>double factor = 2;</code>
-   * @return The factor.
-   */
-  @java.lang.Override
-  public double getFactor() {
-    return factor_;
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, address_);
-    }
-    if (java.lang.Double.doubleToRawLongBits(factor_) != 0) {
-      output.writeDouble(2, factor_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, address_);
-    }
-    if (java.lang.Double.doubleToRawLongBits(factor_) != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(2, factor_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.ServerSlowdown)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.ServerSlowdown other = (io.pollenpath.protocol.wire.ServerSlowdown) obj;
-
-    if (!getAddress()
-        .equals(other.getAddress())) return false;
-    if (java.lang.Double.doubleToLongBits(getFactor())
-        != java.lang.Double.doubleToLongBits(
-            other.getFactor())) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
-    hash = (53 * hash) + getAddress().hashCode();
-    hash = (37 * hash) + FACTOR_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getFactor()));
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.ServerSlowdown prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * How slow a server is, as the agent beside it knows.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.entry.ServerSlowdown}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.entry.ServerSlowdown)
-      io.pollenpath.protocol.wire.ServerSlowdownOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerSlowdown_descriptor;
-    }
+public final class ServerSlowdown extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.ServerSlowdown)
+        ServerSlowdownOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.ServerSlowdown.class, io.pollenpath.protocol.wire.ServerSlowdown.Builder.class);
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                ServerSlowdown.class.getName());
     }
 
-    // Construct using io.pollenpath.protocol.wire.ServerSlowdown.newBuilder()
-    private Builder() {
-
+    // Use ServerSlowdown.newBuilder() to construct.
+    private ServerSlowdown(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      address_ = "";
-      factor_ = 0D;
-      return this;
+    private ServerSlowdown() {
+        address_ = "";
     }
 
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_ServerSlowdown_descriptor;
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.ServerSlowdown getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance();
-    }
-
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.ServerSlowdown build() {
-      io.pollenpath.protocol.wire.ServerSlowdown result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_ServerSlowdown_descriptor;
     }
 
     @java.lang.Override
-    public io.pollenpath.protocol.wire.ServerSlowdown buildPartial() {
-      io.pollenpath.protocol.wire.ServerSlowdown result = new io.pollenpath.protocol.wire.ServerSlowdown(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
-    }
-
-    private void buildPartial0(io.pollenpath.protocol.wire.ServerSlowdown result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.address_ = address_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.factor_ = factor_;
-      }
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.ServerSlowdown.class,
+                        io.pollenpath.protocol.wire.ServerSlowdown.Builder.class);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.ServerSlowdown) {
-        return mergeFrom((io.pollenpath.protocol.wire.ServerSlowdown)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.ServerSlowdown other) {
-      if (other == io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance()) return this;
-      if (!other.getAddress().isEmpty()) {
-        address_ = other.address_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (java.lang.Double.doubleToRawLongBits(other.getFactor()) != 0) {
-        setFactor(other.getFactor());
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
-    }
+    public static final int ADDRESS_FIELD_NUMBER = 1;
 
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
-    }
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object address_ = "";
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              address_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 17: {
-              factor_ = input.readDouble();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 17
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
-    private java.lang.Object address_ = "";
     /**
+     *
+     *
      * <pre>
      * Address of the server, IP:port.
      * </pre>
      *
      * <code>string address = 1;</code>
+     *
      * @return The address.
      */
+    @java.lang.Override
     public java.lang.String getAddress() {
-      java.lang.Object ref = address_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        address_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+        java.lang.Object ref = address_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            address_ = s;
+            return s;
+        }
     }
+
     /**
-     * <pre>
-     * Address of the server, IP:port.
-     * </pre>
      *
-     * <code>string address = 1;</code>
-     * @return The bytes for address.
-     */
-    public com.google.protobuf.ByteString
-        getAddressBytes() {
-      java.lang.Object ref = address_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        address_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <pre>
-     * Address of the server, IP:port.
-     * </pre>
      *
-     * <code>string address = 1;</code>
-     * @param value The address to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAddress(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      address_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
      * <pre>
      * Address of the server, IP:port.
      * </pre>
      *
      * <code>string address = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearAddress() {
-      address_ = getDefaultInstance().getAddress();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Address of the server, IP:port.
-     * </pre>
      *
-     * <code>string address = 1;</code>
-     * @param value The bytes for address to set.
-     * @return This builder for chaining.
+     * @return The bytes for address.
      */
-    public Builder setAddressBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      address_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
+    @java.lang.Override
+    public com.google.protobuf.ByteString getAddressBytes() {
+        java.lang.Object ref = address_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            address_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
     }
 
-    private double factor_ ;
+    public static final int FACTOR_FIELD_NUMBER = 2;
+    private double factor_ = 0D;
+
     /**
+     *
+     *
      * <pre>
      * How many times longer the server takes for its work than usual, above 0.
      * </pre>
      *
      * <code>double factor = 2;</code>
+     *
      * @return The factor.
      */
     @java.lang.Override
     public double getFactor() {
-      return factor_;
+        return factor_;
     }
-    /**
-     * <pre>
-     * How many times longer the server takes for its work than usual, above 0.
-     * </pre>
-     *
-     * <code>double factor = 2;</code>
-     * @param value The factor to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFactor(double value) {
 
-      factor_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 1, address_);
+        }
+        if (java.lang.Double.doubleToRawLongBits(factor_) != 0) {
+            output.writeDouble(2, factor_);
+        }
+        getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(1, address_);
+        }
+        if (java.lang.Double.doubleToRawLongBits(factor_) != 0) {
+            size += com.google.protobuf.CodedOutputStream.computeDoubleSize(2, factor_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.ServerSlowdown)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.ServerSlowdown other =
+                (io.pollenpath.protocol.wire.ServerSlowdown) obj;
+
+        if (!getAddress().equals(other.getAddress())) return false;
+        if (java.lang.Double.doubleToLongBits(getFactor())
+                != java.lang.Double.doubleToLongBits(other.getFactor())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
+        hash = (53 * hash) + getAddress().hashCode();
+        hash = (37 * hash) + FACTOR_FIELD_NUMBER;
+        hash =
+                (53 * hash)
+                        + com.google.protobuf.Internal.hashLong(
+                                java.lang.Double.doubleToLongBits(getFactor()));
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.ServerSlowdown prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
     }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
+
     /**
+     *
+     *
      * <pre>
-     * How many times longer the server takes for its work than usual, above 0.
+     * How slow a server is, as the agent beside it knows.
      * </pre>
      *
-     * <code>double factor = 2;</code>
-     * @return This builder for chaining.
+     * Protobuf type {@code pollenpath.entry.ServerSlowdown}
      */
-    public Builder clearFactor() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      factor_ = 0D;
-      onChanged();
-      return this;
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.ServerSlowdown)
+            io.pollenpath.protocol.wire.ServerSlowdownOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_ServerSlowdown_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_ServerSlowdown_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.ServerSlowdown.class,
+                            io.pollenpath.protocol.wire.ServerSlowdown.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.ServerSlowdown.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            address_ = "";
+            factor_ = 0D;
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_ServerSlowdown_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ServerSlowdown getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ServerSlowdown build() {
+            io.pollenpath.protocol.wire.ServerSlowdown result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.ServerSlowdown buildPartial() {
+            io.pollenpath.protocol.wire.ServerSlowdown result =
+                    new io.pollenpath.protocol.wire.ServerSlowdown(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.ServerSlowdown result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.address_ = address_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.factor_ = factor_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.ServerSlowdown) {
+                return mergeFrom((io.pollenpath.protocol.wire.ServerSlowdown) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.ServerSlowdown other) {
+            if (other == io.pollenpath.protocol.wire.ServerSlowdown.getDefaultInstance())
+                return this;
+            if (!other.getAddress().isEmpty()) {
+                address_ = other.address_;
+                bitField0_ |= 0x00000001;
+                onChanged();
+            }
+            if (java.lang.Double.doubleToRawLongBits(other.getFactor()) != 0) {
+                setFactor(other.getFactor());
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                address_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 10
+                        case 17:
+                            {
+                                factor_ = input.readDouble();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 17
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private java.lang.Object address_ = "";
+
+        /**
+         *
+         *
+         * <pre>
+         * Address of the server, IP:port.
+         * </pre>
+         *
+         * <code>string address = 1;</code>
+         *
+         * @return The address.
+         */
+        public java.lang.String getAddress() {
+            java.lang.Object ref = address_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                address_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Address of the server, IP:port.
+         * </pre>
+         *
+         * <code>string address = 1;</code>
+         *
+         * @return The bytes for address.
+         */
+        public com.google.protobuf.ByteString getAddressBytes() {
+            java.lang.Object ref = address_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                address_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Address of the server, IP:port.
+         * </pre>
+         *
+         * <code>string address = 1;</code>
+         *
+         * @param value The address to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAddress(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            address_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Address of the server, IP:port.
+         * </pre>
+         *
+         * <code>string address = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearAddress() {
+            address_ = getDefaultInstance().getAddress();
+            bitField0_ = (bitField0_ & ~0x00000001);
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Address of the server, IP:port.
+         * </pre>
+         *
+         * <code>string address = 1;</code>
+         *
+         * @param value The bytes for address to set.
+         * @return This builder for chaining.
+         */
+        public Builder setAddressBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            address_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        private double factor_;
+
+        /**
+         *
+         *
+         * <pre>
+         * How many times longer the server takes for its work than usual, above 0.
+         * </pre>
+         *
+         * <code>double factor = 2;</code>
+         *
+         * @return The factor.
+         */
+        @java.lang.Override
+        public double getFactor() {
+            return factor_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many times longer the server takes for its work than usual, above 0.
+         * </pre>
+         *
+         * <code>double factor = 2;</code>
+         *
+         * @param value The factor to set.
+         * @return This builder for chaining.
+         */
+        public Builder setFactor(double value) {
+
+            factor_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many times longer the server takes for its work than usual, above 0.
+         * </pre>
+         *
+         * <code>double factor = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearFactor() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            factor_ = 0D;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.ServerSlowdown)
+    }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.ServerSlowdown)
+    private static final io.pollenpath.protocol.wire.ServerSlowdown DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ServerSlowdown();
+    }
+
+    public static io.pollenpath.protocol.wire.ServerSlowdown getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServerSlowdown> PARSER =
+            new com.google.protobuf.AbstractParser<ServerSlowdown>() {
+                @java.lang.Override
+                public ServerSlowdown parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<ServerSlowdown> parser() {
+        return PARSER;
     }
 
-    // @@protoc_insertion_point(builder_scope:pollenpath.entry.ServerSlowdown)
-  }
-
-  // @@protoc_insertion_point(class_scope:pollenpath.entry.ServerSlowdown)
-  private static final io.pollenpath.protocol.wire.ServerSlowdown DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.ServerSlowdown();
-  }
-
-  public static io.pollenpath.protocol.wire.ServerSlowdown getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
-
-  private static final com.google.protobuf.Parser<ServerSlowdown>
-      PARSER = new com.google.protobuf.AbstractParser<ServerSlowdown>() {
     @java.lang.Override
-    public ServerSlowdown parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<ServerSlowdown> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<ServerSlowdown> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.ServerSlowdown getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<ServerSlowdown> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.ServerSlowdown getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/ServerSlowdownOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/ServerSlowdownOrBuilder.java
@@ -6,37 +6,47 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface ServerSlowdownOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.entry.ServerSlowdown)
-    com.google.protobuf.MessageOrBuilder {
+public interface ServerSlowdownOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.ServerSlowdown)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <pre>
-   * Address of the server, IP:port.
-   * </pre>
-   *
-   * <code>string address = 1;</code>
-   * @return The address.
-   */
-  java.lang.String getAddress();
-  /**
-   * <pre>
-   * Address of the server, IP:port.
-   * </pre>
-   *
-   * <code>string address = 1;</code>
-   * @return The bytes for address.
-   */
-  com.google.protobuf.ByteString
-      getAddressBytes();
+    /**
+     *
+     *
+     * <pre>
+     * Address of the server, IP:port.
+     * </pre>
+     *
+     * <code>string address = 1;</code>
+     *
+     * @return The address.
+     */
+    java.lang.String getAddress();
 
-  /**
-   * <pre>
-   * How many times longer the server takes for its work than usual, above 0.
-   * </pre>
-   *
-   * <code>double factor = 2;</code>
-   * @return The factor.
-   */
-  double getFactor();
+    /**
+     *
+     *
+     * <pre>
+     * Address of the server, IP:port.
+     * </pre>
+     *
+     * <code>string address = 1;</code>
+     *
+     * @return The bytes for address.
+     */
+    com.google.protobuf.ByteString getAddressBytes();
+
+    /**
+     *
+     *
+     * <pre>
+     * How many times longer the server takes for its work than usual, above 0.
+     * </pre>
+     *
+     * <code>double factor = 2;</code>
+     *
+     * @return The factor.
+     */
+    double getFactor();
 }
--- a/wire/src/main/java/io/pollenpath/protocol/wire/TrialClaim.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/TrialClaim.java
@@ -6,6 +6,8 @@
 package io.pollenpath.protocol.wire;
 
 /**
+ *
+ *
  * <pre>
  * Asks the receiver to agree to the next test run of a blocked request.
  * </pre>
@@ -13,691 +15,763 @@
  * Protobuf type {@code pollenpath.entry.TrialClaim}
  */
 @com.google.protobuf.Generated
-public final class TrialClaim extends
-    com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:pollenpath.entry.TrialClaim)
-    TrialClaimOrBuilder {
-private static final long serialVersionUID = 0L;
-  static {
-    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-      /* major= */ 4,
-      /* minor= */ 31,
-      /* patch= */ 1,
-      /* suffix= */ "",
-      TrialClaim.class.getName());
-  }
-  // Use TrialClaim.newBuilder() to construct.
-  private TrialClaim(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-    super(builder);
-  }
-  private TrialClaim() {
-    request_ = com.google.protobuf.ByteString.EMPTY;
-    claimant_ = "";
-  }
-
-  public static final com.google.protobuf.Descriptors.Descriptor
-      getDescriptor() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_TrialClaim_descriptor;
-  }
-
-  @java.lang.Override
-  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internalGetFieldAccessorTable() {
-    return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable
-        .ensureFieldAccessorsInitialized(
-            io.pollenpath.protocol.wire.TrialClaim.class, io.pollenpath.protocol.wire.TrialClaim.Builder.class);
-  }
-
-  public static final int REQUEST_FIELD_NUMBER = 1;
-  private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
-  /**
-   * <pre>
-   * Fingerprint of the request, 16 bytes.
-   * </pre>
-   *
-   * <code>bytes request = 1;</code>
-   * @return The request.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getRequest() {
-    return request_;
-  }
-
-  public static final int NUMBER_FIELD_NUMBER = 2;
-  private int number_ = 0;
-  /**
-   * <pre>
-   * How many test runs the request has had before.
-   * </pre>
-   *
-   * <code>int32 number = 2;</code>
-   * @return The number.
-   */
-  @java.lang.Override
-  public int getNumber() {
-    return number_;
-  }
-
-  public static final int CLAIMANT_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object claimant_ = "";
-  /**
-   * <pre>
-   * Name of the entry that asks.
-   * </pre>
-   *
-   * <code>string claimant = 3;</code>
-   * @return The claimant.
-   */
-  @java.lang.Override
-  public java.lang.String getClaimant() {
-    java.lang.Object ref = claimant_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      claimant_ = s;
-      return s;
-    }
-  }
-  /**
-   * <pre>
-   * Name of the entry that asks.
-   * </pre>
-   *
-   * <code>string claimant = 3;</code>
-   * @return The bytes for claimant.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getClaimantBytes() {
-    java.lang.Object ref = claimant_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      claimant_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  private byte memoizedIsInitialized = -1;
-  @java.lang.Override
-  public final boolean isInitialized() {
-    byte isInitialized = memoizedIsInitialized;
-    if (isInitialized == 1) return true;
-    if (isInitialized == 0) return false;
-
-    memoizedIsInitialized = 1;
-    return true;
-  }
-
-  @java.lang.Override
-  public void writeTo(com.google.protobuf.CodedOutputStream output)
-                      throws java.io.IOException {
-    if (!request_.isEmpty()) {
-      output.writeBytes(1, request_);
-    }
-    if (number_ != 0) {
-      output.writeInt32(2, number_);
-    }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimant_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 3, claimant_);
-    }
-    getUnknownFields().writeTo(output);
-  }
-
-  @java.lang.Override
-  public int getSerializedSize() {
-    int size = memoizedSize;
-    if (size != -1) return size;
-
-    size = 0;
-    if (!request_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(1, request_);
-    }
-    if (number_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(2, number_);
-    }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimant_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, claimant_);
-    }
-    size += getUnknownFields().getSerializedSize();
-    memoizedSize = size;
-    return size;
-  }
-
-  @java.lang.Override
-  public boolean equals(final java.lang.Object obj) {
-    if (obj == this) {
-     return true;
-    }
-    if (!(obj instanceof io.pollenpath.protocol.wire.TrialClaim)) {
-      return super.equals(obj);
-    }
-    io.pollenpath.protocol.wire.TrialClaim other = (io.pollenpath.protocol.wire.TrialClaim) obj;
-
-    if (!getRequest()
-        .equals(other.getRequest())) return false;
-    if (getNumber()
-        != other.getNumber()) return false;
-    if (!getClaimant()
-        .equals(other.getClaimant())) return false;
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-    return true;
-  }
-
-  @java.lang.Override
-  public int hashCode() {
-    if (memoizedHashCode != 0) {
-      return memoizedHashCode;
-    }
-    int hash = 41;
-    hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + REQUEST_FIELD_NUMBER;
-    hash = (53 * hash) + getRequest().hashCode();
-    hash = (37 * hash) + NUMBER_FIELD_NUMBER;
-    hash = (53 * hash) + getNumber();
-    hash = (37 * hash) + CLAIMANT_FIELD_NUMBER;
-    hash = (53 * hash) + getClaimant().hashCode();
-    hash = (29 * hash) + getUnknownFields().hashCode();
-    memoizedHashCode = hash;
-    return hash;
-  }
-
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      java.nio.ByteBuffer data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      java.nio.ByteBuffer data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      com.google.protobuf.ByteString data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      com.google.protobuf.ByteString data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(byte[] data)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      byte[] data,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws com.google.protobuf.InvalidProtocolBufferException {
-    return PARSER.parseFrom(data, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  public static io.pollenpath.protocol.wire.TrialClaim parseDelimitedFrom(java.io.InputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input);
-  }
-
-  public static io.pollenpath.protocol.wire.TrialClaim parseDelimitedFrom(
-      java.io.InputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      com.google.protobuf.CodedInputStream input)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input);
-  }
-  public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
-      com.google.protobuf.CodedInputStream input,
-      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-      throws java.io.IOException {
-    return com.google.protobuf.GeneratedMessage
-        .parseWithIOException(PARSER, input, extensionRegistry);
-  }
-
-  @java.lang.Override
-  public Builder newBuilderForType() { return newBuilder(); }
-  public static Builder newBuilder() {
-    return DEFAULT_INSTANCE.toBuilder();
-  }
-  public static Builder newBuilder(io.pollenpath.protocol.wire.TrialClaim prototype) {
-    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-  }
-  @java.lang.Override
-  public Builder toBuilder() {
-    return this == DEFAULT_INSTANCE
-        ? new Builder() : new Builder().mergeFrom(this);
-  }
-
-  @java.lang.Override
-  protected Builder newBuilderForType(
-      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-    Builder builder = new Builder(parent);
-    return builder;
-  }
-  /**
-   * <pre>
-   * Asks the receiver to agree to the next test run of a blocked request.
-   * </pre>
-   *
-   * Protobuf type {@code pollenpath.entry.TrialClaim}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:pollenpath.entry.TrialClaim)
-      io.pollenpath.protocol.wire.TrialClaimOrBuilder {
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_TrialClaim_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.pollenpath.protocol.wire.TrialClaim.class, io.pollenpath.protocol.wire.TrialClaim.Builder.class);
-    }
-
-    // Construct using io.pollenpath.protocol.wire.TrialClaim.newBuilder()
-    private Builder() {
-
-    }
+public final class TrialClaim extends com.google.protobuf.GeneratedMessage
+        implements
+        // @@protoc_insertion_point(message_implements:pollenpath.entry.TrialClaim)
+        TrialClaimOrBuilder {
+    private static final long serialVersionUID = 0L;
 
-    private Builder(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      super(parent);
-
-    }
-    @java.lang.Override
-    public Builder clear() {
-      super.clear();
-      bitField0_ = 0;
-      request_ = com.google.protobuf.ByteString.EMPTY;
-      number_ = 0;
-      claimant_ = "";
-      return this;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor
-        getDescriptorForType() {
-      return io.pollenpath.protocol.wire.EntryProto.internal_static_pollenpath_entry_TrialClaim_descriptor;
+    static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+                com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+                /* major= */ 4,
+                /* minor= */ 31,
+                /* patch= */ 1,
+                /* suffix= */ "",
+                TrialClaim.class.getName());
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.TrialClaim getDefaultInstanceForType() {
-      return io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance();
+    // Use TrialClaim.newBuilder() to construct.
+    private TrialClaim(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+        super(builder);
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.TrialClaim build() {
-      io.pollenpath.protocol.wire.TrialClaim result = buildPartial();
-      if (!result.isInitialized()) {
-        throw newUninitializedMessageException(result);
-      }
-      return result;
+    private TrialClaim() {
+        request_ = com.google.protobuf.ByteString.EMPTY;
+        claimant_ = "";
     }
 
-    @java.lang.Override
-    public io.pollenpath.protocol.wire.TrialClaim buildPartial() {
-      io.pollenpath.protocol.wire.TrialClaim result = new io.pollenpath.protocol.wire.TrialClaim(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
-      onBuilt();
-      return result;
-    }
-
-    private void buildPartial0(io.pollenpath.protocol.wire.TrialClaim result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.request_ = request_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.number_ = number_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.claimant_ = claimant_;
-      }
+    public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_TrialClaim_descriptor;
     }
 
     @java.lang.Override
-    public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof io.pollenpath.protocol.wire.TrialClaim) {
-        return mergeFrom((io.pollenpath.protocol.wire.TrialClaim)other);
-      } else {
-        super.mergeFrom(other);
-        return this;
-      }
-    }
-
-    public Builder mergeFrom(io.pollenpath.protocol.wire.TrialClaim other) {
-      if (other == io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()) return this;
-      if (!other.getRequest().isEmpty()) {
-        setRequest(other.getRequest());
-      }
-      if (other.getNumber() != 0) {
-        setNumber(other.getNumber());
-      }
-      if (!other.getClaimant().isEmpty()) {
-        claimant_ = other.claimant_;
-        bitField0_ |= 0x00000004;
-        onChanged();
-      }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
-    }
-
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+            internalGetFieldAccessorTable() {
+        return io.pollenpath.protocol.wire.EntryProto
+                .internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable
+                .ensureFieldAccessorsInitialized(
+                        io.pollenpath.protocol.wire.TrialClaim.class,
+                        io.pollenpath.protocol.wire.TrialClaim.Builder.class);
     }
 
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
-      }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              request_ = input.readBytes();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              number_ = input.readInt32();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 26: {
-              claimant_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 26
-            default: {
-              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                done = true; // was an endgroup tag
-              }
-              break;
-            } // default:
-          } // switch (tag)
-        } // while (!done)
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.unwrapIOException();
-      } finally {
-        onChanged();
-      } // finally
-      return this;
-    }
-    private int bitField0_;
-
+    public static final int REQUEST_FIELD_NUMBER = 1;
     private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
+
     /**
+     *
+     *
      * <pre>
      * Fingerprint of the request, 16 bytes.
      * </pre>
      *
      * <code>bytes request = 1;</code>
+     *
      * @return The request.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString getRequest() {
-      return request_;
+        return request_;
     }
+
+    public static final int NUMBER_FIELD_NUMBER = 2;
+    private int number_ = 0;
+
     /**
-     * <pre>
-     * Fingerprint of the request, 16 bytes.
-     * </pre>
      *
-     * <code>bytes request = 1;</code>
-     * @param value The request to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRequest(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      request_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Fingerprint of the request, 16 bytes.
-     * </pre>
      *
-     * <code>bytes request = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRequest() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      request_ = getDefaultInstance().getRequest();
-      onChanged();
-      return this;
-    }
-
-    private int number_ ;
-    /**
      * <pre>
      * How many test runs the request has had before.
      * </pre>
      *
      * <code>int32 number = 2;</code>
+     *
      * @return The number.
      */
     @java.lang.Override
     public int getNumber() {
-      return number_;
+        return number_;
     }
-    /**
-     * <pre>
-     * How many test runs the request has had before.
-     * </pre>
-     *
-     * <code>int32 number = 2;</code>
-     * @param value The number to set.
-     * @return This builder for chaining.
-     */
-    public Builder setNumber(int value) {
 
-      number_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * How many test runs the request has had before.
-     * </pre>
-     *
-     * <code>int32 number = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearNumber() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      number_ = 0;
-      onChanged();
-      return this;
-    }
+    public static final int CLAIMANT_FIELD_NUMBER = 3;
+
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object claimant_ = "";
 
-    private java.lang.Object claimant_ = "";
     /**
+     *
+     *
      * <pre>
      * Name of the entry that asks.
      * </pre>
      *
      * <code>string claimant = 3;</code>
+     *
      * @return The claimant.
      */
+    @java.lang.Override
     public java.lang.String getClaimant() {
-      java.lang.Object ref = claimant_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        claimant_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+        java.lang.Object ref = claimant_;
+        if (ref instanceof java.lang.String) {
+            return (java.lang.String) ref;
+        } else {
+            com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+            java.lang.String s = bs.toStringUtf8();
+            claimant_ = s;
+            return s;
+        }
     }
+
     /**
+     *
+     *
      * <pre>
      * Name of the entry that asks.
      * </pre>
      *
      * <code>string claimant = 3;</code>
+     *
      * @return The bytes for claimant.
      */
-    public com.google.protobuf.ByteString
-        getClaimantBytes() {
-      java.lang.Object ref = claimant_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        claimant_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    @java.lang.Override
+    public com.google.protobuf.ByteString getClaimantBytes() {
+        java.lang.Object ref = claimant_;
+        if (ref instanceof java.lang.String) {
+            com.google.protobuf.ByteString b =
+                    com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+            claimant_ = b;
+            return b;
+        } else {
+            return (com.google.protobuf.ByteString) ref;
+        }
     }
-    /**
-     * <pre>
-     * Name of the entry that asks.
-     * </pre>
-     *
-     * <code>string claimant = 3;</code>
-     * @param value The claimant to set.
-     * @return This builder for chaining.
-     */
-    public Builder setClaimant(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      claimant_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+
+    private byte memoizedIsInitialized = -1;
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+        byte isInitialized = memoizedIsInitialized;
+        if (isInitialized == 1) return true;
+        if (isInitialized == 0) return false;
+
+        memoizedIsInitialized = 1;
+        return true;
     }
-    /**
-     * <pre>
-     * Name of the entry that asks.
-     * </pre>
-     *
-     * <code>string claimant = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearClaimant() {
-      claimant_ = getDefaultInstance().getClaimant();
-      bitField0_ = (bitField0_ & ~0x00000004);
-      onChanged();
-      return this;
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
+        if (!request_.isEmpty()) {
+            output.writeBytes(1, request_);
+        }
+        if (number_ != 0) {
+            output.writeInt32(2, number_);
+        }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimant_)) {
+            com.google.protobuf.GeneratedMessage.writeString(output, 3, claimant_);
+        }
+        getUnknownFields().writeTo(output);
     }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+        int size = memoizedSize;
+        if (size != -1) return size;
+
+        size = 0;
+        if (!request_.isEmpty()) {
+            size += com.google.protobuf.CodedOutputStream.computeBytesSize(1, request_);
+        }
+        if (number_ != 0) {
+            size += com.google.protobuf.CodedOutputStream.computeInt32Size(2, number_);
+        }
+        if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimant_)) {
+            size += com.google.protobuf.GeneratedMessage.computeStringSize(3, claimant_);
+        }
+        size += getUnknownFields().getSerializedSize();
+        memoizedSize = size;
+        return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+        if (obj == this) {
+            return true;
+        }
+        if (!(obj instanceof io.pollenpath.protocol.wire.TrialClaim)) {
+            return super.equals(obj);
+        }
+        io.pollenpath.protocol.wire.TrialClaim other = (io.pollenpath.protocol.wire.TrialClaim) obj;
+
+        if (!getRequest().equals(other.getRequest())) return false;
+        if (getNumber() != other.getNumber()) return false;
+        if (!getClaimant().equals(other.getClaimant())) return false;
+        if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+        return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+        if (memoizedHashCode != 0) {
+            return memoizedHashCode;
+        }
+        int hash = 41;
+        hash = (19 * hash) + getDescriptor().hashCode();
+        hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getRequest().hashCode();
+        hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+        hash = (53 * hash) + getNumber();
+        hash = (37 * hash) + CLAIMANT_FIELD_NUMBER;
+        hash = (53 * hash) + getClaimant().hashCode();
+        hash = (29 * hash) + getUnknownFields().hashCode();
+        memoizedHashCode = hash;
+        return hash;
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(java.nio.ByteBuffer data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
+            java.nio.ByteBuffer data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
+            com.google.protobuf.ByteString data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
+            com.google.protobuf.ByteString data,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(byte[] data)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
+            byte[] data, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws com.google.protobuf.InvalidProtocolBufferException {
+        return PARSER.parseFrom(data, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(java.io.InputStream input)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseDelimitedFrom(
+            java.io.InputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseDelimitedFrom(
+            java.io.InputStream input, com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
+            com.google.protobuf.CodedInputStream input) throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim parseFrom(
+            com.google.protobuf.CodedInputStream input,
+            com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+            throws java.io.IOException {
+        return com.google.protobuf.GeneratedMessage.parseWithIOException(
+                PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() {
+        return newBuilder();
+    }
+
+    public static Builder newBuilder() {
+        return DEFAULT_INSTANCE.toBuilder();
+    }
+
+    public static Builder newBuilder(io.pollenpath.protocol.wire.TrialClaim prototype) {
+        return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+
+    @java.lang.Override
+    public Builder toBuilder() {
+        return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        Builder builder = new Builder(parent);
+        return builder;
+    }
+
     /**
+     *
+     *
      * <pre>
-     * Name of the entry that asks.
+     * Asks the receiver to agree to the next test run of a blocked request.
      * </pre>
      *
-     * <code>string claimant = 3;</code>
-     * @param value The bytes for claimant to set.
-     * @return This builder for chaining.
+     * Protobuf type {@code pollenpath.entry.TrialClaim}
      */
-    public Builder setClaimantBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      claimant_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-
-    // @@protoc_insertion_point(builder_scope:pollenpath.entry.TrialClaim)
-  }
-
-  // @@protoc_insertion_point(class_scope:pollenpath.entry.TrialClaim)
-  private static final io.pollenpath.protocol.wire.TrialClaim DEFAULT_INSTANCE;
-  static {
-    DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.TrialClaim();
-  }
-
-  public static io.pollenpath.protocol.wire.TrialClaim getDefaultInstance() {
-    return DEFAULT_INSTANCE;
-  }
-
-  private static final com.google.protobuf.Parser<TrialClaim>
-      PARSER = new com.google.protobuf.AbstractParser<TrialClaim>() {
+    public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder>
+            implements
+            // @@protoc_insertion_point(builder_implements:pollenpath.entry.TrialClaim)
+            io.pollenpath.protocol.wire.TrialClaimOrBuilder {
+        public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_TrialClaim_descriptor;
+        }
+
+        @java.lang.Override
+        protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+                internalGetFieldAccessorTable() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_TrialClaim_fieldAccessorTable
+                    .ensureFieldAccessorsInitialized(
+                            io.pollenpath.protocol.wire.TrialClaim.class,
+                            io.pollenpath.protocol.wire.TrialClaim.Builder.class);
+        }
+
+        // Construct using io.pollenpath.protocol.wire.TrialClaim.newBuilder()
+        private Builder() {}
+
+        private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+            super(parent);
+        }
+
+        @java.lang.Override
+        public Builder clear() {
+            super.clear();
+            bitField0_ = 0;
+            request_ = com.google.protobuf.ByteString.EMPTY;
+            number_ = 0;
+            claimant_ = "";
+            return this;
+        }
+
+        @java.lang.Override
+        public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+            return io.pollenpath.protocol.wire.EntryProto
+                    .internal_static_pollenpath_entry_TrialClaim_descriptor;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.TrialClaim getDefaultInstanceForType() {
+            return io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance();
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.TrialClaim build() {
+            io.pollenpath.protocol.wire.TrialClaim result = buildPartial();
+            if (!result.isInitialized()) {
+                throw newUninitializedMessageException(result);
+            }
+            return result;
+        }
+
+        @java.lang.Override
+        public io.pollenpath.protocol.wire.TrialClaim buildPartial() {
+            io.pollenpath.protocol.wire.TrialClaim result =
+                    new io.pollenpath.protocol.wire.TrialClaim(this);
+            if (bitField0_ != 0) {
+                buildPartial0(result);
+            }
+            onBuilt();
+            return result;
+        }
+
+        private void buildPartial0(io.pollenpath.protocol.wire.TrialClaim result) {
+            int from_bitField0_ = bitField0_;
+            if (((from_bitField0_ & 0x00000001) != 0)) {
+                result.request_ = request_;
+            }
+            if (((from_bitField0_ & 0x00000002) != 0)) {
+                result.number_ = number_;
+            }
+            if (((from_bitField0_ & 0x00000004) != 0)) {
+                result.claimant_ = claimant_;
+            }
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(com.google.protobuf.Message other) {
+            if (other instanceof io.pollenpath.protocol.wire.TrialClaim) {
+                return mergeFrom((io.pollenpath.protocol.wire.TrialClaim) other);
+            } else {
+                super.mergeFrom(other);
+                return this;
+            }
+        }
+
+        public Builder mergeFrom(io.pollenpath.protocol.wire.TrialClaim other) {
+            if (other == io.pollenpath.protocol.wire.TrialClaim.getDefaultInstance()) return this;
+            if (!other.getRequest().isEmpty()) {
+                setRequest(other.getRequest());
+            }
+            if (other.getNumber() != 0) {
+                setNumber(other.getNumber());
+            }
+            if (!other.getClaimant().isEmpty()) {
+                claimant_ = other.claimant_;
+                bitField0_ |= 0x00000004;
+                onChanged();
+            }
+            this.mergeUnknownFields(other.getUnknownFields());
+            onChanged();
+            return this;
+        }
+
+        @java.lang.Override
+        public final boolean isInitialized() {
+            return true;
+        }
+
+        @java.lang.Override
+        public Builder mergeFrom(
+                com.google.protobuf.CodedInputStream input,
+                com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                throws java.io.IOException {
+            if (extensionRegistry == null) {
+                throw new java.lang.NullPointerException();
+            }
+            try {
+                boolean done = false;
+                while (!done) {
+                    int tag = input.readTag();
+                    switch (tag) {
+                        case 0:
+                            done = true;
+                            break;
+                        case 10:
+                            {
+                                request_ = input.readBytes();
+                                bitField0_ |= 0x00000001;
+                                break;
+                            } // case 10
+                        case 16:
+                            {
+                                number_ = input.readInt32();
+                                bitField0_ |= 0x00000002;
+                                break;
+                            } // case 16
+                        case 26:
+                            {
+                                claimant_ = input.readStringRequireUtf8();
+                                bitField0_ |= 0x00000004;
+                                break;
+                            } // case 26
+                        default:
+                            {
+                                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                                    done = true; // was an endgroup tag
+                                }
+                                break;
+                            } // default:
+                    } // switch (tag)
+                } // while (!done)
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw e.unwrapIOException();
+            } finally {
+                onChanged();
+            } // finally
+            return this;
+        }
+
+        private int bitField0_;
+
+        private com.google.protobuf.ByteString request_ = com.google.protobuf.ByteString.EMPTY;
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @return The request.
+         */
+        @java.lang.Override
+        public com.google.protobuf.ByteString getRequest() {
+            return request_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @param value The request to set.
+         * @return This builder for chaining.
+         */
+        public Builder setRequest(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            request_ = value;
+            bitField0_ |= 0x00000001;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Fingerprint of the request, 16 bytes.
+         * </pre>
+         *
+         * <code>bytes request = 1;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearRequest() {
+            bitField0_ = (bitField0_ & ~0x00000001);
+            request_ = getDefaultInstance().getRequest();
+            onChanged();
+            return this;
+        }
+
+        private int number_;
+
+        /**
+         *
+         *
+         * <pre>
+         * How many test runs the request has had before.
+         * </pre>
+         *
+         * <code>int32 number = 2;</code>
+         *
+         * @return The number.
+         */
+        @java.lang.Override
+        public int getNumber() {
+            return number_;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many test runs the request has had before.
+         * </pre>
+         *
+         * <code>int32 number = 2;</code>
+         *
+         * @param value The number to set.
+         * @return This builder for chaining.
+         */
+        public Builder setNumber(int value) {
+
+            number_ = value;
+            bitField0_ |= 0x00000002;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * How many test runs the request has had before.
+         * </pre>
+         *
+         * <code>int32 number = 2;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearNumber() {
+            bitField0_ = (bitField0_ & ~0x00000002);
+            number_ = 0;
+            onChanged();
+            return this;
+        }
+
+        private java.lang.Object claimant_ = "";
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the entry that asks.
+         * </pre>
+         *
+         * <code>string claimant = 3;</code>
+         *
+         * @return The claimant.
+         */
+        public java.lang.String getClaimant() {
+            java.lang.Object ref = claimant_;
+            if (!(ref instanceof java.lang.String)) {
+                com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
+                java.lang.String s = bs.toStringUtf8();
+                claimant_ = s;
+                return s;
+            } else {
+                return (java.lang.String) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the entry that asks.
+         * </pre>
+         *
+         * <code>string claimant = 3;</code>
+         *
+         * @return The bytes for claimant.
+         */
+        public com.google.protobuf.ByteString getClaimantBytes() {
+            java.lang.Object ref = claimant_;
+            if (ref instanceof String) {
+                com.google.protobuf.ByteString b =
+                        com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
+                claimant_ = b;
+                return b;
+            } else {
+                return (com.google.protobuf.ByteString) ref;
+            }
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the entry that asks.
+         * </pre>
+         *
+         * <code>string claimant = 3;</code>
+         *
+         * @param value The claimant to set.
+         * @return This builder for chaining.
+         */
+        public Builder setClaimant(java.lang.String value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            claimant_ = value;
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the entry that asks.
+         * </pre>
+         *
+         * <code>string claimant = 3;</code>
+         *
+         * @return This builder for chaining.
+         */
+        public Builder clearClaimant() {
+            claimant_ = getDefaultInstance().getClaimant();
+            bitField0_ = (bitField0_ & ~0x00000004);
+            onChanged();
+            return this;
+        }
+
+        /**
+         *
+         *
+         * <pre>
+         * Name of the entry that asks.
+         * </pre>
+         *
+         * <code>string claimant = 3;</code>
+         *
+         * @param value The bytes for claimant to set.
+         * @return This builder for chaining.
+         */
+        public Builder setClaimantBytes(com.google.protobuf.ByteString value) {
+            if (value == null) {
+                throw new NullPointerException();
+            }
+            checkByteStringIsUtf8(value);
+            claimant_ = value;
+            bitField0_ |= 0x00000004;
+            onChanged();
+            return this;
+        }
+
+        // @@protoc_insertion_point(builder_scope:pollenpath.entry.TrialClaim)
+    }
+
+    // @@protoc_insertion_point(class_scope:pollenpath.entry.TrialClaim)
+    private static final io.pollenpath.protocol.wire.TrialClaim DEFAULT_INSTANCE;
+
+    static {
+        DEFAULT_INSTANCE = new io.pollenpath.protocol.wire.TrialClaim();
+    }
+
+    public static io.pollenpath.protocol.wire.TrialClaim getDefaultInstance() {
+        return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TrialClaim> PARSER =
+            new com.google.protobuf.AbstractParser<TrialClaim>() {
+                @java.lang.Override
+                public TrialClaim parsePartialFrom(
+                        com.google.protobuf.CodedInputStream input,
+                        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+                        throws com.google.protobuf.InvalidProtocolBufferException {
+                    Builder builder = newBuilder();
+                    try {
+                        builder.mergeFrom(input, extensionRegistry);
+                    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                        throw e.setUnfinishedMessage(builder.buildPartial());
+                    } catch (com.google.protobuf.UninitializedMessageException e) {
+                        throw e.asInvalidProtocolBufferException()
+                                .setUnfinishedMessage(builder.buildPartial());
+                    } catch (java.io.IOException e) {
+                        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+                                .setUnfinishedMessage(builder.buildPartial());
+                    }
+                    return builder.buildPartial();
+                }
+            };
+
+    public static com.google.protobuf.Parser<TrialClaim> parser() {
+        return PARSER;
+    }
+
     @java.lang.Override
-    public TrialClaim parsePartialFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      Builder builder = newBuilder();
-      try {
-        builder.mergeFrom(input, extensionRegistry);
-      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-        throw e.setUnfinishedMessage(builder.buildPartial());
-      } catch (com.google.protobuf.UninitializedMessageException e) {
-        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-      } catch (java.io.IOException e) {
-        throw new com.google.protobuf.InvalidProtocolBufferException(e)
-            .setUnfinishedMessage(builder.buildPartial());
-      }
-      return builder.buildPartial();
-    }
-  };
-
-  public static com.google.protobuf.Parser<TrialClaim> parser() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public com.google.protobuf.Parser<TrialClaim> getParserForType() {
-    return PARSER;
-  }
-
-  @java.lang.Override
-  public io.pollenpath.protocol.wire.TrialClaim getDefaultInstanceForType() {
-    return DEFAULT_INSTANCE;
-  }
+    public com.google.protobuf.Parser<TrialClaim> getParserForType() {
+        return PARSER;
+    }
 
+    @java.lang.Override
+    public io.pollenpath.protocol.wire.TrialClaim getDefaultInstanceForType() {
+        return DEFAULT_INSTANCE;
+    }
 }
-
--- a/wire/src/main/java/io/pollenpath/protocol/wire/TrialClaimOrBuilder.java
+++ b/wire/src/main/java/io/pollenpath/protocol/wire/TrialClaimOrBuilder.java
@@ -6,47 +6,60 @@
 package io.pollenpath.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface TrialClaimOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:pollenpath.entry.TrialClaim)
-    com.google.protobuf.MessageOrBuilder {
+public interface TrialClaimOrBuilder
+        extends
+        // @@protoc_insertion_point(interface_extends:pollenpath.entry.TrialClaim)
+        com.google.protobuf.MessageOrBuilder {
 
-  /**
-   * <pre>
-   * Fingerprint of the request, 16 bytes.
-   * </pre>
-   *
-   * <code>bytes request = 1;</code>
-   * @return The request.
-   */
-  com.google.protobuf.ByteString getRequest();
+    /**
+     *
+     *
+     * <pre>
+     * Fingerprint of the request, 16 bytes.
+     * </pre>
+     *
+     * <code>bytes request = 1;</code>
+     *
+     * @return The request.
+     */
+    com.google.protobuf.ByteString getRequest();
 
-  /**
-   * <pre>
-   * How many test runs the request has had before.
-   * </pre>
-   *
-   * <code>int32 number = 2;</code>
-   * @return The number.
-   */
-  int getNumber();
+    /**
+     *
+     *
+     * <pre>
+     * How many test runs the request has had before.
+     * </pre>
+     *
+     * <code>int32 number = 2;</code>
+     *
+     * @return The number.
+     */
+    int getNumber();
 
-  /**
-   * <pre>
-   * Name of the entry that asks.
-   * </pre>
-   *
-   * <code>string claimant = 3;</code>
-   * @return The claimant.
-   */
-  java.lang.String getClaimant();
-  /**
-   * <pre>
-   * Name of the entry that asks.
-   * </pre>
-   *
-   * <code>string claimant = 3;</code>
-   * @return The bytes for claimant.
-   */
-  com.google.protobuf.ByteString
-      getClaimantBytes();
+    /**
+     *
+     *
+     * <pre>
+     * Name of the entry that asks.
+     * </pre>
+     *
+     * <code>string claimant = 3;</code>
+     *
+     * @return The claimant.
+     */
+    java.lang.String getClaimant();
+
+    /**
+     *
+     *
+     * <pre>
+     * Name of the entry that asks.
+     * </pre>
+     *
+     * <code>string claimant = 3;</code>
+     *
+     * @return The bytes for claimant.
+     */
+    com.google.protobuf.ByteString getClaimantBytes();
 }
