--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
@@ -0,0 +1,98 @@
+package io.pollenpath.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+
+/**
+ * Encodes the requests and decodes the answers on a connection that carries one request at a time.
+ * The bytes that come behind an answer, or before the first request, are kept as they are: they
+ * tell whether the answer ended where it seems to end.
+ */
+public final class HttpAnswerCodec
+        extends CombinedChannelDuplexHandler<HttpAnswerCodec.Decoder, HttpRequestEncoder> {
+
+    /** The number of bytes behind an answer that are kept; a head fits into it. */
+    private static final int MAX_BYTES_BEHIND = 65_536;
+
+    /**
+     * Creates the codec of one connection.
+     *
+     * @param config the limits on heads and chunks, not null
+     */
+    public HttpAnswerCodec(HttpDecoderConfig config) {
+        super(new Decoder(config), new HttpRequestEncoder());
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
+            throws Exception {
+        if (message instanceof HttpRequest request) {
+            inboundHandler().begin(request.method());
+        }
+        super.write(context, message, promise);
+    }
+
+    /** Ends the answer: no bytes are decoded any more until the next request is written. */
+    public void endAnswer() {
+        inboundHandler().ended = true;
+    }
+
+    /**
+     * Returns the first bytes that have come behind the answer.
+     *
+     * @return the bytes; none while an answer is being decoded
+     */
+    public byte[] bytesBehind() {
+        return inboundHandler().behind.toByteArray();
+    }
+
+    /** Decodes answers, and keeps what comes behind one. */
+    static final class Decoder extends HttpResponseDecoder {
+
+        private final ByteArrayOutputStream behind = new ByteArrayOutputStream();
+        private HttpMethod method = HttpMethod.GET;
+        private boolean ended = true;
+
+        private Decoder(HttpDecoderConfig config) {
+            super(config);
+        }
+
+        private void begin(HttpMethod newMethod) {
+            method = newMethod;
+            ended = false;
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+                throws Exception {
+            if (ended) {
+                keep(in);
+            } else {
+                super.decode(context, in, out);
+            }
+        }
+
+        private void keep(ByteBuf in) {
+            int count = Math.min(in.readableBytes(), MAX_BYTES_BEHIND - behind.size());
+            byte[] bytes = new byte[count];
+            in.readBytes(bytes);
+            behind.writeBytes(bytes);
+            in.skipBytes(in.readableBytes());
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage answer) {
+            return method.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(answer);
+        }
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
@@ -13,7 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -237,7 +237,8 @@
     private static final class PoolHandler extends AbstractChannelPoolHandler {
         @Override
         public void channelCreated(Channel channel) {
-            channel.pipeline().addLast(new HttpClientCodec(), new HttpClientHandler());
+            HttpAnswerCodec codec = new HttpAnswerCodec(new HttpDecoderConfig());
+            channel.pipeline().addLast(codec, new HttpClientHandler(codec));
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
@@ -13,12 +13,24 @@
 /** Passes the answers that arrive on one connection to the call in progress. */
 final class HttpClientHandler extends SimpleChannelInboundHandler<HttpObject> {
 
+    private final HttpAnswerCodec codec;
     private HttpClientCall current;
     private boolean keepAlive;
+    private boolean ended;
+
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param codec decodes the answers of the connection, not null
+     */
+    HttpClientHandler(HttpAnswerCodec codec) {
+        this.codec = codec;
+    }
 
     void begin(HttpClientCall call) {
         current = call;
         keepAlive = true;
+        ended = false;
     }
 
     @Override
@@ -51,12 +63,32 @@
             current.onData(piece);
         }
         if (content instanceof LastHttpContent) {
-            HttpClientCall finished = current;
-            current = null;
-            finished.onEnd(keepAlive);
+            codec.endAnswer();
+            ended = true;
         }
     }
 
+    /**
+     * Ends the call, once all that has come with its last bytes is there. Bytes behind an answer
+     * show that it and what follows are out of step: it may hold the bytes of an earlier one.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        boolean followed = codec.bytesBehind().length > 0;
+        if (followed) {
+            fail(context, new IOException("bytes follow the answer"));
+        } else if (ended && current != null) {
+            finish();
+        }
+        context.fireChannelReadComplete();
+    }
+
+    private void finish() {
+        HttpClientCall finished = current;
+        current = null;
+        finished.onEnd(keepAlive);
+    }
+
     private void fail(ChannelHandlerContext context, Throwable cause) {
         HttpClientCall failed = current;
         current = null;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.pollenpath.coordination.serving.SendOutcome;
+import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.SplicedHead;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -40,12 +41,14 @@
     private final String serverId;
     private final WireDialect dialect;
     private Channel channel;
+    private HttpAnswerCodec codec;
     private BackendListener listener;
     private String requestId = "";
     private ChannelFuture writeFuture;
     private boolean ignoringResponse;
     private int interimAnswers;
     private boolean inAnswer;
+    private boolean ended;
     private boolean keepAlive;
     private boolean endsWithConnection;
     private String error = "";
@@ -79,6 +82,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        codec = ctx.pipeline().get(HttpAnswerCodec.class);
     }
 
     /** Sends a request; the listener receives its answer. */
@@ -88,6 +92,7 @@
         ignoringResponse = false;
         interimAnswers = 0;
         inAnswer = false;
+        ended = false;
         if (!channel.isActive()) {
             request.release();
             fail(SendOutcome.NOT_SENT, "connection closed before the send");
@@ -218,15 +223,29 @@
         if (ignoringResponse) {
             ignoringResponse = false;
         } else if (error.isEmpty()) {
+            codec.endAnswer();
+            ended = true;
+        }
+    }
+
+    /** Ends the answer once all that has come with its last bytes is there. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (listener == null && codec.bytesBehind().length > 0) {
+            close();
+        } else if (listener != null && ended) {
             complete();
         }
+        ctx.fireChannelReadComplete();
     }
 
     private void complete() {
+        byte[] behind = codec.bytesBehind();
         BackendListener completed = listener;
         listener = null;
         boolean endedByClose = endsWithConnection && !channel.isActive();
-        boolean reusable = keepAlive && channel.isActive() && writeFuture.isDone();
+        boolean inStep = behind.length == 0 && writeFuture.isDone();
+        boolean reusable = keepAlive && channel.isActive() && inStep;
         if (reusable) {
             becomeIdle();
         } else {
@@ -235,7 +254,7 @@
         if (endedByClose) {
             completed.onEndByClose();
         } else {
-            completed.onEnd();
+            completed.onEnd(behind);
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
@@ -8,10 +8,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.TcpKeepAlive;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -158,13 +158,13 @@
                 });
     }
 
-    static HttpClientCodec codec() {
+    static HttpAnswerCodec codec() {
         HttpDecoderConfig config =
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_LINE_BYTES)
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxChunkSize(MAX_CHUNK_BYTES);
-        return new HttpClientCodec(config, false, false);
+        return new HttpAnswerCodec(config);
     }
 
     /** Returns a connection to the pool after a complete answer. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
@@ -12,8 +12,12 @@
     /** Receives a part of the body. */
     void onData(byte[] bytes);
 
-    /** Handles the end of a complete answer. */
-    void onEnd();
+    /**
+     * Handles the end of a complete answer.
+     *
+     * @param behind the bytes that came behind it on the connection; usually none
+     */
+    void onEnd(byte[] behind);
 
     /**
      * Handles the end of an answer that only the end of its connection marks. The server may have
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -269,7 +269,14 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(byte[] behind) {
+        if (behind.length > 0) {
+            gateway.log().followed(this, server, behind);
+        }
+        endAnswer();
+    }
+
+    private void endAnswer() {
         endReading();
         switch (answer.kindAtEnd()) {
             case NOT_RUN ->
@@ -286,7 +293,7 @@
     @Override
     public void onEndByClose() {
         if (answer.kindAtEnd() != WireDialect.ReplyKind.ANSWER) {
-            onEnd();
+            endAnswer();
             return;
         }
         endReading();
@@ -301,7 +308,7 @@
         }
         answer.setCheckingEnd(false);
         if (result == Reachability.LISTENING) {
-            onEnd();
+            endAnswer();
         } else {
             failSend(SendOutcome.UNKNOWN, "server ended with its answer");
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -7,6 +7,7 @@
 import io.pollenpath.transport.MetricNames;
 import io.pollenpath.util.LogLine;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -18,6 +19,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
     private static final int MAX_LISTED_PARTS = 8;
+    private static final int MAX_SHOWN_BYTES = 60;
 
     private final MetricRegistry metrics;
     private final Histogram latencyMs;
@@ -141,6 +143,24 @@
                         .with("events_of_send", request.answer().events()));
     }
 
+    /** Logs the bytes that came behind an answer, of which a line is shown. */
+    void followed(ForwardedRequest request, ServerInstance server, byte[] behind) {
+        int shown = Math.min(behind.length, MAX_SHOWN_BYTES);
+        MetricNames.count(
+                metrics, "answers_followed_total", "framing", request.answer().framing().name());
+        LOG.info(
+                "{}",
+                LogLine.event("answer_followed")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("server", server.id())
+                        .with("framing", request.answer().framing())
+                        .with("bytes_behind", behind.length)
+                        .with("ends_with", request.answer().lastText(MAX_SHOWN_BYTES))
+                        .with(
+                                "goes_on_with",
+                                new String(behind, 0, shown, StandardCharsets.ISO_8859_1)));
+    }
+
     private static String listedParts(ForwardedRequest request) {
         return request.context().callerHeaders().sharedPromptParts().stream()
                 .limit(MAX_LISTED_PARTS)
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -165,6 +166,13 @@
         }
     }
 
+    /** Returns the end of a buffered body as text. */
+    String lastText(int maxBytes) {
+        byte[] bytes = body.toByteArray();
+        int count = Math.min(bytes.length, maxBytes);
+        return new String(bytes, bytes.length - count, count, StandardCharsets.ISO_8859_1);
+    }
+
     byte[] body() {
         return body.toByteArray();
     }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
@@ -49,7 +49,7 @@
         }
 
         @Override
-        public void onEnd() {
+        public void onEnd(byte[] behind) {
             ends++;
         }
 
