--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -19,6 +19,9 @@
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.SplicedHead;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -37,6 +40,12 @@
 
     private static final double KEEP_ALIVE_FRACTION = 0.7;
 
+    /** The number of latest requests that a late answer may belong to. */
+    private static final int MAX_CARRIED = 64;
+
+    /** How long an answer waits for the bytes that tell whether its end is its own. */
+    private static final long END_WAIT_MS = 250;
+
     private final BackendConnectionPool pool;
     private final String serverId;
     private final WireDialect dialect;
@@ -49,6 +58,8 @@
     private int interimAnswers;
     private boolean inAnswer;
     private boolean ended;
+    private ScheduledFuture<?> endWait;
+    private final Deque<String> carriedIds = new ArrayDeque<>();
     private boolean keepAlive;
     private boolean endsWithConnection;
     private String error = "";
@@ -93,6 +104,7 @@
         interimAnswers = 0;
         inAnswer = false;
         ended = false;
+        addCarried(newRequestId);
         if (!channel.isActive()) {
             request.release();
             fail(SendOutcome.NOT_SENT, "connection closed before the send");
@@ -107,6 +119,18 @@
                 });
     }
 
+    private void addCarried(String id) {
+        if (carriedIds.size() == MAX_CARRIED) {
+            carriedIds.removeFirst();
+        }
+        carriedIds.addLast(id);
+    }
+
+    /** Returns whether the request of an ID is among the latest of this connection. */
+    boolean hasCarried(String id) {
+        return !id.isEmpty() && carriedIds.contains(id);
+    }
+
     /**
      * Handles a failed write. The server may have received a part of the request, and may run it
      * from its head on: a write fails with the same error whether the socket has taken some of its
@@ -234,12 +258,34 @@
         if (listener == null && codec.bytesBehind().length > 0) {
             close();
         } else if (listener != null && ended) {
-            complete();
+            completeOrWait();
         }
         ctx.fireChannelReadComplete();
     }
 
+    private void completeOrWait() {
+        if (!channel.isActive() || listener.isEndClear(codec.bytesBehind())) {
+            complete();
+        } else if (endWait == null) {
+            setReading(true);
+            BackendListener waiting = listener;
+            endWait =
+                    channel.eventLoop()
+                            .schedule(
+                                    () -> onEndWaitOver(waiting),
+                                    END_WAIT_MS,
+                                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void onEndWaitOver(BackendListener waiting) {
+        if (waiting == listener && ended) {
+            complete();
+        }
+    }
+
     private void complete() {
+        endWait = null;
         byte[] behind = codec.bytesBehind();
         BackendListener completed = listener;
         listener = null;
@@ -278,6 +324,10 @@
         // The decoder ends a body delimited by connection close after this event; the error marks
         // it as incomplete.
         error = cause.toString();
+        if (ended && listener != null) {
+            complete();
+            return;
+        }
         fail(SendOutcome.UNKNOWN, error);
         close();
         pool.onFailure(cause);
@@ -286,6 +336,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.remove(this);
+        if (ended && listener != null) {
+            complete();
+            return;
+        }
         String state =
                 inAnswer
                         ? "connection closed during the answer"
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
@@ -12,6 +12,14 @@
     /** Receives a part of the body. */
     void onData(byte[] bytes);
 
+    /**
+     * Returns whether the end of a complete answer is clear. If not, it is asked again when more
+     * bytes have come.
+     *
+     * @param behind the bytes that came behind the answer; usually none
+     */
+    boolean isEndClear(byte[] behind);
+
     /**
      * Handles the end of a complete answer.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
@@ -14,6 +14,7 @@
     private static final int MAX_BLOCK_BYTES = 65_536;
 
     private final List<byte[]> blocks = new ArrayList<>();
+    private final PieceStarts pieces = new PieceStarts();
     private byte[] last = new byte[0];
     private int expectedLength;
     private int lastLength;
@@ -40,6 +41,7 @@
 
     /** Appends bytes. */
     void append(byte[] piece) {
+        pieces.add(length, piece);
         int start = 0;
         while (start < piece.length) {
             int count = makeRoom(piece.length - start);
@@ -71,6 +73,11 @@
         length += count;
     }
 
+    /** Returns whether a late piece that may be the begin of an answer begins at an offset. */
+    boolean isPieceAt(int offset) {
+        return pieces.contains(offset);
+    }
+
     /** Returns the number of bytes that were appended. */
     int length() {
         return length;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -1,11 +1,12 @@
 package io.pollenpath.transport.serving;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Iterator;
+import java.util.function.Predicate;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * Finds the head of an HTTP answer within the bytes of a body. A server that answers twice writes
+ * Finds the heads of HTTP answers within the bytes of a body. A server that answers twice writes
  * its second answer where the body of the first one goes on, if only the end of the connection ends
  * that body, or if it has stopped within a body or chunk whose length it has named. The work grows
  * with the length of the body, whatever its bytes are.
@@ -14,64 +15,187 @@
 
     private static final String VERSION = "HTTP/1.";
     private static final Pattern STATUS = Pattern.compile("HTTP/1\\.\\d \\d{3}( |$)");
+    private static final Pattern STATUS_BEGIN = Pattern.compile("HTTP/1\\.\\d \\d");
+    private static final Pattern FIELD_BEGIN = Pattern.compile("[!-9;-~]*");
+    private static final Pattern VERSION_AT_END = Pattern.compile("HTTP/1\\.\\d ?");
+    private static final Pattern INTERIM = Pattern.compile("HTTP/1\\.\\d 1\\d\\d( |\r)");
+    private static final int NOWHERE = -1;
 
-    private boolean open;
+    private final Predicate<String> isKnownId;
+    private boolean whole;
+    private boolean named;
     private boolean hasFields;
+    private int openAt = NOWHERE;
+    private boolean statusOpen;
 
-    private EmbeddedHead() {}
+    /**
+     * What was found.
+     *
+     * @param whole whether a status line, fields and an empty line follow each other
+     * @param named whether a field of a head names a known request
+     * @param openAt where the head begins within which the bytes end, or with which they end; -1 if
+     *     they end within none
+     * @param statusOpen whether that head has a status, or at least its first digit
+     */
+    record Finding(boolean whole, boolean named, int openAt, boolean statusOpen) {
+
+        /** Returns whether the bytes end within a head or with one. */
+        boolean isOpen() {
+            return openAt != NOWHERE;
+        }
+    }
+
+    /** What bytes are that begin like a head. */
+    enum Begin {
+        /** A head, or its begin with the whole status. */
+        HEAD,
+        /** So few bytes that they may become a head. */
+        SHORT,
+        /** No head. */
+        OTHER
+    }
+
+    private EmbeddedHead(Predicate<String> isKnownId) {
+        this.isKnownId = isKnownId;
+    }
 
     /**
-     * Returns whether a body holds a status line and then, among the fields that follow it, one
-     * that names a request. The body may end before the head does.
+     * Finds the heads in a body, which may end before the last head does.
      *
      * @param body the body, not null
-     * @param requestId the ID of the request, not null
-     * @return false also if the ID is empty
+     * @param isKnownId whether an ID is that of a request, not null
      */
-    static boolean namesRequest(byte[] body, String requestId) {
+    static Finding find(byte[] body, Predicate<String> isKnownId) {
         String text = new String(body, StandardCharsets.ISO_8859_1);
-        if (requestId.isEmpty() || !text.contains(VERSION) || !text.contains(requestId)) {
-            return false;
-        }
-        EmbeddedHead head = new EmbeddedHead();
-        Iterator<String> lines = text.lines().iterator();
-        while (lines.hasNext()) {
-            String line = lines.next();
-            head.isEndedBy(line);
-            if (head.hasFields && line.substring(line.indexOf(':') + 1).trim().equals(requestId)) {
-                return true;
-            }
+        EmbeddedHead head = new EmbeddedHead(isKnownId);
+        if (text.contains(VERSION)) {
+            head.readLines(text);
+        } else {
+            head.openAt = beginOfVersion(text);
         }
-        return false;
+        return new Finding(head.whole, head.named, head.openAt, head.statusOpen);
     }
 
     /** Returns whether a status line, fields and an empty line follow each other in a body. */
     static boolean isIn(byte[] body) {
-        EmbeddedHead head = new EmbeddedHead();
-        Iterator<String> lines = new String(body, StandardCharsets.ISO_8859_1).lines().iterator();
-        while (lines.hasNext()) {
-            if (head.isEndedBy(lines.next())) {
-                return true;
-            }
+        return find(body, id -> false).whole();
+    }
+
+    /** Tells what bytes are that begin like a head. */
+    static Begin begin(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        int end = text.indexOf("\r\n\r\n");
+        String head = end < 0 ? text : text.substring(0, end);
+        if (find(head.getBytes(StandardCharsets.ISO_8859_1), id -> false).openAt() != 0) {
+            return Begin.OTHER;
         }
-        return false;
+        String status = head.lines().findFirst().orElse("");
+        return STATUS.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
+    }
+
+    /** Returns whether bytes begin as an answer does, as far as they go. */
+    static boolean mayBegin(byte[] bytes) {
+        int count = Math.min(bytes.length, VERSION.length());
+        String first = new String(bytes, 0, count, StandardCharsets.ISO_8859_1);
+        return VERSION.startsWith(first);
+    }
+
+    /** Returns whether bytes begin with the version of an answer. */
+    static boolean hasVersion(byte[] bytes) {
+        return bytes.length >= VERSION.length() && mayBegin(bytes);
     }
 
-    /** Reads the next line; returns whether it ends a head. */
-    private boolean isEndedBy(String line) {
-        if (line.isEmpty()) {
-            boolean ended = open && hasFields;
-            open = false;
-            hasFields = false;
-            return ended;
+    /** Returns whether bytes are the whole head of an interim answer, which another one follows. */
+    static boolean isInterim(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        return INTERIM.matcher(text).lookingAt() && isEmptyLineAtEnd(text);
+    }
+
+    private void readLines(String text) {
+        int start = 0;
+        int headAtEnd = NOWHERE;
+        for (int end = text.indexOf('\n'); end >= 0; end = text.indexOf('\n', start)) {
+            headAtEnd = openAt;
+            readLine(text.substring(start, end), start);
+            start = end + 1;
         }
-        if (STATUS.matcher(line).find()) {
-            open = true;
-            hasFields = false;
-            return false;
+        if (start < text.length()) {
+            readLastLine(text.substring(start), start);
+        } else if (openAt == NOWHERE && isEmptyLineAtEnd(text)) {
+            openAt = headAtEnd;
         }
-        open = open && line.indexOf(':') > 0;
-        hasFields = open;
-        return false;
+    }
+
+    private static boolean isEmptyLineAtEnd(String text) {
+        return text.endsWith("\n\r\n") || text.endsWith("\n\n");
+    }
+
+    private void readLine(String line, int start) {
+        if (line.isEmpty() || line.equals("\r")) {
+            whole |= openAt != NOWHERE && hasFields;
+            openAt = NOWHERE;
+            return;
+        }
+        int status = lastMatch(STATUS, withoutReturn(line));
+        if (status != NOWHERE) {
+            open(start + status);
+        } else {
+            readField(line);
+        }
+    }
+
+    private void readField(String line) {
+        int colon = line.indexOf(':');
+        if (openAt == NOWHERE || colon <= 0) {
+            openAt = NOWHERE;
+            return;
+        }
+        hasFields = true;
+        named |= isKnownId.test(line.substring(colon + 1).trim());
+    }
+
+    private void readLastLine(String line, int start) {
+        int status = lastMatch(STATUS_BEGIN, withoutReturn(line));
+        if (status != NOWHERE) {
+            open(start + status);
+        } else if (openAt != NOWHERE && line.indexOf(':') > 0) {
+            readField(line);
+        } else if (openAt == NOWHERE || !FIELD_BEGIN.matcher(withoutReturn(line)).matches()) {
+            int begin = beginOfVersion(line);
+            openAt = begin == NOWHERE ? NOWHERE : start + begin;
+            statusOpen = false;
+        }
+    }
+
+    private void open(int at) {
+        openAt = at;
+        hasFields = false;
+        statusOpen = true;
+    }
+
+    private static String withoutReturn(String line) {
+        return line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
+    }
+
+    private static int lastMatch(Pattern pattern, String line) {
+        if (!line.contains(VERSION)) {
+            return NOWHERE;
+        }
+        Matcher matcher = pattern.matcher(line);
+        int last = NOWHERE;
+        while (matcher.find()) {
+            last = matcher.start();
+        }
+        return last;
+    }
+
+    /** Returns where the begin of a version stands at the end of a text; -1 if there is none. */
+    private static int beginOfVersion(String text) {
+        int at = text.lastIndexOf('H');
+        return at >= 0 && isVersionBegin(text.substring(at)) ? at : NOWHERE;
+    }
+
+    private static boolean isVersionBegin(String text) {
+        return VERSION.startsWith(text) || VERSION_AT_END.matcher(text).matches();
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -23,6 +23,7 @@
 
     private static final String ID_FIELD = "id:";
 
+    private PieceStarts pieces = new PieceStarts();
     private byte[] pending = new byte[INITIAL_BYTES];
     private int length;
     private int scanned;
@@ -33,8 +34,9 @@
      *
      * @param bytes the bytes of the event, including the empty line at its end
      * @param id the numeric event ID; empty if there is none or it is no number
+     * @param endsWithInterim whether it ends with the head of an interim answer that came by itself
      */
-    record Event(byte[] bytes, OptionalLong id) {
+    record Event(byte[] bytes, OptionalLong id, boolean endsWithInterim) {
 
         /**
          * Returns whether this event comes no later than another one; false if an ID is missing.
@@ -70,6 +72,7 @@
         if (isTooLong()) {
             return List.of();
         }
+        pieces.add(length, bytes);
         append(bytes);
         List<Event> events = new ArrayList<>();
         int start = 0;
@@ -119,7 +122,17 @@
 
     private Event event(int start, int end) {
         byte[] bytes = Arrays.copyOfRange(pending, start, end);
-        return new Event(bytes, idOf(bytes));
+        return new Event(bytes, idOf(bytes), endsWithInterim(bytes, start));
+    }
+
+    private boolean endsWithInterim(byte[] event, int start) {
+        for (int i = 0; i < event.length && !pieces.isEmpty(); i++) {
+            if (pieces.contains(start + i)
+                    && EmbeddedHead.isInterim(Arrays.copyOfRange(event, i, event.length))) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private static OptionalLong idOf(byte[] bytes) {
@@ -143,6 +156,7 @@
         }
         System.arraycopy(pending, count, pending, 0, length - count);
         length -= count;
+        pieces = pieces.movedBy(count);
         lineStart -= count;
         if (length == 0 && pending.length > KEPT_BYTES) {
             pending = new byte[INITIAL_BYTES];
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -17,6 +17,7 @@
  */
 final class ForwardedRequest implements BackendListener {
 
+    private static final byte[] NOTHING = {};
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
 
@@ -44,7 +45,7 @@
         this.gateway = gateway;
         this.context = context;
         suspects = new RequestSuspects(context);
-        answer = new ServerAnswer(context.callerHeaders().requestId());
+        answer = new ServerAnswer(id -> false);
         reading = new AnswerReading(gateway.memory(), progress, () -> breakOff("memory is short"));
         reply = new CallerReply(caller, context.callerHeaders().lastEventId());
     }
@@ -150,7 +151,7 @@
         selections++;
         int selection = selections;
         progress.onSend(nowNanos);
-        answer = new ServerAnswer(context.callerHeaders().requestId());
+        answer = new ServerAnswer(id -> false);
         connections.acquire(
                 target,
                 context.route().mayRunAgain(),
@@ -192,6 +193,7 @@
     private void write(ServerInstance target, BackendConnection opened) {
         long nowNanos = System.nanoTime();
         connection = opened;
+        answer = new ServerAnswer(opened::hasCarried);
         reading.begin(opened);
         sends++;
         triedServerIds.add(target.id());
@@ -273,12 +275,20 @@
         if (behind.length > 0) {
             gateway.log().followed(this, server, behind);
         }
-        endAnswer();
+        endAnswer(behind);
     }
 
-    private void endAnswer() {
+    @Override
+    public boolean isEndClear(byte[] behind) {
+        return answer.end(behind) != AnswerEnd.UNCLEAR;
+    }
+
+    private void endAnswer(byte[] behind) {
         endReading();
-        switch (answer.kindAtEnd()) {
+        if (answer.end(behind) == AnswerEnd.FILLED) {
+            gateway.log().filled(this, server);
+        }
+        switch (answer.kindAtEnd(behind)) {
             case NOT_RUN ->
                     failSend(
                             SendOutcome.NOT_RUN,
@@ -292,8 +302,8 @@
 
     @Override
     public void onEndByClose() {
-        if (answer.kindAtEnd() != WireDialect.ReplyKind.ANSWER) {
-            endAnswer();
+        if (answer.kindAtEnd(NOTHING) != WireDialect.ReplyKind.ANSWER) {
+            endAnswer(NOTHING);
             return;
         }
         endReading();
@@ -308,7 +318,7 @@
         }
         answer.setCheckingEnd(false);
         if (result == Reachability.LISTENING) {
-            endAnswer();
+            endAnswer(NOTHING);
         } else {
             failSend(SendOutcome.UNKNOWN, "server ended with its answer");
         }
--- /dev/null
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
@@ -0,0 +1,50 @@
+package io.pollenpath.transport.serving;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Where the latest pieces of a body begin that look like the begin of an HTTP answer. A server that
+ * answers twice writes its second answer by itself, so it begins with a piece; text that shows an
+ * answer hardly ever does.
+ */
+final class PieceStarts {
+
+    /** A head that comes byte by byte has fewer pieces that begin with this letter. */
+    private static final int MAX_STARTS = 16;
+
+    private static final byte FIRST_LETTER = 'H';
+
+    private final Deque<Integer> offsets = new ArrayDeque<>();
+
+    /** Records a piece that begins at an offset. */
+    void add(int offset, byte[] piece) {
+        if (piece.length == 0 || piece[0] != FIRST_LETTER) {
+            return;
+        }
+        if (offsets.size() == MAX_STARTS) {
+            offsets.removeFirst();
+        }
+        offsets.addLast(offset);
+    }
+
+    /** Returns whether a piece that may be the begin of an answer begins at an offset. */
+    boolean contains(int offset) {
+        return offsets.contains(offset);
+    }
+
+    /** Returns the starts in bytes of which the first ones were taken away. */
+    PieceStarts movedBy(int count) {
+        PieceStarts moved = new PieceStarts();
+        for (int offset : offsets) {
+            if (offset >= count) {
+                moved.offsets.addLast(offset - count);
+            }
+        }
+        return moved;
+    }
+
+    boolean isEmpty() {
+        return offsets.isEmpty();
+    }
+}
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -161,6 +161,19 @@
                                 new String(behind, 0, shown, StandardCharsets.ISO_8859_1)));
     }
 
+    /** Logs an answer that holds bytes of a second answer of its server. */
+    void filled(ForwardedRequest request, ServerInstance server) {
+        MetricNames.count(
+                metrics, "answers_filled_total", "framing", request.answer().framing().name());
+        LOG.info(
+                "{}",
+                LogLine.event("answer_filled")
+                        .with("request", request.context().callerHeaders().requestId())
+                        .with("server", server.id())
+                        .with("framing", request.answer().framing())
+                        .with("ends_with", request.answer().lastText(MAX_SHOWN_BYTES)));
+    }
+
     private static String listedParts(ForwardedRequest request) {
         return request.context().callerHeaders().sharedPromptParts().stream()
                 .limit(MAX_LISTED_PARTS)
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** The answer of one server to one send of a request, as far as it has arrived. */
 final class ServerAnswer {
@@ -18,7 +19,7 @@
     private static final int EVENTS_IF_IT_GOES_ON = 2;
 
     private EventSplitter splitter = new EventSplitter();
-    private final String requestId;
+    private final Predicate<String> isKnownId;
     private BodyBuffer body = new BodyBuffer();
     private Optional<String> flaw = Optional.empty();
     private WireDialect.ReplyKind kind;
@@ -30,10 +31,11 @@
     /**
      * Creates an answer of which nothing has arrived.
      *
-     * @param requestId the ID of the request, which a second answer names too, not null
+     * @param isKnownId whether the connection has carried the request of an ID, which a second
+     *     answer names too, not null
      */
-    ServerAnswer(String requestId) {
-        this.requestId = requestId;
+    ServerAnswer(Predicate<String> isKnownId) {
+        this.isKnownId = isKnownId;
     }
 
     /** Records the head of the answer, and whether the answer may be a stream. */
@@ -83,20 +85,22 @@
     }
 
     /**
-     * Returns what the whole answer says. One that holds the head of a second answer is not proven
-     * to be whole.
+     * Returns what the whole answer says. One that holds bytes of a second answer is not proven to
+     * be whole.
+     *
+     * @param behind the bytes that came behind the answer, not null
      */
-    WireDialect.ReplyKind kindAtEnd() {
-        return kind == WireDialect.ReplyKind.ANSWER && holdsSecondAnswer()
-                ? WireDialect.ReplyKind.UNPROVEN
-                : kind;
+    WireDialect.ReplyKind kindAtEnd(byte[] behind) {
+        return end(behind) == AnswerEnd.FILLED ? WireDialect.ReplyKind.UNPROVEN : kind;
     }
 
-    private boolean holdsSecondAnswer() {
-        byte[] bytes = body.toByteArray();
-        return framing == AnswerFraming.CLOSE
-                ? EmbeddedHead.isIn(bytes)
-                : EmbeddedHead.namesRequest(bytes, requestId);
+    /** Returns what its end tells about a whole answer. */
+    AnswerEnd end(byte[] behind) {
+        if (kind != WireDialect.ReplyKind.ANSWER || isForwardedStream()) {
+            return AnswerEnd.OWN;
+        }
+        EmbeddedHead.Finding heads = EmbeddedHead.find(body.toByteArray(), isKnownId);
+        return AnswerEnd.of(framing, body, heads, behind);
     }
 
     /**
@@ -119,17 +123,17 @@
     }
 
     /**
-     * Returns whether an event can be a part of this stream. What follows a stream that only the
-     * end of its connection ends looks like a part of it, also the head of a second answer. Text
-     * that names a status is no head while each line is a field of an event. With a length or
-     * chunks, a second answer is inside only if the server stopped within them; it names the
-     * request.
+     * Returns whether an event can be a part of this stream. A second answer looks like a part of
+     * it if the server has stopped within its stream, or if only the end of the connection ends the
+     * stream. Text that names a status is no head while each line is a field of an event.
      */
     private boolean mayContain(EventSplitter.Event event, WireDialect dialect) {
-        if (framing != AnswerFraming.CLOSE) {
-            return !EmbeddedHead.namesRequest(event.bytes(), requestId);
+        if (event.endsWithInterim()) {
+            return false;
         }
-        return event.hasOnlyFields(dialect::isEventField) || !EmbeddedHead.isIn(event.bytes());
+        EmbeddedHead.Finding heads = EmbeddedHead.find(event.bytes(), isKnownId);
+        boolean holdsHead = heads.whole() || heads.named();
+        return !holdsHead || event.hasOnlyFields(dialect::isEventField);
     }
 
     /** Returns why no more of the answer can be forwarded; empty if it can. */
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -0,0 +1,132 @@
+package io.pollenpath.transport.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests what the end of an answer tells of the answer. */
+class AnswerEndTest {
+
+    private static final String LETTER = "The letter that was asked for. ";
+    private static final String SECOND =
+            "HTTP/1.1 500 Status\r\nKeep-Alive: timeout=30\r\nContent-Length: 4\r\n\r\noops";
+    private static final int HEAD_BYTES = SECOND.length() - 4;
+
+    /** The end of a body that came as one piece. */
+    private static AnswerEnd endOf(AnswerFraming framing, String body, String behind) {
+        return end(framing, body, "", behind);
+    }
+
+    /** The end of a body whose second piece came late. */
+    private static AnswerEnd end(
+            AnswerFraming framing, String first, String second, String behind) {
+        BodyBuffer body = new BodyBuffer();
+        body.append(bytes(first));
+        body.append(bytes(second));
+        EmbeddedHead.Finding heads = EmbeddedHead.find(body.toByteArray(), "carried"::equals);
+        return AnswerEnd.of(framing, body, heads, bytes(behind));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Guards against an answer that is filled up by the first bytes of a second one. */
+    @Test
+    void aHeadThatGoesOnBehindTheEndIsOfASecondAnswer() {
+        for (int filled = 1; filled < SECOND.length(); filled++) {
+            String body = LETTER + SECOND.substring(0, filled);
+            assertWithMessage("filled by " + filled)
+                    .that(endOf(AnswerFraming.LENGTH, body, SECOND.substring(filled)))
+                    .isEqualTo(AnswerEnd.FILLED);
+        }
+    }
+
+    /** Guards against an answer that is passed on before the rest of a second one comes. */
+    @Test
+    void aSecondAnswerMayComeByteByByte() {
+        for (int filled = 1; filled <= HEAD_BYTES - 4; filled++) {
+            String second = SECOND.substring(0, filled);
+            for (int end = filled; end <= HEAD_BYTES - 3; end++) {
+                String behind = SECOND.substring(filled, end);
+                AnswerEnd told = end(AnswerFraming.LENGTH, LETTER, second, behind);
+                assertWithMessage(second + "|" + behind).that(told).isNotEqualTo(AnswerEnd.OWN);
+            }
+        }
+    }
+
+    /** Guards against an interim answer that hides where a second answer begins. */
+    @Test
+    void anInterimAnswerMayComeBeforeTheSecond() {
+        String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        for (int filled = 1; filled < interim.length() + HEAD_BYTES; filled++) {
+            String all = interim + SECOND;
+            String body = LETTER + all.substring(0, filled);
+            assertWithMessage("filled by " + filled)
+                    .that(endOf(AnswerFraming.LENGTH, body, all.substring(filled)))
+                    .isEqualTo(AnswerEnd.FILLED);
+        }
+    }
+
+    /** Guards against an answer without a length that is followed by a cut one. */
+    @Test
+    void aCutSecondAnswerMayFollowAnAnswerWithoutALength() {
+        for (int cut = 1; cut <= SECOND.length(); cut++) {
+            String second = SECOND.substring(0, cut);
+            assertWithMessage("cut after " + cut)
+                    .that(end(AnswerFraming.CLOSE, LETTER, second, ""))
+                    .isEqualTo(AnswerEnd.FILLED);
+        }
+        assertThat(endOf(AnswerFraming.CLOSE, LETTER + "HTTP/1.1 5", ""))
+                .isEqualTo(AnswerEnd.FILLED);
+    }
+
+    /** Guards against a body that holds the answer to an earlier request of its connection. */
+    @Test
+    void aHeadThatNamesARequestOfTheConnectionIsOfASecondAnswer() {
+        String body = LETTER + "HTTP/1.1 200 Status\r\nRequest-Id: carried\r\nA: b";
+        for (AnswerFraming framing : AnswerFraming.values()) {
+            assertThat(endOf(framing, body, "")).isEqualTo(AnswerEnd.FILLED);
+        }
+    }
+
+    /** Guards against a sound answer that is refused or waits because of its text. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP",
+                "We speak HTTP/1.1",
+                "HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody",
+                "HTTP/1.1 500 Status\r\nRequest-Id: other\r\n\r\n\r\n",
+                "HTTP/1.1 500 Status\nand some text",
+                "THE END OF THE PATH"
+            })
+    void textMayShowAnAnswer(String text) {
+        String body = LETTER + text;
+        assertThat(endOf(AnswerFraming.LENGTH, body, "")).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.LENGTH, body, SECOND)).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.CHUNKS, body, "")).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.CHUNKS, body, SECOND)).isEqualTo(AnswerEnd.OWN);
+    }
+
+    /** Guards against a sound answer that is refused since it ends with a status. */
+    @Test
+    void textMayEndWithAStatus() {
+        String body = LETTER + "HTTP/1.1 200 OK";
+        assertThat(endOf(AnswerFraming.LENGTH, body, "")).isEqualTo(AnswerEnd.UNCLEAR);
+        assertThat(endOf(AnswerFraming.LENGTH, body, SECOND)).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.CHUNKS, body, "")).isEqualTo(AnswerEnd.OWN);
+    }
+
+    /** Guards against a sound answer that is refused since other bytes came behind it. */
+    @Test
+    void bytesThatAreNoAnswerMayComeBehind() {
+        assertThat(endOf(AnswerFraming.LENGTH, LETTER, "oops")).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.LENGTH, LETTER + "PATH", "oops")).isEqualTo(AnswerEnd.OWN);
+    }
+}
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
@@ -48,6 +48,11 @@
             body.writeBytes(bytes);
         }
 
+        @Override
+        public boolean isEndClear(byte[] behind) {
+            return true;
+        }
+
         @Override
         public void onEnd(byte[] behind) {
             ends++;
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -11,7 +11,7 @@
 /** Tests what counts as an event of a stream that only the end of its connection ends. */
 class ServerAnswerTest {
 
-    private final ServerAnswer answer = new ServerAnswer("r-1");
+    private final ServerAnswer answer = new ServerAnswer("r-1"::equals);
 
     private List<EventSplitter.Event> add(String text) {
         HttpHeaders headers = new DefaultHttpHeaders().set("Content-Type", "text/event-stream");
@@ -44,7 +44,7 @@
         HttpHeaders headers = new DefaultHttpHeaders().set("Content-Length", body.length());
         answer.onHead(WireDialect.ReplyKind.ANSWER, headers, false);
         answer.addBody(body.getBytes(StandardCharsets.UTF_8));
-        return answer.kindAtEnd();
+        return answer.kindAtEnd(new byte[0]);
     }
 
     /** Guards against a body that goes on with a second answer where the first one stopped. */
