--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -27,6 +27,7 @@
     private boolean stream;
     private int events;
     private boolean checkingEnd;
+    private EmbeddedHead.Finding heads;
 
     /**
      * Creates an answer of which nothing has arrived.
@@ -94,12 +95,14 @@
         return end(behind) == AnswerEnd.FILLED ? WireDialect.ReplyKind.UNPROVEN : kind;
     }
 
-    /** Returns what its end tells about a whole answer. */
+    /** Returns what its end tells about an answer of which all bytes are there. */
     AnswerEnd end(byte[] behind) {
         if (kind != WireDialect.ReplyKind.ANSWER || isForwardedStream()) {
             return AnswerEnd.OWN;
         }
-        EmbeddedHead.Finding heads = EmbeddedHead.find(body.toByteArray(), isKnownId);
+        if (heads == null) {
+            heads = EmbeddedHead.find(body.toByteArray(), isKnownId);
+        }
         return AnswerEnd.of(framing, body, heads, behind);
     }
 
