--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -19,6 +19,7 @@
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.SplicedHead;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.ScheduledFuture;
@@ -324,7 +325,8 @@
         // The decoder ends a body delimited by connection close after this event; the error marks
         // it as incomplete.
         error = cause.toString();
-        if (ended && listener != null) {
+        if (ended && listener != null && cause instanceof IOException) {
+            close();
             complete();
             return;
         }
