--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -20,8 +20,8 @@
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.SplicedHead;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -60,7 +60,7 @@
     private boolean inAnswer;
     private boolean ended;
     private ScheduledFuture<?> endWait;
-    private final Deque<String> carriedIds = new ArrayDeque<>();
+    private final Set<String> carriedIds = new LinkedHashSet<>();
     private boolean keepAlive;
     private boolean endsWithConnection;
     private String error = "";
@@ -122,9 +122,9 @@
 
     private void addCarried(String id) {
         if (carriedIds.size() == MAX_CARRIED) {
-            carriedIds.removeFirst();
+            carriedIds.remove(carriedIds.iterator().next());
         }
-        carriedIds.addLast(id);
+        carriedIds.add(id);
     }
 
     /** Returns whether the request of an ID is among the latest of this connection. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -28,6 +28,9 @@
     private int events;
     private boolean checkingEnd;
 
+    /** Found once, since an end is judged again whenever bytes come behind it. */
+    private Optional<EmbeddedHead.Finding> heads = Optional.empty();
+
     /**
      * Creates an answer of which nothing has arrived.
      *
@@ -99,8 +102,10 @@
         if (kind != WireDialect.ReplyKind.ANSWER || isForwardedStream()) {
             return AnswerEnd.OWN;
         }
-        EmbeddedHead.Finding heads = EmbeddedHead.find(body.toByteArray(), isKnownId);
-        return AnswerEnd.of(framing, body, heads, behind);
+        if (heads.isEmpty()) {
+            heads = Optional.of(EmbeddedHead.find(body.toByteArray(), isKnownId));
+        }
+        return AnswerEnd.of(framing, body, heads.get(), behind);
     }
 
     /**
@@ -165,6 +170,7 @@
     /** Appends bytes of a body. */
     void addBody(byte[] bytes) {
         body.append(bytes);
+        heads = Optional.empty();
         if (body.length() > MAX_BODY_BYTES) {
             flaw = Optional.of(TOO_LARGE);
         }
@@ -184,6 +190,7 @@
     /** Forgets the bytes of an answer that is not forwarded any further. */
     void discardBody() {
         body = new BodyBuffer();
+        heads = Optional.empty();
         splitter = new EventSplitter();
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** Tests what counts as an event of a stream that only the end of its connection ends. */
@@ -60,4 +61,18 @@
         String shown = "HTTP/1.1 200 OK\r\nRequest-Id: r-2\r\n\r\nr-1: HTTP/1.1 200 OK\r\nr-1\r\n";
         assertThat(kindAtEnd(shown)).isEqualTo(WireDialect.ReplyKind.ANSWER);
     }
+
+    /** Guards against a large body that is searched again for each byte that comes behind it. */
+    @Test
+    void aBodyIsSearchedOnce() {
+        AtomicInteger fields = new AtomicInteger();
+        ServerAnswer searched = new ServerAnswer(id -> fields.incrementAndGet() < 0);
+        String body = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nHTTP/1.1 5";
+        HttpHeaders headers = new DefaultHttpHeaders().set("Content-Length", body.length());
+        searched.onHead(WireDialect.ReplyKind.ANSWER, headers, false);
+        searched.addBody(body.getBytes(StandardCharsets.UTF_8));
+        assertThat(searched.end(new byte[0])).isEqualTo(AnswerEnd.UNCLEAR);
+        assertThat(searched.end(new byte[] {'0'})).isEqualTo(AnswerEnd.UNCLEAR);
+        assertThat(fields.get()).isEqualTo(1);
+    }
 }
