--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -265,7 +265,8 @@
     }
 
     private void completeOrWait() {
-        if (!channel.isActive() || listener.isEndClear(codec.bytesBehind())) {
+        AnswerEnd end = listener.judgeEnd(codec.bytesBehind());
+        if (!channel.isActive() || end != AnswerEnd.UNCLEAR) {
             complete();
         } else if (endWait == null) {
             setReading(true);
@@ -288,10 +289,11 @@
     private void complete() {
         endWait = null;
         byte[] behind = codec.bytesBehind();
+        boolean own = listener.judgeEnd(behind) == AnswerEnd.OWN;
         BackendListener completed = listener;
         listener = null;
         boolean endedByClose = endsWithConnection && !channel.isActive();
-        boolean inStep = behind.length == 0 && writeFuture.isDone();
+        boolean inStep = own && behind.length == 0 && writeFuture.isDone();
         boolean reusable = keepAlive && channel.isActive() && inStep;
         if (reusable) {
             becomeIdle();
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
@@ -13,12 +13,12 @@
     void onData(byte[] bytes);
 
     /**
-     * Returns whether the end of a complete answer is clear. If not, it is asked again when more
-     * bytes have come.
+     * Judges the end of a complete answer. One that is unclear is judged again when more bytes have
+     * come.
      *
      * @param behind the bytes that came behind the answer; usually none
      */
-    boolean isEndClear(byte[] behind);
+    AnswerEnd judgeEnd(byte[] behind);
 
     /**
      * Handles the end of a complete answer.
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -279,8 +279,8 @@
     }
 
     @Override
-    public boolean isEndClear(byte[] behind) {
-        return answer.end(behind) != AnswerEnd.UNCLEAR;
+    public AnswerEnd judgeEnd(byte[] behind) {
+        return answer.end(behind);
     }
 
     private void endAnswer(byte[] behind) {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +22,7 @@
 class BackendConnectionTest {
 
     private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: ";
+    private static final long MORE_THAN_THE_WAIT_MS = 300;
 
     private final NettyLoops loops = new NettyLoops(1);
     private final EventLoop loop = loops.group().next();
@@ -51,11 +53,11 @@
         }
 
         @Override
-        public boolean isEndClear(byte[] behind) {
+        public AnswerEnd judgeEnd(byte[] behind) {
             if (memoryShort != null) {
                 throw memoryShort;
             }
-            return answer.end(behind) != AnswerEnd.UNCLEAR;
+            return answer.end(behind);
         }
 
         @Override
@@ -89,6 +91,11 @@
         channel.writeInbound(Unpooled.wrappedBuffer(bytes.getBytes(StandardCharsets.ISO_8859_1)));
     }
 
+    private void waitForTheEnd() {
+        channel.advanceTimeBy(MORE_THAN_THE_WAIT_MS, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
     /** Guards against a request that waits until its deadline since memory was short at its end. */
     @Test
     void anAnswerWhoseEndCannotBeJudgedFailsItsSend() {
@@ -100,4 +107,27 @@
         assertThat(failuresOfWork).hasSize(1);
         assertThat(connection.isOpen()).isFalse();
     }
+
+    /** Guards against a connection that is used again after an answer that a second one filled. */
+    @Test
+    void aConnectionIsClosedAfterAnAnswerThatWasFilled() {
+        send();
+        String second = "HTTP/1.1 500 Status\r\nRequest-Id: r\r\nConte";
+        write(HEAD + (6 + second.length()) + "\r\n\r\nletter");
+        write(second);
+        waitForTheEnd();
+        assertThat(heard.kindAtEnd).isEqualTo(WireDialect.ReplyKind.UNPROVEN);
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a connection that is used again though bytes may still be on their way. */
+    @Test
+    void aConnectionIsClosedAfterAnEndThatStaysUnclear() {
+        send();
+        write(HEAD + "16\r\n\r\nletter");
+        write("HTTP/1.1 5");
+        waitForTheEnd();
+        assertThat(heard.kindAtEnd).isEqualTo(WireDialect.ReplyKind.ANSWER);
+        assertThat(connection.isOpen()).isFalse();
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
@@ -49,8 +49,8 @@
         }
 
         @Override
-        public boolean isEndClear(byte[] behind) {
-            return true;
+        public AnswerEnd judgeEnd(byte[] behind) {
+            return AnswerEnd.OWN;
         }
 
         @Override
