--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -285,7 +285,7 @@
 
     private void endAnswer(byte[] behind) {
         endReading();
-        if (answer.end(behind) == AnswerEnd.FILLED) {
+        if (answer.isFilled(behind)) {
             gateway.log().filled(this, server);
         }
         switch (answer.kindAtEnd(behind)) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -94,7 +94,19 @@
      * @param behind the bytes that came behind the answer, not null
      */
     WireDialect.ReplyKind kindAtEnd(byte[] behind) {
-        return end(behind) == AnswerEnd.FILLED ? WireDialect.ReplyKind.UNPROVEN : kind;
+        return isFilled(behind) ? WireDialect.ReplyKind.UNPROVEN : kind;
+    }
+
+    /**
+     * Returns whether a whole answer holds bytes of a second one, once no more of them are awaited.
+     * An end that looks like a head and goes on behind it counts, whether a status came or not.
+     *
+     * @param behind the bytes that came behind the answer, not null
+     */
+    boolean isFilled(byte[] behind) {
+        AnswerEnd end = end(behind);
+        boolean goesOn = end == AnswerEnd.UNCLEAR && behind.length > 0;
+        return goesOn || end == AnswerEnd.FILLED;
     }
 
     /** Returns what its end tells about a whole answer. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
@@ -130,4 +130,15 @@
         assertThat(heard.kindAtEnd).isEqualTo(WireDialect.ReplyKind.ANSWER);
         assertThat(connection.isOpen()).isFalse();
     }
+
+    /** Guards against an answer whose end goes on behind it, but too slowly to become a status. */
+    @Test
+    void anEndThatGoesOnBehindItIsOfASecondAnswer() {
+        send();
+        write(HEAD + "16\r\n\r\nletter");
+        write("HTTP/1.1 5");
+        write("0");
+        waitForTheEnd();
+        assertThat(heard.kindAtEnd).isEqualTo(WireDialect.ReplyKind.UNPROVEN);
+    }
 }
