--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -60,7 +60,7 @@
         ByteArrayOutputStream joined = new ByteArrayOutputStream();
         joined.writeBytes(tail);
         joined.writeBytes(behind);
-        return switch (EmbeddedHead.begin(joined.toByteArray())) {
+        return switch (EmbeddedHead.around(joined.toByteArray(), tail.length)) {
             case HEAD -> FILLED;
             case SHORT -> UNCLEAR;
             case OTHER -> OWN;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -81,15 +81,19 @@
         return find(body, id -> false).whole();
     }
 
-    /** Tells what bytes are that begin like a head. */
-    static Begin begin(byte[] bytes) {
+    /**
+     * Tells what the head is within which an offset lies. The bytes begin like a head, but another
+     * one may begin before the offset.
+     */
+    static Begin around(byte[] bytes, int offset) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
         int end = text.indexOf("\r\n\r\n");
         String head = end < 0 ? text : text.substring(0, end);
-        if (find(head.getBytes(StandardCharsets.ISO_8859_1), id -> false).openAt() != 0) {
+        int openAt = find(head.getBytes(StandardCharsets.ISO_8859_1), id -> false).openAt();
+        if (openAt < 0 || openAt >= offset) {
             return Begin.OTHER;
         }
-        String status = head.lines().findFirst().orElse("");
+        String status = head.substring(openAt).lines().findFirst().orElse("");
         return STATUS.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -129,4 +129,16 @@
         assertThat(endOf(AnswerFraming.LENGTH, LETTER, "oops")).isEqualTo(AnswerEnd.OWN);
         assertThat(endOf(AnswerFraming.LENGTH, LETTER + "PATH", "oops")).isEqualTo(AnswerEnd.OWN);
     }
+
+    /** Guards against a quoted head that hides the begin of a second answer. */
+    @Test
+    void aBodyThatQuotesAHeadMayBeFilledToo() {
+        String quote = LETTER + "HTTP/1.1 200 OK\r\nA: b\r\nC: d";
+        for (int filled = 1; filled < SECOND.length(); filled++) {
+            String body = quote + SECOND.substring(0, filled);
+            assertWithMessage("filled by " + filled)
+                    .that(endOf(AnswerFraming.LENGTH, body, SECOND.substring(filled)))
+                    .isEqualTo(AnswerEnd.FILLED);
+        }
+    }
 }
