--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -19,8 +19,9 @@
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.SplicedHead;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -59,7 +60,7 @@
     private boolean inAnswer;
     private boolean ended;
     private ScheduledFuture<?> endWait;
-    private final Deque<String> carriedIds = new ArrayDeque<>();
+    private final Set<String> carriedIds = new LinkedHashSet<>();
     private boolean keepAlive;
     private boolean endsWithConnection;
     private String error = "";
@@ -121,9 +122,9 @@
 
     private void addCarried(String id) {
         if (carriedIds.size() == MAX_CARRIED) {
-            carriedIds.removeFirst();
+            carriedIds.remove(carriedIds.iterator().next());
         }
-        carriedIds.addLast(id);
+        carriedIds.add(id);
     }
 
     /** Returns whether the request of an ID is among the latest of this connection. */
@@ -264,7 +265,8 @@
     }
 
     private void completeOrWait() {
-        if (!channel.isActive() || listener.isEndClear(codec.bytesBehind())) {
+        AnswerEnd end = listener.judgeEnd(codec.bytesBehind());
+        if (!channel.isActive() || end != AnswerEnd.UNCLEAR) {
             complete();
         } else if (endWait == null) {
             setReading(true);
@@ -287,10 +289,11 @@
     private void complete() {
         endWait = null;
         byte[] behind = codec.bytesBehind();
+        boolean own = listener.judgeEnd(behind) == AnswerEnd.OWN;
         BackendListener completed = listener;
         listener = null;
         boolean endedByClose = endsWithConnection && !channel.isActive();
-        boolean inStep = behind.length == 0 && writeFuture.isDone();
+        boolean inStep = own && behind.length == 0 && writeFuture.isDone();
         boolean reusable = keepAlive && channel.isActive() && inStep;
         if (reusable) {
             becomeIdle();
@@ -324,7 +327,8 @@
         // The decoder ends a body delimited by connection close after this event; the error marks
         // it as incomplete.
         error = cause.toString();
-        if (ended && listener != null) {
+        if (ended && listener != null && cause instanceof IOException) {
+            close();
             complete();
             return;
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -279,13 +279,13 @@
     }
 
     @Override
-    public boolean isEndClear(byte[] behind) {
-        return answer.end(behind) != AnswerEnd.UNCLEAR;
+    public AnswerEnd judgeEnd(byte[] behind) {
+        return answer.end(behind);
     }
 
     private void endAnswer(byte[] behind) {
         endReading();
-        if (answer.end(behind) == AnswerEnd.FILLED) {
+        if (answer.isFilled(behind)) {
             gateway.log().filled(this, server);
         }
         switch (answer.kindAtEnd(behind)) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -27,7 +27,9 @@
     private boolean stream;
     private int events;
     private boolean checkingEnd;
-    private EmbeddedHead.Finding heads;
+
+    /** Found once, since an end is judged again whenever bytes come behind it. */
+    private Optional<EmbeddedHead.Finding> heads = Optional.empty();
 
     /**
      * Creates an answer of which nothing has arrived.
@@ -92,18 +94,30 @@
      * @param behind the bytes that came behind the answer, not null
      */
     WireDialect.ReplyKind kindAtEnd(byte[] behind) {
-        return end(behind) == AnswerEnd.FILLED ? WireDialect.ReplyKind.UNPROVEN : kind;
+        return isFilled(behind) ? WireDialect.ReplyKind.UNPROVEN : kind;
+    }
+
+    /**
+     * Returns whether a whole answer holds bytes of a second one, once no more of them are awaited.
+     * An end that looks like a head and goes on behind it counts, whether a status came or not.
+     *
+     * @param behind the bytes that came behind the answer, not null
+     */
+    boolean isFilled(byte[] behind) {
+        AnswerEnd end = end(behind);
+        boolean goesOn = end == AnswerEnd.UNCLEAR && behind.length > 0;
+        return goesOn || end == AnswerEnd.FILLED;
     }
 
-    /** Returns what its end tells about an answer of which all bytes are there. */
+    /** Returns what its end tells about a whole answer. */
     AnswerEnd end(byte[] behind) {
         if (kind != WireDialect.ReplyKind.ANSWER || isForwardedStream()) {
             return AnswerEnd.OWN;
         }
-        if (heads == null) {
-            heads = EmbeddedHead.find(body.toByteArray(), isKnownId);
+        if (heads.isEmpty()) {
+            heads = Optional.of(EmbeddedHead.find(body.toByteArray(), isKnownId));
         }
-        return AnswerEnd.of(framing, body, heads, behind);
+        return AnswerEnd.of(framing, body, heads.get(), behind);
     }
 
     /**
@@ -168,6 +182,7 @@
     /** Appends bytes of a body. */
     void addBody(byte[] bytes) {
         body.append(bytes);
+        heads = Optional.empty();
         if (body.length() > MAX_BODY_BYTES) {
             flaw = Optional.of(TOO_LARGE);
         }
@@ -187,6 +202,7 @@
     /** Forgets the bytes of an answer that is not forwarded any further. */
     void discardBody() {
         body = new BodyBuffer();
+        heads = Optional.empty();
         splitter = new EventSplitter();
     }
 
