--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -15,7 +15,11 @@
 
     private static final String VERSION = "HTTP/1.";
     private static final Pattern STATUS = Pattern.compile("HTTP/1\\.\\d \\d{3}( |$)");
-    private static final Pattern STATUS_BEGIN = Pattern.compile("HTTP/1\\.\\d \\d");
+
+    /** The words of a status are few and plain; text that goes on otherwise only names one. */
+    private static final Pattern STATUS_AT_END =
+            Pattern.compile("HTTP/1\\.\\d \\d{1,3}( [A-Za-z0-9 '()./-]{0,64})?");
+
     private static final Pattern FIELD_BEGIN = Pattern.compile("[!-9;-~]*");
     private static final Pattern VERSION_AT_END = Pattern.compile("HTTP/1\\.\\d ?");
     private static final Pattern INTERIM = Pattern.compile("HTTP/1\\.\\d 1\\d\\d( |\r)");
@@ -159,8 +163,8 @@
     }
 
     private void readLastLine(String line, int start) {
-        int status = lastMatch(STATUS_BEGIN, withoutReturn(line));
-        if (status != NOWHERE) {
+        int status = line.lastIndexOf(VERSION);
+        if (status >= 0 && isStatusAtEnd(line.substring(status))) {
             open(start + status);
         } else if (openAt != NOWHERE && line.indexOf(':') > 0) {
             readField(line);
@@ -171,6 +175,10 @@
         }
     }
 
+    private static boolean isStatusAtEnd(String text) {
+        return STATUS_AT_END.matcher(withoutReturn(text)).matches();
+    }
+
     private void open(int at) {
         openAt = at;
         hasFields = false;
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -141,4 +141,20 @@
                     .isEqualTo(AnswerEnd.FILLED);
         }
     }
+
+    /**
+     * Guards against a sound answer that waits or is refused since its last line names a status.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"seen\": \"HTTP/1.1 404 Not Found\"}",
+                "HTTP/1.1 404 Not Found</p>",
+                "It said HTTP/1.1 500, and a day later that all was well."
+            })
+    void theLastLineMayNameAStatus(String text) {
+        String body = LETTER + text;
+        assertThat(endOf(AnswerFraming.LENGTH, body, "")).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.CLOSE, body, "")).isEqualTo(AnswerEnd.OWN);
+    }
 }
