--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -101,6 +101,11 @@
         return STATUS.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
     }
 
+    /** Returns where the last version of an answer stands; -1 if there is none. */
+    static int lastVersionAt(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1).lastIndexOf(VERSION);
+    }
+
     /** Returns whether bytes begin as an answer does, as far as they go. */
     static boolean mayBegin(byte[] bytes) {
         int count = Math.min(bytes.length, VERSION.length());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -35,6 +35,7 @@
      * @param bytes the bytes of the event, including the empty line at its end
      * @param id the numeric event ID; empty if there is none or it is no number
      * @param endsWithInterim whether it ends with the head of an interim answer that came by itself
+     *     or whose lines end otherwise than those of the event
      */
     record Event(byte[] bytes, OptionalLong id, boolean endsWithInterim) {
 
@@ -126,13 +127,19 @@
     }
 
     private boolean endsWithInterim(byte[] event, int start) {
-        for (int i = 0; i < event.length && !pieces.isEmpty(); i++) {
-            if (pieces.contains(start + i)
-                    && EmbeddedHead.isInterim(Arrays.copyOfRange(event, i, event.length))) {
-                return true;
-            }
+        int at = EmbeddedHead.lastVersionAt(event);
+        if (at < 0 || !EmbeddedHead.isInterim(Arrays.copyOfRange(event, at, event.length))) {
+            return false;
         }
-        return false;
+        return pieces.contains(start + at) || changesLineEnds(event);
+    }
+
+    /** Returns whether the first line ends without a carriage return, and the last ones with it. */
+    private static boolean changesLineEnds(byte[] event) {
+        String text = new String(event, StandardCharsets.ISO_8859_1);
+        int firstEnd = text.indexOf('\n');
+        boolean firstIsPlain = firstEnd == 0 || text.charAt(firstEnd - 1) != '\r';
+        return firstIsPlain && text.endsWith("\r\n\r\n");
     }
 
     private static OptionalLong idOf(byte[] bytes) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
@@ -43,8 +43,4 @@
         }
         return moved;
     }
-
-    boolean isEmpty() {
-        return offsets.isEmpty();
-    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -75,4 +75,20 @@
         assertThat(searched.end(new byte[] {'0'})).isEqualTo(AnswerEnd.UNCLEAR);
         assertThat(fields.get()).isEqualTo(1);
     }
+
+    /** Guards against an interim answer that is passed on since it came with other bytes. */
+    @Test
+    void anInterimAnswerMayComeInOnePieceWithAnEvent() {
+        String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        assertThat(add("id: 1\ndata: a\n\nid: 2\ndata: b" + interim)).hasSize(1);
+        assertThat(answer.flaw().isPresent()).isTrue();
+    }
+
+    /** Guards against a sound stream that is cut because its text shows an interim answer. */
+    @Test
+    void forwardsTextThatShowsAnInterimAnswer() {
+        assertThat(add("id: 1\ndata: HTTP/1.1 100 Continue\n\n")).hasSize(1);
+        assertThat(add("id: 2\r\ndata: HTTP/1.1 100 Continue\r\n\r\n")).hasSize(1);
+        assertThat(answer.flaw().isPresent()).isFalse();
+    }
 }
