--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -101,6 +101,11 @@
         return STATUS.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
     }
 
+    /** Returns whether a line holds the version of an answer. */
+    static boolean holdsVersion(String line) {
+        return line.contains(VERSION);
+    }
+
     /** Returns where the last version of an answer stands; -1 if there is none. */
     static int lastVersionAt(byte[] bytes) {
         return new String(bytes, StandardCharsets.ISO_8859_1).lastIndexOf(VERSION);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -47,11 +47,13 @@
         }
 
         /**
-         * Returns whether each line begins with the name of a field; an empty name is a comment.
+         * Returns whether each line from the first one with a version on begins with the name of a
+         * field; an empty name is a comment.
          */
-        boolean hasOnlyFields(Predicate<String> isField) {
+        boolean hasOnlyFieldsFromHead(Predicate<String> isField) {
             return new String(bytes, StandardCharsets.ISO_8859_1)
                     .lines()
+                    .dropWhile(line -> !EmbeddedHead.holdsVersion(line))
                     .map(Event::fieldName)
                     .allMatch(name -> name.isEmpty() || isField.test(name));
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -150,7 +150,7 @@
         }
         EmbeddedHead.Finding heads = EmbeddedHead.find(event.bytes(), isKnownId);
         boolean holdsHead = heads.whole() || heads.named();
-        return !holdsHead || event.hasOnlyFields(dialect::isEventField);
+        return !holdsHead || event.hasOnlyFieldsFromHead(dialect::isEventField);
     }
 
     /** Returns why no more of the answer can be forwarded; empty if it can. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -91,4 +91,11 @@
         assertThat(add("id: 2\r\ndata: HTTP/1.1 100 Continue\r\n\r\n")).hasSize(1);
         assertThat(answer.flaw().isPresent()).isFalse();
     }
+
+    /** Guards against a sound stream that is cut because of a field before text with a head. */
+    @Test
+    void forwardsTextThatShowsAHeadBehindAnotherField() {
+        assertThat(add("id: 1\nother: x\ndata: HTTP/1.1 200 OK\ndata: A: b\n\n")).hasSize(1);
+        assertThat(answer.flaw().isPresent()).isFalse();
+    }
 }
