Read on behind a status with any words (54)

A body that ends within a status whose words hold other signs than letters was taken for text, also if the rest of a second answer came behind it.

The words decide only where nothing comes behind the end.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -16,6 +16,8 @@
     private static final String VERSION = "HTTP/1.";
     private static final Pattern STATUS = Pattern.compile("HTTP/1\\.\\d \\d{3}( |$)");
 
+    private static final Pattern STATUS_BEGIN = Pattern.compile("HTTP/1\\.\\d \\d");
+
     /** The words of a status are few and plain; text that goes on otherwise only names one. */
     private static final Pattern STATUS_AT_END =
             Pattern.compile("HTTP/1\\.\\d \\d{1,3}( [A-Za-z0-9 '()./-]{0,64})?");
@@ -39,7 +41,8 @@
      * @param named whether a field of a head names a known request
      * @param openAt where the head begins within which the bytes end, or with which they end; -1 if
      *     they end within none
-     * @param statusOpen whether that head has a status, or at least its first digit
+     * @param statusOpen whether that head has a status, or at least its first digit, and no text
+     *     that only names a status
      */
     record Finding(boolean whole, boolean named, int openAt, boolean statusOpen) {
 
@@ -173,9 +176,10 @@
     }
 
     private void readLastLine(String line, int start) {
-        int status = line.lastIndexOf(VERSION);
-        if (status >= 0 && isStatusAtEnd(line.substring(status))) {
+        int status = lastMatch(STATUS_BEGIN, withoutReturn(line));
+        if (status != NOWHERE) {
             open(start + status);
+            statusOpen = isStatusAtEnd(line.substring(status));
         } else if (openAt != NOWHERE && line.indexOf(':') > 0) {
             readField(line);
         } else if (openAt == NOWHERE || !FIELD_BEGIN.matcher(withoutReturn(line)).matches()) {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -46,6 +46,18 @@
         }
     }
 
+    /** Guards against a second answer that is taken for text because of the words of its status. */
+    @Test
+    void aStatusMayHaveAnyWords() {
+        String second = "HTTP/1.1 500 Oops, \"really\"!\r\nA: b\r\n\r\noops";
+        for (int filled = 1; filled < second.length(); filled++) {
+            String body = LETTER + second.substring(0, filled);
+            assertWithMessage("filled by " + filled)
+                    .that(endOf(AnswerFraming.LENGTH, body, second.substring(filled)))
+                    .isEqualTo(AnswerEnd.FILLED);
+        }
+    }
+
     /** Guards against an answer that is passed on before the rest of a second one comes. */
     @Test
     void aSecondAnswerMayComeByteByByte() {
