--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -58,6 +58,20 @@
         }
     }
 
+    /** Guards against a quoted head, cut anywhere, that hides where a second answer begins. */
+    @Test
+    void aSecondAnswerMayFollowAHeadThatIsQuoted() {
+        String quoted = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nLonger: text b\r\n\r\n";
+        for (int cut = 1; cut <= quoted.length(); cut++) {
+            for (int filled = 1; filled < HEAD_BYTES; filled++) {
+                String body = LETTER + quoted.substring(0, cut) + SECOND.substring(0, filled);
+                assertWithMessage(body)
+                        .that(endOf(AnswerFraming.LENGTH, body, SECOND.substring(filled)))
+                        .isEqualTo(AnswerEnd.FILLED);
+            }
+        }
+    }
+
     /** Guards against an answer that is passed on before the rest of a second one comes. */
     @Test
     void aSecondAnswerMayComeByteByByte() {
