--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
@@ -1,15 +1,24 @@
 package io.pollenpath.transport;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 
@@ -56,12 +65,13 @@
         return inboundHandler().behind.toByteArray();
     }
 
-    /** Decodes answers, and keeps what comes behind one. */
+    /** Decodes answers, strictly so if they come in chunks, and keeps what comes behind one. */
     static final class Decoder extends HttpResponseDecoder {
 
         private final ByteArrayOutputStream behind = new ByteArrayOutputStream();
         private HttpMethod method = HttpMethod.GET;
         private boolean ended = true;
+        private ChunkFraming chunks;
 
         private Decoder(HttpDecoderConfig config) {
             super(config);
@@ -78,10 +88,39 @@
             if (ended) {
                 keep(in);
             } else {
-                super.decode(context, in, out);
+                decodeStrictly(context, in, out);
             }
         }
 
+        private void decodeStrictly(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+                throws Exception {
+            int start = in.readerIndex();
+            super.decode(context, in, out);
+            if (chunks != null && !chunks.follow(in, start, in.readerIndex())) {
+                refuse(out);
+            }
+            out.forEach(this::onDecoded);
+        }
+
+        private void onDecoded(Object decoded) {
+            if (decoded instanceof HttpResponse head) {
+                chunks = HttpUtil.isTransferEncodingChunked(head) ? new ChunkFraming() : null;
+            }
+            if (decoded instanceof LastHttpContent) {
+                chunks = null;
+            }
+        }
+
+        private void refuse(List<Object> out) {
+            out.forEach(ReferenceCountUtil::release);
+            out.clear();
+            HttpContent failure = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+            Exception cause = new CorruptedFrameException("bytes that frame no chunk");
+            failure.setDecoderResult(DecoderResult.failure(cause));
+            out.add(failure);
+            ended = true;
+        }
+
         private void keep(ByteBuf in) {
             int count = Math.min(in.readableBytes(), MAX_BYTES_BEHIND - behind.size());
             byte[] bytes = new byte[count];
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
@@ -0,0 +1,270 @@
+package io.pollenpath.transport.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.netty.handler.codec.http.HttpMethod;
+import io.pollenpath.transport.serving.PlayedConnection.Heard;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests answers that stop anywhere and go on with a second one, for each way to mark an end. */
+class SecondAnswerFramingTest {
+
+    private static final String STATUS = "HTTP/1.1 200 OK\r\n";
+    private static final String LENGTH = "Content-Length: %d\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+    private static final String STREAM = "Content-Type: text/event-stream\r\n";
+    private static final int MAX_SINGLE_BYTES = 260;
+    private static final String TEXT =
+            "The letter that was asked for has many lines, and this is one of them.\n".repeat(6);
+    private static final String EVENTS =
+            "id: 1\ndata: a\n\nid: 2\ndata: bc\n\n" + "id: 3\ndata: def\ndata: g\n\n".repeat(8);
+
+    /**
+     * An answer that a server begins.
+     *
+     * @param name what it shows
+     * @param method the method of its request
+     * @param head its head
+     * @param rest the bytes behind its head
+     * @param body the body that these bytes hold
+     */
+    private record First(String name, HttpMethod method, String head, String rest, String body) {
+
+        static First of(String name, String fields, String rest, String body) {
+            return new First(name, HttpMethod.GET, headWith(fields), rest, body);
+        }
+
+        String bytes() {
+            return head + rest;
+        }
+
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    private static String headWith(String fields) {
+        String own = "Request-Id: r\r\nUpstream-Signature: " + PlayedConnection.PROOF + "\r\n";
+        return STATUS + own + fields + "\r\n";
+    }
+
+    private static String chunk(String extension, String data) {
+        return Integer.toHexString(data.length()) + extension + "\r\n" + data + "\r\n";
+    }
+
+    private static String chunks(String extension, String body) {
+        int half = body.length() / 8;
+        String first = chunk(extension, body.substring(0, half));
+        return first + chunk(extension, body.substring(half)) + "0" + extension + "\r\n";
+    }
+
+    private static First withLength(String name, String type, String body) {
+        return First.of(name, type + LENGTH.formatted(body.length()), body, body);
+    }
+
+    static List<First> firsts() {
+        List<First> firsts = new ArrayList<>();
+        firsts.add(withLength("length", "", TEXT));
+        firsts.add(withLength("length, closed", "Connection: close\r\n", TEXT));
+        firsts.add(First.of("no length", "", TEXT, TEXT));
+        firsts.add(First.of("chunks", CHUNKED, chunks("", TEXT) + "\r\n", TEXT));
+        firsts.add(First.of("extensions", CHUNKED, chunks(";a=b", TEXT) + "\r\n", TEXT));
+        firsts.add(First.of("blanks", CHUNKED, chunks("  ", TEXT) + "\r\n", TEXT));
+        String trailers = chunks("", TEXT) + "Check: a1b2\r\nMore: x\r\n\r\n";
+        firsts.add(First.of("trailers", CHUNKED, trailers, TEXT));
+        for (String line : List.of("\n", "\r\n")) {
+            String events = EVENTS.replace("\n", line);
+            String name = line.equals("\n") ? "events, LF" : "events, CRLF";
+            firsts.add(withLength(name + ", length", STREAM, events));
+            String inChunks = chunks("", events) + "\r\n";
+            firsts.add(First.of(name + ", chunks", STREAM + CHUNKED, inChunks, events));
+            firsts.add(First.of(name + ", no length", STREAM, events, events));
+        }
+        return firsts;
+    }
+
+    /** Returns what a server may send where its first answer stops. */
+    private static List<String> seconds(int seed) {
+        List<String> seconds = new ArrayList<>();
+        for (String framing : List.of("length", "chunks", "nothing")) {
+            String second = second(framing, new Random(31L * seed + framing.hashCode()));
+            seconds.add(second);
+            seconds.add(second(framing, new Random(seed)) + second);
+        }
+        return seconds;
+    }
+
+    private static String second(String framing, Random random) {
+        String body = random.nextBoolean() ? "oops" : "It failed.\r\nTry again.\r\n".repeat(3);
+        List<String> fields = new ArrayList<>();
+        fields.add("Request-Id: " + (random.nextBoolean() ? "r" : "before"));
+        fields.add("Upstream-Signature: second");
+        fields.add("Keep-Alive: timeout=30");
+        fields.add("Date: Sat, 05 Dec 2026 19:00:00 GMT");
+        String rest = body;
+        if (framing.equals("length")) {
+            fields.add(LENGTH.formatted(body.length()).trim());
+        } else if (framing.equals("chunks")) {
+            fields.add(CHUNKED.trim());
+            rest = chunks("", body) + "\r\n";
+        }
+        Collections.shuffle(fields, random);
+        String status = random.nextBoolean() ? STATUS : "HTTP/1.1 500 Status\r\n";
+        return status + String.join("\r\n", fields) + "\r\n\r\n" + rest;
+    }
+
+    /** Returns the ways in which a server may write the begin of one answer and another one. */
+    private static List<List<String>> writes(String begin, String second, int seed) {
+        List<List<String>> writes = new ArrayList<>();
+        writes.add(List.of(begin + second));
+        writes.add(List.of(begin, second));
+        int few = 1 + seed % 24;
+        int many = 1 + seed * 7 % (second.length() - 1);
+        for (int split : List.of(few, many)) {
+            writes.add(List.of(begin, second.substring(0, split), second.substring(split)));
+        }
+        if (second.length() > MAX_SINGLE_BYTES) {
+            return writes;
+        }
+        List<String> byBytes = new ArrayList<>(List.of(begin));
+        second.chars().forEach(letter -> byBytes.add(String.valueOf((char) letter)));
+        writes.add(byBytes);
+        return writes;
+    }
+
+    /** Guards against an answer that is taken for whole though a second one has gone on with it. */
+    @ParameterizedTest
+    @MethodSource("firsts")
+    void aSecondAnswerIsNoPartOfTheFirst(First first) {
+        List<String> wrong = new ArrayList<>();
+        int plays = 0;
+        for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
+            String begin = first.bytes().substring(0, cut);
+            for (String second : seconds(cut)) {
+                for (List<String> writes : writes(begin, second, cut)) {
+                    plays++;
+                    Heard heard = PlayedConnection.play(first.method(), writes);
+                    if (!heard.isTrueTo(first.body())) {
+                        wrong.add(tell(cut - begin.length(), begin, second, writes, heard));
+                    }
+                }
+            }
+        }
+        String shown = String.join("\n", wrong.subList(0, Math.min(5, wrong.size())));
+        assertWithMessage(wrong.size() + " of " + plays + " plays:\n" + shown + "\n")
+                .that(wrong)
+                .isEmpty();
+    }
+
+    private static String tell(
+            int at, String begin, String second, List<String> writes, Heard heard) {
+        String tail = begin.substring(Math.max(0, begin.length() - 30));
+        String body = heard.body();
+        return String.format(
+                        "%s|%s [%d writes, at %d] -> ...%s",
+                        tail,
+                        second,
+                        writes.size(),
+                        at,
+                        body.substring(Math.max(0, body.length() - 200)))
+                .replace("\r", "\\r")
+                .replace("\n", "\\n");
+    }
+
+    static Stream<First> soundAnswers() {
+        String quoted = "We got HTTP/1.1 500 Status\r\nRequest-Id: x\r\n\r\noops, then\r\n\r\n";
+        String log = "HTTP/1.1 200 OK\nDate: today\n\n" + quoted + "H HT HTTP/1.1 done.";
+        String event = "id: 1\ndata: " + "HTTP/1.1 500 Status\ndata: A: b\n\nid: 2\ndata: H\n\n";
+        return Stream.concat(
+                firsts().stream(),
+                Stream.of(
+                        withLength("a log, length", "", log),
+                        First.of("a log, chunks", CHUNKED, chunks("", log) + "\r\n", log),
+                        withLength("shown, length", STREAM, event),
+                        First.of("shown, no length", STREAM, event, event),
+                        First.of("shown", STREAM + CHUNKED, chunks("", event) + "\r\n", event),
+                        First.of("204", "", "", ""),
+                        withLength("HEAD", "", "")));
+    }
+
+    /** Guards against a sound answer that is refused or waits, in many small pieces or few. */
+    @ParameterizedTest
+    @MethodSource("soundAnswers")
+    void aSoundAnswerCostsNothing(First first) {
+        for (int size = 1; size <= first.bytes().length(); size += 1 + size / 4) {
+            List<String> writes = new ArrayList<>();
+            for (int start = 0; start < first.bytes().length(); start += size) {
+                int end = Math.min(first.bytes().length(), start + size);
+                writes.add(first.bytes().substring(start, end));
+            }
+            Heard heard = PlayedConnection.play(first.method(), writes);
+            String text = first + " in pieces of " + size;
+            assertWithMessage(text + heard.failures()).that(heard.isSuccess()).isTrue();
+            assertWithMessage(text).that(heard.body()).isEqualTo(first.body());
+            assertWithMessage(text).that(heard.hasWaited()).isFalse();
+        }
+    }
+
+    /** Guards against a late answer that is taken for that to a HEAD, or the other way round. */
+    @ParameterizedTest
+    @MethodSource("firsts")
+    void aLateAnswerIsNotThatToAnotherMethod(First first) {
+        String late = "HTTP/1.1 200 OK\r\nRequest-Id: before\r\n";
+        for (int length = 0; length < 2 * first.bytes().length(); length++) {
+            String head = late + LENGTH.formatted(length) + "\r\n";
+            List<String> afterHead = List.of(head, first.bytes() + second("length", new Random(1)));
+            Heard toGet = PlayedConnection.playAfter(HttpMethod.HEAD, HttpMethod.GET, afterHead);
+            assertWithMessage("GET, late length " + length)
+                    .that(toGet.isTrueTo(first.body()))
+                    .isTrue();
+            List<String> afterBody = List.of(head, "x".repeat(length), first.head());
+            Heard toHead = PlayedConnection.playAfter(HttpMethod.GET, HttpMethod.HEAD, afterBody);
+            assertWithMessage("HEAD, late length " + length).that(toHead.isTrueTo("")).isTrue();
+        }
+    }
+
+    /** Guards against a chunk whose size is cut behind its digits and hides a status line. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\r", " ", "  ", ";", ";a=", ";a=b\r"})
+    void theLineOfASizeHidesNoSecondAnswer(String stopped) {
+        for (int seed = 0; seed < 12; seed++) {
+            String second = second("chunks", new Random(seed));
+            for (int size = 1; size < second.length(); size++) {
+                String begin = headWith(CHUNKED) + Integer.toHexString(size) + stopped;
+                Heard heard = PlayedConnection.play(HttpMethod.GET, List.of(begin, second));
+                assertWithMessage(size + stopped + second).that(heard.isSuccess()).isFalse();
+            }
+        }
+    }
+
+    static List<String> answersWithoutBody() {
+        return List.of("HTTP/1.1 204 No Content\r\n", "HTTP/1.1 304 Not Modified\r\n");
+    }
+
+    /** Guards against an answer without a body that gets that of a second one. */
+    @ParameterizedTest
+    @MethodSource("answersWithoutBody")
+    void anAnswerWithoutABodyHasNone(String status) {
+        for (String framing : List.of("", LENGTH.formatted(4), CHUNKED)) {
+            String head = headWith(framing).replace(STATUS, status);
+            for (int seed = 0; seed < 30; seed++) {
+                for (String second : seconds(seed)) {
+                    for (List<String> writes : writes(head, second, seed)) {
+                        Heard heard = PlayedConnection.play(HttpMethod.GET, writes);
+                        assertThat(heard.isTrueTo("")).isTrue();
+                        assertThat(heard.isSuccess()).isTrue();
+                    }
+                }
+            }
+        }
+    }
+}
