--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -36,6 +36,22 @@
         return heads.whole() && isOutOfStep(behind) ? FILLED : OWN;
     }
 
+    /**
+     * Judges a stream that ends like an interim answer, which another head would follow.
+     *
+     * @param framing how the stream marks its end, not null
+     * @param behind the bytes that came behind the stream, not null
+     */
+    static AnswerEnd ofInterim(AnswerFraming framing, byte[] behind) {
+        if (framing == AnswerFraming.CLOSE) {
+            return FILLED;
+        }
+        if (behind.length == 0) {
+            return UNCLEAR;
+        }
+        return EmbeddedHead.mayBegin(behind) ? FILLED : OWN;
+    }
+
     /** Judges an answer behind which nothing can come; a second one may be cut anywhere. */
     private static AnswerEnd ofClosed(BodyBuffer body, EmbeddedHead.Finding heads) {
         return heads.whole() || ofLast(body, heads) == UNCLEAR ? FILLED : OWN;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.serving;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -43,6 +44,11 @@
         boolean isOpen() {
             return openAt != NOWHERE;
         }
+
+        /** Returns whether the bytes in which this was found end with an interim answer. */
+        boolean endsWithInterim(byte[] bytes) {
+            return isOpen() && isInterim(Arrays.copyOfRange(bytes, openAt, bytes.length));
+        }
     }
 
     /** What bytes are that begin like a head. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -23,7 +23,6 @@
 
     private static final String ID_FIELD = "id:";
 
-    private PieceStarts pieces = new PieceStarts();
     private byte[] pending = new byte[INITIAL_BYTES];
     private int length;
     private int scanned;
@@ -34,9 +33,8 @@
      *
      * @param bytes the bytes of the event, including the empty line at its end
      * @param id the numeric event ID; empty if there is none or it is no number
-     * @param endsWithInterim whether it ends with the head of an interim answer that came by itself
      */
-    record Event(byte[] bytes, OptionalLong id, boolean endsWithInterim) {
+    record Event(byte[] bytes, OptionalLong id) {
 
         /**
          * Returns whether this event comes no later than another one; false if an ID is missing.
@@ -72,7 +70,6 @@
         if (isTooLong()) {
             return List.of();
         }
-        pieces.add(length, bytes);
         append(bytes);
         List<Event> events = new ArrayList<>();
         int start = 0;
@@ -81,7 +78,8 @@
                 continue;
             }
             if (isEmptyLine(lineStart, i)) {
-                events.add(event(start, i + 1));
+                byte[] event = Arrays.copyOfRange(pending, start, i + 1);
+                events.add(new Event(event, idOf(event)));
                 start = i + 1;
             }
             lineStart = i + 1;
@@ -120,21 +118,6 @@
         return end == start || onlyCarriageReturn;
     }
 
-    private Event event(int start, int end) {
-        byte[] bytes = Arrays.copyOfRange(pending, start, end);
-        return new Event(bytes, idOf(bytes), endsWithInterim(bytes, start));
-    }
-
-    private boolean endsWithInterim(byte[] event, int start) {
-        for (int i = 0; i < event.length && !pieces.isEmpty(); i++) {
-            if (pieces.contains(start + i)
-                    && EmbeddedHead.isInterim(Arrays.copyOfRange(event, i, event.length))) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private static OptionalLong idOf(byte[] bytes) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
         for (String line : text.lines().toList()) {
@@ -156,7 +139,6 @@
         }
         System.arraycopy(pending, count, pending, 0, length - count);
         length -= count;
-        pieces = pieces.movedBy(count);
         lineStart -= count;
         if (length == 0 && pending.length > KEPT_BYTES) {
             pending = new byte[INITIAL_BYTES];
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -330,6 +330,7 @@
                 failSend(SendOutcome.UNKNOWN, "stream ended with an incomplete event");
                 return;
             }
+            forwardEvents(answer.takeHeldEvents());
             finish("answered");
             reply.finishStream();
             return;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
@@ -32,19 +32,4 @@
     boolean contains(int offset) {
         return offsets.contains(offset);
     }
-
-    /** Returns the starts in bytes of which the first ones were taken away. */
-    PieceStarts movedBy(int count) {
-        PieceStarts moved = new PieceStarts();
-        for (int offset : offsets) {
-            if (offset >= count) {
-                moved.offsets.addLast(offset - count);
-            }
-        }
-        return moved;
-    }
-
-    boolean isEmpty() {
-        return offsets.isEmpty();
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -19,6 +19,7 @@
     private static final int EVENTS_IF_IT_GOES_ON = 2;
 
     private EventSplitter splitter = new EventSplitter();
+    private List<EventSplitter.Event> heldEvents = List.of();
     private final Predicate<String> isKnownId;
     private BodyBuffer body = new BodyBuffer();
     private Optional<String> flaw = Optional.empty();
@@ -96,25 +97,35 @@
 
     /** Returns what its end tells about a whole answer. */
     AnswerEnd end(byte[] behind) {
-        if (kind != WireDialect.ReplyKind.ANSWER || isForwardedStream()) {
+        if (kind != WireDialect.ReplyKind.ANSWER) {
             return AnswerEnd.OWN;
         }
+        if (isForwardedStream()) {
+            return heldEvents.isEmpty() ? AnswerEnd.OWN : AnswerEnd.ofInterim(framing, behind);
+        }
         EmbeddedHead.Finding heads = EmbeddedHead.find(body.toByteArray(), isKnownId);
         return AnswerEnd.of(framing, body, heads, behind);
     }
 
     /**
      * Appends bytes of a stream and returns the events that they complete, up to the first bytes
-     * that are no event.
+     * that are no event. An event that ends with the head of an interim answer is held until the
+     * next one shows whether it is a quotation: a second answer would go on with another head.
      */
     List<EventSplitter.Event> addEvents(byte[] bytes, WireDialect dialect) {
         List<EventSplitter.Event> events = new ArrayList<>();
         for (EventSplitter.Event event : splitter.add(bytes)) {
-            if (!mayContain(event, dialect)) {
+            EmbeddedHead.Finding heads = EmbeddedHead.find(event.bytes(), isKnownId);
+            if (!mayContain(event, heads, dialect)) {
                 flaw = Optional.of("bytes that are no event");
                 return events;
             }
-            events.add(event);
+            events.addAll(takeHeldEvents());
+            if (heads.endsWithInterim(event.bytes())) {
+                heldEvents = List.of(event);
+            } else {
+                events.add(event);
+            }
         }
         if (splitter.isTooLong()) {
             flaw = Optional.of("event is too long");
@@ -122,17 +133,21 @@
         return events;
     }
 
+    /** Returns the event that was held, if any; it is held no longer. */
+    List<EventSplitter.Event> takeHeldEvents() {
+        List<EventSplitter.Event> taken = heldEvents;
+        heldEvents = List.of();
+        return taken;
+    }
+
     /**
      * Returns whether an event can be a part of this stream. A second answer looks like a part of
      * it if the server has stopped within its stream, or if only the end of the connection ends the
      * stream. Text that names a status is no head while each line is a field of an event.
      */
-    private boolean mayContain(EventSplitter.Event event, WireDialect dialect) {
-        if (event.endsWithInterim()) {
-            return false;
-        }
-        EmbeddedHead.Finding heads = EmbeddedHead.find(event.bytes(), isKnownId);
-        boolean holdsHead = heads.whole() || heads.named();
+    private static boolean mayContain(
+            EventSplitter.Event event, EmbeddedHead.Finding heads, WireDialect dialect) {
+        boolean holdsHead = heads.whole() || heads.named() || heads.isOpen();
         return !holdsHead || event.hasOnlyFields(dialect::isEventField);
     }
 
@@ -185,6 +200,7 @@
     void discardBody() {
         body = new BodyBuffer();
         splitter = new EventSplitter();
+        heldEvents = List.of();
     }
 
     /** Records that it is being checked whether the server still runs. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
@@ -72,6 +72,7 @@
         public void onEnd(byte[] behind) {
             boolean whole = answer.kindAtEnd(behind) == WireDialect.ReplyKind.ANSWER;
             if (whole && answer.flaw().isEmpty() && !answer.hasPartialEvent()) {
+                forward(answer.takeHeldEvents());
                 successes++;
             } else {
                 failures.add("not whole");
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
@@ -21,6 +21,7 @@
     private static final String LENGTH = "Content-Length: %d\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
     private static final String STREAM = "Content-Type: text/event-stream\r\n";
+    private static final String INTERIM = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final int MAX_SINGLE_BYTES = 260;
     private static final String TEXT =
             "The letter that was asked for has many lines, and this is one of them.\n".repeat(6);
@@ -98,6 +99,7 @@
         for (String framing : List.of("length", "chunks", "nothing")) {
             String second = second(framing, new Random(31L * seed + framing.hashCode()));
             seconds.add(second);
+            seconds.add(INTERIM + second);
             seconds.add(second(framing, new Random(seed)) + second);
         }
         return seconds;
@@ -184,6 +186,7 @@
         String quoted = "We got HTTP/1.1 500 Status\r\nRequest-Id: x\r\n\r\noops, then\r\n\r\n";
         String log = "HTTP/1.1 200 OK\nDate: today\n\n" + quoted + "H HT HTTP/1.1 done.";
         String event = "id: 1\ndata: " + "HTTP/1.1 500 Status\ndata: A: b\n\nid: 2\ndata: H\n\n";
+        String interim = "id: 1\r\ndata: " + INTERIM + "id: 2\r\ndata: H\r\n\r\n";
         return Stream.concat(
                 firsts().stream(),
                 Stream.of(
@@ -192,6 +195,8 @@
                         withLength("shown, length", STREAM, event),
                         First.of("shown, no length", STREAM, event, event),
                         First.of("shown", STREAM + CHUNKED, chunks("", event) + "\r\n", event),
+                        withLength("interim, length", STREAM, interim),
+                        First.of("interim, no length", STREAM, interim, interim),
                         First.of("204", "", "", ""),
                         withLength("HEAD", "", "")));
     }
