--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.serving;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -50,6 +51,11 @@
         boolean isOpen() {
             return openAt != NOWHERE;
         }
+
+        /** Returns whether the bytes in which this was found end with an interim answer. */
+        boolean endsWithInterim(byte[] bytes) {
+            return isOpen() && isInterim(Arrays.copyOfRange(bytes, openAt, bytes.length));
+        }
     }
 
     /** What bytes are that begin like a head. */
@@ -109,11 +115,6 @@
         return line.contains(VERSION);
     }
 
-    /** Returns where the last version of an answer stands; -1 if there is none. */
-    static int lastVersionAt(byte[] bytes) {
-        return new String(bytes, StandardCharsets.ISO_8859_1).lastIndexOf(VERSION);
-    }
-
     /** Returns whether bytes begin as an answer does, as far as they go. */
     static boolean mayBegin(byte[] bytes) {
         int count = Math.min(bytes.length, VERSION.length());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -19,6 +19,7 @@
     private static final int EVENTS_IF_IT_GOES_ON = 2;
 
     private EventSplitter splitter = new EventSplitter();
+    private List<EventSplitter.Event> heldEvents = List.of();
     private final Predicate<String> isKnownId;
     private BodyBuffer body = new BodyBuffer();
     private Optional<String> flaw = Optional.empty();
@@ -111,9 +112,12 @@
 
     /** Returns what its end tells about a whole answer. */
     AnswerEnd end(byte[] behind) {
-        if (kind != WireDialect.ReplyKind.ANSWER || isForwardedStream()) {
+        if (kind != WireDialect.ReplyKind.ANSWER) {
             return AnswerEnd.OWN;
         }
+        if (isForwardedStream()) {
+            return heldEvents.isEmpty() ? AnswerEnd.OWN : AnswerEnd.ofInterim(framing, behind);
+        }
         if (heads.isEmpty()) {
             heads = Optional.of(EmbeddedHead.find(body.toByteArray(), isKnownId));
         }
@@ -122,16 +126,23 @@
 
     /**
      * Appends bytes of a stream and returns the events that they complete, up to the first bytes
-     * that are no event.
+     * that are no event. An event that ends with the head of an interim answer is held until the
+     * next one shows whether it is a quotation: a second answer would go on with another head.
      */
     List<EventSplitter.Event> addEvents(byte[] bytes, WireDialect dialect) {
         List<EventSplitter.Event> events = new ArrayList<>();
         for (EventSplitter.Event event : splitter.add(bytes)) {
-            if (!mayContain(event, dialect)) {
+            EmbeddedHead.Finding found = EmbeddedHead.find(event.bytes(), isKnownId);
+            if (!mayContain(event, found, dialect)) {
                 flaw = Optional.of("bytes that are no event");
                 return events;
             }
-            events.add(event);
+            events.addAll(takeHeldEvents());
+            if (found.endsWithInterim(event.bytes())) {
+                heldEvents = List.of(event);
+            } else {
+                events.add(event);
+            }
         }
         if (splitter.isTooLong()) {
             flaw = Optional.of("event is too long");
@@ -139,17 +150,21 @@
         return events;
     }
 
+    /** Returns the event that was held, if any; it is held no longer. */
+    List<EventSplitter.Event> takeHeldEvents() {
+        List<EventSplitter.Event> taken = heldEvents;
+        heldEvents = List.of();
+        return taken;
+    }
+
     /**
      * Returns whether an event can be a part of this stream. A second answer looks like a part of
      * it if the server has stopped within its stream, or if only the end of the connection ends the
      * stream. Text that names a status is no head while each line is a field of an event.
      */
-    private boolean mayContain(EventSplitter.Event event, WireDialect dialect) {
-        if (event.endsWithInterim()) {
-            return false;
-        }
-        EmbeddedHead.Finding heads = EmbeddedHead.find(event.bytes(), isKnownId);
-        boolean holdsHead = heads.whole() || heads.named();
+    private static boolean mayContain(
+            EventSplitter.Event event, EmbeddedHead.Finding found, WireDialect dialect) {
+        boolean holdsHead = found.whole() || found.named() || found.isOpen();
         return !holdsHead || event.hasOnlyFieldsFromHead(dialect::isEventField);
     }
 
@@ -204,6 +219,7 @@
         body = new BodyBuffer();
         heads = Optional.empty();
         splitter = new EventSplitter();
+        heldEvents = List.of();
     }
 
     /** Records that it is being checked whether the server still runs. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -81,14 +81,17 @@
     void anInterimAnswerMayComeInOnePieceWithAnEvent() {
         String interim = "HTTP/1.1 100 Continue\r\n\r\n";
         assertThat(add("id: 1\ndata: a\n\nid: 2\ndata: b" + interim)).hasSize(1);
+        assertThat(answer.end(new byte[0])).isEqualTo(AnswerEnd.FILLED);
+        assertThat(add("HTTP/1.1 500 Status\r\nRequest-Id: a\r\n\r\n")).isEmpty();
         assertThat(answer.flaw().isPresent()).isTrue();
     }
 
     /** Guards against a sound stream that is cut because its text shows an interim answer. */
     @Test
     void forwardsTextThatShowsAnInterimAnswer() {
-        assertThat(add("id: 1\ndata: HTTP/1.1 100 Continue\n\n")).hasSize(1);
-        assertThat(add("id: 2\r\ndata: HTTP/1.1 100 Continue\r\n\r\n")).hasSize(1);
+        String first = "id: 1\ndata: HTTP/1.1 100 Continue\n\n";
+        String second = "id: 2\r\ndata: HTTP/1.1 100 Continue\r\n\r\n";
+        assertThat(add(first + second + "id: 3\ndata: c\n\n")).hasSize(3);
         assertThat(answer.flaw().isPresent()).isFalse();
     }
 
