--- a/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
@@ -170,6 +170,11 @@
         return echoed == null || echoed.equals(requestId);
     }
 
+    @Override
+    public boolean namesRequest(HttpHeaders headers) {
+        return headers.contains(REQUEST_ID);
+    }
+
     @Override
     public boolean isEventField(String name) {
         return EVENT_FIELDS.contains(name);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -201,6 +201,11 @@
             onInterimAnswer();
             return;
         }
+        if (mayBeLate(head.headers())) {
+            fail(SendOutcome.UNKNOWN, "the answer names no request and may be a late one");
+            close();
+            return;
+        }
         keepAlive = HttpUtil.isKeepAlive(head);
         endsWithConnection = AnswerFraming.of(head.headers()) == AnswerFraming.CLOSE;
         maxIdleNanos = maxIdleNanosOf(head.headers());
@@ -211,6 +216,15 @@
         }
     }
 
+    /**
+     * Returns whether an answer may belong to an earlier request as well as to the pending one. A
+     * refusal that is late says nothing of whether the pending request runs.
+     */
+    private boolean mayBeLate(HttpHeaders headers) {
+        boolean first = carriedIds.size() == 1;
+        return !first && !requestId.isEmpty() && !dialect.namesRequest(headers);
+    }
+
     private void onInterimAnswer() {
         ignoringResponse = true;
         interimAnswers++;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/WireDialect.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/WireDialect.java
@@ -80,6 +80,14 @@
      */
     boolean belongsTo(HttpHeaders headers, String requestId);
 
+    /**
+     * Returns whether an answer names the request that it belongs to.
+     *
+     * @param headers the headers of the answer, not null
+     * @return false if only its place on the connection tells the request
+     */
+    boolean namesRequest(HttpHeaders headers);
+
     /**
      * Returns whether the lines of an event may begin with a name.
      *
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/TestDialect.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/TestDialect.java
@@ -43,6 +43,11 @@
         return headers.get("Request-Id", requestId).equals(requestId);
     }
 
+    @Override
+    public boolean namesRequest(HttpHeaders headers) {
+        return headers.contains("Request-Id");
+    }
+
     @Override
     public boolean isEventField(String name) {
         return name.equals("id") || name.equals("data");
