--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
@@ -17,6 +17,8 @@
 final class StoreClient {
 
     private static final String OBJECTS_PATH = "/api/objects/";
+    private static final String ITEMS = "Items";
+    private static final String REVISION = "CurrentRev";
     private static final byte[] NO_BODY = new byte[0];
     private static final int STATUS_OK = 200;
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
@@ -58,7 +60,19 @@
      */
     CompletableFuture<JsonNode> list(String kind, String afterName, long timeoutMs) {
         String query = afterName.isEmpty() ? "" : "?SinceRev=" + encode(afterName);
-        return call("GET", OBJECTS_PATH + kind + query, NO_BODY, timeoutMs);
+        return call("GET", OBJECTS_PATH + kind + query, NO_BODY, timeoutMs)
+                .thenApply(StoreClient::requirePage);
+    }
+
+    /**
+     * Returns a page of a list. An answer that is cut behind its head, or that belongs to another
+     * call, is no empty list.
+     */
+    private static JsonNode requirePage(JsonNode answer) {
+        if (!answer.has(ITEMS) || !answer.has(REVISION)) {
+            throw new IllegalStateException("the answer to a list is no page");
+        }
+        return answer;
     }
 
     /**
@@ -72,7 +86,16 @@
      */
     CompletableFuture<JsonNode> watch(String kind, long revision, long waitMs, long timeoutMs) {
         String query = "?Watch=" + revision + "&WaitMs=" + waitMs;
-        return call("GET", OBJECTS_PATH + kind + query, NO_BODY, timeoutMs);
+        return call("GET", OBJECTS_PATH + kind + query, NO_BODY, timeoutMs)
+                .thenApply(StoreClient::requireChanges);
+    }
+
+    /** Returns the answer to a watch. The revision of a list must not skip changes. */
+    private static JsonNode requireChanges(JsonNode answer) {
+        if (!answer.has(REVISION) || answer.has(ITEMS)) {
+            throw new IllegalStateException("the answer to a watch names no changes");
+        }
+        return answer;
     }
 
     /** Reads one object; fails with {@link StoreException} and status 404 if there is none. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
@@ -24,7 +24,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 
 /** Sends HTTP/1.1 requests over pooled connections. */
 public final class HttpClient implements AutoCloseable {
@@ -56,7 +56,9 @@
         this(
                 loops,
                 maxCollectedBytes,
-                bootstrap -> new SimpleChannelPool(bootstrap, new PoolHandler()));
+                (bootstrap, trouble) ->
+                        new SimpleChannelPool(
+                                bootstrap, new PoolHandler(trouble), isUsable(trouble)));
     }
 
     /**
@@ -71,11 +73,11 @@
         return new HttpClient(
                 loops,
                 Runtime.getRuntime().maxMemory() / COLLECTED_PER_HEAP,
-                bootstrap ->
+                (bootstrap, trouble) ->
                         new FixedChannelPool(
                                 bootstrap,
-                                new PoolHandler(),
-                                ChannelHealthChecker.ACTIVE,
+                                new PoolHandler(trouble),
+                                isUsable(trouble),
                                 FixedChannelPool.AcquireTimeoutAction.FAIL,
                                 ACQUIRE_TIMEOUT_MS,
                                 maxConnectionsPerServer,
@@ -83,7 +85,9 @@
     }
 
     private HttpClient(
-            NettyLoops loops, long maxCollectedBytes, Function<Bootstrap, ChannelPool> newPool) {
+            NettyLoops loops,
+            long maxCollectedBytes,
+            BiFunction<Bootstrap, ServerTrouble, ChannelPool> newPool) {
         collected = new CollectedBytes(maxCollectedBytes);
         Bootstrap bootstrap =
                 new Bootstrap()
@@ -96,11 +100,20 @@
                     @Override
                     protected ChannelPool newPool(HttpAddress address) {
                         return newPool.apply(
-                                bootstrap.clone().remoteAddress(address.host(), address.port()));
+                                bootstrap.clone().remoteAddress(address.host(), address.port()),
+                                new ServerTrouble());
                     }
                 };
     }
 
+    /** Uses an idle connection again unless its server has lately been out of step. */
+    private static ChannelHealthChecker isUsable(ServerTrouble trouble) {
+        return channel -> {
+            boolean usable = channel.isActive() && !trouble.isRecent(System.nanoTime());
+            return channel.eventLoop().newSucceededFuture(usable);
+        };
+    }
+
     /** Receives a streamed answer. All calls come from one event loop. */
     public interface Listener {
 
@@ -235,10 +248,16 @@
     }
 
     private static final class PoolHandler extends AbstractChannelPoolHandler {
+        private final ServerTrouble trouble;
+
+        PoolHandler(ServerTrouble trouble) {
+            this.trouble = trouble;
+        }
+
         @Override
         public void channelCreated(Channel channel) {
             HttpAnswerCodec codec = new HttpAnswerCodec(new HttpDecoderConfig());
-            channel.pipeline().addLast(codec, new HttpClientHandler(codec));
+            channel.pipeline().addLast(codec, new HttpClientHandler(codec, trouble));
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
@@ -5,6 +5,8 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
@@ -13,24 +15,34 @@
 /** Passes the answers that arrive on one connection to the call in progress. */
 final class HttpClientHandler extends SimpleChannelInboundHandler<HttpObject> {
 
+    /** The number of interim answers (100 Continue and the like) before a final one. */
+    private static final int MAX_INTERIM_ANSWERS = 16;
+
     private final HttpAnswerCodec codec;
+    private final ServerTrouble trouble;
     private HttpClientCall current;
     private boolean keepAlive;
     private boolean ended;
+    private boolean interim;
+    private int interimAnswers;
 
     /**
      * Creates the handler of one connection.
      *
      * @param codec decodes the answers of the connection, not null
+     * @param trouble hears of bytes that belong to no call, not null
      */
-    HttpClientHandler(HttpAnswerCodec codec) {
+    HttpClientHandler(HttpAnswerCodec codec, ServerTrouble trouble) {
         this.codec = codec;
+        this.trouble = trouble;
     }
 
     void begin(HttpClientCall call) {
         current = call;
         keepAlive = true;
         ended = false;
+        interim = false;
+        interimAnswers = 0;
     }
 
     @Override
@@ -48,15 +60,34 @@
                 fail(context, new IOException("the head holds the status line of a second answer"));
                 return;
             }
+            readHead(context, response);
+        }
+        if (message instanceof HttpContent content && current != null) {
+            readContent(content);
+        }
+    }
+
+    private void readHead(ChannelHandlerContext context, HttpResponse response) {
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail(context, new IOException("the server speaks another protocol"));
+            return;
+        }
+        interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (!interim) {
             keepAlive = HttpUtil.isKeepAlive(response);
             current.onHead(response.status().code(), response.headers());
+            return;
         }
-        if (message instanceof HttpContent content) {
-            readContent(content);
+        interimAnswers++;
+        if (interimAnswers > MAX_INTERIM_ANSWERS) {
+            fail(context, new IOException("more interim answers than " + MAX_INTERIM_ANSWERS));
         }
     }
 
     private void readContent(HttpContent content) {
+        if (interim) {
+            return;
+        }
         if (content.content().isReadable()) {
             byte[] piece = new byte[content.content().readableBytes()];
             content.content().readBytes(piece);
@@ -76,6 +107,7 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         boolean followed = codec.bytesBehind().length > 0;
         if (followed) {
+            trouble.record(System.nanoTime());
             fail(context, new IOException("bytes follow the answer"));
         } else if (ended && current != null) {
             finish();
@@ -86,7 +118,7 @@
     private void finish() {
         HttpClientCall finished = current;
         current = null;
-        finished.onEnd(keepAlive);
+        finished.onEnd(keepAlive && !trouble.isRecent(System.nanoTime()));
     }
 
     private void fail(ChannelHandlerContext context, Throwable cause) {
