--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -272,9 +272,7 @@
 
     @Override
     public void onEnd(byte[] behind) {
-        if (behind.length > 0) {
-            gateway.log().followed(this, server, behind);
-        }
+        gateway.log().ended(this, server, behind);
         endAnswer(behind);
     }
 
@@ -285,25 +283,14 @@
 
     private void endAnswer(byte[] behind) {
         endReading();
-        if (answer.isFilled(behind)) {
-            gateway.log().filled(this, server);
-        }
-        switch (answer.kindAtEnd(behind)) {
-            case NOT_RUN ->
-                    failSend(
-                            SendOutcome.NOT_RUN,
-                            "server refused the request with status " + reply.status());
-            case OTHER_SERVER ->
-                    failSend(SendOutcome.OTHER_SERVER, "address belongs to another server");
-            case UNPROVEN -> failSend(SendOutcome.UNKNOWN, "answer could not be verified");
-            case ANSWER -> onCompleteAnswer();
-        }
+        answer.failureAtEnd(behind, reply.status())
+                .ifPresentOrElse(f -> failSend(f.outcome(), f.cause()), this::onCompleteAnswer);
     }
 
     @Override
     public void onEndByClose() {
         if (answer.kindAtEnd(NOTHING) != WireDialect.ReplyKind.ANSWER) {
-            endAnswer(NOTHING);
+            onEnd(NOTHING);
             return;
         }
         endReading();
@@ -326,10 +313,6 @@
 
     private void onCompleteAnswer() {
         if (answer.isForwardedStream()) {
-            if (answer.hasPartialEvent()) {
-                failSend(SendOutcome.UNKNOWN, "stream ended with an incomplete event");
-                return;
-            }
             forwardEvents(answer.takeHeldEvents());
             finish("answered");
             reply.finishStream();
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -143,8 +143,18 @@
                         .with("events_of_send", request.answer().events()));
     }
 
+    /** Logs the end of an answer if it shows bytes of another one. */
+    void ended(ForwardedRequest request, ServerInstance server, byte[] behind) {
+        if (behind.length > 0) {
+            followed(request, server, behind);
+        }
+        if (request.answer().isFilled(behind)) {
+            filled(request, server);
+        }
+    }
+
     /** Logs the bytes that came behind an answer, of which a line is shown. */
-    void followed(ForwardedRequest request, ServerInstance server, byte[] behind) {
+    private void followed(ForwardedRequest request, ServerInstance server, byte[] behind) {
         int shown = Math.min(behind.length, MAX_SHOWN_BYTES);
         MetricNames.count(
                 metrics, "answers_followed_total", "framing", request.answer().framing().name());
@@ -162,7 +172,7 @@
     }
 
     /** Logs an answer that holds bytes of a second answer of its server. */
-    void filled(ForwardedRequest request, ServerInstance server) {
+    private void filled(ForwardedRequest request, ServerInstance server) {
         MetricNames.count(
                 metrics, "answers_filled_total", "framing", request.answer().framing().name());
         LOG.info(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.pollenpath.coordination.serving.SendOutcome;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -98,6 +99,32 @@
         return isFilled(behind) ? WireDialect.ReplyKind.UNPROVEN : kind;
     }
 
+    /**
+     * Returns why an answer that has ended can't be passed on; empty if it can.
+     *
+     * @param behind the bytes that came behind the answer, not null
+     * @param status its status
+     */
+    Optional<SendFailure> failureAtEnd(byte[] behind, int status) {
+        return switch (kindAtEnd(behind)) {
+            case NOT_RUN ->
+                    failure(
+                            SendOutcome.NOT_RUN,
+                            "server refused the request with status " + status);
+            case OTHER_SERVER ->
+                    failure(SendOutcome.OTHER_SERVER, "address belongs to another server");
+            case UNPROVEN -> failure(SendOutcome.UNKNOWN, "answer could not be verified");
+            case ANSWER ->
+                    isForwardedStream() && splitter.hasPartialEvent()
+                            ? failure(SendOutcome.UNKNOWN, "stream ended with an incomplete event")
+                            : Optional.empty();
+        };
+    }
+
+    private static Optional<SendFailure> failure(SendOutcome outcome, String cause) {
+        return Optional.of(new SendFailure(outcome, cause));
+    }
+
     /**
      * Returns whether a whole answer holds bytes of a second one, once no more of them are awaited.
      * An end that looks like a head and goes on behind it counts, whether a status came or not.
@@ -173,11 +200,6 @@
         return flaw;
     }
 
-    /** Returns whether the answer ends within an event so far. */
-    boolean hasPartialEvent() {
-        return splitter.hasPartialEvent();
-    }
-
     /** Counts an event; returns whether the answer goes on after its first one since then. */
     boolean countEvent() {
         events++;
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
@@ -20,6 +20,7 @@
     /** The proof of the answer that the request ought to get. */
     static final String PROOF = "first";
 
+    private static final int STATUS_OK = 200;
     private static final String REQUEST = "r";
     private static final String EARLIER_REQUEST = "before";
     private static final String EARLIER_ANSWER =
@@ -45,7 +46,7 @@
         @Override
         public void onHead(int status, HttpHeaders headers) {
             proof = headers.get("Upstream-Signature", "");
-            answer.onHead(DIALECT.classify(status, headers), headers, status == 200);
+            answer.onHead(DIALECT.classify(status, headers), headers, status == STATUS_OK);
         }
 
         @Override
@@ -62,16 +63,16 @@
         }
 
         @Override
-        public boolean isEndClear(byte[] behind) {
-            boolean clear = answer.end(behind) != AnswerEnd.UNCLEAR;
-            waited |= !clear;
-            return clear;
+        public AnswerEnd judgeEnd(byte[] behind) {
+            AnswerEnd end = answer.end(behind);
+            waited |= end == AnswerEnd.UNCLEAR;
+            return end;
         }
 
         @Override
         public void onEnd(byte[] behind) {
-            boolean whole = answer.kindAtEnd(behind) == WireDialect.ReplyKind.ANSWER;
-            if (whole && answer.flaw().isEmpty() && !answer.hasPartialEvent()) {
+            boolean whole = answer.failureAtEnd(behind, STATUS_OK).isEmpty();
+            if (whole && answer.flaw().isEmpty()) {
                 forward(answer.takeHeldEvents());
                 successes++;
             } else {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/UnnamedAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/UnnamedAnswerTest.java
@@ -51,8 +51,8 @@
         public void onData(byte[] bytes) {}
 
         @Override
-        public boolean isEndClear(byte[] behind) {
-            return true;
+        public AnswerEnd judgeEnd(byte[] behind) {
+            return AnswerEnd.OWN;
         }
 
         @Override
