--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -25,7 +25,8 @@
 
     private static final Pattern FIELD_BEGIN = Pattern.compile("[!-9;-~]*");
     private static final Pattern VERSION_AT_END = Pattern.compile("HTTP/1\\.\\d ?");
-    private static final Pattern INTERIM = Pattern.compile("HTTP/1\\.\\d 1\\d\\d( |\r)");
+    private static final Pattern INTERIM = Pattern.compile("HTTP/1\\.\\d 1\\d\\d\\s");
+    private static final Pattern EMPTY_LINE = Pattern.compile("\n\r?\n");
     private static final int NOWHERE = -1;
 
     private final Predicate<String> isKnownId;
@@ -100,8 +101,8 @@
      */
     static Begin around(byte[] bytes, int offset) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
-        int end = text.indexOf("\r\n\r\n");
-        String head = end < 0 ? text : text.substring(0, end);
+        Matcher emptyLine = EMPTY_LINE.matcher(text);
+        String head = emptyLine.find() ? text.substring(0, emptyLine.start()) : text;
         int openAt = find(head.getBytes(StandardCharsets.ISO_8859_1), id -> false).openAt();
         if (openAt < 0 || openAt >= offset) {
             return Begin.OTHER;
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -46,6 +46,18 @@
         }
     }
 
+    /** Guards against a second answer whose lines end with a line feed only. */
+    @Test
+    void aSecondAnswerMayHavePlainLineFeeds() {
+        String second = SECOND.replace("\r\n", "\n");
+        for (int filled = 1; filled < second.length(); filled++) {
+            String body = LETTER + second.substring(0, filled);
+            assertWithMessage("filled by " + filled)
+                    .that(endOf(AnswerFraming.LENGTH, body, second.substring(filled)))
+                    .isEqualTo(AnswerEnd.FILLED);
+        }
+    }
+
     /** Guards against a second answer that is taken for text because of the words of its status. */
     @Test
     void aStatusMayHaveAnyWords() {
