--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -1,5 +1,6 @@
 package io.pollenpath.transport.serving;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -14,11 +15,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.pollenpath.coordination.serving.MemoryBudget;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +33,7 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerAnswer {
 
     private static final int MAX_PIPELINED = 16;
+    private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
     /** The time in which a caller must take an answer that is complete. */
     private static final long MAX_TAKE_NANOS = TimeUnit.SECONDS.toNanos(30);
@@ -89,7 +93,7 @@
     }
 
     private void serveNext() {
-        if (busy) {
+        if (busy || !context.channel().isActive()) {
             return;
         }
         CallerRequest request = pipelined.poll();
@@ -122,11 +126,19 @@
     private void allowAwaitedBody() {
         if (bodyAwaited) {
             bodyAwaited = false;
-            context.writeAndFlush(
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            writeContinue();
         }
     }
 
+    /**
+     * Writes an interim answer past the codec, which counts each answer that it encodes as the one
+     * to a request, and would take the final answer for that to the request behind.
+     */
+    private void writeContinue() {
+        ByteBuf answer = Unpooled.copiedBuffer(CONTINUE, StandardCharsets.US_ASCII);
+        context.pipeline().context(HttpServerCodec.class).writeAndFlush(answer);
+    }
+
     @Override
     public void writeFull(int status, HttpHeaders headers, byte[] body) {
         FullHttpResponse response =
@@ -147,12 +159,21 @@
         HttpUtil.setTransferEncodingChunked(response, true);
         streaming = true;
         setConnectionHeader(response);
-        context.write(response);
+        closeOnFailure(context.write(response));
     }
 
     @Override
     public void writeChunk(byte[] bytes) {
-        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+        closeOnFailure(
+                context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes))));
+    }
+
+    /**
+     * Closes the connection if a part of an answer can't be written, as when memory is short.
+     * Otherwise the next part, or the next answer, would follow in its place.
+     */
+    private static void closeOnFailure(ChannelFuture written) {
+        written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     @Override
@@ -178,6 +199,7 @@
         MemoryBudget.Share untaken = gateway.memory().open(UNTAKEN_ANSWER);
         untaken.hold(bytes);
         ChannelFuture sent = context.writeAndFlush(last);
+        closeOnFailure(sent);
         sent.addListener(future -> onAnswerSent(untaken));
         if (!keepAlive) {
             sent.addListener(ChannelFutureListener.CLOSE);
