--- a/standins/src/test/java/io/pollenpath/platform/SecondAnswerRestartTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/SecondAnswerRestartTest.java
@@ -1,6 +1,5 @@
 package io.pollenpath.platform;
 
-import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.pollenpath.standin.platform.PlatformFixtures;
@@ -14,6 +13,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReferenceArray;
 import java.util.stream.LongStream;
@@ -43,6 +43,7 @@
     private final AtomicReferenceArray<EntryProcess> entries = new AtomicReferenceArray<>(ENTRIES);
     private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
     private final ExecutorService callers = Executors.newCachedThreadPool();
+    private final List<Future<?>> calling = new ArrayList<>();
     private volatile boolean ended;
 
     SecondAnswerRestartTest() throws IOException {}
@@ -84,8 +85,9 @@
         entries.get(1).stop();
         awaitEnd(entries.get(1));
         ended = true;
-        callers.shutdown();
-        assertThat(callers.awaitTermination(PATIENCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+        for (Future<?> caller : calling) {
+            caller.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
         List<String> wrong = outcomes.stream().filter(o -> !isRight(o)).map(this::text).toList();
         long successes = outcomes.stream().filter(o -> o.answer().status() == 200).count();
         int second = engines.stream().mapToInt(TwiceAnsweringEngine::secondAnswers).sum();
@@ -113,7 +115,7 @@
         for (int i = 0; i < CALLERS; i++) {
             SplittableRandom random = new SplittableRandom(seed * CALLERS + i);
             String name = "s" + seed + "c" + i;
-            callers.execute(() -> callUntilTheEnd(random, name));
+            calling.add(callers.submit(() -> callUntilTheEnd(random, name)));
         }
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/SecondAnswerSoakTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/SecondAnswerSoakTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,14 +37,15 @@
 
     private static final List<String> ENDS = List.of("/letter", TwiceAnsweringEngine.QUOTING);
 
-    private final Queue<String> wrong = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger called = new AtomicInteger();
-    private final AtomicInteger answered = new AtomicInteger();
+    private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
     private final List<TwiceAnsweringEngine> engines = new ArrayList<>();
 
     /** A play. */
     private record Play(SecondAnswer fault, long seed) {}
 
+    /** A call that has ended. */
+    private record Call(String path, EntryFleet.Answer answer) {}
+
     static Stream<Play> plays() {
         int seeds = Integer.getInteger("soak.seeds", 1);
         return LongStream.range(FIRST_SEED, FIRST_SEED + seeds)
@@ -78,16 +78,18 @@
         } finally {
             callers.shutdownNow();
         }
+        List<Call> wrong = calls.stream().filter(call -> !isRight(call)).toList();
+        long answered = calls.stream().filter(call -> call.answer().status() == 200).count();
         int second = engines.stream().mapToInt(TwiceAnsweringEngine::secondAnswers).sum();
         String counts = play + ", " + second + " second answers, " + answered + " successes";
         System.out.println(counts + ", " + wrong.size() + " wrong");
         assertWithMessage(counts).that(wrong).isEmpty();
         if (play.fault() == SecondAnswer.NEVER) {
-            assertWithMessage(counts).that(answered.get()).isEqualTo(called.get());
+            assertWithMessage(counts).that(answered).isEqualTo(calls.size());
         } else {
             assertWithMessage(counts).that(second).isGreaterThan(CALLERS);
         }
-        assertWithMessage(counts).that(answered.get()).isGreaterThan(second / 2);
+        assertWithMessage(counts).that(answered).isGreaterThan(second / 2);
     }
 
     private List<TwiceAnsweringEngine> startEngines(PlatformStoreStandin store, Play play)
@@ -108,27 +110,23 @@
                     "/"
                             + ROUTES.get(random.nextInt(ROUTES.size()))
                             + ENDS.get(random.nextInt(ENDS.size()));
-            called.incrementAndGet();
-            check(fleet.call(random.nextInt(ENTRIES), id, path, PATIENCE_MS), path);
+            EntryFleet.Answer answer = fleet.call(random.nextInt(ENTRIES), id, path, PATIENCE_MS);
+            calls.add(new Call(path, answer));
         }
     }
 
-    private void check(EntryFleet.Answer answer, String path) {
-        int runs = runs(answer.requestId());
-        boolean own = answer.body().equals(TwiceAnsweringEngine.bodyOf(answer.requestId(), path));
-        boolean ok =
-                switch (answer.status()) {
+    private boolean isRight(Call call) {
+        String id = call.answer().requestId();
+        int runs = runs(id);
+        boolean own = call.answer().body().equals(TwiceAnsweringEngine.bodyOf(id, call.path()));
+        boolean right =
+                switch (call.answer().status()) {
                     case 200 -> own;
                     case 0, 502, 504 -> true;
                     case 503 -> runs == 0;
                     default -> false;
                 };
-        if (answer.status() == 200) {
-            answered.incrementAndGet();
-        }
-        if (!ok || (path.startsWith("/once") && runs > 1)) {
-            wrong.add(path + ", run " + runs + " times, " + answer);
-        }
+        return right && (runs < 2 || !call.path().startsWith("/once"));
     }
 
     private int runs(String requestId) {
