--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
+import java.util.List;
 
 /** What the end of a buffered answer tells about its bytes. */
 enum AnswerEnd {
@@ -30,10 +31,10 @@
         if (framing == AnswerFraming.CLOSE) {
             return ofClosed(body, heads);
         }
-        if (framing == AnswerFraming.LENGTH && heads.isOpen()) {
-            return behind.length == 0 ? ofLast(body, heads) : ofJoined(body, heads, behind);
-        }
-        return heads.whole() && isOutOfStep(behind) ? FILLED : OWN;
+        boolean counted = framing == AnswerFraming.LENGTH;
+        AnswerEnd last = counted ? ofCounted(body, heads, behind) : OWN;
+        boolean outOfStep = heads.whole() && isOutOfStep(behind);
+        return last == OWN && outOfStep ? FILLED : last;
     }
 
     /**
@@ -54,24 +55,47 @@
 
     /** Judges an answer behind which nothing can come; a second one may be cut anywhere. */
     private static AnswerEnd ofClosed(BodyBuffer body, EmbeddedHead.Finding heads) {
-        return heads.whole() || ofLast(body, heads) == UNCLEAR ? FILLED : OWN;
+        boolean endsLikeHead = heads.statusOpen() || !lateHeads(body).isEmpty();
+        return heads.whole() || endsLikeHead ? FILLED : OWN;
     }
 
-    /** Judges an answer that ends like a head and behind which nothing has come. */
-    private static AnswerEnd ofLast(BodyBuffer body, EmbeddedHead.Finding heads) {
-        boolean late = heads.isOpen() && (heads.statusOpen() || body.isPieceAt(heads.openAt()));
-        return late ? UNCLEAR : OWN;
+    /** Judges an answer whose end was found by counting its bytes. */
+    private static AnswerEnd ofCounted(BodyBuffer body, EmbeddedHead.Finding heads, byte[] behind) {
+        AnswerEnd worst = OWN;
+        for (byte[] late : lateHeads(body)) {
+            worst = worst(worst, behind.length == 0 ? UNCLEAR : ofJoined(late, behind));
+        }
+        if (heads.isOpen()) {
+            worst = worst(worst, ofOpenHead(body, heads, behind));
+        }
+        return worst;
     }
 
-    /** Judges an answer that ends like a head, by whether that head goes on behind it. */
-    private static AnswerEnd ofJoined(BodyBuffer body, EmbeddedHead.Finding heads, byte[] behind) {
+    private static AnswerEnd ofOpenHead(
+            BodyBuffer body, EmbeddedHead.Finding heads, byte[] behind) {
+        if (behind.length == 0) {
+            return heads.statusOpen() ? UNCLEAR : OWN;
+        }
         byte[] bytes = body.toByteArray();
-        byte[] tail = Arrays.copyOfRange(bytes, heads.openAt(), bytes.length);
+        return ofJoined(Arrays.copyOfRange(bytes, heads.openAt(), bytes.length), behind);
+    }
+
+    /** Returns the ends of a body that came as pieces of their own and begin like an answer. */
+    private static List<byte[]> lateHeads(BodyBuffer body) {
+        return body.latePieces().stream().filter(EmbeddedHead::isBegun).toList();
+    }
+
+    private static AnswerEnd worst(AnswerEnd one, AnswerEnd other) {
+        return one.compareTo(other) > 0 ? one : other;
+    }
+
+    /** Judges the end of a body that begins like a head, by whether it goes on behind the body. */
+    private static AnswerEnd ofJoined(byte[] tail, byte[] behind) {
         if (EmbeddedHead.isInterim(tail)) {
             return EmbeddedHead.mayBegin(behind) ? FILLED : OWN;
         }
         if (!isOutOfStep(behind)) {
-            return EmbeddedHead.hasVersion(behind) ? OWN : ofLast(body, heads);
+            return EmbeddedHead.hasVersion(behind) ? OWN : UNCLEAR;
         }
         ByteArrayOutputStream joined = new ByteArrayOutputStream();
         joined.writeBytes(tail);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -73,9 +74,17 @@
         length += count;
     }
 
-    /** Returns whether a late piece that may be the begin of an answer begins at an offset. */
-    boolean isPieceAt(int offset) {
-        return pieces.contains(offset);
+    /**
+     * Returns the ends of the body that begin with a piece of its own, which may be the begin of an
+     * answer; the longest first.
+     */
+    List<byte[]> latePieces() {
+        return pieces.latest(length).stream().map(this::from).toList();
+    }
+
+    private byte[] from(int start) {
+        byte[] all = toByteArray();
+        return Arrays.copyOfRange(all, start, all.length);
     }
 
     /** Returns the number of bytes that were appended. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -96,21 +96,40 @@
     }
 
     /**
-     * Tells what the head is within which an offset lies. The bytes begin like a head, but another
-     * one may begin before the offset.
+     * Tells what the head is within which an offset lies. Another head may begin before the offset
+     * in the same lines, and whole heads may come before it.
      */
     static Begin around(byte[] bytes, int offset) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
-        Matcher emptyLine = EMPTY_LINE.matcher(text);
-        String head = emptyLine.find() ? text.substring(0, emptyLine.start()) : text;
+        int start = lastEmptyLineBefore(text, offset);
+        Matcher emptyLine = EMPTY_LINE.matcher(text).region(start, text.length());
+        String head = text.substring(start, emptyLine.find() ? emptyLine.start() : text.length());
         int openAt = find(head.getBytes(StandardCharsets.ISO_8859_1), id -> false).openAt();
-        if (openAt < 0 || openAt >= offset) {
+        if (openAt < 0 || start + openAt >= offset) {
             return Begin.OTHER;
         }
         String status = head.substring(openAt).lines().findFirst().orElse("");
         return STATUS.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
     }
 
+    /** Returns whether bytes are a head that may go on behind them, or whole heads and then one. */
+    static boolean isBegun(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        String last = text.substring(lastEmptyLineBefore(text, text.length()));
+        byte[] lastBytes = last.getBytes(StandardCharsets.ISO_8859_1);
+        return mayBegin(bytes) && find(lastBytes, id -> false).openAt() == 0;
+    }
+
+    /** Returns where the last empty line ends that ends before an offset; 0 if there is none. */
+    private static int lastEmptyLineBefore(String text, int offset) {
+        Matcher emptyLine = EMPTY_LINE.matcher(text);
+        int start = 0;
+        while (emptyLine.find() && emptyLine.end() < offset) {
+            start = emptyLine.end();
+        }
+        return start;
+    }
+
     /** Returns whether a line holds the version of an answer. */
     static boolean holdsVersion(String line) {
         return line.contains(VERSION);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 /**
  * Where the latest pieces of a body begin that look like the begin of an HTTP answer. A server that
@@ -13,6 +14,9 @@
     /** A head that comes byte by byte has fewer pieces that begin with this letter. */
     private static final int MAX_STARTS = 16;
 
+    /** A longer head is refused by the decoder. */
+    private static final int MAX_HEAD_BYTES = 65_536;
+
     private static final byte FIRST_LETTER = 'H';
 
     private final Deque<Integer> offsets = new ArrayDeque<>();
@@ -28,8 +32,8 @@
         offsets.addLast(offset);
     }
 
-    /** Returns whether a piece that may be the begin of an answer begins at an offset. */
-    boolean contains(int offset) {
-        return offsets.contains(offset);
+    /** Returns those from which on the body may be the head of an answer, the first one first. */
+    List<Integer> latest(int length) {
+        return offsets.stream().filter(offset -> length - offset <= MAX_HEAD_BYTES).toList();
     }
 }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -84,6 +84,25 @@
         }
     }
 
+    /** Guards against a quoted head, cut anywhere, behind which a second answer begins unseen. */
+    @Test
+    void aQuotedHeadHidesNoSecondAnswerOfWhichMoreIsToCome() {
+        String quoted = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nA: b\r\n\r\n";
+        for (int cut = 1; cut <= quoted.length(); cut++) {
+            for (int filled = 1; filled < HEAD_BYTES - 4; filled++) {
+                for (int end : new int[] {filled, filled + 1, filled + 3}) {
+                    String first = LETTER + quoted.substring(0, cut);
+                    String second = SECOND.substring(0, filled);
+                    String behind = SECOND.substring(filled, end);
+                    AnswerEnd told = end(AnswerFraming.LENGTH, first, second, behind);
+                    assertWithMessage(first + second + "|" + behind)
+                            .that(told)
+                            .isNotEqualTo(AnswerEnd.OWN);
+                }
+            }
+        }
+    }
+
     /** Guards against an answer that is passed on before the rest of a second one comes. */
     @Test
     void aSecondAnswerMayComeByteByByte() {
@@ -152,6 +171,15 @@
         assertThat(endOf(AnswerFraming.CHUNKS, body, SECOND)).isEqualTo(AnswerEnd.OWN);
     }
 
+    /** Guards against a sound answer that waits since its body begins like an answer. */
+    @Test
+    void textMayBeginLikeAnAnswer() {
+        String body = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nAnd more.";
+        assertThat(endOf(AnswerFraming.LENGTH, body, "")).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.LENGTH, "Hello.\n\nHello", "")).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.CLOSE, "Hello.\n\nHello", "")).isEqualTo(AnswerEnd.OWN);
+    }
+
     /** Guards against a sound answer that is refused since it ends with a status. */
     @Test
     void textMayEndWithAStatus() {
