--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SendOutcome.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SendOutcome.java
@@ -1,6 +1,8 @@
 package io.pollenpath.coordination.serving;
 
-/** The outcome of an attempt on one backend server that gave no answer to forward. */
+/**
+ * The outcome of an attempt on one backend server whose answer, if any, is not forwarded at once.
+ */
 public enum SendOutcome {
 
     /** No byte of the request reached the server. */
@@ -15,6 +17,9 @@
     /** The server ran the request and answered with an error. */
     RUN_AND_FAILED,
 
+    /** The server ran the request; the end of its answer may be the begin of a second answer. */
+    DOUBTFUL,
+
     /** The connection broke or carried no valid answer; the request may have run. */
     UNKNOWN;
 
@@ -26,4 +31,13 @@
     public boolean notRun() {
         return this == NOT_SENT || this == NOT_RUN || this == OTHER_SERVER;
     }
+
+    /**
+     * Returns whether there is an answer that is forwarded if no other server gives a better one.
+     *
+     * @return true if the answer is whole
+     */
+    public boolean hasAnswer() {
+        return this == RUN_AND_FAILED || this == DOUBTFUL;
+    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -1,7 +1,6 @@
 package io.pollenpath.transport.serving;
 
 import java.io.ByteArrayOutputStream;
-import java.util.Arrays;
 import java.util.List;
 
 /** What the end of a buffered answer tells about its bytes. */
@@ -55,8 +54,12 @@
 
     /** Judges an answer behind which nothing can come; a second one may be cut anywhere. */
     private static AnswerEnd ofClosed(BodyBuffer body, EmbeddedHead.Finding heads) {
-        boolean endsLikeHead = heads.statusOpen() || !lateHeads(body).isEmpty();
-        return heads.whole() || endsLikeHead ? FILLED : OWN;
+        List<byte[]> lateHeads = lateHeads(body);
+        boolean shown = lateHeads.stream().anyMatch(EmbeddedHead::hasVersion);
+        if (heads.whole() || heads.statusOpen() || shown) {
+            return FILLED;
+        }
+        return lateHeads.isEmpty() ? OWN : UNCLEAR;
     }
 
     /** Judges an answer whose end was found by counting its bytes. */
@@ -76,8 +79,7 @@
         if (behind.length == 0) {
             return heads.statusOpen() ? UNCLEAR : OWN;
         }
-        byte[] bytes = body.toByteArray();
-        return ofJoined(Arrays.copyOfRange(bytes, heads.openAt(), bytes.length), behind);
+        return ofJoined(body.from(heads.openAt()), behind);
     }
 
     /** Returns the ends of a body that came as pieces of their own and begin like an answer. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
@@ -122,6 +122,7 @@
         switch (outcome) {
             case NOT_SENT, UNKNOWN, OTHER_SERVER -> serverHealth.onConnectionFailure(nowNanos);
             case NOT_RUN, RUN_AND_FAILED -> serverHealth.onFailure(nowNanos);
+            case DOUBTFUL -> serverHealth.onSuccess();
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyBuffer.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -82,9 +81,19 @@
         return pieces.latest(length).stream().map(this::from).toList();
     }
 
-    private byte[] from(int start) {
-        byte[] all = toByteArray();
-        return Arrays.copyOfRange(all, start, all.length);
+    /** Returns a copy of the bytes from an offset on, without one of those before it. */
+    byte[] from(int offset) {
+        byte[] bytes = new byte[length - offset];
+        int blockStart = 0;
+        for (byte[] block : blocks) {
+            int blockEnd = Math.min(blockStart + block.length, length);
+            int from = Math.max(blockStart, offset);
+            if (from < blockEnd) {
+                System.arraycopy(block, from - blockStart, bytes, from - offset, blockEnd - from);
+            }
+            blockStart += block.length;
+        }
+        return bytes;
     }
 
     /** Returns the number of bytes that were appended. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashDetector.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashDetector.java
@@ -83,7 +83,7 @@
             case UNKNOWN -> onConnectionBroken(failed, server, inFlight, nowNanos);
             case NOT_SENT -> onConnectFailed(server, nowNanos);
             case OTHER_SERVER -> onReplaced(server, nowNanos);
-            case NOT_RUN, RUN_AND_FAILED -> onAnswered(server, failed.sentNanos());
+            case NOT_RUN, RUN_AND_FAILED, DOUBTFUL -> onAnswered(server, failed.sentNanos());
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -220,8 +220,8 @@
         if (resend) {
             long waitMs = Math.min(RESEND_QUEUE_TIMEOUT_MS, request.timeLeftMs(nowNanos));
             enqueue(request, RESEND_PRIORITY, true, waitMs, nowNanos);
-        } else if (outcome == SendOutcome.RUN_AND_FAILED && !request.headForwarded()) {
-            request.forwardServerError();
+        } else if (outcome.hasAnswer() && !request.headForwarded()) {
+            request.forwardLastAnswer();
         } else {
             answerWithProblem(request, "send_failed", nowNanos);
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -342,7 +342,7 @@
         if (!outcome.notRun()) {
             mayHaveRun = true;
         }
-        if (outcome != SendOutcome.RUN_AND_FAILED) {
+        if (!outcome.hasAnswer()) {
             answer.discardBody();
             reading.end();
         }
@@ -355,9 +355,9 @@
         failSend(sends == 0 ? SendOutcome.NOT_SENT : SendOutcome.UNKNOWN, "server stalled");
     }
 
-    /** Forwards the error answer of the last server to the caller. */
-    void forwardServerError() {
-        finish("server_failed");
+    /** Forwards the answer of the last server, since no other one can give a better one. */
+    void forwardLastAnswer() {
+        finish(reply.status() >= STATUS_SERVER_ERROR ? "server_failed" : "answered");
         reply.writeFull(answer.body());
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -143,45 +143,37 @@
                         .with("events_of_send", request.answer().events()));
     }
 
-    /** Logs the end of an answer if it shows bytes of another one. */
+    /**
+     * Logs the end of an answer that shows, or may show, bytes of another one. The bytes themselves
+     * may be those of other callers and are logged for debugging only.
+     */
     void ended(ForwardedRequest request, ServerInstance server, byte[] behind) {
-        if (behind.length > 0) {
-            followed(request, server, behind);
+        AnswerEnd end = request.answer().end(behind);
+        if (behind.length == 0 && end == AnswerEnd.OWN) {
+            return;
         }
-        if (request.answer().isFilled(behind)) {
-            filled(request, server);
-        }
-    }
-
-    /** Logs the bytes that came behind an answer, of which a line is shown. */
-    private void followed(ForwardedRequest request, ServerInstance server, byte[] behind) {
-        int shown = Math.min(behind.length, MAX_SHOWN_BYTES);
-        MetricNames.count(
-                metrics, "answers_followed_total", "framing", request.answer().framing().name());
+        MetricNames.count(metrics, "answers_end_shown_total", "end", end.name());
+        String requestId = request.context().callerHeaders().requestId();
         LOG.info(
                 "{}",
-                LogLine.event("answer_followed")
-                        .with("request", request.context().callerHeaders().requestId())
+                LogLine.event("answer_end")
+                        .with("request", requestId)
                         .with("server", server.id())
                         .with("framing", request.answer().framing())
+                        .with("end", end)
                         .with("bytes_behind", behind.length)
+                        .with("in_step", EmbeddedHead.mayBegin(behind)));
+        LOG.debug(
+                "{}",
+                LogLine.event("answer_end_bytes")
+                        .with("request", requestId)
                         .with("ends_with", request.answer().lastText(MAX_SHOWN_BYTES))
-                        .with(
-                                "goes_on_with",
-                                new String(behind, 0, shown, StandardCharsets.ISO_8859_1)));
+                        .with("goes_on_with", firstText(behind)));
     }
 
-    /** Logs an answer that holds bytes of a second answer of its server. */
-    private void filled(ForwardedRequest request, ServerInstance server) {
-        MetricNames.count(
-                metrics, "answers_filled_total", "framing", request.answer().framing().name());
-        LOG.info(
-                "{}",
-                LogLine.event("answer_filled")
-                        .with("request", request.context().callerHeaders().requestId())
-                        .with("server", server.id())
-                        .with("framing", request.answer().framing())
-                        .with("ends_with", request.answer().lastText(MAX_SHOWN_BYTES)));
+    private static String firstText(byte[] bytes) {
+        int shown = Math.min(bytes.length, MAX_SHOWN_BYTES);
+        return new String(bytes, 0, shown, StandardCharsets.ISO_8859_1);
     }
 
     private static String listedParts(ForwardedRequest request) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -114,13 +114,19 @@
             case OTHER_SERVER ->
                     failure(SendOutcome.OTHER_SERVER, "address belongs to another server");
             case UNPROVEN -> failure(SendOutcome.UNKNOWN, "answer could not be verified");
-            case ANSWER ->
-                    isForwardedStream() && splitter.hasPartialEvent()
-                            ? failure(SendOutcome.UNKNOWN, "stream ended with an incomplete event")
-                            : Optional.empty();
+            case ANSWER -> failureOfAnswer(behind);
         };
     }
 
+    private Optional<SendFailure> failureOfAnswer(byte[] behind) {
+        if (!isForwardedStream() && end(behind) == AnswerEnd.UNCLEAR) {
+            return failure(SendOutcome.DOUBTFUL, "the answer ends like the begin of another one");
+        }
+        return isForwardedStream() && splitter.hasPartialEvent()
+                ? failure(SendOutcome.UNKNOWN, "stream ended with an incomplete event")
+                : Optional.empty();
+    }
+
     private static Optional<SendFailure> failure(SendOutcome outcome, String cause) {
         return Optional.of(new SendFailure(outcome, cause));
     }
@@ -227,9 +233,8 @@
 
     /** Returns the end of a buffered body as text. */
     String lastText(int maxBytes) {
-        byte[] bytes = body.toByteArray();
-        int count = Math.min(bytes.length, maxBytes);
-        return new String(bytes, bytes.length - count, count, StandardCharsets.ISO_8859_1);
+        byte[] last = body.from(Math.max(0, body.length() - maxBytes));
+        return new String(last, StandardCharsets.ISO_8859_1);
     }
 
     byte[] body() {
--- /dev/null
+++ b/standins/src/test/java/io/pollenpath/platform/DoubtfulAnswerTest.java
@@ -0,0 +1,167 @@
+package io.pollenpath.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.pollenpath.standin.platform.PlatformEngineStandin;
+import io.pollenpath.standin.platform.PlatformFixtures;
+import io.pollenpath.standin.platform.RequestReader;
+import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.state.serving.ServingView;
+import io.pollenpath.transport.HttpAddress;
+import io.pollenpath.transport.NettyLoops;
+import io.pollenpath.transport.serving.Gateway;
+import io.pollenpath.transport.serving.GatewayServer;
+import io.pollenpath.transport.serving.GatewaySettings;
+import io.pollenpath.util.Pause;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests answers that end like the begin of another one, behind which nothing comes. */
+class DoubtfulAnswerTest {
+
+    private static final int ENGINES = 2;
+    private static final int BACKLOG = 16;
+    private static final long RETRY_WINDOW_MS = 10_000;
+    private static final String SERVICE = "drafts";
+    private static final String HOST = "127.0.0.1";
+    private static final long PAUSE_MS = 40;
+    private static final String LETTER = "The letter that was asked for. ";
+    private static final String BEGIN = "HTTP/1.1 5";
+
+    private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+
+    private final NettyLoops loops = new NettyLoops(1);
+    private final List<SocketServer> engines = new ArrayList<>();
+    private final List<ServerInstance> instances = new ArrayList<>();
+
+    @BeforeEach
+    void startEngines() throws IOException {
+        for (int i = 0; i < ENGINES; i++) {
+            SocketServer engine = new SocketServer(listener(), this::serve);
+            engines.add(engine);
+            instances.add(
+                    new ServerInstance(
+                            "engine-" + i, 0, 0, SERVICE, HOST, engine.port(), "zone-a", 8, false));
+        }
+    }
+
+    private static ServerSocket listener() throws IOException {
+        return new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        loops.close();
+        for (SocketServer engine : engines) {
+            engine.close();
+        }
+    }
+
+    /** Answers doubtfully the first time, and each time if the path ends with "always". */
+    private void serve(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        OutputStream out = socket.getOutputStream();
+        while (true) {
+            PlatformEngineStandin.ReceivedRequest request = RequestReader.read(in);
+            String id = request.header("request-id");
+            int run = runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+            boolean sound = run > 1;
+            String end = sound && !request.path().endsWith("always") ? "Regards." : BEGIN;
+            int length = LETTER.length() + end.length();
+            write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nRequest-Id: "
+                            + id
+                            + "\r\nUpstream-Signature: proof\r\nContent-Length: "
+                            + length
+                            + "\r\n\r\n"
+                            + LETTER);
+            Pause.forMs(PAUSE_MS);
+            write(out, end);
+        }
+    }
+
+    private static void write(OutputStream out, String bytes) throws IOException {
+        out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    /** Returns the body that a caller of an entry gets which may send requests again. */
+    private String bodyOf(String path) throws Exception {
+        EventLoop loop = loops.group().next();
+        long startNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(RETRY_WINDOW_MS);
+        GatewaySettings settings =
+                new GatewaySettings(
+                        "entry-1",
+                        "zone-a",
+                        startNanos,
+                        0.2,
+                        90,
+                        RETRY_WINDOW_MS,
+                        1_000,
+                        20_000_000);
+        Gateway gateway =
+                new Gateway(
+                        loop,
+                        settings,
+                        new HeaderDialect(),
+                        new MetricRegistry(),
+                        new SplittableRandom(1));
+        gateway.updateView(
+                ServingView.EMPTY
+                        .withConfig(ManifestDecoder.decode(PlatformFixtures.manifest(1, SERVICE)))
+                        .withServers(instances));
+        int port;
+        try (ServerSocket free = listener()) {
+            port = free.getLocalPort();
+        }
+        GatewayServer server = new GatewayServer(loop, HOST, port, gateway);
+        try (RawCaller caller = new RawCaller(new HttpAddress(HOST, port))) {
+            caller.send(RawCaller.request("asked", path, "{}"));
+            RawCaller.Answer answer = caller.read();
+            assertThat(answer.status()).isEqualTo(200);
+            return answer.body();
+        } finally {
+            server.close();
+        }
+    }
+
+    /** Guards against a second answer whose first bytes just fill up the first, and then stop. */
+    @Test
+    void aRequestThatMayRunAgainGetsTheAnswerOfAnotherServer() throws Exception {
+        assertThat(bodyOf("/plain/letter")).isEqualTo(LETTER + "Regards.");
+        assertThat(runs.get("asked").get()).isEqualTo(2);
+    }
+
+    /** Guards against a sound answer that is refused though no second one is shown. */
+    @Test
+    void aRequestThatMayRunOnceGetsTheAnswer() throws Exception {
+        assertThat(bodyOf("/once/letter")).isEqualTo(LETTER + BEGIN);
+        assertThat(runs.get("asked").get()).isEqualTo(1);
+    }
+
+    /** Guards against sound answers that are refused by all servers because of their text. */
+    @Test
+    void anAnswerThatNoServerGivesOtherwiseIsPassedOn() throws Exception {
+        assertThat(bodyOf("/plain/always")).isEqualTo(LETTER + BEGIN);
+        assertThat(runs.get("asked").get()).isEqualTo(2);
+    }
+}
