--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerFraming.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerFraming.java
@@ -1,6 +1,7 @@
 package io.pollenpath.transport.serving;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** How an answer of a server marks its end. */
@@ -15,7 +16,8 @@
     CLOSE;
 
     static AnswerFraming of(HttpHeaders headers) {
-        if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+        if (headers.containsValue(
+                HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)) {
             return CHUNKS;
         }
         return headers.contains(HttpHeaderNames.CONTENT_LENGTH) ? LENGTH : CLOSE;
