--- a/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/HeaderDialect.java
@@ -166,8 +166,7 @@
 
     @Override
     public boolean belongsTo(HttpHeaders headers, String requestId) {
-        String echoed = headers.get(REQUEST_ID);
-        return echoed == null || echoed.equals(requestId);
+        return headers.getAll(REQUEST_ID).stream().allMatch(requestId::equals);
     }
 
     @Override
--- a/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/DecodersTest.java
@@ -268,4 +268,13 @@
         Files.writeString(file, text.replace("  HistoryS: 6\n", ""));
         assertThat(SettingsFile.read(file).quietWatchMs()).isEqualTo(10_000);
     }
+
+    /** Guards against an answer whose head is that of two. */
+    @Test
+    void anAnswerThatNamesTwoRequestsBelongsToNone() {
+        HttpHeaders headers =
+                new DefaultHttpHeaders().add("Request-Id", "a").add("Request-Id", "b");
+        assertThat(new HeaderDialect().belongsTo(headers, "a")).isFalse();
+        assertThat(new HeaderDialect().belongsTo(headers, "b")).isFalse();
+    }
 }
