--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -20,8 +20,6 @@
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.SplicedHead;
 import java.io.IOException;
-import java.util.LinkedHashSet;
-import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -41,9 +39,6 @@
 
     private static final double KEEP_ALIVE_FRACTION = 0.7;
 
-    /** The number of latest requests that a late answer may belong to. */
-    private static final int MAX_CARRIED = 64;
-
     /** How long an answer waits for the bytes that tell whether its end is its own. */
     private static final long END_WAIT_MS = 250;
 
@@ -60,7 +55,7 @@
     private boolean inAnswer;
     private boolean ended;
     private ScheduledFuture<?> endWait;
-    private final Set<String> carriedIds = new LinkedHashSet<>();
+    private final CarriedRequests carried = new CarriedRequests();
     private boolean keepAlive;
     private boolean endsWithConnection;
     private String error = "";
@@ -105,7 +100,7 @@
         interimAnswers = 0;
         inAnswer = false;
         ended = false;
-        addCarried(newRequestId);
+        carried.add(newRequestId);
         if (!channel.isActive()) {
             request.release();
             fail(SendOutcome.NOT_SENT, "connection closed before the send");
@@ -120,16 +115,9 @@
                 });
     }
 
-    private void addCarried(String id) {
-        if (carriedIds.size() == MAX_CARRIED) {
-            carriedIds.remove(carriedIds.iterator().next());
-        }
-        carriedIds.add(id);
-    }
-
     /** Returns whether the request of an ID is among the latest of this connection. */
     boolean hasCarried(String id) {
-        return !id.isEmpty() && carriedIds.contains(id);
+        return carried.contains(id);
     }
 
     /**
@@ -222,8 +210,8 @@
      * refusal that is late says nothing of whether the pending request runs.
      */
     private boolean mayBeLate(HttpHeaders headers) {
-        boolean first = carriedIds.size() == 1;
-        return !first && !requestId.isEmpty() && !dialect.namesRequest(headers);
+        boolean mustName = carried.areSeveral() && !requestId.isEmpty();
+        return mustName && !dialect.namesRequest(headers);
     }
 
     private void onInterimAnswer() {
