--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -277,7 +277,7 @@
                     channel.eventLoop()
                             .schedule(
                                     () -> onEndWaitOver(waiting),
-                                    END_WAIT_MS,
+                                    Math.min(END_WAIT_MS, listener.maxEndWaitMs()),
                                     TimeUnit.MILLISECONDS);
         }
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
@@ -20,6 +20,9 @@
      */
     AnswerEnd judgeEnd(byte[] behind);
 
+    /** Returns how long a complete answer may wait for the bytes that make its end clear. */
+    long maxEndWaitMs();
+
     /**
      * Handles the end of a complete answer.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -220,8 +220,6 @@
         if (resend) {
             long waitMs = Math.min(RESEND_QUEUE_TIMEOUT_MS, request.timeLeftMs(nowNanos));
             enqueue(request, RESEND_PRIORITY, true, waitMs, nowNanos);
-        } else if (outcome.hasAnswer() && !request.headForwarded()) {
-            request.forwardLastAnswer();
         } else {
             answerWithProblem(request, "send_failed", nowNanos);
         }
@@ -249,9 +247,13 @@
         }
     }
 
-    /** Answers a request that is not sent again with an error. */
+    /** Answers a request that is not sent again: as its last server did, or else with an error. */
     private void answerWithProblem(ForwardedRequest request, String reason, long nowNanos) {
-        problems.answer(request, traffic(request.context().service()), reason, nowNanos);
+        if (request.answer().isKept() && !request.headForwarded()) {
+            request.forwardLastAnswer();
+        } else {
+            problems.answer(request, traffic(request.context().service()), reason, nowNanos);
+        }
     }
 
     /** Removes a request that has its final answer or whose caller has disconnected. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -21,9 +21,6 @@
     private static final int STATUS_OK = 200;
     private static final int STATUS_SERVER_ERROR = 500;
 
-    /** The length that its answer names is that of the answer to another method. */
-    private static final String METHOD_WITHOUT_BODY = "HEAD";
-
     private final Gateway gateway;
     private final RequestContext context;
     private final RequestSuspects suspects;
@@ -68,12 +65,9 @@
         return suspects;
     }
 
-    /**
-     * Returns what may have crashed the latest server of this request. If its answer went on after
-     * the first event, that server has worked on all parts of the prompt before.
-     */
+    /** Returns what may have crashed the latest server of this request. */
     List<CrashSuspect> suspectsOfCrash() {
-        return answer.wentOn() ? suspects.whole() : suspects.all();
+        return suspects.ofCrash(answer.wentOn());
     }
 
     /** Returns whether the server has answered as the route promises, with events if it streams. */
@@ -218,8 +212,7 @@
             gateway.onAnswerHead(this, newStatus, headers);
         }
         reply.onHead(newStatus, headers);
-        boolean hasBody = !context.method().equals(METHOD_WITHOUT_BODY);
-        long declaredBytes = hasBody ? answer.declaredBytes(headers) : 0;
+        long declaredBytes = context.mayBeAnsweredWithBody() ? answer.declaredBytes(headers) : 0;
         answer.checkLength(declaredBytes);
         if (answer.flaw().isPresent()) {
             breakOff(answer.flaw().get());
@@ -281,6 +274,11 @@
         return answer.end(behind);
     }
 
+    @Override
+    public long maxEndWaitMs() {
+        return Math.max(0, timeLeftMs(System.nanoTime()) / 2);
+    }
+
     private void endAnswer(byte[] behind) {
         endReading();
         answer.failureAtEnd(behind, reply.status())
@@ -342,7 +340,9 @@
         if (!outcome.notRun()) {
             mayHaveRun = true;
         }
-        if (!outcome.hasAnswer()) {
+        if (outcome.hasAnswer()) {
+            answer.keep();
+        } else {
             answer.discardBody();
             reading.end();
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestContext.java
@@ -92,6 +92,11 @@
         return request;
     }
 
+    /** Returns whether the length that an answer names is that of a body which follows. */
+    boolean mayBeAnsweredWithBody() {
+        return !method.equals("HEAD");
+    }
+
     private String accountName() {
         return account.map(ClientAccount::name).orElse("");
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestSuspects.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestSuspects.java
@@ -46,6 +46,14 @@
         return List.of(request(), content());
     }
 
+    /**
+     * Returns what may have crashed a server. If its answer went on after the first event, it has
+     * worked on all parts of the prompt before.
+     */
+    List<CrashSuspect> ofCrash(boolean answerWentOn) {
+        return answerWentOn ? whole() : all();
+    }
+
     /** Returns what the request shares with different ones because of its prompt. */
     List<CrashSuspect> ofPrompt() {
         if (ofPrompt == null) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -29,6 +29,7 @@
     private boolean stream;
     private int events;
     private boolean checkingEnd;
+    private boolean kept;
 
     /** Found once, since an end is judged again whenever bytes come behind it. */
     private Optional<EmbeddedHead.Finding> heads = Optional.empty();
@@ -249,6 +250,16 @@
         heldEvents = List.of();
     }
 
+    /** Keeps a whole answer until another server gives a better one. */
+    void keep() {
+        kept = true;
+    }
+
+    /** Returns whether this whole answer is forwarded if no server gives a better one. */
+    boolean isKept() {
+        return kept;
+    }
+
     /** Records that it is being checked whether the server still runs. */
     void setCheckingEnd(boolean newCheckingEnd) {
         checkingEnd = newCheckingEnd;
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
@@ -52,6 +52,11 @@
             answer.addBody(bytes);
         }
 
+        @Override
+        public long maxEndWaitMs() {
+            return Long.MAX_VALUE;
+        }
+
         @Override
         public AnswerEnd judgeEnd(byte[] behind) {
             if (memoryShort != null) {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
@@ -48,6 +48,11 @@
             body.writeBytes(bytes);
         }
 
+        @Override
+        public long maxEndWaitMs() {
+            return Long.MAX_VALUE;
+        }
+
         @Override
         public AnswerEnd judgeEnd(byte[] behind) {
             return AnswerEnd.OWN;
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
@@ -62,6 +62,11 @@
             complete.forEach(event -> events.writeBytes(event.bytes()));
         }
 
+        @Override
+        public long maxEndWaitMs() {
+            return Long.MAX_VALUE;
+        }
+
         @Override
         public AnswerEnd judgeEnd(byte[] behind) {
             AnswerEnd end = answer.end(behind);
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/UnnamedAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/UnnamedAnswerTest.java
@@ -50,6 +50,11 @@
         @Override
         public void onData(byte[] bytes) {}
 
+        @Override
+        public long maxEndWaitMs() {
+            return Long.MAX_VALUE;
+        }
+
         @Override
         public AnswerEnd judgeEnd(byte[] behind) {
             return AnswerEnd.OWN;
