--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
@@ -113,6 +113,12 @@
         healthOf(server.id()).onEnded();
     }
 
+    /** Returns whether a request has not been sent to each server of its service yet. */
+    static boolean hasUntried(ServingView view, ForwardedRequest request) {
+        return view.serversOf(request.context().service()).stream()
+                .anyMatch(server -> !request.triedServerIds().contains(server.id()));
+    }
+
     void onAnswered(ServerInstance server) {
         healthOf(server.id()).onSuccess();
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -236,6 +236,7 @@
                         mayHaveRun,
                         request.timeLeftMs(nowNanos));
         return decision == ResendPolicy.Decision.RESEND
+                && (!outcome.hasAnswer() || BackendServers.hasUntried(view.get(), request))
                 && !stopPolicy.isTooLate(request.route(), nowNanos)
                 && !crashGuard.verdict(request, nowNanos).isRefused();
     }
--- a/standins/src/test/java/io/pollenpath/platform/DoubtfulAnswerTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/DoubtfulAnswerTest.java
@@ -43,6 +43,10 @@
     private static final String SERVICE = "drafts";
     private static final String HOST = "127.0.0.1";
     private static final long PAUSE_MS = 40;
+
+    /** The objective of the routes, in milliseconds; a request queues for 1,500 ms at most. */
+    private static final long OBJECTIVE_MS = 300;
+
     private static final String LETTER = "The letter that was asked for. ";
     private static final String BEGIN = "HTTP/1.1 5";
 
@@ -158,6 +162,17 @@
         assertThat(runs.get("asked").get()).isEqualTo(1);
     }
 
+    /** Guards against an answer that is held, or dropped, for a server that does not exist. */
+    @Test
+    void theAnswerOfTheOnlyServerIsPassedOnAtOnce() throws Exception {
+        instances.remove(1);
+        long startNanos = System.nanoTime();
+        assertThat(bodyOf("/plain/letter")).isEqualTo(LETTER + BEGIN);
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(elapsedMs).isLessThan(OBJECTIVE_MS * 4);
+        assertThat(runs.get("asked").get()).isEqualTo(1);
+    }
+
     /** Guards against sound answers that are refused by all servers because of their text. */
     @Test
     void anAnswerThatNoServerGivesOtherwiseIsPassedOn() throws Exception {
