Let one class know how a status line looks

Version and status of an answer stood in three classes; a method served a test only. Comments said what held before the last changes.

--- a/pollenpath/src/main/java/io/pollenpath/transport/ChunkFraming.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/ChunkFraming.java
@@ -12,7 +12,6 @@
  */
 final class ChunkFraming {
 
-    private static final String VERSION = "HTTP/1.";
     private static final Pattern SIZE_LINE =
             Pattern.compile("(0*\\p{XDigit}{1,8})[ \\t]*(;[^\\x00-\\x08\\x0a-\\x1f]*)?\\r?");
     private static final int HEXADECIMAL = 16;
@@ -84,7 +83,7 @@
 
     private void readSize() {
         Matcher matcher = SIZE_LINE.matcher(line);
-        if (!matcher.matches() || line.indexOf(VERSION) >= 0) {
+        if (!matcher.matches() || line.indexOf(StatusLine.VERSION) >= 0) {
             part = Part.FLAWED;
             return;
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/SplicedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/SplicedHead.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Map;
-import java.util.regex.Pattern;
 
 /**
  * Finds answers whose head was cut and goes on with the head of another one. A server that stops
@@ -11,9 +10,6 @@
  */
 public final class SplicedHead {
 
-    private static final String VERSION = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}( |$)");
-
     private SplicedHead() {}
 
     /**
@@ -23,18 +19,14 @@
      * @return true if the answer must not be used
      */
     public static boolean isIn(HttpResponse head) {
-        if (holdsStatusLine(head.status().reasonPhrase())) {
+        if (StatusLine.isIn(head.status().reasonPhrase())) {
             return true;
         }
         for (Map.Entry<String, String> field : head.headers()) {
-            if (holdsStatusLine(field.getValue())) {
+            if (StatusLine.isIn(field.getValue())) {
                 return true;
             }
         }
         return false;
     }
-
-    private static boolean holdsStatusLine(String text) {
-        return text.contains(VERSION) && STATUS_LINE.matcher(text).find();
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -15,7 +15,8 @@
     /**
      * Judges an answer by its last bytes and what came behind them. The bytes behind a sound answer
      * begin with a status line, if there are any. If a second answer has filled up the first one,
-     * the end is somewhere within the second, which goes on behind it.
+     * the end is somewhere within the second, which goes on behind it. In chunks only a whole head
+     * fits in, since what comes behind a chunk is checked by itself.
      *
      * @param framing how the answer marks its end, not null
      * @param body the body, not null
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -1,5 +1,6 @@
 package io.pollenpath.transport.serving;
 
+import io.pollenpath.transport.StatusLine;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.Predicate;
@@ -14,9 +15,9 @@
  */
 final class EmbeddedHead {
 
-    private static final String VERSION = "HTTP/1.";
-    private static final Pattern STATUS = Pattern.compile("HTTP/1\\.\\d \\d{3}( |$)");
+    private static final String VERSION = StatusLine.VERSION;
 
+    /** A status line up to the first digit of its status. */
     private static final Pattern STATUS_BEGIN = Pattern.compile("HTTP/1\\.\\d \\d");
 
     /** The words of a status are few and plain; text that goes on otherwise only names one. */
@@ -90,11 +91,6 @@
         return new Finding(head.whole, head.named, head.openAt, head.statusOpen);
     }
 
-    /** Returns whether a status line, fields and an empty line follow each other in a body. */
-    static boolean isIn(byte[] body) {
-        return find(body, id -> false).whole();
-    }
-
     /**
      * Tells what the head is within which an offset lies. Another head may begin before the offset
      * in the same lines, and whole heads may come before it.
@@ -109,7 +105,7 @@
             return Begin.OTHER;
         }
         String status = head.substring(openAt).lines().findFirst().orElse("");
-        return STATUS.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
+        return StatusLine.PATTERN.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
     }
 
     /** Returns whether bytes are a head that may go on behind them, or whole heads and then one. */
@@ -178,7 +174,7 @@
             openAt = NOWHERE;
             return;
         }
-        int status = lastMatch(STATUS, withoutReturn(line));
+        int status = lastMatch(StatusLine.PATTERN, withoutReturn(line));
         if (status != NOWHERE) {
             open(start + status);
         } else {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/PieceStarts.java
@@ -6,8 +6,8 @@
 
 /**
  * Where the latest pieces of a body begin that look like the begin of an HTTP answer. A server that
- * answers twice writes its second answer by itself, so it begins with a piece; text that shows an
- * answer hardly ever does.
+ * answers twice writes its second answer by itself, so it begins with a piece unless two pieces are
+ * read at once.
  */
 final class PieceStarts {
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EmbeddedHeadTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EmbeddedHeadTest.java
@@ -14,7 +14,7 @@
     private static final long MAX_ELAPSED_MS = 1_500;
 
     private static boolean isIn(String body) {
-        return EmbeddedHead.isIn(body.getBytes(StandardCharsets.UTF_8));
+        return EmbeddedHead.find(body.getBytes(StandardCharsets.UTF_8), id -> false).whole();
     }
 
     @Test
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
-/** Tests what counts as an event of a stream that only the end of its connection ends. */
+/** Tests what counts as a part of an answer, and what its end tells. */
 class ServerAnswerTest {
 
     private final ServerAnswer answer = new ServerAnswer("r-1"::equals);
