review: case 6, a removed server is used for longer than DrainMs after a watch was cut off

Case: the store cuts off a waiting watch of the servers' entries; one second later an engine's entry is removed. The entry takes the time of the next long poll for an outage and keeps the engine for its grace period, past DrainMs; requests at work when the engine exits are lost.

--- /dev/null
+++ b/review/common-2/Traffic.java
@@ -0,0 +1,85 @@
+package io.pollenpath.review;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Clients that send requests to one entry, each over a kept connection, until they are stopped. */
+public final class Traffic implements AutoCloseable {
+
+    private static final int DEADLINE_MS = 2_000;
+
+    private final int entryPort;
+    private final String path;
+    private final List<Thread> threads = new ArrayList<>();
+    private final AtomicLong nextId = new AtomicLong();
+    private final Map<String, Sent> sent = new ConcurrentHashMap<>();
+    private volatile boolean stopped;
+
+    /**
+     * A request and its end.
+     *
+     * @param sentNanos the time at which it was sent, in nanoseconds
+     * @param status the status of its answer; 0 if the connection ended without one
+     */
+    public record Sent(long sentNanos, int status) {}
+
+    /** Starts the clients. */
+    public Traffic(int entryPort, String path, int clients) {
+        this.entryPort = entryPort;
+        this.path = path;
+        for (int i = 0; i < clients; i++) {
+            Thread thread = new Thread(this::sendAll, "client-" + i);
+            thread.setDaemon(true);
+            threads.add(thread);
+            thread.start();
+        }
+    }
+
+    /** Returns the requests that have ended, by their IDs. */
+    public Map<String, Sent> sent() {
+        return Map.copyOf(sent);
+    }
+
+    private void sendAll() {
+        while (!stopped) {
+            try (Caller caller = new Caller(entryPort)) {
+                while (!stopped && send(caller)) {
+                    Thread.yield();
+                }
+            } catch (IOException e) {
+                // The next request is sent over a new connection.
+            }
+        }
+    }
+
+    /** Sends a request; returns whether the connection serves another one. */
+    private boolean send(Caller caller) throws IOException {
+        String requestId = "request-" + nextId.incrementAndGet();
+        long sentNanos = System.nanoTime();
+        try {
+            Caller.Answer answer = caller.post(requestId, path + requestId, DEADLINE_MS);
+            sent.put(requestId, new Sent(sentNanos, answer.status()));
+            return !answer.closes();
+        } catch (IOException e) {
+            sent.put(requestId, new Sent(sentNanos, 0));
+            throw e;
+        }
+    }
+
+    /** Stops the clients and waits for the ends of their last requests. */
+    public void stop() throws InterruptedException {
+        stopped = true;
+        for (Thread thread : threads) {
+            thread.join(2L * DEADLINE_MS);
+        }
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+    }
+}
