--- a/review/6/RemovedServerCase.java
+++ b/review/6/RemovedServerCase.java
@@ -22,6 +22,7 @@
     private static final long WORK_MS = 50;
     private static final int CLIENTS = 12;
     private static final long TIMEOUT_MS = 3_000;
+    private static final int DEADLINE_MS = 2_000;
     private static final long START_TIMEOUT_MS = 20_000;
     private static final long STABLE_MS = 6_000;
     private static final long CUT_BEFORE_REMOVAL_MS = 1_000;
@@ -53,7 +54,9 @@
             writeManifest(store);
             entry.start();
             entry.awaitServing("/" + ROUTE + "/ready", START_TIMEOUT_MS);
-            try (Traffic traffic = new Traffic(entry.callerPort(), "/" + ROUTE + "/", CLIENTS)) {
+            String path = "/" + ROUTE + "/";
+            try (Traffic traffic =
+                    new Traffic(entry.callerPort(), path, CLIENTS, DEADLINE_MS)) {
                 Thread.sleep(STABLE_MS);
                 EngineStandin leaving = engines.get(0);
                 long removedNanos = removeEntry(store, leaving);
--- a/review/common-2/Traffic.java
+++ b/review/common-2/Traffic.java
@@ -5,15 +5,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Clients that send requests to one entry, each over a kept connection, until they are stopped. */
 public final class Traffic implements AutoCloseable {
 
-    private static final int DEADLINE_MS = 2_000;
-
     private final int entryPort;
     private final String path;
+    private final int deadlineMs;
     private final List<Thread> threads = new ArrayList<>();
     private final AtomicLong nextId = new AtomicLong();
     private final Map<String, Sent> sent = new ConcurrentHashMap<>();
@@ -23,14 +23,22 @@
      * A request and its end.
      *
      * @param sentNanos the time at which it was sent, in nanoseconds
+     * @param endedNanos the time of its answer or of the end of its connection, in nanoseconds
      * @param status the status of its answer; 0 if the connection ended without one
      */
-    public record Sent(long sentNanos, int status) {}
+    public record Sent(long sentNanos, long endedNanos, int status) {
+
+        /** Returns the time from sending it to its end, in milliseconds. */
+        public long lastedMs() {
+            return TimeUnit.NANOSECONDS.toMillis(endedNanos - sentNanos);
+        }
+    }
 
-    /** Starts the clients. */
-    public Traffic(int entryPort, String path, int clients) {
+    /** Starts the clients; each waits for an answer for its time limit. */
+    public Traffic(int entryPort, String path, int clients, int deadlineMs) {
         this.entryPort = entryPort;
         this.path = path;
+        this.deadlineMs = deadlineMs;
         for (int i = 0; i < clients; i++) {
             Thread thread = new Thread(this::sendAll, "client-" + i);
             thread.setDaemon(true);
@@ -61,11 +69,11 @@
         String requestId = "request-" + nextId.incrementAndGet();
         long sentNanos = System.nanoTime();
         try {
-            Caller.Answer answer = caller.post(requestId, path + requestId, DEADLINE_MS);
-            sent.put(requestId, new Sent(sentNanos, answer.status()));
+            Caller.Answer answer = caller.post(requestId, path + requestId, deadlineMs);
+            sent.put(requestId, new Sent(sentNanos, System.nanoTime(), answer.status()));
             return !answer.closes();
         } catch (IOException e) {
-            sent.put(requestId, new Sent(sentNanos, 0));
+            sent.put(requestId, new Sent(sentNanos, System.nanoTime(), 0));
             throw e;
         }
     }
@@ -74,7 +82,7 @@
     public void stop() throws InterruptedException {
         stopped = true;
         for (Thread thread : threads) {
-            thread.join(2L * DEADLINE_MS);
+            thread.join(2L * deadlineMs);
         }
     }
 
