--- a/review/common-2/Traffic.java
+++ b/review/common-2/Traffic.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 
 /** Clients that send requests to one entry, each over a kept connection, until they are stopped. */
 public final class Traffic implements AutoCloseable {
@@ -14,6 +15,7 @@
     private final int entryPort;
     private final String path;
     private final int deadlineMs;
+    private final BiConsumer<String, Caller.Answer> check;
     private final List<Thread> threads = new ArrayList<>();
     private final AtomicLong nextId = new AtomicLong();
     private final Map<String, Sent> sent = new ConcurrentHashMap<>();
@@ -36,6 +38,17 @@
 
     /** Starts the clients; each waits for an answer for its time limit. */
     public Traffic(int entryPort, String path, int clients, int deadlineMs) {
+        this(entryPort, path, clients, deadlineMs, (requestId, answer) -> {});
+    }
+
+    /** Starts the clients; each waits for an answer for its time limit and checks it. */
+    public Traffic(
+            int entryPort,
+            String path,
+            int clients,
+            int deadlineMs,
+            BiConsumer<String, Caller.Answer> check) {
+        this.check = check;
         this.entryPort = entryPort;
         this.path = path;
         this.deadlineMs = deadlineMs;
@@ -70,6 +83,7 @@
         long sentNanos = System.nanoTime();
         try {
             Caller.Answer answer = caller.post(requestId, path + requestId, deadlineMs);
+            check.accept(requestId, answer);
             sent.put(requestId, new Sent(sentNanos, System.nanoTime(), answer.status()));
             return !answer.closes();
         } catch (IOException e) {
