--- a/review/6/EndlessLineEndsCase.java
+++ b/review/7/EndlessLineEndsCase.java
@@ -11,7 +11,7 @@
  */
 public final class EndlessLineEndsCase {
 
-    private static final int NUMBER = 6;
+    private static final int NUMBER = 7;
     private static final String PLAIN_SERVICE = "proofs";
     private static final String STREAM_SERVICE = "drafts";
     private static final String PLAIN_ROUTE = "once";
