review: case 6 with freezes of the entry

Case: as before, with two freezes of 4 s, so that callers' and servers' connections end in one pass.

--- a/review/6/ClosedTogetherCase.java
+++ b/review/6/ClosedTogetherCase.java
@@ -13,8 +13,9 @@
 
 /**
  * For a while some clients leave before their answers come, and engines lose some answers: they run
- * the request and close the connection. After that all is calm, and requests of another service that
- * last longer than their route's timeout have to be ended by the entry.
+ * the request and close the connection. Meanwhile the entry's machine stands still. After that
+ * all is calm, and requests of another service that last longer than their route's timeout have to be
+ * ended by the entry.
  */
 public final class ClosedTogetherCase {
 
@@ -26,17 +27,19 @@
     private static final int SLOTS = 24;
     private static final long START_TIMEOUT_MS = 20_000;
     private static final long STABLE_MS = 4_000;
-    private static final int EPISODES = 5;
-    private static final long EPISODE_MS = 5_500;
-    private static final long PAUSE_MS = 200;
+    private static final int ROUNDS = 2;
+    private static final long PAUSE_MS = 4_000;
+    private static final long TROUBLE_BEFORE_FREEZE_MS = 1_000;
+    private static final long FREEZE_MS = 4_000;
+    private static final long TROUBLE_AFTER_FREEZE_MS = 500;
     private static final long CALM_MS = 6_000;
     private static final long OBSERVED_MS = 24_000;
 
     private static final int SHORT_ENGINES = 5;
-    private static final int MIN_SHORT_WORK_MS = 150;
+    private static final int MIN_SHORT_WORK_MS = 250;
     private static final int MAX_SHORT_WORK_MS = 350;
-    private static final long SHORT_TIMEOUT_MS = 3_200;
-    private static final int SHORT_DEADLINE_MS = 3_000;
+    private static final long SHORT_TIMEOUT_MS = 8_000;
+    private static final int SHORT_DEADLINE_MS = 8_000;
 
     /** A share of 0.3 of the clients leaves, after half of the route's objective of 400 ms. */
     private static final int STAYING_CLIENTS = 76;
@@ -92,7 +95,7 @@
             writeManifest(store);
             entry.start();
             entry.awaitServing("/" + SHORT_ROUTE + "/ready", START_TIMEOUT_MS);
-            sendShort(entry.callerPort());
+            sendShort(entry);
             Thread.sleep(CALM_MS);
             return sendLong(entry, slow);
         } finally {
@@ -116,13 +119,16 @@
         store.put(Manifests.CONFIG, Manifests.NEWEST, manifest);
     }
 
-    private void sendShort(int port) throws InterruptedException {
+    private void sendShort(EntryProcess entry) throws IOException, InterruptedException {
         String path = "/" + SHORT_ROUTE + "/";
         try (Traffic stay =
-                new Traffic(port, path + "stay/", STAYING_CLIENTS, SHORT_DEADLINE_MS)) {
+                new Traffic(
+                        entry.callerPort(), path + "stay/", STAYING_CLIENTS, SHORT_DEADLINE_MS)) {
             Thread.sleep(STABLE_MS);
-            for (int i = 1; i <= EPISODES; i++) {
-                playEpisode(port, path + "leave-" + i + "/", i);
+            for (int round = 1; round <= ROUNDS; round++) {
+                if (disrupted) {
+                    playTrouble(entry, path + "leave-" + round + "/");
+                }
                 Thread.sleep(PAUSE_MS);
             }
             stay.stop();
@@ -131,17 +137,21 @@
         record.show("answers that engines lost: " + lost);
     }
 
-    private void playEpisode(int port, String path, int number) throws InterruptedException {
-        losing = disrupted;
-        record.line("episode " + number + ", with clients that leave and lost answers: " + disrupted);
-        if (!disrupted) {
-            Thread.sleep(EPISODE_MS);
-            return;
-        }
+    private void playTrouble(EntryProcess entry, String path)
+            throws IOException, InterruptedException {
         try (LeavingCallers leave =
-                new LeavingCallers(port, path, LEAVING_CLIENTS, LEAVE_AFTER_MS, record)) {
-            Thread.sleep(EPISODE_MS);
+                new LeavingCallers(
+                        entry.callerPort(), path, LEAVING_CLIENTS, LEAVE_AFTER_MS, record)) {
+            Thread.sleep(TROUBLE_BEFORE_FREEZE_MS);
+            losing = true;
+            entry.signal("STOP");
+            record.show("engines lose answers, and the entry's machine stands still");
+            Thread.sleep(FREEZE_MS);
+            entry.signal("CONT");
+            record.show("the entry's machine goes on");
+            Thread.sleep(TROUBLE_AFTER_FREEZE_MS);
             leave.stop();
+            record.show("short requests whose clients left: " + leave.sent());
         }
         losing = false;
     }
--- a/review/6/LeavingCallers.java
+++ b/review/6/LeavingCallers.java
@@ -9,7 +9,7 @@
 /** Clients that send a request, leave before its answer comes, and send the next one. */
 final class LeavingCallers implements AutoCloseable {
 
-    private static final int DEADLINE_MS = 3_000;
+    private static final int DEADLINE_MS = 8_000;
 
     private final int entryPort;
     private final String path;
@@ -37,7 +37,7 @@
 
     private void sendAll() {
         while (!stopped) {
-            String requestId = "left-" + sent.incrementAndGet();
+            String requestId = "left-" + sent.incrementAndGet() + "-of-" + System.nanoTime();
             try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), entryPort)) {
                 String request =
                         "POST " + path + requestId + " HTTP/1.1\r\nHost: " + Manifests.HOST
