--- a/review/6/ClosedTogetherCase.java
+++ b/review/6/ClosedTogetherCase.java
@@ -39,6 +39,7 @@
     private static final int MIN_SHORT_WORK_MS = 250;
     private static final int MAX_SHORT_WORK_MS = 350;
     private static final long SHORT_TIMEOUT_MS = 8_000;
+    private static final long SHORT_OBJECTIVE_MS = 400;
     private static final int SHORT_DEADLINE_MS = 8_000;
 
     /** A share of 0.3 of the clients leaves, after half of the route's objective of 400 ms. */
@@ -47,10 +48,10 @@
     private static final int LEAVING_CLIENTS = 32;
     private static final int LEAVE_AFTER_MS = 200;
 
-    /** A share of 0.6 of the engines loses the answers of 0.4 of the requests. */
+    /** A share of 0.6 of the engines loses the answers of 0.3 of the requests. */
     private static final int LOSING_ENGINES = 3;
 
-    private static final double LOST_SHARE = 0.4;
+    private static final double LOST_SHARE = 0.3;
 
     private static final long LONG_WORK_MS = 2_000;
     private static final long LONG_TIMEOUT_MS = 1_000;
@@ -97,7 +98,9 @@
             entry.awaitServing("/" + SHORT_ROUTE + "/ready", START_TIMEOUT_MS);
             sendShort(entry);
             Thread.sleep(CALM_MS);
-            return sendLong(entry, slow);
+            int code = sendLong(entry, slow);
+            Cases.showConditions(record, entry, store);
+            return code;
         } finally {
             for (RawServer engine : engines) {
                 engine.close();
@@ -115,7 +118,12 @@
         Manifests.addRoute(
                 manifest, LONG_ROUTE, "non_idempotent", LONG_SERVICE, LONG_TIMEOUT_MS);
         Manifests.addRoute(
-                manifest, SHORT_ROUTE, "non_idempotent", SHORT_SERVICE, SHORT_TIMEOUT_MS);
+                manifest,
+                SHORT_ROUTE,
+                "non_idempotent",
+                SHORT_SERVICE,
+                SHORT_TIMEOUT_MS,
+                SHORT_OBJECTIVE_MS);
         store.put(Manifests.CONFIG, Manifests.NEWEST, manifest);
     }
 
--- a/review/7/EndlessLineEndsCase.java
+++ b/review/7/EndlessLineEndsCase.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /**
- * One of two model engines sends line ends without end in the body of its streams. Requests of a
+ * One of two model engines sends line ends without end in the body of one of 20 of its streams. Requests of a
  * plain service with sound servers go through the same entry.
  */
 public final class EndlessLineEndsCase {
@@ -22,16 +22,17 @@
     private static final int DEADLINE_MS = 3_000;
     private static final long PLAIN_TIMEOUT_MS = 1_000;
     private static final long STREAM_TIMEOUT_MS = 8_000;
+    private static final long STREAM_OBJECTIVE_MS = 501;
     private static final long SLACK_MS = 500;
     private static final int LEAST_UNANSWERED = 8;
 
     /** The rule is broken if over one in so many has no answer. */
     private static final int LEAST_SHARE = 4;
 
-    private static final long STREAM_INTERVAL_MS = 300;
+    private static final long STREAM_INTERVAL_MS = 200;
     private static final long START_TIMEOUT_MS = 20_000;
     private static final long STABLE_MS = 6_000;
-    private static final long TROUBLE_MS = 12_000;
+    private static final long TROUBLE_MS = 32_000;
 
     private final Record record;
     private final boolean disrupted;
@@ -63,7 +64,9 @@
             writeManifest(store);
             entry.start();
             entry.awaitServing("/" + PLAIN_ROUTE + "/ready", START_TIMEOUT_MS);
-            return send(entry, troubled, List.of(plainOne, plainTwo));
+            int code = send(entry, troubled, List.of(plainOne, plainTwo));
+            Cases.showConditions(record, entry, store);
+            return code;
         }
     }
 
@@ -80,6 +83,7 @@
             record.show("model-2 sends line ends without end: " + disrupted);
             Thread.sleep(TROUBLE_MS);
             troubled.setInTrouble(false);
+            record.show("streams of model-2 that went on without end: " + troubled.endlessStreams());
             record.show("model-2 sent " + troubled.endlessBytes() + " bytes that are no answer");
             streams.stop();
             traffic.stop();
@@ -105,7 +109,13 @@
         ObjectNode manifest = Manifests.manifest(1, PLAIN_SERVICE);
         Manifests.addRoute(
                 manifest, PLAIN_ROUTE, "non_idempotent", PLAIN_SERVICE, PLAIN_TIMEOUT_MS);
-        Manifests.addRoute(manifest, STREAM_ROUTE, "streaming", STREAM_SERVICE, STREAM_TIMEOUT_MS);
+        Manifests.addRoute(
+                manifest,
+                STREAM_ROUTE,
+                "streaming",
+                STREAM_SERVICE,
+                STREAM_TIMEOUT_MS,
+                STREAM_OBJECTIVE_MS);
         store.put(Manifests.CONFIG, Manifests.NEWEST, manifest);
     }
 
--- a/review/common-2/Cases.java
+++ b/review/common-2/Cases.java
@@ -44,6 +44,12 @@
         System.exit(code);
     }
 
+    /** Shows what makes the entry a machine in touch. */
+    public static void showConditions(Record record, EntryProcess entry, StoreStandin store) {
+        record.show("in touch: the entry's process runs since its only start, ms: " + entry.ranForMs());
+        record.show("core stable: the store, " + store.state());
+    }
+
     private static int play(Body body, Path temporary, Record record, boolean disrupted) {
         try {
             return body.play(temporary, record, disrupted);
--- a/review/common-2/EntryProcess.java
+++ b/review/common-2/EntryProcess.java
@@ -25,6 +25,7 @@
     private final int storePort;
     private Process process;
     private int starts;
+    private long startNanos;
 
     /** Creates an entry that is not started yet; its settings and log go to a folder. */
     public EntryProcess(String node, Path folder, int storePort) throws IOException {
@@ -79,6 +80,13 @@
         starts++;
         builder.redirectOutput(logFile().toFile());
         process = builder.start();
+        startNanos = System.nanoTime();
+    }
+
+    /** Returns how long the process of the latest start has run, in milliseconds; 0 if it ended. */
+    public long ranForMs() {
+        long ranNanos = System.nanoTime() - startNanos;
+        return process.isAlive() ? TimeUnit.NANOSECONDS.toMillis(ranNanos) : 0;
     }
 
     /** Returns the file with what the latest start has written. */
--- a/review/common-2/Manifests.java
+++ b/review/common-2/Manifests.java
@@ -24,6 +24,7 @@
     /** The only tenant. */
     public static final String TENANT = "clerks";
 
+    private static final long LONGEST_PAUSE_MS = 120;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private Manifests() {}
@@ -46,17 +47,31 @@
         return manifest;
     }
 
-    /** Adds a route whose path prefix is its name. */
+    /** Adds a route whose path prefix is its name, with an eighth of its timeout as objective. */
     public static void addRoute(
             ObjectNode manifest, String name, String kind, String service, long timeoutMs) {
-        manifest.withArray("Routes")
-                .addObject()
+        addRoute(manifest, name, kind, service, timeoutMs, timeoutMs / 8);
+    }
+
+    /** Adds a route whose path prefix is its name. */
+    public static void addRoute(
+            ObjectNode manifest,
+            String name,
+            String kind,
+            String service,
+            long timeoutMs,
+            long objectiveMs) {
+        ObjectNode route = manifest.withArray("Routes").addObject();
+        if (kind.equals("streaming")) {
+            route.put("GapTargetMs", LONGEST_PAUSE_MS);
+        }
+        route
                 .put("Name", name)
                 .put("Host", HOST)
                 .put("PathPrefix", "/" + name + "/")
                 .put("Kind", kind)
                 .put("TimeoutMs", timeoutMs)
-                .put("SloMs", timeoutMs / 8)
+                .put("SloMs", objectiveMs)
                 .put("Priority", 1)
                 .put("Service", service)
                 .put("Attempts", 2)
--- a/review/common-2/StoreStandin.java
+++ b/review/common-2/StoreStandin.java
@@ -32,6 +32,8 @@
     private final Map<String, Integer> cutsByKind = new HashMap<>();
     private final Map<String, Integer> waitingByKind = new HashMap<>();
     private long revision = 100;
+    private long calls;
+    private long longestCallNanos;
 
     private record Change(String kind, long revision, ObjectNode event) {}
 
@@ -121,7 +123,10 @@
             String path = exchange.getRequestURI().getPath();
             String[] kindAndName = path.substring(PREFIX.length()).split("/", 2);
             String name = kindAndName.length > 1 ? kindAndName[1] : "";
+            long startNanos = System.nanoTime();
             serve(exchange, kindAndName[0], name, body);
+            boolean waits = String.valueOf(exchange.getRequestURI().getQuery()).contains("Watch");
+            count(waits ? 0 : System.nanoTime() - startNanos);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -145,6 +150,17 @@
         }
     }
 
+    private synchronized void count(long callNanos) {
+        calls++;
+        longestCallNanos = Math.max(longestCallNanos, callNanos);
+    }
+
+    /** Tells how the store has answered so far. */
+    public synchronized String state() {
+        return calls + " calls answered, none refused; the longest but for waiting watches took "
+                + longestCallNanos / 1_000_000 + " ms";
+    }
+
     private static Map<String, String> query(String text) {
         Map<String, String> query = new HashMap<>();
         for (String pair : text == null ? new String[0] : text.split("&")) {
--- a/review/common-2/StreamEngine.java
+++ b/review/common-2/StreamEngine.java
@@ -8,13 +8,15 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Stands in for a model engine: it answers with a stream of events. In trouble it goes on after the
- * first event with line ends that are no event, without end, until its caller closes.
+ * Stands in for a model engine: it answers with a stream of events. In trouble one
+ * of 20 goes on after the first event with line ends that are no event, without end, until its caller
+ * closes.
  */
 public final class StreamEngine implements AutoCloseable {
 
     private static final int EVENTS = 24;
     private static final long EVENT_INTERVAL_MS = 20;
+    private static final int STREAMS_PER_FLAW = 20;
     private static final int PIECE_BYTES = 4_096;
 
     /** The rate of the link of a machine beside an engine, 14 Mbit/s, in bytes a second. */
@@ -23,6 +25,8 @@
     private final String id;
     private final RawServer server;
     private final AtomicLong endlessBytes = new AtomicLong();
+    private final AtomicLong streams = new AtomicLong();
+    private final AtomicLong endlessStreams = new AtomicLong();
     private volatile boolean inTrouble;
     private long nextPieceNanos = System.nanoTime();
 
@@ -42,6 +46,11 @@
         inTrouble = newInTrouble;
     }
 
+    /** Returns the number of streams that went on without end. */
+    public long endlessStreams() {
+        return endlessStreams.get();
+    }
+
     /** Returns the number of bytes sent that are no answer. */
     public long endlessBytes() {
         return endlessBytes.get();
@@ -53,7 +62,8 @@
             write(out, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
-        boolean endless = inTrouble;
+        boolean endless = inTrouble && streams.incrementAndGet() % STREAMS_PER_FLAW == 0;
+        endlessStreams.addAndGet(endless ? 1 : 0);
         write(
                 out,
                 "HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("request-id")
