standins: one fixture starts the gateways of the tests of single faults

GatewayFaultsTest and DoubtfulAnswerTest each built the same gateway, with a retry window that began long enough ago for retries. GatewayFixture does it for both, and for a test to come.

--- a/standins/src/test/java/io/pollenpath/platform/DoubtfulAnswerTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/DoubtfulAnswerTest.java
@@ -2,18 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.codahale.metrics.MetricRegistry;
-import io.netty.channel.EventLoop;
 import io.pollenpath.standin.platform.PlatformEngineStandin;
-import io.pollenpath.standin.platform.PlatformFixtures;
 import io.pollenpath.standin.platform.RequestReader;
 import io.pollenpath.state.serving.ServerInstance;
-import io.pollenpath.state.serving.ServingView;
-import io.pollenpath.transport.HttpAddress;
 import io.pollenpath.transport.NettyLoops;
-import io.pollenpath.transport.serving.Gateway;
-import io.pollenpath.transport.serving.GatewayServer;
-import io.pollenpath.transport.serving.GatewaySettings;
 import io.pollenpath.util.Pause;
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -26,7 +18,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -39,9 +30,6 @@
 
     private static final int ENGINES = 2;
     private static final int BACKLOG = 16;
-    private static final long RETRY_WINDOW_MS = 10_000;
-    private static final String SERVICE = "drafts";
-    private static final String HOST = "127.0.0.1";
     private static final long PAUSE_MS = 40;
 
     /** The objective of the routes, in milliseconds; a request queues for 1,500 ms at most. */
@@ -61,9 +49,7 @@
         for (int i = 0; i < ENGINES; i++) {
             SocketServer engine = new SocketServer(listener(), this::serve);
             engines.add(engine);
-            instances.add(
-                    new ServerInstance(
-                            "engine-" + i, 0, 0, SERVICE, HOST, engine.port(), "zone-a", 8, false));
+            instances.add(GatewayFixture.instance("engine-" + i, engine.port()));
         }
     }
 
@@ -110,41 +96,12 @@
 
     /** Returns the body that a caller of an entry gets which may send requests again. */
     private String bodyOf(String path) throws Exception {
-        EventLoop loop = loops.group().next();
-        long startNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(RETRY_WINDOW_MS);
-        GatewaySettings settings =
-                new GatewaySettings(
-                        "entry-1",
-                        "zone-a",
-                        startNanos,
-                        0.2,
-                        90,
-                        RETRY_WINDOW_MS,
-                        1_000,
-                        20_000_000);
-        Gateway gateway =
-                new Gateway(
-                        loop,
-                        settings,
-                        new HeaderDialect(),
-                        new MetricRegistry(),
-                        new SplittableRandom(1));
-        gateway.updateView(
-                ServingView.EMPTY
-                        .withConfig(ManifestDecoder.decode(PlatformFixtures.manifest(1, SERVICE)))
-                        .withServers(instances));
-        int port;
-        try (ServerSocket free = listener()) {
-            port = free.getLocalPort();
-        }
-        GatewayServer server = new GatewayServer(loop, HOST, port, gateway);
-        try (RawCaller caller = new RawCaller(new HttpAddress(HOST, port))) {
+        try (GatewayFixture gateway = new GatewayFixture(loops, instances);
+                RawCaller caller = new RawCaller(gateway.address())) {
             caller.send(RawCaller.request("asked", path, "{}"));
             RawCaller.Answer answer = caller.read();
             assertThat(answer.status()).isEqualTo(200);
             return answer.body();
-        } finally {
-            server.close();
         }
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFaultsTest.java
@@ -3,9 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.EventLoop;
 import io.pollenpath.standin.platform.EngineFault;
 import io.pollenpath.standin.platform.PlatformEngineStandin;
 import io.pollenpath.standin.platform.PlatformFixtures;
@@ -16,18 +14,14 @@
 import io.pollenpath.transport.HttpReply;
 import io.pollenpath.transport.NettyLoops;
 import io.pollenpath.transport.serving.Gateway;
-import io.pollenpath.transport.serving.GatewayServer;
-import io.pollenpath.transport.serving.GatewaySettings;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
@@ -46,9 +40,8 @@
  */
 class GatewayFaultsTest {
 
-    private static final long RETRY_WINDOW_MS = 10_000;
-    private static final String SERVICE = "drafts";
-    private static final String HOST = "127.0.0.1";
+    private static final String SERVICE = GatewayFixture.SERVICE;
+    private static final String HOST = GatewayFixture.HOST;
     private static final int TIMEOUT_S = 10;
     private static final String COMPLETE_STREAM = events(1, PlatformEngineStandin.STREAM_EVENTS);
 
@@ -57,43 +50,21 @@
     private final Queue<EngineFault> faults = new ConcurrentLinkedQueue<>();
     private PlatformEngineStandin first;
     private PlatformEngineStandin second;
+    private GatewayFixture fixture;
     private Gateway gateway;
-    private GatewayServer server;
     private int port;
 
     @BeforeEach
     void start() throws IOException {
         first = new PlatformEngineStandin("engine-1", faults);
         second = new PlatformEngineStandin("engine-2", faults);
-        EventLoop loop = loops.group().next();
-        long startNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(RETRY_WINDOW_MS);
-        GatewaySettings settings =
-                new GatewaySettings(
-                        "entry-1",
-                        "zone-a",
-                        startNanos,
-                        0.2,
-                        90,
-                        RETRY_WINDOW_MS,
-                        1_000,
-                        20_000_000);
-        gateway =
-                new Gateway(
-                        loop,
-                        settings,
-                        new HeaderDialect(),
-                        new MetricRegistry(),
-                        new SplittableRandom(1));
-        port = freePort();
-        server = new GatewayServer(loop, HOST, port, gateway);
-        gateway.updateView(
-                ServingView.EMPTY
-                        .withConfig(ManifestDecoder.decode(PlatformFixtures.manifest(1, SERVICE)))
-                        .withServers(List.of(instance("engine-1", first))));
+        fixture = new GatewayFixture(loops, List.of(instance("engine-1", first)));
+        gateway = fixture.gateway();
+        port = fixture.address().port();
     }
 
     private static ServerInstance instance(String id, PlatformEngineStandin engine) {
-        return new ServerInstance(id, 0, 0, SERVICE, HOST, engine.port(), "zone-a", 8, false);
+        return GatewayFixture.instance(id, engine.port());
     }
 
     private void addSecondEngine() {
@@ -105,15 +76,9 @@
                                         instance("engine-2", second))));
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     @AfterEach
     void stop() throws IOException {
-        server.close();
+        fixture.close();
         client.close();
         first.close();
         second.close();
