transport: an answer whose status line HTTP doesn't know is no answer

What callers saw: a server in trouble sent status 000, and the caller got it as the answer, with the server's proof, on each route. So with 0, 099, 20, 2000, 600 and 999. A status +200 or 0200, two blanks or a tab before it, or another version, was passed on as a 200. An interim answer with status 000 was taken for the final one without a length.

Cause: both readers of answers (BackendConnection, HttpClientHandler) believed what the decoder made of a status line. The decoder skips blanks and control bytes before the line, stops the version and the status at any blank, and reads the status as a number, whatever its digits are.

Evidence: BrokenHeadTest plays such heads by two servers on a route of each kind.

Change: AnswerHeadSyntax judges the status line byte by byte as it was sent, in HttpAnswerCodec, before the decoder sees it: HTTP/1.0 or 1.1, one blank, a status of three digits from 100 to 599, and a reason of text or none. It says what is sound (RFC 9112, 2.2 and 4), so no list of bad lines has to grow. The first byte that must not stand there ends the answer with a decoder failure, which both readers already take for an answer without a known outcome: the connection ends, another server is asked where the route allows it, else the caller gets a 502 without a proof at once. Nothing of such a head is passed on.

--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
@@ -65,13 +65,21 @@
         return inboundHandler().behind.toByteArray();
     }
 
-    /** Decodes answers, strictly so if they come in chunks, and keeps what comes behind one. */
+    /**
+     * Decodes answers, and keeps what comes behind one. Heads and the framing of chunks are judged
+     * by the bytes that were sent, before or as they are decoded; an answer with a flaw there ends
+     * with a decoder failure, and nothing of a flawed head is passed on.
+     */
     static final class Decoder extends HttpResponseDecoder {
 
         private final ByteArrayOutputStream behind = new ByteArrayOutputStream();
         private HttpMethod method = HttpMethod.GET;
         private boolean ended = true;
         private ChunkFraming chunks;
+        private AnswerHeadSyntax head = new AnswerHeadSyntax();
+
+        /** The number of bytes that were judged as part of a head and are not decoded yet. */
+        private int judgedBytes;
 
         private Decoder(HttpDecoderConfig config) {
             super(config);
@@ -80,6 +88,12 @@
         private void begin(HttpMethod newMethod) {
             method = newMethod;
             ended = false;
+            expectHead();
+        }
+
+        private void expectHead() {
+            head = new AnswerHeadSyntax();
+            judgedBytes = 0;
         }
 
         @Override
@@ -95,9 +109,16 @@
         private void decodeStrictly(ChannelHandlerContext context, ByteBuf in, List<Object> out)
                 throws Exception {
             int start = in.readerIndex();
+            int judgedTo = head.follow(in, start + judgedBytes, in.writerIndex());
+            if (!head.isSound()) {
+                refuse(out, "a byte that must not stand in the " + head.partName());
+                keep(in);
+                return;
+            }
             super.decode(context, in, out);
+            judgedBytes = Math.max(0, judgedTo - in.readerIndex());
             if (chunks != null && !chunks.follow(in, start, in.readerIndex())) {
-                refuse(out);
+                refuse(out, "bytes that frame no chunk");
             }
             out.forEach(this::onDecoded);
         }
@@ -108,15 +129,15 @@
             }
             if (decoded instanceof LastHttpContent) {
                 chunks = null;
+                expectHead();
             }
         }
 
-        private void refuse(List<Object> out) {
+        private void refuse(List<Object> out, String flaw) {
             out.forEach(ReferenceCountUtil::release);
             out.clear();
             HttpContent failure = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
-            Exception cause = new CorruptedFrameException("bytes that frame no chunk");
-            failure.setDecoderResult(DecoderResult.failure(cause));
+            failure.setDecoderResult(DecoderResult.failure(new CorruptedFrameException(flaw)));
             out.add(failure);
             ended = true;
         }
--- /dev/null
+++ b/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
@@ -0,0 +1,78 @@
+package io.pollenpath.transport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests which heads are sound, each byte by itself and all bytes at once. */
+class AnswerHeadSyntaxTest {
+
+    /** Returns whether a head is sound, in one piece as in pieces of one byte. */
+    private static boolean isSound(String text) {
+        ByteBuf bytes = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
+        AnswerHeadSyntax whole = new AnswerHeadSyntax();
+        whole.follow(bytes, 0, bytes.writerIndex());
+        AnswerHeadSyntax pieces = new AnswerHeadSyntax();
+        for (int at = 0; at < bytes.writerIndex(); at++) {
+            pieces.follow(bytes, at, at + 1);
+        }
+        assertThat(pieces.isSound()).isEqualTo(whole.isSound());
+        return whole.isSound();
+    }
+
+    @Test
+    void justTheStatusesOfTheGrammarAreSound() {
+        for (int status = 0; status < 10_000; status++) {
+            boolean known = status >= 100 && status <= 599;
+            assertThat(isSound("HTTP/1.1 " + status + " Status\r\n")).isEqualTo(known);
+            assertThat(isSound("HTTP/1.0 " + status + "\r\n")).isEqualTo(known);
+            assertThat(isSound("HTTP/1.1 0" + status + " \r\n")).isFalse();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 \r\n",
+                "HTTP/1.1 200\r\n",
+                "HTTP/1.1 200 OK\n",
+                "HTTP/1.1 200 Not\tOK: \u00e9\u00ff \r\n",
+                "HTTP/1.0 599 x"
+            })
+    void aStatusLineOfTheGrammarIsSound(String line) {
+        assertThat(isSound(line)).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\r\nHTTP/1.1 200 OK",
+                " HTTP/1.1 200 OK",
+                "http/1.1 200 OK",
+                "HTTP/2.0 200 OK",
+                "HTTP/1.2 200 OK",
+                "HTTP/1.1  200 OK",
+                "HTTP/1.1\t200 OK",
+                "HTTP/1.1 200\tOK",
+                "HTTP/1.1 +200 OK",
+                "HTTP/1.1 000",
+                "HTTP/1.1 2 0 0",
+                "HTTP/1.1 200 O\rK",
+                "HTTP/1.1 200 O\u0000K",
+                "HTTP/1.1 200 O\u007fK"
+            })
+    void aStatusLineThatTheGrammarDoesNotKnowIsFlawed(String line) {
+        assertThat(isSound(line)).isFalse();
+    }
+
+    @Test
+    void theFirstByteThatMustNotStandThereIsEnough() {
+        assertThat(isSound("HTTP/1.1 ")).isTrue();
+        assertThat(isSound("HTTP/1.1 0")).isFalse();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
@@ -0,0 +1,177 @@
+package io.pollenpath.platform;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.pollenpath.standin.platform.PlatformEngineStandin;
+import io.pollenpath.standin.platform.RequestReader;
+import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.transport.NettyLoops;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Tests what callers get when a server's answer has a head that HTTP's grammar doesn't allow. */
+class BrokenHeadTest {
+
+    private static final int ENGINES = 2;
+    private static final int BACKLOG = 16;
+    private static final String LETTER = "The letter that the caller asked for.";
+    private static final String EVENTS = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+    private static final String PROOF = "Upstream-Signature: proof\r\n";
+
+    /** The text that shows that a caller got bytes of a broken answer. */
+    private static final String MARK = "broken-mark";
+
+    /** The part of the caller's 2,000 ms within which a request that can't be served is refused. */
+    private static final long AT_ONCE_MS = 1_000;
+
+    private final Map<String, Integer> arrivals = new ConcurrentHashMap<>();
+    private final NettyLoops loops = new NettyLoops(1);
+    private final List<SocketServer> engines = new ArrayList<>();
+    private GatewayFixture gateway;
+    private volatile Row played;
+
+    /**
+     * An answer that must not be passed on.
+     *
+     * @param name what is broken, not null
+     * @param before what comes before the head of the final answer, not null
+     * @param statusLine the status line without its end, not null
+     * @param fields the fields behind the request's ID and the proof, not null
+     */
+    private record Row(String name, String before, String statusLine, String fields) {
+
+        static Row status(String statusLine) {
+            return new Row(statusLine, "", statusLine, "");
+        }
+
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    /** Returns status lines with a version, a status or a blank that the grammar doesn't know. */
+    static List<Row> statusLines() {
+        List<Row> rows = new ArrayList<>();
+        for (String status :
+                List.of("000", "0", "099", "20", "2000", "600", "999", "+200", "0200", "-200")) {
+            rows.add(Row.status("HTTP/1.1 " + status + " Status"));
+        }
+        rows.add(Row.status("HTTP/1.1 000"));
+        rows.add(Row.status("HTTP/2.0 200 OK"));
+        rows.add(Row.status("HTTP/1.2 200 OK"));
+        rows.add(Row.status("HTTP/11 200 OK"));
+        rows.add(Row.status("http/1.1 200 OK"));
+        rows.add(Row.status("HTTP/1.1  200 OK"));
+        rows.add(Row.status("HTTP/1.1\t200 OK"));
+        rows.add(Row.status("HTTP/1.1 200\tOK"));
+        rows.add(Row.status("HTTP/1.1 200 O\u0001K"));
+        rows.add(Row.status(" HTTP/1.1 200 OK"));
+        rows.add(Row.status("\u0000HTTP/1.1 200 OK"));
+        String interim = "HTTP/1.1 000 Status\r\nLink: " + MARK + "\r\n\r\n";
+        rows.add(new Row("an interim answer with status 000", interim, "HTTP/1.1 200 OK", ""));
+        return rows;
+    }
+
+    private String answer(PlatformEngineStandin.ReceivedRequest request) {
+        String id = request.header("request-id");
+        boolean stream = request.path().startsWith("/stream");
+        String body = stream ? EVENTS : LETTER;
+        String type = stream ? "Content-Type: text/event-stream\r\n" : "";
+        String common = "Request-Id: " + id + "\r\n" + PROOF + type;
+        String length = "Content-Length: " + body.length() + "\r\n\r\n";
+        boolean sound = arrivals.merge(id, 1, Integer::sum) > 1;
+        if (sound) {
+            return "HTTP/1.1 200 OK\r\n" + common + length + body;
+        }
+        String mark = "X-Mark: " + MARK + "\r\n";
+        String head = played.statusLine() + "\r\n" + common + mark + played.fields();
+        return played.before() + head + length + body;
+    }
+
+    @BeforeEach
+    void startEngines() throws IOException {
+        List<ServerInstance> instances = new ArrayList<>();
+        for (int i = 0; i < ENGINES; i++) {
+            ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+            SocketServer engine = new SocketServer(listener, this::serve);
+            engines.add(engine);
+            instances.add(GatewayFixture.instance("engine-" + i, engine.port()));
+        }
+        gateway = new GatewayFixture(loops, instances);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        gateway.close();
+        loops.close();
+        for (SocketServer engine : engines) {
+            engine.close();
+        }
+    }
+
+    /** Answers the requests of one connection, and keeps it open. */
+    private void serve(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        while (true) {
+            byte[] answer = answer(RequestReader.read(in)).getBytes(StandardCharsets.ISO_8859_1);
+            socket.getOutputStream().write(answer);
+        }
+    }
+
+    /** Returns what a caller gets on the given route, which must come at once. */
+    private RawCaller.Answer call(String route) throws IOException {
+        long startNanos = System.nanoTime();
+        try (RawCaller caller = new RawCaller(gateway.address())) {
+            caller.send(RawCaller.request(route, "/" + route + "/letter", "{}"));
+            RawCaller.Answer answer = caller.readWhole();
+            long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            assertWithMessage("time until the answer").that(elapsedMs).isLessThan(AT_ONCE_MS);
+            return answer;
+        }
+    }
+
+    /** Guards against a broken answer that is passed on, or that leaves its caller waiting. */
+    @ParameterizedTest
+    @MethodSource("statusLines")
+    void anAnswerWithABrokenHeadIsNotPassedOn(Row row) throws IOException {
+        played = row;
+        assertServedByAnother("plain", LETTER);
+        assertServedByAnother("stream", EVENTS);
+        assertFailed("once");
+        assertFailed("stream-final");
+    }
+
+    /** A request that may run again gets the sound answer, which is the second. */
+    private void assertServedByAnother(String route, String body) throws IOException {
+        RawCaller.Answer answer = call(route);
+        assertWithMessage(route + ": " + answer).that(answer.status()).isEqualTo(200);
+        assertWithMessage(route).that(answer.toString()).doesNotContain(MARK);
+        assertWithMessage(route).that(answer.body()).isEqualTo(body);
+        assertWithMessage(route).that(answer.headers()).containsKey("upstream-signature");
+        assertWithMessage("runs of " + route).that(arrivals.get(route)).isEqualTo(2);
+    }
+
+    /** A request that may run once fails without a proof, and without a promise. */
+    private void assertFailed(String route) throws IOException {
+        RawCaller.Answer answer = call(route);
+        assertWithMessage(route + ": " + answer).that(answer.status()).isEqualTo(502);
+        assertWithMessage(route).that(answer.toString()).doesNotContain(MARK);
+        assertWithMessage(route).that(answer.headers()).doesNotContainKey("upstream-signature");
+        assertWithMessage("runs of " + route).that(arrivals.get(route)).isEqualTo(1);
+    }
+}
