transport: an answer with a field line HTTP doesn't know is no answer

What callers saw: a server in trouble sent a field whose name held a blank or a tab, and the caller got the answer with that line (X-Odd: a of "X-Odd Name: a"), and with the server's proof. A line that begins with a blank was joined to the value before it; behind the proof the caller got "proof folded". Such a name in an interim answer went unnoticed. A "Transfer-Encoding : chunked" beside a true length left callers of the routes without a second attempt waiting until their deadline (2,019 ms, then no 502 at once).

Cause: the decoder cuts a name at the first blank, reads folded lines, and drops what an interim answer holds, so neither reader of answers sees what stood there.

Names with other control bytes, values with NUL or a carriage return, and a missing colon were already handled; their cases stay.

Change: AnswerHeadSyntax judges the whole head: names are tokens up to their colon, values are text, each field is one line, and an empty line ends the head (RFC 9112, section 5). The first byte that must not stand there ends the answer as for a status line, before the decoder makes anything of the line.

--- a/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
@@ -3,9 +3,11 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Judges the status line of an answer by the bytes that were sent, as they come. The decoder reads
- * more than the grammar of RFC 9112, section 4, knows, and what it makes of a line no longer shows
- * what stood there: it stops a status at any blank, and takes "+200" and "0200" for 200.
+ * Judges the head of an answer by the bytes that were sent, as they come: a status line, the lines
+ * of fields, and an empty line (RFC 9112, sections 2 to 5). The decoder reads more than this
+ * grammar knows, and what it makes of a line no longer shows what stood there: it stops a status at
+ * any blank, takes "+200" and "0200" for 200, cuts a name at a blank before the colon, and joins a
+ * line that begins with a blank to the value before it.
  *
  * <p>A line may end with a line feed alone, and the blank before a missing reason may be missing
  * too (RFC 9112, sections 2.2 and 4).
@@ -15,6 +17,9 @@
     /** The begin of a status line: x stands for the minor version, nnn for the status. */
     private static final String STATUS_LINE = "HTTP/1.x nnn";
 
+    /** The bytes besides letters and digits that may stand in the name of a field. */
+    private static final String NAME_MARKS = "!#$%&'*+-.^_`|~";
+
     private static final int MINOR_VERSION_AT = STATUS_LINE.indexOf('x');
     private static final int STATUS_AT = STATUS_LINE.indexOf('n');
     private static final int DELETE = 0x7f;
@@ -26,6 +31,10 @@
         STATUS_END("status"),
         REASON("reason"),
         LINE_END("line end"),
+        LINE_BEGIN("begin of a field"),
+        NAME("name of a field"),
+        VALUE("value of a field"),
+        HEAD_END("empty line"),
         ENDED("head");
 
         private final String text;
@@ -70,8 +79,11 @@
         switch (part) {
             case STATUS -> readStatus(octet);
             case STATUS_END -> readStatusEnd(octet);
-            case REASON -> readText(octet);
-            case LINE_END -> readLineEnd(octet);
+            case REASON, VALUE -> readText(octet);
+            case LINE_END -> readLineFeed(octet, Part.LINE_BEGIN);
+            case LINE_BEGIN -> readLineBegin(octet);
+            case NAME -> readName(octet);
+            case HEAD_END -> readLineFeed(octet, Part.ENDED);
             case ENDED -> throw new IllegalStateException("the head has ended");
         }
     }
@@ -113,21 +125,54 @@
         if (octet == '\r') {
             part = Part.LINE_END;
         } else if (octet == '\n') {
-            part = Part.ENDED;
+            part = Part.LINE_BEGIN;
         }
         return octet == '\r' || octet == '\n';
     }
 
-    private void readLineEnd(int octet) {
-        flawed = octet != '\n';
-        part = flawed ? Part.LINE_END : Part.ENDED;
+    /** Reads the line feed that must follow a carriage return. */
+    private void readLineFeed(int octet, Part next) {
+        if (octet == '\n') {
+            part = next;
+        } else {
+            flawed = true;
+        }
+    }
+
+    private void readLineBegin(int octet) {
+        if (octet == '\r') {
+            part = Part.HEAD_END;
+        } else if (octet == '\n') {
+            part = Part.ENDED;
+        } else if (isNameByte(octet)) {
+            part = Part.NAME;
+        } else {
+            flawed = true;
+        }
+    }
+
+    private void readName(int octet) {
+        if (octet == ':') {
+            part = Part.VALUE;
+        } else if (!isNameByte(octet)) {
+            flawed = true;
+        }
+    }
+
+    /** Returns whether a byte may stand in the name of a field (RFC 9110, section 5.6.2). */
+    private static boolean isNameByte(int octet) {
+        return isDigit(octet) || isLetter(octet) || NAME_MARKS.indexOf(octet) >= 0;
+    }
+
+    private static boolean isLetter(int octet) {
+        return (octet >= 'a' && octet <= 'z') || (octet >= 'A' && octet <= 'Z');
     }
 
     private static boolean isDigit(int octet) {
         return octet >= '0' && octet <= '9';
     }
 
-    /** Returns whether a byte may stand in a reason; those above 0x7f may. */
+    /** Returns whether a byte may stand in a reason or a value; those above 0x7f may. */
     private static boolean isText(int octet) {
         return octet == '\t' || (octet >= ' ' && octet != DELETE);
     }
--- a/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
@@ -12,6 +12,8 @@
 /** Tests which heads are sound, each byte by itself and all bytes at once. */
 class AnswerHeadSyntaxTest {
 
+    private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+
     /** Returns whether a head is sound, in one piece as in pieces of one byte. */
     private static boolean isSound(String text) {
         ByteBuf bytes = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
@@ -70,6 +72,60 @@
         assertThat(isSound(line)).isFalse();
     }
 
+    private static boolean isSoundField(String line) {
+        return isSound(STATUS_LINE + line + "\r\nX: a\r\n\r\n");
+    }
+
+    /** The grammar knows 77 bytes that may stand in a name, all of them below 0x7f. */
+    @Test
+    void justTheNamesOfTheGrammarAreSound() {
+        int known = 0;
+        for (char octet = 0; octet <= 0xff; octet++) {
+            boolean begins = octet != '\n' && isSoundField(octet + ": a");
+            boolean goesOn = octet != ':' && isSoundField("X" + octet + "Y: a");
+            assertThat(begins).isEqualTo(goesOn);
+            known += begins ? 1 : 0;
+        }
+        assertThat(known).isEqualTo(77);
+        assertThat(isSoundField("AZaz09!#$%&'*+-.^_`|~: a")).isTrue();
+        assertThat(isSoundField("\"(),/;<=>?@[]{}: a")).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"X:", "X: ", "X:a", "X:\ta: b\tc ", "X: \u00e9\u0080\u00ff", "X: a\r\nX: b"})
+    void aFieldOfTheGrammarIsSound(String line) {
+        assertThat(isSoundField(line)).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                " X: a",
+                "X : a",
+                "X\t: a",
+                "X Y: a",
+                "X",
+                ": a",
+                "X: a\r\n folded",
+                "X: a\r\n\tfolded",
+                "X: a\rb",
+                "X: a\u0000",
+                "X: a\u0001",
+                "X: a\u007f"
+            })
+    void aFieldThatTheGrammarDoesNotKnowIsFlawed(String line) {
+        assertThat(isSoundField(line)).isFalse();
+    }
+
+    /** Guards against a body that is judged as if it belonged to the head. */
+    @Test
+    void whatFollowsTheEmptyLineIsNotJudged() {
+        assertThat(isSound(STATUS_LINE + "X: a\r\n\r\n bo\rdy\u0000")).isTrue();
+        assertThat(isSound(STATUS_LINE + "X: a\n\n body")).isTrue();
+        assertThat(isSound(STATUS_LINE + "\r body")).isFalse();
+    }
+
     @Test
     void theFirstByteThatMustNotStandThereIsEnough() {
         assertThat(isSound("HTTP/1.1 ")).isTrue();
--- a/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
@@ -58,6 +58,10 @@
             return new Row(statusLine, "", statusLine, "");
         }
 
+        static Row field(String line) {
+            return new Row(line, "", "HTTP/1.1 200 OK", line + "\r\n");
+        }
+
         @Override
         public String toString() {
             return name;
@@ -87,19 +91,49 @@
         return rows;
     }
 
+    /** Returns field lines that the grammar doesn't know, in final and in interim answers. */
+    static List<Row> fieldLines() {
+        List<Row> rows = new ArrayList<>();
+        for (String line :
+                List.of(
+                        "X-Odd Name: a",
+                        "X-Odd\tName: a",
+                        "X-Odd : a",
+                        "X-Odd\t: a",
+                        " folded",
+                        "\tfolded",
+                        "X-\u0001Odd: a",
+                        "X-\u0000Odd: a",
+                        "X-\u007fOdd: a",
+                        "X-\u00e9: a",
+                        "X(Odd): a",
+                        "X-Odd",
+                        ": a",
+                        "X-Odd: a\u0000b",
+                        "X-Odd: a\u0001b",
+                        "X-Odd: a\rb",
+                        "Content-Length : 5",
+                        "Transfer-Encoding : chunked")) {
+            rows.add(Row.field(line));
+            String interim = "HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\n";
+            rows.add(new Row("interim: " + line, interim, "HTTP/1.1 200 OK", ""));
+        }
+        return rows;
+    }
+
     private String answer(PlatformEngineStandin.ReceivedRequest request) {
         String id = request.header("request-id");
         boolean stream = request.path().startsWith("/stream");
         String body = stream ? EVENTS : LETTER;
         String type = stream ? "Content-Type: text/event-stream\r\n" : "";
-        String common = "Request-Id: " + id + "\r\n" + PROOF + type;
+        String common = "Request-Id: " + id + "\r\n" + type + PROOF;
         String length = "Content-Length: " + body.length() + "\r\n\r\n";
         boolean sound = arrivals.merge(id, 1, Integer::sum) > 1;
         if (sound) {
             return "HTTP/1.1 200 OK\r\n" + common + length + body;
         }
         String mark = "X-Mark: " + MARK + "\r\n";
-        String head = played.statusLine() + "\r\n" + common + mark + played.fields();
+        String head = played.statusLine() + "\r\n" + mark + common + played.fields();
         return played.before() + head + length + body;
     }
 
@@ -147,7 +181,7 @@
 
     /** Guards against a broken answer that is passed on, or that leaves its caller waiting. */
     @ParameterizedTest
-    @MethodSource("statusLines")
+    @MethodSource({"statusLines", "fieldLines"})
     void anAnswerWithABrokenHeadIsNotPassedOn(Row row) throws IOException {
         played = row;
         assertServedByAnother("plain", LETTER);
