transport: an answer in chunks with a broken trailer is not whole

What callers saw: an answer in chunks whose trailers held a name with a blank or a tab, or a "Content-Length : 5", came to the caller as whole, with the server's proof.

Cause: trailers are no part of the head that the codec judged, and the decoder cuts their names as it does those of a head. ChunkFraming stopped looking where trailers begin.

Change: once ChunkFraming has seen the last chunk, AnswerHeadSyntax judges the fields up to the empty line, by the same rules and before the decoder reads them. A request that may run again is sent to another server, one that may not gets a 502, and a stream that has begun is cut, so that it doesn't look whole. The test has eight servers now: with two, both could be avoided for a moment after an earlier answer, and a 503 (not run) came in place of what the case asks.

--- a/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
@@ -3,11 +3,11 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Judges the head of an answer by the bytes that were sent, as they come: a status line, the lines
- * of fields, and an empty line (RFC 9112, sections 2 to 5). The decoder reads more than this
- * grammar knows, and what it makes of a line no longer shows what stood there: it stops a status at
- * any blank, takes "+200" and "0200" for 200, cuts a name at a blank before the colon, and joins a
- * line that begins with a blank to the value before it.
+ * Judges the head or the trailers of an answer by the bytes that were sent, as they come: a status
+ * line, the lines of fields, and an empty line (RFC 9112, sections 2 to 5). The decoder reads more
+ * than this grammar knows, and what it makes of a line no longer shows what stood there: it stops a
+ * status at any blank, takes "+200" and "0200" for 200, cuts a name at a blank before the colon,
+ * and joins a line that begins with a blank to the value before it.
  *
  * <p>A line may end with a line feed alone, and the blank before a missing reason may be missing
  * too (RFC 9112, sections 2.2 and 4).
@@ -44,10 +44,24 @@
         }
     }
 
-    private Part part = Part.STATUS;
+    private Part part;
     private int statusBytes;
     private boolean flawed;
 
+    private AnswerHeadSyntax(Part first) {
+        part = first;
+    }
+
+    /** Returns the judge of a head, which has not begun yet. */
+    static AnswerHeadSyntax ofHead() {
+        return new AnswerHeadSyntax(Part.STATUS);
+    }
+
+    /** Returns the judge of the fields behind the last chunk, up to the empty line. */
+    static AnswerHeadSyntax ofTrailers() {
+        return new AnswerHeadSyntax(Part.LINE_BEGIN);
+    }
+
     /**
      * Follows the next bytes, up to the end of the head or to a byte that must not stand there.
      *
--- a/pollenpath/src/main/java/io/pollenpath/transport/ChunkFraming.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/ChunkFraming.java
@@ -50,6 +50,11 @@
         return part != Part.FLAWED;
     }
 
+    /** Returns whether the line of the last chunk has come, which is empty. */
+    boolean isAtTrailers() {
+        return part == Part.TRAILERS;
+    }
+
     private int skipData(int available) {
         int count = (int) Math.min(dataLeft, available);
         dataLeft -= count;
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
@@ -76,7 +76,7 @@
         private HttpMethod method = HttpMethod.GET;
         private boolean ended = true;
         private ChunkFraming chunks;
-        private AnswerHeadSyntax head = new AnswerHeadSyntax();
+        private AnswerHeadSyntax head = AnswerHeadSyntax.ofHead();
 
         /** The number of bytes that were judged as part of a head and are not decoded yet. */
         private int judgedBytes;
@@ -88,11 +88,11 @@
         private void begin(HttpMethod newMethod) {
             method = newMethod;
             ended = false;
-            expectHead();
+            expect(AnswerHeadSyntax.ofHead());
         }
 
-        private void expectHead() {
-            head = new AnswerHeadSyntax();
+        private void expect(AnswerHeadSyntax next) {
+            head = next;
             judgedBytes = 0;
         }
 
@@ -117,19 +117,28 @@
             }
             super.decode(context, in, out);
             judgedBytes = Math.max(0, judgedTo - in.readerIndex());
-            if (chunks != null && !chunks.follow(in, start, in.readerIndex())) {
-                refuse(out, "bytes that frame no chunk");
+            if (chunks != null) {
+                followChunks(in, start, out);
             }
             out.forEach(this::onDecoded);
         }
 
+        private void followChunks(ByteBuf in, int start, List<Object> out) {
+            boolean inTrailers = chunks.isAtTrailers();
+            if (!chunks.follow(in, start, in.readerIndex())) {
+                refuse(out, "bytes that frame no chunk");
+            } else if (!inTrailers && chunks.isAtTrailers()) {
+                expect(AnswerHeadSyntax.ofTrailers());
+            }
+        }
+
         private void onDecoded(Object decoded) {
             if (decoded instanceof HttpResponse head) {
                 chunks = HttpUtil.isTransferEncodingChunked(head) ? new ChunkFraming() : null;
             }
             if (decoded instanceof LastHttpContent) {
                 chunks = null;
-                expectHead();
+                expect(AnswerHeadSyntax.ofHead());
             }
         }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -16,10 +17,14 @@
 
     /** Returns whether a head is sound, in one piece as in pieces of one byte. */
     private static boolean isSound(String text) {
+        return isSound(AnswerHeadSyntax::ofHead, text);
+    }
+
+    private static boolean isSound(Supplier<AnswerHeadSyntax> judge, String text) {
         ByteBuf bytes = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
-        AnswerHeadSyntax whole = new AnswerHeadSyntax();
+        AnswerHeadSyntax whole = judge.get();
         whole.follow(bytes, 0, bytes.writerIndex());
-        AnswerHeadSyntax pieces = new AnswerHeadSyntax();
+        AnswerHeadSyntax pieces = judge.get();
         for (int at = 0; at < bytes.writerIndex(); at++) {
             pieces.follow(bytes, at, at + 1);
         }
@@ -126,6 +131,14 @@
         assertThat(isSound(STATUS_LINE + "\r body")).isFalse();
     }
 
+    @Test
+    void trailersAreFieldsUpToAnEmptyLine() {
+        assertThat(isSound(AnswerHeadSyntax::ofTrailers, "\r\n")).isTrue();
+        assertThat(isSound(AnswerHeadSyntax::ofTrailers, "X: a\r\nY:\n\n rest")).isTrue();
+        assertThat(isSound(AnswerHeadSyntax::ofTrailers, "X Y: a\r\n")).isFalse();
+        assertThat(isSound(AnswerHeadSyntax::ofTrailers, STATUS_LINE)).isFalse();
+    }
+
     @Test
     void theFirstByteThatMustNotStandThereIsEnough() {
         assertThat(isSound("HTTP/1.1 ")).isTrue();
--- a/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
@@ -1,12 +1,14 @@
 package io.pollenpath.platform;
 
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.pollenpath.standin.platform.PlatformEngineStandin;
 import io.pollenpath.standin.platform.RequestReader;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.transport.NettyLoops;
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -26,12 +28,36 @@
 /** Tests what callers get when a server's answer has a head that HTTP's grammar doesn't allow. */
 class BrokenHeadTest {
 
-    private static final int ENGINES = 2;
+    /** So many that none is asked again soon after a broken answer. */
+    private static final int ENGINES = 8;
+
     private static final int BACKLOG = 16;
     private static final String LETTER = "The letter that the caller asked for.";
     private static final String EVENTS = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
     private static final String PROOF = "Upstream-Signature: proof\r\n";
 
+    /** Lines of fields that the grammar doesn't know. */
+    private static final List<String> LINES =
+            List.of(
+                    "X-Odd Name: a",
+                    "X-Odd\tName: a",
+                    "X-Odd : a",
+                    "X-Odd\t: a",
+                    " folded",
+                    "\tfolded",
+                    "X-\u0001Odd: a",
+                    "X-\u0000Odd: a",
+                    "X-\u007fOdd: a",
+                    "X-\u00e9: a",
+                    "X(Odd): a",
+                    "X-Odd",
+                    ": a",
+                    "X-Odd: a\u0000b",
+                    "X-Odd: a\u0001b",
+                    "X-Odd: a\rb",
+                    "Content-Length : 5",
+                    "Transfer-Encoding : chunked");
+
     /** The text that shows that a caller got bytes of a broken answer. */
     private static final String MARK = "broken-mark";
 
@@ -51,15 +77,27 @@
      * @param before what comes before the head of the final answer, not null
      * @param statusLine the status line without its end, not null
      * @param fields the fields behind the request's ID and the proof, not null
+     * @param trailers the trailers of an answer in chunks, not null; empty for one with a length
      */
-    private record Row(String name, String before, String statusLine, String fields) {
+    private record Row(
+            String name, String before, String statusLine, String fields, String trailers) {
+
+        private static final String OK = "HTTP/1.1 200 OK";
 
         static Row status(String statusLine) {
-            return new Row(statusLine, "", statusLine, "");
+            return new Row(statusLine, "", statusLine, "", "");
         }
 
         static Row field(String line) {
-            return new Row(line, "", "HTTP/1.1 200 OK", line + "\r\n");
+            return new Row(line, "", OK, line + "\r\n", "");
+        }
+
+        static Row interim(String name, String head) {
+            return new Row("interim: " + name, head + "\r\n\r\n", OK, "", "");
+        }
+
+        static Row trailer(String line) {
+            return new Row("trailer: " + line, "", OK, "", "X-Sum: a\r\n" + line + "\r\n");
         }
 
         @Override
@@ -86,41 +124,24 @@
         rows.add(Row.status("HTTP/1.1 200 O\u0001K"));
         rows.add(Row.status(" HTTP/1.1 200 OK"));
         rows.add(Row.status("\u0000HTTP/1.1 200 OK"));
-        String interim = "HTTP/1.1 000 Status\r\nLink: " + MARK + "\r\n\r\n";
-        rows.add(new Row("an interim answer with status 000", interim, "HTTP/1.1 200 OK", ""));
+        rows.add(Row.interim("000", "HTTP/1.1 000 Status\r\nLink: " + MARK));
         return rows;
     }
 
     /** Returns field lines that the grammar doesn't know, in final and in interim answers. */
     static List<Row> fieldLines() {
         List<Row> rows = new ArrayList<>();
-        for (String line :
-                List.of(
-                        "X-Odd Name: a",
-                        "X-Odd\tName: a",
-                        "X-Odd : a",
-                        "X-Odd\t: a",
-                        " folded",
-                        "\tfolded",
-                        "X-\u0001Odd: a",
-                        "X-\u0000Odd: a",
-                        "X-\u007fOdd: a",
-                        "X-\u00e9: a",
-                        "X(Odd): a",
-                        "X-Odd",
-                        ": a",
-                        "X-Odd: a\u0000b",
-                        "X-Odd: a\u0001b",
-                        "X-Odd: a\rb",
-                        "Content-Length : 5",
-                        "Transfer-Encoding : chunked")) {
+        for (String line : LINES) {
             rows.add(Row.field(line));
-            String interim = "HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\n";
-            rows.add(new Row("interim: " + line, interim, "HTTP/1.1 200 OK", ""));
+            rows.add(Row.interim(line, "HTTP/1.1 103 Hints\r\n" + line));
         }
         return rows;
     }
 
+    static List<Row> trailers() {
+        return LINES.stream().map(Row::trailer).toList();
+    }
+
     private String answer(PlatformEngineStandin.ReceivedRequest request) {
         String id = request.header("request-id");
         boolean stream = request.path().startsWith("/stream");
@@ -134,7 +155,14 @@
         }
         String mark = "X-Mark: " + MARK + "\r\n";
         String head = played.statusLine() + "\r\n" + mark + common + played.fields();
-        return played.before() + head + length + body;
+        boolean chunked = !played.trailers().isEmpty();
+        return played.before() + head + (chunked ? chunks(body) : length + body);
+    }
+
+    private String chunks(String body) {
+        String size = Integer.toHexString(body.length());
+        String chunk = size + "\r\n" + body + "\r\n0\r\n";
+        return "Transfer-Encoding: chunked\r\n\r\n" + chunk + played.trailers() + "\r\n";
     }
 
     @BeforeEach
@@ -190,6 +218,16 @@
         assertFailed("stream-final");
     }
 
+    /** Guards against an answer in chunks that is taken as whole though its end is broken. */
+    @ParameterizedTest
+    @MethodSource("trailers")
+    void anAnswerWithABrokenTrailerIsNotWhole(Row row) throws IOException {
+        played = row;
+        assertServedByAnother("plain", LETTER);
+        assertFailed("once");
+        assertThrows(EOFException.class, () -> call("stream-final"));
+    }
+
     /** A request that may run again gets the sound answer, which is the second. */
     private void assertServedByAnother(String route, String body) throws IOException {
         RawCaller.Answer answer = call(route);
