transport: an answer that doesn't tell once how its body ends is no answer

What callers saw: an HTTP/1.0 head with the lengths 37 and 5 gave them "The l" of a letter, with the server's proof. A length beside "Transfer-Encoding: chunked", or the coding "chunked, gzip", left callers without a second attempt waiting until their deadline (2,007 and 2,006 ms). "gzip, chunked" in two fields, "chunked" twice, "xchunked", "gzip", and chunks in HTTP/1.0 came as answers, though no body of these can be known to be whole.

Cause: the decoder takes one of several lengths in HTTP/1.0, drops a length beside chunks, and takes "chunked" anywhere among the codings for chunks, and else the length, whatever the coding is.

BackendConnectionTest#anotherProtocolFailsTheSendAtOnce fails on (no failure heard): a status 101, which no request asks for, left the send waiting.

Change: a second length is a flaw of the head (AnswerHeadSyntax). AnswerHeadRules judges what the lines of a decoded head say: the body comes in chunks of HTTP/1.1 without a length, or without a coding (RFC 9112, 6.1 and 6.3); no other protocol; no status line of a second answer. The last two were judged by each reader, or by one of the two; now the codec refuses for all.

--- a/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
@@ -1,6 +1,8 @@
 package io.pollenpath.transport;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.util.AsciiString;
 
 /**
  * Judges the head or the trailers of an answer by the bytes that were sent, as they come: a status
@@ -20,6 +22,7 @@
     /** The bytes besides letters and digits that may stand in the name of a field. */
     private static final String NAME_MARKS = "!#$%&'*+-.^_`|~";
 
+    private static final AsciiString LENGTH = HttpHeaderNames.CONTENT_LENGTH;
     private static final int MINOR_VERSION_AT = STATUS_LINE.indexOf('x');
     private static final int STATUS_AT = STATUS_LINE.indexOf('n');
     private static final int DELETE = 0x7f;
@@ -44,8 +47,13 @@
         }
     }
 
+    /** The name of the current field, as far as it tells whether the field is a length. */
+    private final StringBuilder name = new StringBuilder();
+
     private Part part;
     private int statusBytes;
+    private boolean hasLength;
+    private boolean secondLength;
     private boolean flawed;
 
     private AnswerHeadSyntax(Part first) {
@@ -84,9 +92,11 @@
         return !flawed;
     }
 
-    /** Returns the part of the head in which the bytes so far end. */
-    String partName() {
-        return part.text;
+    /** Returns what is wrong with the bytes so far, if they are not sound. */
+    String flaw() {
+        return secondLength
+                ? "a second " + LENGTH
+                : "a byte that must not stand in the " + part.text;
     }
 
     private void read(int octet) {
@@ -158,18 +168,34 @@
             part = Part.HEAD_END;
         } else if (octet == '\n') {
             part = Part.ENDED;
-        } else if (isNameByte(octet)) {
-            part = Part.NAME;
         } else {
-            flawed = true;
+            part = Part.NAME;
+            name.setLength(0);
+            readNameByte(octet);
         }
     }
 
     private void readName(int octet) {
         if (octet == ':') {
             part = Part.VALUE;
-        } else if (!isNameByte(octet)) {
-            flawed = true;
+            readNameEnd();
+        } else {
+            readNameByte(octet);
+        }
+    }
+
+    private void readNameByte(int octet) {
+        flawed = !isNameByte(octet);
+        if (name.length() <= LENGTH.length()) {
+            name.append((char) octet);
+        }
+    }
+
+    private void readNameEnd() {
+        if (LENGTH.contentEqualsIgnoreCase(name)) {
+            secondLength = hasLength;
+            flawed = secondLength;
+            hasLength = true;
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
@@ -111,7 +111,7 @@
             int start = in.readerIndex();
             int judgedTo = head.follow(in, start + judgedBytes, in.writerIndex());
             if (!head.isSound()) {
-                refuse(out, "a byte that must not stand in the " + head.partName());
+                refuse(out, head.flaw());
                 keep(in);
                 return;
             }
@@ -120,9 +120,23 @@
             if (chunks != null) {
                 followChunks(in, start, out);
             }
+            refuseFlawedHead(out);
             out.forEach(this::onDecoded);
         }
 
+        private void refuseFlawedHead(List<Object> out) {
+            if (out.isEmpty() || !(out.get(0) instanceof HttpResponse answer)) {
+                return;
+            }
+            if (answer.decoderResult().isSuccess()) {
+                AnswerHeadRules.flawOf(answer).ifPresent(flaw -> refuse(out, flaw));
+            }
+        }
+
+        /** Keeps the length that stands beside chunks, so that the head can be judged by it. */
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage answer) {}
+
         private void followChunks(ByteBuf in, int start, List<Object> out) {
             boolean inTrailers = chunks.isAtTrailers();
             if (!chunks.follow(in, start, in.readerIndex())) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClientHandler.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -56,10 +55,6 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            if (SplicedHead.isIn(response)) {
-                fail(context, new IOException("the head holds the status line of a second answer"));
-                return;
-            }
             readHead(context, response);
         }
         if (message instanceof HttpContent content && current != null) {
@@ -68,10 +63,6 @@
     }
 
     private void readHead(ChannelHandlerContext context, HttpResponse response) {
-        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            fail(context, new IOException("the server speaks another protocol"));
-            return;
-        }
         interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (!interim) {
             keepAlive = HttpUtil.isKeepAlive(response);
--- a/pollenpath/src/main/java/io/pollenpath/transport/SplicedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/SplicedHead.java
@@ -8,7 +8,7 @@
  * within a head and then answers once more on the same connection writes a status line where a
  * value goes on; the fields behind it, and the body, belong to the second answer.
  */
-public final class SplicedHead {
+final class SplicedHead {
 
     private SplicedHead() {}
 
@@ -18,7 +18,7 @@
      * @param head the decoded head, not null
      * @return true if the answer must not be used
      */
-    public static boolean isIn(HttpResponse head) {
+    static boolean isIn(HttpResponse head) {
         if (StatusLine.isIn(head.status().reasonPhrase())) {
             return true;
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -18,7 +18,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.transport.HttpAnswerCodec;
-import io.pollenpath.transport.SplicedHead;
 import java.io.IOException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -181,11 +180,6 @@
     }
 
     private void onHead(HttpResponse head) {
-        if (SplicedHead.isIn(head)) {
-            fail(SendOutcome.UNKNOWN, "the head holds the status line of a second answer");
-            close();
-            return;
-        }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             onInterimAnswer();
             return;
--- a/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
@@ -115,6 +115,7 @@
                 "X: a\r\n folded",
                 "X: a\r\n\tfolded",
                 "X: a\rb",
+                "Content-Length: 5\r\nX: a\r\ncontent-length: 5",
                 "X: a\u0000",
                 "X: a\u0001",
                 "X: a\u007f"
@@ -123,6 +124,11 @@
         assertThat(isSoundField(line)).isFalse();
     }
 
+    @Test
+    void oneLengthIsSound() {
+        assertThat(isSoundField("Content-Length: 5\r\nContent-Lengths: 5\r\nContent: 5")).isTrue();
+    }
+
     /** Guards against a body that is judged as if it belonged to the head. */
     @Test
     void whatFollowsTheEmptyLineIsNotJudged() {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
@@ -146,4 +146,13 @@
         waitForTheEnd();
         assertThat(heard.kindAtEnd).isEqualTo(WireDialect.ReplyKind.UNPROVEN);
     }
+
+    /** Guards against a request that waits for the answer of a server that has left HTTP. */
+    @Test
+    void anotherProtocolFailsTheSendAtOnce() {
+        send();
+        write("HTTP/1.1 101 Other\r\nUpgrade: other\r\n\r\n");
+        assertThat(heard.failures).isEqualTo(1);
+        assertThat(connection.isOpen()).isFalse();
+    }
 }
--- a/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
@@ -138,6 +138,28 @@
         return rows;
     }
 
+    /** Returns heads of sound lines that don't tell how long the body is, or that tell it twice. */
+    static List<Row> framings() {
+        String length = "Content-Length: 5\r\n";
+        String chunked = "Transfer-Encoding: chunked\r\n";
+        return List.of(
+                new Row("two lengths", "", Row.OK, length, ""),
+                new Row("two lengths, 1.0", "", "HTTP/1.0 200 OK", length, ""),
+                new Row("length and chunks", "", Row.OK, chunked, ""),
+                new Row("length and chunks in chunks", "", Row.OK, length, "X: a\r\n"),
+                new Row("chunks twice", "", Row.OK, chunked, "X: a\r\n"),
+                new Row("chunks, 1.0", "", "HTTP/1.0 200 OK", "", "X: a\r\n"),
+                Row.field("Transfer-Encoding: gzip"),
+                Row.field("Transfer-Encoding: xchunked"),
+                Row.field("Transfer-Encoding: chunked, gzip"),
+                Row.field("Content-Length: -5"),
+                Row.field("Content-Length: 5, 5"),
+                Row.field("Content-Length: "),
+                new Row("gzip in chunks", "", Row.OK, "Transfer-Encoding: gzip\r\n", "X: a\r\n"),
+                new Row("101", "", "HTTP/1.1 101 Other", "Upgrade: other\r\n", ""),
+                Row.interim("101", "HTTP/1.1 101 Other\r\nUpgrade: other"));
+    }
+
     static List<Row> trailers() {
         return LINES.stream().map(Row::trailer).toList();
     }
@@ -209,7 +231,7 @@
 
     /** Guards against a broken answer that is passed on, or that leaves its caller waiting. */
     @ParameterizedTest
-    @MethodSource({"statusLines", "fieldLines"})
+    @MethodSource({"statusLines", "fieldLines", "framings"})
     void anAnswerWithABrokenHeadIsNotPassedOn(Row row) throws IOException {
         played = row;
         assertServedByAnother("plain", LETTER);
