tests: what the process's own calls believe of broken answers

The store, engines, entries, the Object API and the role side are read by the same codec as callers' answers, so the judge of heads holds for them too.

- Entries: what a broken answer told was believed.
Now: nothing, and the entry is asked again.
One with status 000 was already handled.

--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -15,6 +15,12 @@
 import io.pollenpath.transport.HttpLimits;
 import io.pollenpath.transport.HttpServer;
 import io.pollenpath.transport.NettyLoops;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,11 +30,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests how often an entry calls the others. */
 class EntryPeersTest {
 
     private static final int SETTLE_MS = 600;
+    private static final int CALL_TIMEOUT_MS = 3_000;
 
     private final NettyLoops loops = new NettyLoops(1);
     private final EventLoop loop = loops.group().next();
@@ -93,20 +102,24 @@
         assertThat(calls.get()).isEqualTo(2);
     }
 
+    /** Returns a message that tells of a crash. */
+    private static byte[] messageWithACrash() {
+        CrashHistory history = new CrashHistory();
+        Set<CrashSuspect> suspects = Set.of(new CrashSuspect(1, 1));
+        history.recordCrash("engine-1@1", "drafts", suspects, System.nanoTime());
+        return EntryMessages.encode(
+                new EntryMessage(
+                        new EntryKnowledge.Report(
+                                history.report(System.nanoTime()), List.of(), List.of()),
+                        Optional.empty(),
+                        false));
+    }
+
     @Test
     void passesOnWhatAnotherEntryTold() throws Exception {
         guard.setOnLearned(peers::onLearned);
         setAddressesOften();
-        CrashHistory history = new CrashHistory();
-        Set<CrashSuspect> suspects = Set.of(new CrashSuspect(1, 1));
-        history.recordCrash("engine-1@1", "drafts", suspects, System.nanoTime());
-        byte[] message =
-                EntryMessages.encode(
-                        new EntryMessage(
-                                new EntryKnowledge.Report(
-                                        history.report(System.nanoTime()), List.of(), List.of()),
-                                Optional.empty(),
-                                false));
+        byte[] message = messageWithACrash();
         for (int i = 0; i < 3; i++) {
             loop.submit(() -> peers.receive(message)).sync();
             Thread.sleep(SETTLE_MS / 3);
@@ -132,4 +145,37 @@
         setAddressesOften();
         assertThat(calls.get()).isAtMost(4);
     }
+
+    /** Guards against what a broken answer tells, and against an entry that is not asked again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000 Status\r\n", "200 OK\r\nX-Odd Name: a\r\n"})
+    void believesNothingOfABrokenAnswerAndAsksAgain(String broken) throws Exception {
+        AtomicInteger learned = new AtomicInteger();
+        guard.setOnLearned(learned::incrementAndGet);
+        byte[] body = messageWithACrash();
+        try (ServerSocket entry = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Set<String> addresses = Set.of("127.0.0.1:" + entry.getLocalPort());
+            loop.submit(() -> peers.setAddresses(addresses)).sync();
+            answer(entry, broken, body);
+            assertThat(learned.get()).isEqualTo(0);
+            answer(entry, "200 OK\r\n", body);
+            Thread.sleep(SETTLE_MS / 3);
+            assertThat(learned.get()).isEqualTo(1);
+        }
+    }
+
+    /** Answers the next call, and returns once the caller has closed the connection or waits. */
+    private static void answer(ServerSocket entry, String head, byte[] body) throws Exception {
+        entry.setSoTimeout(CALL_TIMEOUT_MS);
+        try (Socket socket = entry.accept()) {
+            socket.setSoTimeout(SETTLE_MS / 6);
+            OutputStream out = socket.getOutputStream();
+            String length = "Content-Length: " + body.length + "\r\n\r\n";
+            out.write(("HTTP/1.1 " + head + length).getBytes(StandardCharsets.ISO_8859_1));
+            out.write(body);
+            socket.getInputStream().readAllBytes();
+        } catch (SocketTimeoutException e) {
+            // The caller keeps the connection for its next call.
+        }
+    }
 }
