transport: a refusal of another agent is no report

What was believed: HttpAgentTransport took the body of any answer for a report, whatever its status. An agent refuses a call that it can't read with 400 and no body; an empty body is a valid message, so the leader of a rank group read it as a report without a result and without a state, and the silence of that agent counted as ended.

Cause: it was the only caller of HttpClient.send that looks at a body and not at its status. Found while checking the readers of answers; a head that HTTP doesn't know is refused for it by the codec.

Change: an answer other than 200 fails the call.

--- a/pollenpath/src/main/java/io/pollenpath/transport/group/HttpAgentTransport.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/HttpAgentTransport.java
@@ -14,6 +14,8 @@
     private static final Map<String, String> HEADERS =
             Map.of("Content-Type", AgentServer.MEDIA_TYPE);
 
+    private static final int STATUS_OK = 200;
+
     private final HttpClient http;
 
     /**
@@ -30,6 +32,14 @@
             HttpAddress agent, String path, byte[] body, long timeoutMs) {
         return http.send(new HttpClient.Request(agent, "POST", path, HEADERS, body))
                 .orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
-                .thenApply(HttpReply::body);
+                .thenApply(HttpAgentTransport::reportOf);
+    }
+
+    /** Returns the body of a success; that of a refusal, empty or not, is no report. */
+    private static byte[] reportOf(HttpReply reply) {
+        if (reply.status() != STATUS_OK) {
+            throw new IllegalStateException("the agent answered with status " + reply.status());
+        }
+        return reply.body();
     }
 }
