tests: sound heads stay served, broken ones in pieces, in a soak, and behind an answer

Answers of unusual looks that HTTP knows: no reason or a long one, bytes above 0x7f, each mark in a name, an empty value, a name twice, interim answers, trailers, statuses 299, 418 and 599, in one write, in writes of 60 bytes and of one.

Broken heads in writes of one byte, a head that stops at its first broken byte, and one above the largest size: a second server, or a 502 at once.

Not mended: an answer that stops and is filled up by a second one whose head HTTP doesn't know.

--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
@@ -9,6 +9,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.function.IntFunction;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -147,11 +148,46 @@
     @ParameterizedTest
     @MethodSource("firsts")
     void aSecondAnswerIsNoPartOfTheFirst(First first) {
+        assertNoPartOf(first, SecondAnswerFramingTest::seconds);
+    }
+
+    /** Returns second answers with another begin of their head. */
+    private static List<String> secondsThatBegin(String begin, int seed) {
+        List<String> seconds = new ArrayList<>();
+        for (String framing : List.of("length", "nothing")) {
+            String second = second(framing, new Random(31L * seed + framing.hashCode()));
+            seconds.add(begin + second.substring(second.indexOf("\r\n")));
+        }
+        return seconds;
+    }
+
+    @ParameterizedTest
+    @MethodSource("firsts")
+    void aSecondAnswerWithStatus000IsNoPartOfTheFirst(First first) {
+        assertNoPartOf(first, seed -> secondsThatBegin("HTTP/1.1 000 Status", seed));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 +200 OK",
+                "HTTP/2.0 200 OK",
+                "HTTP/1.1 200 OK\r\nX-Odd Name : a"
+            })
+    void aSecondAnswerWithABrokenHeadIsNoPartOfTheFirst(String begin) {
+        for (First first : firsts()) {
+            assertNoPartOf(first, seed -> secondsThatBegin(begin, seed));
+        }
+    }
+
+    /** Plays an answer that stops anywhere, and second answers behind it, by the offset. */
+    private static void assertNoPartOf(First first, IntFunction<List<String>> seconds) {
         List<String> wrong = new ArrayList<>();
         int plays = 0;
         for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
             String begin = first.bytes().substring(0, cut);
-            for (String second : seconds(cut)) {
+            for (String second : seconds.apply(cut)) {
                 for (List<String> writes : writes(begin, second, cut)) {
                     plays++;
                     Heard heard = PlayedConnection.play(first.method(), writes);
@@ -162,7 +198,7 @@
             }
         }
         String shown = String.join("\n", wrong.subList(0, Math.min(5, wrong.size())));
-        assertWithMessage(wrong.size() + " of " + plays + " plays:\n" + shown + "\n")
+        assertWithMessage(first + ", " + wrong.size() + " of " + plays + " plays:\n" + shown + "\n")
                 .that(wrong)
                 .isEmpty();
     }
--- a/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
@@ -22,8 +22,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what callers get when a server's answer has a head that HTTP's grammar doesn't allow. */
 class BrokenHeadTest {
@@ -58,6 +60,9 @@
                     "Content-Length : 5",
                     "Transfer-Encoding : chunked");
 
+    private static final int MORE_THAN_A_HEAD = 100_000;
+    private static final int ALL_BYTES = Integer.MAX_VALUE;
+
     /** The text that shows that a caller got bytes of a broken answer. */
     private static final String MARK = "broken-mark";
 
@@ -70,6 +75,15 @@
     private GatewayFixture gateway;
     private volatile Row played;
 
+    /** The number of bytes that a server writes at once. */
+    private volatile int bytesPerWrite = ALL_BYTES;
+
+    /** The bytes after which the first answer goes no further; empty for the whole of it. */
+    private volatile String stopped = "";
+
+    /** The bytes behind each sound answer. */
+    private volatile String behind = "";
+
     /**
      * An answer that must not be passed on.
      *
@@ -131,6 +145,8 @@
     /** Returns field lines that the grammar doesn't know, in final and in interim answers. */
     static List<Row> fieldLines() {
         List<Row> rows = new ArrayList<>();
+        String longLine = "X-Long: " + "a".repeat(MORE_THAN_A_HEAD) + "\r\n";
+        rows.add(new Row("a head above the largest size", "", Row.OK, longLine, ""));
         for (String line : LINES) {
             rows.add(Row.field(line));
             rows.add(Row.interim(line, "HTTP/1.1 103 Hints\r\n" + line));
@@ -164,6 +180,23 @@
         return LINES.stream().map(Row::trailer).toList();
     }
 
+    /** Returns sound answers of unusual looks, each with a mark in its head. */
+    static List<Row> soundAnswers() {
+        return List.of(
+                Row.status("HTTP/1.1 200 "),
+                Row.status("HTTP/1.1 200"),
+                Row.status("HTTP/1.0 200 OK"),
+                Row.status("HTTP/1.1 200 " + "long ".repeat(800)),
+                Row.status("HTTP/1.1 200 \u00e9\tOK: \u00ff"),
+                Row.field("!#$%&'*+-.^_`|~aZ9: a"),
+                Row.field("X-Empty:"),
+                Row.field("X-Text:\ta:\tb \u00e9\u0080 "),
+                Row.field("X-Twice: a\r\nX-Twice: b"),
+                Row.interim("100", "HTTP/1.1 100 Continue"),
+                Row.interim("103", "HTTP/1.1 103 Hints\r\nLink: a\r\nLink: b"),
+                Row.trailer("X-Sum: b"));
+    }
+
     private String answer(PlatformEngineStandin.ReceivedRequest request) {
         String id = request.header("request-id");
         boolean stream = request.path().startsWith("/stream");
@@ -171,9 +204,12 @@
         String type = stream ? "Content-Type: text/event-stream\r\n" : "";
         String common = "Request-Id: " + id + "\r\n" + type + PROOF;
         String length = "Content-Length: " + body.length() + "\r\n\r\n";
-        boolean sound = arrivals.merge(id, 1, Integer::sum) > 1;
-        if (sound) {
-            return "HTTP/1.1 200 OK\r\n" + common + length + body;
+        boolean first = arrivals.merge(id, 1, Integer::sum) == 1;
+        if (!first || !behind.isEmpty()) {
+            return "HTTP/1.1 200 OK\r\n" + common + length + body + behind;
+        }
+        if (!stopped.isEmpty()) {
+            return stopped;
         }
         String mark = "X-Mark: " + MARK + "\r\n";
         String head = played.statusLine() + "\r\n" + mark + common + played.fields();
@@ -211,9 +247,14 @@
     /** Answers the requests of one connection, and keeps it open. */
     private void serve(Socket socket) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
+        socket.setTcpNoDelay(true);
         while (true) {
             byte[] answer = answer(RequestReader.read(in)).getBytes(StandardCharsets.ISO_8859_1);
-            socket.getOutputStream().write(answer);
+            int count = Math.min(answer.length, bytesPerWrite);
+            for (int start = 0; start < answer.length; start += count) {
+                int length = Math.min(count, answer.length - start);
+                socket.getOutputStream().write(answer, start, length);
+            }
         }
     }
 
@@ -240,6 +281,84 @@
         assertFailed("stream-final");
     }
 
+    /** Guards against a sound answer that is refused, in one write or in many. */
+    @ParameterizedTest
+    @MethodSource("soundAnswers")
+    void aSoundAnswerOfUnusualLooksIsServed(Row row) throws IOException {
+        played = row;
+        for (int bytes : List.of(ALL_BYTES, 60, 1)) {
+            bytesPerWrite = bytes;
+            arrivals.clear();
+            assertServedByTheFirst("plain", 200, LETTER);
+            assertServedByTheFirst("stream", 200, EVENTS);
+            assertServedByTheFirst("once", 200, LETTER);
+            assertServedByTheFirst("stream-final", 200, EVENTS);
+        }
+    }
+
+    /** Guards against a failure of a server, or a status that no one knows, that is refused. */
+    @ParameterizedTest
+    @ValueSource(ints = {299, 418, 599})
+    void aSoundStatusIsPassedOn(int status) throws IOException {
+        played = Row.status("HTTP/1.1 " + status + " Status");
+        assertServedByTheFirst("once", status, LETTER);
+    }
+
+    private void assertServedByTheFirst(String route, int status, String body) throws IOException {
+        RawCaller.Answer answer = call(route);
+        assertWithMessage(route + ": " + answer).that(answer.status()).isEqualTo(status);
+        assertWithMessage(route).that(answer.headers()).containsEntry("x-mark", MARK);
+        assertWithMessage(route)
+                .that(answer.headers())
+                .containsEntry("upstream-signature", "proof");
+        assertWithMessage(route).that(answer.body()).isEqualTo(body);
+        assertWithMessage("runs of " + route).that(arrivals.get(route)).isEqualTo(1);
+    }
+
+    /** Guards against a head that is judged by its first piece alone. */
+    @Test
+    void aBrokenHeadInPiecesIsNotPassedOn() throws IOException {
+        bytesPerWrite = 1;
+        for (Row row :
+                List.of(
+                        Row.status("HTTP/1.1 000 Status"),
+                        Row.field("X-Odd Name: a"),
+                        Row.field(" folded"),
+                        Row.interim("103", "HTTP/1.1 103 Hints\r\nX-Odd Name: a"))) {
+            played = row;
+            arrivals.clear();
+            assertServedByAnother("plain", LETTER);
+            assertFailed("once");
+        }
+    }
+
+    /** Guards against a server that begins a broken head and leaves its caller waiting. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 0", "HTTP/1.1 200 OK\r\nX-Odd N", "HTTP/1.1 200 OK\r\n "})
+    void theFirstBrokenByteIsEnough(String begin) throws IOException {
+        stopped = begin;
+        assertServedByAnother("plain", LETTER);
+        assertFailed("once");
+    }
+
+    /** Guards against an answer that is lost for a broken one behind it, or taken for that one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 000 Status", "HTTP/1.1 200 OK\r\nX-Odd Name: a"})
+    void aBrokenAnswerBehindASoundOneIsNoOnes(String begin) throws IOException {
+        behind = begin + "\r\nX-Mark: " + MARK + "\r\nContent-Length: 4\r\n\r\noops";
+        for (String route : List.of("plain", "once", "stream", "stream-final")) {
+            for (int i = 0; i < 2 * ENGINES; i++) {
+                RawCaller.Answer answer = call(route);
+                assertWithMessage(route).that(answer.status()).isEqualTo(200);
+                assertWithMessage(route).that(answer.toString()).doesNotContain(MARK);
+                assertWithMessage(route)
+                        .that(answer.body())
+                        .isEqualTo(route.startsWith("stream") ? EVENTS : LETTER);
+            }
+            assertWithMessage("runs of " + route).that(arrivals.get(route)).isEqualTo(2 * ENGINES);
+        }
+    }
+
     /** Guards against an answer in chunks that is taken as whole though its end is broken. */
     @ParameterizedTest
     @MethodSource("trailers")
--- a/standins/src/test/java/io/pollenpath/platform/EntrySoakTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntrySoakTest.java
@@ -29,7 +29,8 @@
 /**
  * Plays random requests and answers of all sizes against an entry process with little memory.
  * Callers go on with their connections, leave, or send slowly; servers refuse, cut, hold and repeat
- * answers. The seeds are 1 and 2, or from 1 to the system property {@code soak.seeds}.
+ * answers, and send heads that HTTP doesn't know. The seeds are 1 and 2, or from 1 to the system
+ * property {@code soak.seeds}.
  */
 class EntrySoakTest {
 
@@ -147,6 +148,9 @@
             case "held" -> "HTTP/1.1 200 OK" + head + length + body.substring(0, body.length() / 2);
             case "unframed" -> "HTTP/1.1 200 OK" + head + "\r\n" + body;
             case "failed" -> failure;
+            case "broken-status" -> "HTTP/1.1 000 OK" + head + length + body;
+            case "broken-name" -> "HTTP/1.1 200 OK" + head + "X-Odd Name: a\r\n" + length + body;
+            case "broken-fold" -> "HTTP/1.1 200 OK" + head + " folded\r\n" + length + body;
             case "spliced" -> "HTTP/1.1 200 OK\r\nX-Cut: " + failure;
             default -> "HTTP/1.1 200 OK" + head + "Keep-Alive: timeout=5\r\n" + length + body;
         };
@@ -170,7 +174,18 @@
     /** Makes a call; returns whether the connection is used for another one. */
     private boolean call(RawCaller caller, SplittableRandom random, String id) throws IOException {
         String[] kinds = {
-            "ok", "ok", "ok", "chunks", "held", "unframed", "failed", "spliced", "refused"
+            "ok",
+            "ok",
+            "ok",
+            "chunks",
+            "held",
+            "unframed",
+            "failed",
+            "spliced",
+            "refused",
+            "broken-status",
+            "broken-name",
+            "broken-fold"
         };
         String kind = kinds[random.nextInt(kinds.length)];
         int answerBytes = size(random, MAX_ANSWER_BYTES);
@@ -204,7 +219,10 @@
         int ran = runs.containsKey(id) ? runs.get(id).get() : 0;
         boolean ok =
                 switch (answer.status()) {
-                    case 200 -> answer.body().equals(bodyOf(id, path)) && ran > 0;
+                    case 200 ->
+                            answer.body().equals(bodyOf(id, path))
+                                    && ran > 0
+                                    && !path.contains("-broken");
                     case 413 -> bodyBytes > MAX_BODY_BYTES && ran == 0;
                     case 503 -> ran == 0;
                     case 500, 502, 504 -> true;
