--- a/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
@@ -8,8 +8,8 @@
  * Judges the head or the trailers of an answer by the bytes that were sent, as they come: a status
  * line, the lines of fields, and an empty line (RFC 9112, sections 2 to 5). The decoder reads more
  * than this grammar knows, and what it makes of a line no longer shows what stood there: it stops a
- * status at any blank, takes "+200" and "0200" for 200, cuts a name at a blank before the colon,
- * and joins a line that begins with a blank to the value before it.
+ * status at any blank, takes "+200" and "0200" for 200, cuts a name at its first blank, joins a
+ * line that begins with a blank to the value before it, and keeps one of several lengths.
  *
  * <p>A line may end with a line feed alone, and the blank before a missing reason may be missing
  * too (RFC 9112, sections 2.2 and 4).
@@ -22,7 +22,7 @@
     /** The bytes besides letters and digits that may stand in the name of a field. */
     private static final String NAME_MARKS = "!#$%&'*+-.^_`|~";
 
-    private static final AsciiString LENGTH = HttpHeaderNames.CONTENT_LENGTH;
+    private static final AsciiString CONTENT_LENGTH = HttpHeaderNames.CONTENT_LENGTH;
     private static final int MINOR_VERSION_AT = STATUS_LINE.indexOf('x');
     private static final int STATUS_AT = STATUS_LINE.indexOf('n');
     private static final int DELETE = 0x7f;
@@ -60,12 +60,12 @@
         part = first;
     }
 
-    /** Returns the judge of a head, which has not begun yet. */
+    /** Returns the syntax of a head, of which no byte has come yet. */
     static AnswerHeadSyntax ofHead() {
         return new AnswerHeadSyntax(Part.STATUS);
     }
 
-    /** Returns the judge of the fields behind the last chunk, up to the empty line. */
+    /** Returns the syntax of the fields behind the last chunk, up to the empty line. */
     static AnswerHeadSyntax ofTrailers() {
         return new AnswerHeadSyntax(Part.LINE_BEGIN);
     }
@@ -95,7 +95,7 @@
     /** Returns what is wrong with the bytes so far, if they are not sound. */
     String flaw() {
         return secondLength
-                ? "a second " + LENGTH
+                ? "a second " + CONTENT_LENGTH
                 : "a byte that must not stand in the " + part.text;
     }
 
@@ -186,13 +186,13 @@
 
     private void readNameByte(int octet) {
         flawed = !isNameByte(octet);
-        if (name.length() <= LENGTH.length()) {
+        if (name.length() <= CONTENT_LENGTH.length()) {
             name.append((char) octet);
         }
     }
 
     private void readNameEnd() {
-        if (LENGTH.contentEqualsIgnoreCase(name)) {
+        if (CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
             secondLength = hasLength;
             flawed = secondLength;
             hasLength = true;
