tests: a refusal with a broken head is not believed

503 and 421 that say "not run" in a head with a blank in a name, or of HTTP/2.0: a request that may run once gets a 502 and reaches one server. The codec's judge holds for these as it is.

--- a/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/BrokenHeadTest.java
@@ -63,8 +63,8 @@
     private static final int MORE_THAN_A_HEAD = 100_000;
     private static final int ALL_BYTES = Integer.MAX_VALUE;
 
-    /** The text that shows that a caller got bytes of a broken answer. */
-    private static final String MARK = "broken-mark";
+    /** The text that shows that a caller got bytes of the first answer, which a case describes. */
+    private static final String MARK = "first-answer";
 
     /** The part of the caller's 2,000 ms within which a request that can't be served is refused. */
     private static final long AT_ONCE_MS = 1_000;
@@ -85,9 +85,9 @@
     private volatile String behind = "";
 
     /**
-     * An answer that must not be passed on.
+     * The first answer to a request.
      *
-     * @param name what is broken, not null
+     * @param name what is broken in it, or unusual, not null
      * @param before what comes before the head of the final answer, not null
      * @param statusLine the status line without its end, not null
      * @param fields the fields behind the request's ID and the proof, not null
@@ -154,6 +154,15 @@
         return rows;
     }
 
+    /** Returns refusals with a broken head, which must not be believed: the request may run. */
+    static List<Row> refusals() {
+        String notRun = "Not-Executed: 1\r\nRetry-After: 1\r\n";
+        return List.of(
+                new Row("503", "", "HTTP/1.1 503 Full", notRun + "X-Odd Name: a\r\n", ""),
+                new Row("421", "", "HTTP/1.1 421 Other", notRun + "X-Odd Name: a\r\n", ""),
+                new Row("503 in 2.0", "", "HTTP/2.0 503 Full", notRun, ""));
+    }
+
     /** Returns heads of sound lines that don't tell how long the body is, or that tell it twice. */
     static List<Row> framings() {
         String length = "Content-Length: 5\r\n";
@@ -272,7 +281,7 @@
 
     /** Guards against a broken answer that is passed on, or that leaves its caller waiting. */
     @ParameterizedTest
-    @MethodSource({"statusLines", "fieldLines", "framings"})
+    @MethodSource({"statusLines", "fieldLines", "refusals", "framings"})
     void anAnswerWithABrokenHeadIsNotPassedOn(Row row) throws IOException {
         played = row;
         assertServedByAnother("plain", LETTER);
