--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -20,6 +20,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
     private static final int MAX_LISTED_PARTS = 8;
     private static final int MAX_SHOWN_BYTES = 60;
+    private static final int MAX_SHOWN_FRAMES = 6;
+    private static final String OWN_PACKAGES = "io.pollenpath.";
 
     private final MetricRegistry metrics;
     private final Histogram latencyMs;
@@ -200,11 +202,26 @@
                     "{}",
                     LogLine.event("work_failed")
                             .with("cause", cause)
+                            .with("at", placeOf(cause))
                             .with("out_of_memory", outOfMemory));
         }
         return outOfMemory;
     }
 
+    /** Returns the methods of this project that were running, the innermost first. */
+    private static String placeOf(Throwable failure) {
+        return Stream.of(failure.getStackTrace())
+                .filter(frame -> frame.getClassName().startsWith(OWN_PACKAGES))
+                .limit(MAX_SHOWN_FRAMES)
+                .map(RequestLog::shortNameOf)
+                .collect(Collectors.joining("<"));
+    }
+
+    private static String shortNameOf(StackTraceElement frame) {
+        String className = frame.getClassName();
+        return className.substring(className.lastIndexOf('.') + 1) + "." + frame.getMethodName();
+    }
+
     private static Stream<Throwable> causes(Throwable failure) {
         return Stream.iterate(failure, cause -> cause != null, Throwable::getCause);
     }
