--- a/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
@@ -1,6 +1,7 @@
 package io.pollenpath.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.pollenpath.util.GuardedSteps;
 import io.pollenpath.util.LogLine;
 import java.util.HashMap;
 import java.util.Map;
@@ -127,19 +128,24 @@
         }
         store.list(kind, afterName, CALL_TIMEOUT_MS)
                 .whenCompleteAsync(
-                        (page, failure) -> {
-                            if (current != generation) {
-                                return;
-                            }
-                            if (failure == null) {
-                                onPage(page, afterName.isEmpty());
-                            } else {
-                                onFailure(failure);
-                            }
-                        },
+                        (page, failure) ->
+                                onAnswered(
+                                        current, failure, () -> onPage(page, afterName.isEmpty())),
                         control);
     }
 
+    /** Uses the answer to a call; one that can't be used counts as a call that failed. */
+    private void onAnswered(int callGeneration, Throwable failure, Runnable use) {
+        if (callGeneration != generation) {
+            return;
+        }
+        if (failure == null) {
+            GuardedSteps.run(use, this::onFailure);
+        } else {
+            onFailure(failure);
+        }
+    }
+
     private void onPage(JsonNode page, boolean firstPage) {
         if (firstPage) {
             pendingRevision = page.path("CurrentRev").asLong();
@@ -168,16 +174,8 @@
         int current = generation;
         store.watch(kind, revision, longPollMs, longPollMs + CALL_TIMEOUT_MS / 2)
                 .whenCompleteAsync(
-                        (response, failure) -> {
-                            if (current != generation) {
-                                return;
-                            }
-                            if (failure == null) {
-                                onEvents(response);
-                            } else {
-                                onFailure(failure);
-                            }
-                        },
+                        (response, failure) ->
+                                onAnswered(current, failure, () -> onEvents(response)),
                         control);
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/platform/SettingsReload.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/SettingsReload.java
@@ -1,10 +1,10 @@
 package io.pollenpath.platform;
 
 import io.pollenpath.transport.HangupSignal;
+import io.pollenpath.transport.RepeatedTask;
 import io.pollenpath.util.LogLine;
 import java.nio.file.Path;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -38,11 +38,8 @@
     /** Handles the signal and starts the timer; both reload the file on the control thread. */
     void start(ScheduledExecutorService control) {
         HangupSignal.handle(() -> control.execute(() -> reload("hangup")));
-        control.scheduleWithFixedDelay(
-                () -> reload("timer"),
-                RELOAD_INTERVAL_MS,
-                RELOAD_INTERVAL_MS,
-                TimeUnit.MILLISECONDS);
+        RepeatedTask.start(
+                control, RELOAD_INTERVAL_MS, () -> reload("timer"), SettingsReload::logKept);
     }
 
     private void reload(String why) {
@@ -61,7 +58,11 @@
                 onChange.accept(loaded);
             }
         } catch (IllegalArgumentException e) {
-            LOG.error("{}", LogLine.event("settings_kept").with("cause", e.getMessage()));
+            logKept(e);
         }
     }
+
+    private static void logKept(Throwable cause) {
+        LOG.error("{}", LogLine.event("settings_kept").with("cause", cause.getMessage()));
+    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/ConfigNode.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/ConfigNode.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.pollenpath.coordination.ConfigAgent;
 import io.pollenpath.coordination.ConfigAgentOptions;
 import io.pollenpath.coordination.MergeRule;
@@ -14,7 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ScheduledFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -79,12 +78,11 @@
             seedClients.add(new PeerClient(loops, address, this));
         }
         tickTask =
-                loops.group()
-                        .scheduleAtFixedRate(
-                                () -> control.execute(this::tick),
-                                TICK_MS,
-                                TICK_MS,
-                                TimeUnit.MILLISECONDS);
+                RepeatedTask.start(
+                        loops.group(),
+                        TICK_MS,
+                        () -> control.execute(this::tick),
+                        ConfigNode::logFailure);
     }
 
     /**
@@ -100,6 +98,10 @@
         metrics.register("config_store_behind", (Gauge<Integer>) () -> storeBehind ? 1 : 0);
     }
 
+    private static void logFailure(Throwable cause) {
+        LOG.error("{}", LogLine.event("config_tick_failed").with("cause", cause));
+    }
+
     private void tick() {
         long nowNanos = System.nanoTime();
         agent.tick(nowNanos);
--- a/pollenpath/src/main/java/io/pollenpath/transport/entry/SideLink.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/entry/SideLink.java
@@ -10,14 +10,22 @@
 import io.pollenpath.transport.PeerChannel;
 import io.pollenpath.transport.PeerClient;
 import io.pollenpath.transport.PeerHandler;
+import io.pollenpath.util.GuardedSteps;
+import io.pollenpath.util.LogLine;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The link to one side process; dispatches its frames to the listeners of the open attempts. */
 final class SideLink implements PeerHandler, AutoCloseable {
 
+    private static final Logger LOG = LoggerFactory.getLogger(SideLink.class);
+
     private final BackendServer server;
     private final Map<String, AttemptListener> attempts = new ConcurrentHashMap<>();
     private final ServerStats stats;
@@ -146,13 +154,22 @@
         }
         incarnation = newIncarnation;
         helloReceived = true;
-        List.copyOf(attempts.values()).forEach(AttemptListener::onLinkRestored);
+        notifyAll(attempts.values(), AttemptListener::onLinkRestored);
     }
 
     private void notifySideTerminated() {
         List<AttemptListener> orphaned = new ArrayList<>(attempts.values());
         attempts.clear();
-        orphaned.forEach(AttemptListener::onSideTerminated);
+        notifyAll(orphaned, AttemptListener::onSideTerminated);
+    }
+
+    /** Notifies all listeners, also behind one that fails. */
+    private static void notifyAll(
+            Collection<AttemptListener> listeners, Consumer<AttemptListener> call) {
+        GuardedSteps.forEach(
+                listeners,
+                call,
+                cause -> LOG.error("{}", LogLine.event("listener_failed").with("cause", cause)));
     }
 
     @Override
@@ -168,7 +185,7 @@
     public void onClose(PeerChannel peer) {
         accepting = false;
         helloReceived = false;
-        List.copyOf(attempts.values()).forEach(AttemptListener::onLinkLost);
+        notifyAll(attempts.values(), AttemptListener::onLinkLost);
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/group/GroupAgent.java
@@ -89,8 +89,11 @@
     }
 
     private void runTick() {
-        tick();
-        scheduleTick(leader.isPresent() ? LEADER_TICK_MS : CLAIM_CHECK_MS);
+        try {
+            tick();
+        } finally {
+            scheduleTick(leader.isPresent() ? LEADER_TICK_MS : CLAIM_CHECK_MS);
+        }
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -18,6 +19,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.transport.HttpAnswerCodec;
+import io.pollenpath.util.GuardedSteps;
 import java.io.IOException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -136,10 +138,18 @@
      */
     void cancel() {
         listener = null;
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        resetOnClose();
         close();
     }
 
+    private void resetOnClose() {
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // The socket is closed already, though channelInactive may not have come yet.
+        }
+    }
+
     void close() {
         pool.remove(this);
         if (channel != null) {
@@ -278,7 +288,7 @@
 
     private void onEndWaitOver(BackendListener waiting) {
         if (waiting == listener && ended) {
-            complete();
+            GuardedSteps.run(this::complete, channel.pipeline()::fireExceptionCaught);
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.pollenpath.coordination.serving.MemoryBudget;
+import io.pollenpath.util.GuardedSteps;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -105,6 +106,10 @@
         requestMemory = request.memory();
         keepAlive = request.isKeepAlive();
         streaming = false;
+        GuardedSteps.run(() -> serve(request), this::onNotAccepted);
+    }
+
+    private void serve(CallerRequest request) {
         ForwardedRequest accepted = gateway.accept(request, this);
         // If the request was answered at once, the next one may already have started.
         if (accepted != null && !accepted.isDone()) {
@@ -112,6 +117,12 @@
         }
     }
 
+    /** Closes a connection whose request nobody owns. */
+    private void onNotAccepted(Throwable cause) {
+        abort();
+        gateway.onFailure(cause);
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event == CallerRequestReader.Event.BODY_AWAITED) {
@@ -266,13 +277,23 @@
         gateway.connections().remove(this);
         ForwardedRequest abandoned = current;
         current = null;
+        GuardedSteps.runAll(
+                gateway::onFailure,
+                () -> abandon(abandoned),
+                this::releaseRequest,
+                this::releasePipelined,
+                ctx::fireChannelInactive);
+    }
+
+    private static void abandon(ForwardedRequest abandoned) {
         if (abandoned != null) {
             abandoned.onCallerDisconnected();
         }
-        releaseRequest();
+    }
+
+    private void releasePipelined() {
         pipelined.forEach(request -> request.memory().close());
         pipelined.clear();
-        ctx.fireChannelInactive();
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
@@ -14,6 +14,7 @@
     private int status;
     private HttpHeaders head = EmptyHttpHeaders.INSTANCE;
     private boolean begun;
+    private boolean ended;
     private OptionalLong lastEventId;
     private int events;
 
@@ -44,6 +45,17 @@
         return begun;
     }
 
+    /** Returns whether the end of the answer was written, or the answer was broken off. */
+    boolean isEnded() {
+        return ended;
+    }
+
+    /** Closes the caller's connection, whatever was written. */
+    void abort() {
+        ended = true;
+        caller.abort();
+    }
+
     /** Returns the number of events that were forwarded. */
     int events() {
         return events;
@@ -83,11 +95,13 @@
     /** Ends a complete stream. */
     void finishStream() {
         begin();
+        ended = true;
         caller.finishStream();
     }
 
     /** Writes a server's answer that was buffered as a whole. */
     void writeFull(byte[] body) {
+        ended = true;
         caller.writeFull(status, head, body);
     }
 
@@ -98,6 +112,7 @@
 
     /** Writes an error of this entry, or breaks off an answer that has begun. */
     void writeProblem(HttpHeaders headers, byte[] problem) {
+        ended = true;
         if (begun) {
             caller.abort();
         } else {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -9,12 +9,15 @@
 import io.pollenpath.coordination.serving.WaitingRequests.QueuedRequest;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingView;
+import io.pollenpath.util.GuardedSteps;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -37,9 +40,13 @@
     private final CrashGuard crashGuard;
     private final EntryCatchUp catchUp;
     private final ProblemAnswers problems;
+    private final Consumer<Throwable> onFailure;
     private final BackendServers servers;
     private final Map<String, ServiceTraffic> traffic = new HashMap<>();
-    private final Set<ForwardedRequest> inFlight = new HashSet<>();
+
+    /** The requests that are at a server or on their way to it, with that server. */
+    private final Map<ForwardedRequest, ServerInstance> inFlight = new HashMap<>();
+
     private final RetryReservations retries = new RetryReservations();
     private final StopPolicy stopPolicy = new StopPolicy();
 
@@ -51,7 +58,8 @@
             RequestLog log,
             CrashGuard crashGuard,
             EntryCatchUp catchUp,
-            RandomGenerator random) {
+            RandomGenerator random,
+            Consumer<Throwable> onFailure) {
         this.settings = settings;
         this.view = view;
         this.connections = connections;
@@ -59,6 +67,7 @@
         this.servers = servers;
         this.crashGuard = crashGuard;
         this.catchUp = catchUp;
+        this.onFailure = onFailure;
         problems = new ProblemAnswers(view, servers, log, crashGuard, random);
     }
 
@@ -124,17 +133,32 @@
         Optional<QueuedRequest<ForwardedRequest>> next = service.queue().first();
         while (next.isPresent()) {
             QueuedRequest<ForwardedRequest> current = next.get();
-            boolean mayBePassed =
-                    awaitsServers(service, current, nowNanos)
-                            || current.request().sends() > 0
-                            || crashGuard.awaitsPermit(current.request(), nowNanos);
-            if (!trySend(name, service, current, nowNanos) && !mayBePassed) {
+            if (!sendOrPass(name, service, current, nowNanos)) {
                 return;
             }
             next = service.queue().after(current);
         }
     }
 
+    /** Returns whether those behind a request have their turn. */
+    private boolean sendOrPass(
+            String name,
+            ServiceTraffic service,
+            QueuedRequest<ForwardedRequest> queued,
+            long nowNanos) {
+        ForwardedRequest request = queued.request();
+        try {
+            boolean mayBePassed =
+                    awaitsServers(service, queued, nowNanos)
+                            || request.sends() > 0
+                            || crashGuard.awaitsPermit(request, nowNanos);
+            return trySend(name, service, queued, nowNanos) || mayBePassed;
+        } catch (RuntimeException | Error e) {
+            request.onStepFailed(e);
+            return true;
+        }
+    }
+
     /** Returns whether a request with its last chance waits for servers that run requests again. */
     private static boolean awaitsServers(
             ServiceTraffic service, QueuedRequest<ForwardedRequest> queued, long nowNanos) {
@@ -167,7 +191,7 @@
         }
         service.queue().remove(request);
         service.onSent();
-        inFlight.add(request);
+        inFlight.put(request, server.get());
         servers.onSent(server.get(), nowNanos);
         request.send(server.get(), connections, nowNanos);
         return true;
@@ -187,7 +211,7 @@
 
     /** Answers or queues a request that was not written to the server chosen for it. */
     void onWithheld(ForwardedRequest request, ServerInstance server, long nowNanos) {
-        releaseServer(request, server, nowNanos);
+        releaseServer(request, nowNanos);
         if (!problems.refuseIfBlocked(request, nowNanos)) {
             long waitMs = QueueTimeouts.maxQueueMs(request.timeLeftMs(nowNanos));
             enqueue(request, request.context().priority(), true, waitMs, nowNanos);
@@ -204,9 +228,11 @@
             long nowNanos) {
         if (server != null) {
             servers.onFailed(server, outcome, nowNanos);
-            crashGuard.detector().onSendFailed(request, server, outcome, inFlight, nowNanos);
+            crashGuard
+                    .detector()
+                    .onSendFailed(request, server, outcome, inFlight.keySet(), nowNanos);
         }
-        releaseServer(request, server, nowNanos);
+        releaseServer(request, nowNanos);
         ServiceTraffic service = traffic(request.context().service());
         if (outcome == SendOutcome.NOT_RUN) {
             service.progress().onRefused(nowNanos);
@@ -241,8 +267,9 @@
                 && !crashGuard.verdict(request, nowNanos).isRefused();
     }
 
-    private void releaseServer(ForwardedRequest request, ServerInstance server, long nowNanos) {
-        if (inFlight.remove(request)) {
+    private void releaseServer(ForwardedRequest request, long nowNanos) {
+        ServerInstance server = inFlight.remove(request);
+        if (server != null) {
             traffic(request.context().service()).onEnded(nowNanos);
             servers.onEnded(server);
         }
@@ -274,38 +301,50 @@
             } else {
                 crashGuard.detector().onAbandoned(request, server, nowNanos);
             }
-            releaseServer(request, server, nowNanos);
+            releaseServer(request, nowNanos);
             sendQueued(name, nowNanos);
         }
     }
 
+    /** Gives back all that a request still holds of which a step has failed. */
+    void abandon(ForwardedRequest request, long nowNanos) {
+        ServiceTraffic service = traffic(request.context().service());
+        service.queue().remove(request);
+        retries.release(request, service.retryBudget());
+        releaseServer(request, nowNanos);
+    }
+
     /**
      * Refuses requests with an expired queue timeout, ends those past their deadline, sends others.
      */
     void tick(long nowNanos) {
-        for (Map.Entry<String, ServiceTraffic> entry : Map.copyOf(traffic).entrySet()) {
-            entry.getValue().retryBudget().onEntries(view.get().liveEntries(), nowNanos);
-            entry.getValue().queue().demoteLate(nowNanos);
-            for (QueuedRequest<ForwardedRequest> expired :
-                    entry.getValue().queue().removeExpired(nowNanos)) {
-                answerWithProblem(expired.request(), "no_free_server", nowNanos);
-            }
-            Predicate<ForwardedRequest> tooLate =
-                    request -> stopPolicy.isTooLate(request.route(), nowNanos);
-            refuse(entry.getValue(), tooLate, nowNanos);
-            sendQueued(entry.getKey(), nowNanos);
+        GuardedSteps.forEach(traffic.keySet(), service -> tickQueue(service, nowNanos), onFailure);
+        for (ForwardedRequest request : Set.copyOf(inFlight.keySet())) {
+            request.guard(() -> checkTimeouts(request, nowNanos));
         }
-        for (ForwardedRequest request : Set.copyOf(inFlight)) {
-            checkTimeouts(request, nowNanos);
+    }
+
+    private void tickQueue(String name, long nowNanos) {
+        ServiceTraffic service = traffic(name);
+        service.retryBudget().onEntries(view.get().liveEntries(), nowNanos);
+        service.queue().demoteLate(nowNanos);
+        answerAll(service.queue().removeExpired(nowNanos), "no_free_server", nowNanos);
+        refuse(service, request -> stopPolicy.isTooLate(request.route(), nowNanos), nowNanos);
+        sendQueued(name, nowNanos);
+    }
+
+    private void answerAll(
+            List<QueuedRequest<ForwardedRequest>> removed, String reason, long nowNanos) {
+        for (QueuedRequest<ForwardedRequest> queued : removed) {
+            ForwardedRequest request = queued.request();
+            request.guard(() -> answerWithProblem(request, reason, nowNanos));
         }
     }
 
     /** Answers the queued requests of a service to which a condition applies. */
     private void refuse(
             ServiceTraffic service, Predicate<ForwardedRequest> condition, long nowNanos) {
-        service.queue()
-                .removeIf(condition)
-                .forEach(q -> answerWithProblem(q.request(), ProblemAnswers.STOPPING, nowNanos));
+        answerAll(service.queue().removeIf(condition), ProblemAnswers.STOPPING, nowNanos);
     }
 
     /** Hears that the process stops, and when it cuts what is still in progress. */
@@ -316,23 +355,25 @@
     /** Answers all requests that have no answer, since the process ends. */
     void endAll(long nowNanos) {
         traffic.values().forEach(service -> refuse(service, request -> true, nowNanos));
-        for (ForwardedRequest request : Set.copyOf(inFlight)) {
-            if (request.sends() > 0) {
-                request.markMayHaveRun();
-            }
-            answerWithProblem(request, ProblemAnswers.STOPPING, nowNanos);
+        for (ForwardedRequest request : Set.copyOf(inFlight.keySet())) {
+            request.guard(() -> endSent(request, ProblemAnswers.STOPPING, nowNanos));
+        }
+    }
+
+    /** Answers a request that may be on a server. */
+    private void endSent(ForwardedRequest request, String reason, long nowNanos) {
+        if (request.sends() > 0) {
+            request.markMayHaveRun();
         }
+        answerWithProblem(request, reason, nowNanos);
     }
 
     private void checkTimeouts(ForwardedRequest request, long nowNanos) {
-        if (request.isDone() || !inFlight.contains(request)) {
+        if (request.isDone() || !inFlight.containsKey(request)) {
             return;
         }
         if (request.timeLeftMs(nowNanos) <= 0) {
-            if (request.sends() > 0) {
-                request.markMayHaveRun();
-            }
-            answerWithProblem(request, "timeout", nowNanos);
+            endSent(request, "timeout", nowNanos);
             return;
         }
         boolean silent =
@@ -374,12 +415,7 @@
     /** Removes the state of all servers except the given ones and those with requests in flight. */
     void retainServers(Set<String> serverIds) {
         Set<String> inUse = new HashSet<>(serverIds);
-        inFlight.forEach(
-                request -> {
-                    if (request.server() != null) {
-                        inUse.add(request.server().id());
-                    }
-                });
+        inFlight.values().forEach(server -> inUse.add(server.id()));
         servers.retain(inUse);
         connections.retainServers(serverIds);
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -2,9 +2,11 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.coordination.serving.SendOutcome;
+import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.util.GuardedSteps;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -43,7 +45,9 @@
         this.context = context;
         suspects = new RequestSuspects(context);
         answer = new ServerAnswer(id -> false);
-        reading = new AnswerReading(gateway.memory(), progress, () -> breakOff("memory is short"));
+        reading =
+                new AnswerReading(
+                        gateway.memory(), progress, () -> guard(() -> breakOff("memory is short")));
         reply = new CallerReply(caller, context.callerHeaders().lastEventId());
     }
 
@@ -100,6 +104,11 @@
         return done;
     }
 
+    /** Returns the status of the latest answer. */
+    int status() {
+        return reply.status();
+    }
+
     int events() {
         return reply.events();
     }
@@ -150,12 +159,14 @@
                 target,
                 context.route().mayRunAgain(),
                 nowNanos,
-                opened -> sendOver(selection, target, opened),
-                cause -> {
-                    if (isCurrentSelection(selection)) {
-                        onFailed(SendOutcome.NOT_SENT, cause);
-                    }
-                });
+                opened -> guard(() -> sendOver(selection, target, opened)),
+                cause -> guard(() -> onNotConnected(selection, cause)));
+    }
+
+    private void onNotConnected(int selection, String cause) {
+        if (isCurrentSelection(selection)) {
+            endSend(SendOutcome.NOT_SENT, cause);
+        }
     }
 
     private boolean isCurrentSelection(int selection) {
@@ -168,7 +179,8 @@
             return;
         }
         gateway.authorizeSend(
-                this, authorized -> onAuthorized(selection, target, opened, authorized));
+                this,
+                authorized -> guard(() -> onAuthorized(selection, target, opened, authorized)));
     }
 
     private void onAuthorized(
@@ -202,6 +214,10 @@
 
     @Override
     public void onHead(int newStatus, HttpHeaders headers) {
+        guard(() -> readHead(newStatus, headers));
+    }
+
+    private void readHead(int newStatus, HttpHeaders headers) {
         progress.onProgress(System.nanoTime());
         WireDialect.ReplyKind replyKind = gateway.dialect().classify(newStatus, headers);
         answer.onHead(replyKind, headers, context.route().streaming() && newStatus == STATUS_OK);
@@ -223,6 +239,10 @@
 
     @Override
     public void onData(byte[] bytes) {
+        guard(() -> readData(bytes));
+    }
+
+    private void readData(byte[] bytes) {
         if (answer.isForwardedStream()) {
             forwardEvents(answer.addEvents(bytes, gateway.dialect()));
             reading.onEvents(answer.bufferedBytes());
@@ -237,7 +257,7 @@
     /** Fails the send to a server whose answer cannot be forwarded any further. */
     private void breakOff(String cause) {
         cancelSend();
-        onFailed(SendOutcome.UNKNOWN, cause);
+        endSend(SendOutcome.UNKNOWN, cause);
     }
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
@@ -265,6 +285,10 @@
 
     @Override
     public void onEnd(byte[] behind) {
+        guard(() -> readEnd(behind));
+    }
+
+    private void readEnd(byte[] behind) {
         gateway.log().ended(this, server, behind);
         endAnswer(behind);
     }
@@ -287,14 +311,18 @@
 
     @Override
     public void onEndByClose() {
+        guard(this::readEndByClose);
+    }
+
+    private void readEndByClose() {
         if (answer.kindAtEnd(NOTHING) != WireDialect.ReplyKind.ANSWER) {
-            onEnd(NOTHING);
+            readEnd(NOTHING);
             return;
         }
         endReading();
         answer.setCheckingEnd(true);
         int selection = selections;
-        gateway.checkServer(this, result -> onServerChecked(selection, result));
+        gateway.checkServer(this, result -> guard(() -> onServerChecked(selection, result)));
     }
 
     private void onServerChecked(int selection, Reachability result) {
@@ -330,6 +358,10 @@
 
     @Override
     public void onFailed(SendOutcome outcome, String cause) {
+        guard(() -> endSend(outcome, cause));
+    }
+
+    private void endSend(SendOutcome outcome, String cause) {
         endReading();
         failSend(outcome, cause);
     }
@@ -370,16 +402,56 @@
     }
 
     void onCallerDisconnected() {
+        guard(this::abandonByCaller);
+    }
+
+    private void abandonByCaller() {
         if (!done) {
             cancelSend();
             finish("caller_gone");
         }
     }
 
+    /** Takes a step of this request, which ends the request and nothing else if it fails. */
+    void guard(Runnable step) {
+        GuardedSteps.run(step, this::onStepFailed);
+    }
+
+    /** Ends a request of which a step has failed, whatever the step has left undone. */
+    void onStepFailed(Throwable cause) {
+        boolean wasDone = done;
+        done = true;
+        gateway.onFailure(cause, this);
+        GuardedSteps.runAll(
+                gateway::onFailure,
+                this::cancelSend,
+                reading::end,
+                () -> gateway.abandon(this, wasDone));
+        server = null;
+        GuardedSteps.run(
+                this::answerFailedStep,
+                failure -> {
+                    reply.abort();
+                    gateway.onFailure(failure);
+                });
+    }
+
+    private void answerFailedStep() {
+        if (reply.isEnded()) {
+            return;
+        }
+        Problem problem = GatewayProblems.internalError(sends > 0 || mayHaveRun);
+        reply.onProblem(problem.status());
+        reply.writeProblem(
+                GatewayProblems.headers(problem),
+                problem.toJson(context.callerHeaders().requestId()));
+    }
+
     private void cancelSend() {
-        if (connection != null) {
-            connection.cancel();
+        BackendConnection cancelled = connection;
+        if (cancelled != null) {
             endReading();
+            cancelled.cancel();
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -18,6 +18,8 @@
 import io.pollenpath.state.serving.ServingConfig;
 import io.pollenpath.state.serving.ServingView;
 import io.pollenpath.transport.HttpClient;
+import io.pollenpath.transport.RepeatedTask;
+import io.pollenpath.util.GuardedSteps;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +40,7 @@
     private final EventLoop loop;
     private final WireDialect dialect;
     private final RequestLog log;
+    private final FailureLog failures;
     private final EntryMemory memory;
     private final ServerSignals signals;
     private final String ownName;
@@ -74,6 +77,7 @@
         this.dialect = dialect;
         this.random = random;
         log = new RequestLog(metrics);
+        failures = new FailureLog(metrics);
         memory = new EntryMemory(settings.bufferBytes(), dialect, metrics, random);
         backends = new BackendConnectionPool(loop, dialect, this::onFailure);
         ownName = settings.entry();
@@ -87,7 +91,15 @@
         signals = new ServerSignals(dialect, servers, limitLog);
         dispatcher =
                 new Dispatcher(
-                        settings, this::view, backends, servers, log, crashGuard, catchUp, random);
+                        settings,
+                        this::view,
+                        backends,
+                        servers,
+                        log,
+                        crashGuard,
+                        catchUp,
+                        random,
+                        this::onFailure);
         RepeatedTask.start(loop, TICK_MS, this::tick, this::onFailure);
         RepeatedTask.start(loop, HOUSEKEEPING_MS, this::housekeep, this::onFailure);
         RepeatedTask.start(loop, STATE_LOG_INTERVAL_MS, dispatcher::logState, this::onFailure);
@@ -95,19 +107,25 @@
 
     private void tick() {
         long nowNanos = System.nanoTime();
+        GuardedSteps.run(() -> hearPeers(nowNanos), this::onFailure);
+        GuardedSteps.runAll(
+                this::onFailure, () -> dispatcher.tick(nowNanos), () -> memory.onTick(nowNanos));
+    }
+
+    private void hearPeers(long nowNanos) {
         if (catchUp.onTick(nowNanos) && peers != null) {
             peers.hearAll();
         }
-        dispatcher.tick(nowNanos);
-        memory.onTick(nowNanos);
     }
 
     private void housekeep() {
         long nowNanos = System.nanoTime();
-        backends.closeStale(nowNanos);
-        crashGuard.expire(nowNanos);
         long limitNanos = TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMs());
-        connections.closeIdle(nowNanos, limitNanos);
+        GuardedSteps.runAll(
+                this::onFailure,
+                () -> backends.closeStale(nowNanos),
+                () -> crashGuard.expire(nowNanos),
+                () -> connections.closeIdle(nowNanos, limitNanos));
     }
 
     /**
@@ -118,14 +136,15 @@
     public void updateView(ServingView newView) {
         view = newView;
         loop.execute(
-                () -> {
-                    dispatcher.retainServers(newView.serverIds());
-                    servers.setEntries(newView.entryNames());
-                    crashGuard.detector().onView(newView, System.nanoTime());
-                    onReady(newView);
-                    updatePeers(newView);
-                    tick();
-                });
+                () ->
+                        GuardedSteps.runAll(
+                                this::onFailure,
+                                () -> dispatcher.retainServers(newView.serverIds()),
+                                () -> servers.setEntries(newView.entryNames()),
+                                () -> crashGuard.detector().onView(newView, System.nanoTime()),
+                                () -> onReady(newView),
+                                () -> updatePeers(newView),
+                                this::tick));
     }
 
     private void onReady(ServingView newView) {
@@ -250,11 +269,33 @@
 
     /** Hears of work on the event loop that failed. */
     void onFailure(Throwable cause) {
-        if (log.workFailed(cause)) {
+        onFailure(cause, "");
+    }
+
+    /** Hears of a step of a request that failed. */
+    void onFailure(Throwable cause, ForwardedRequest request) {
+        onFailure(cause, request.context().callerHeaders().requestId());
+    }
+
+    private void onFailure(Throwable cause, String requestId) {
+        if (failures.onFailure(cause, requestId, System.nanoTime())) {
             onOutOfMemory.run();
         }
     }
 
+    /**
+     * Forgets a request of which a step has failed.
+     *
+     * @param wasDone whether its end was told before
+     */
+    void abandon(ForwardedRequest request, boolean wasDone) {
+        long nowNanos = System.nanoTime();
+        dispatcher.abandon(request, nowNanos);
+        if (!wasDone) {
+            log.done(request, request.status(), GatewayProblems.INTERNAL_ERROR, nowNanos);
+        }
+    }
+
     EntryMemory memory() {
         return memory;
     }
@@ -330,7 +371,8 @@
                         nowNanos,
                         nowNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs));
         ForwardedRequest forwarded = new ForwardedRequest(this, caller, context);
-        dispatcher.submit(forwarded, returning.isRetry(route, callerTimeoutMs), nowNanos);
+        boolean retried = returning.isRetry(route, callerTimeoutMs);
+        forwarded.guard(() -> dispatcher.submit(forwarded, retried, nowNanos));
         return forwarded.isDone() ? null : forwarded;
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayProblems.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayProblems.java
@@ -19,6 +19,10 @@
     static final int BAD_GATEWAY = 502;
     static final int GATEWAY_TIMEOUT = 504;
 
+    /** The reason in answers and logs for a request whose handling failed within this entry. */
+    static final String INTERNAL_ERROR = "internal_error";
+
+    private static final long INTERNAL_ERROR_RETRY_MS = 100;
     private static final double MS_PER_SECOND = 1_000;
 
     private GatewayProblems() {}
@@ -74,6 +78,16 @@
                 0);
     }
 
+    /** Returns the answer to a request whose handling failed within this entry. */
+    static Problem internalError(boolean mayHaveRun) {
+        return mayHaveRun
+                ? unknownOutcome(BAD_GATEWAY, INTERNAL_ERROR)
+                : notExecuted(
+                        INTERNAL_ERROR,
+                        "this entry failed to handle the request; retry it",
+                        INTERNAL_ERROR_RETRY_MS);
+    }
+
     static HttpHeaders headers(Problem problem) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, Problem.MEDIA_TYPE);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -6,11 +6,9 @@
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.transport.MetricNames;
 import io.pollenpath.util.LogLine;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,8 +18,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
     private static final int MAX_LISTED_PARTS = 8;
     private static final int MAX_SHOWN_BYTES = 60;
-    private static final int MAX_SHOWN_FRAMES = 6;
-    private static final String OWN_PACKAGES = "io.pollenpath.";
 
     private final MetricRegistry metrics;
     private final Histogram latencyMs;
@@ -191,38 +187,4 @@
                         .with("cause", cause)
                         .with("within_stream", withinStream));
     }
-
-    /** Logs work that failed for no reason of the network; returns whether memory has run out. */
-    boolean workFailed(Throwable cause) {
-        boolean outOfMemory = causes(cause).anyMatch(OutOfMemoryError.class::isInstance);
-        if (outOfMemory || !(cause instanceof IOException)) {
-            MetricNames.count(
-                    metrics, "work_failed_total", "cause", cause.getClass().getSimpleName());
-            LOG.error(
-                    "{}",
-                    LogLine.event("work_failed")
-                            .with("cause", cause)
-                            .with("at", placeOf(cause))
-                            .with("out_of_memory", outOfMemory));
-        }
-        return outOfMemory;
-    }
-
-    /** Returns the methods of this project that were running, the innermost first. */
-    private static String placeOf(Throwable failure) {
-        return Stream.of(failure.getStackTrace())
-                .filter(frame -> frame.getClassName().startsWith(OWN_PACKAGES))
-                .limit(MAX_SHOWN_FRAMES)
-                .map(RequestLog::shortNameOf)
-                .collect(Collectors.joining("<"));
-    }
-
-    private static String shortNameOf(StackTraceElement frame) {
-        String className = frame.getClassName();
-        return className.substring(className.lastIndexOf('.') + 1) + "." + frame.getMethodName();
-    }
-
-    private static Stream<Throwable> causes(Throwable failure) {
-        return Stream.iterate(failure, cause -> cause != null, Throwable::getCause);
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/side/BackendProbe.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/side/BackendProbe.java
@@ -3,9 +3,9 @@
 import io.pollenpath.transport.HttpAddress;
 import io.pollenpath.transport.HttpClient;
 import io.pollenpath.transport.NettyLoops;
+import io.pollenpath.transport.RepeatedTask;
 import io.pollenpath.util.LogLine;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,9 +33,14 @@
     public BackendProbe(NettyLoops loops, HttpClient client, HttpAddress address) {
         this.client = client;
         this.address = address;
+        loops.group().execute(this::probe);
         timer =
-                loops.group()
-                        .scheduleWithFixedDelay(this::probe, 0, INTERVAL_MS, TimeUnit.MILLISECONDS);
+                RepeatedTask.start(
+                        loops.group(), INTERVAL_MS, this::probe, BackendProbe::logFailure);
+    }
+
+    private static void logFailure(Throwable cause) {
+        LOG.error("{}", LogLine.event("probe_failed").with("cause", cause));
     }
 
     private void probe() {
--- a/standins/src/test/java/io/pollenpath/platform/GatewayFixture.java
+++ b/standins/src/test/java/io/pollenpath/platform/GatewayFixture.java
@@ -10,10 +10,12 @@
 import io.pollenpath.transport.serving.Gateway;
 import io.pollenpath.transport.serving.GatewayServer;
 import io.pollenpath.transport.serving.GatewaySettings;
+import io.pollenpath.transport.serving.WireDialect;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -32,19 +34,19 @@
     private static final long SILENCE_MS = 1_000;
     private static final long BUFFER_BYTES = 20_000_000;
 
+    private final MetricRegistry metrics = new MetricRegistry();
     private final Gateway gateway;
     private final GatewayServer server;
     private final HttpAddress address;
 
     GatewayFixture(NettyLoops loops, List<ServerInstance> servers) throws IOException {
+        this(loops, servers, new HeaderDialect());
+    }
+
+    GatewayFixture(NettyLoops loops, List<ServerInstance> servers, WireDialect dialect)
+            throws IOException {
         EventLoop loop = loops.group().next();
-        gateway =
-                new Gateway(
-                        loop,
-                        settings(),
-                        new HeaderDialect(),
-                        new MetricRegistry(),
-                        new SplittableRandom(1));
+        gateway = new Gateway(loop, settings(), dialect, metrics, new SplittableRandom(1));
         address = new HttpAddress(HOST, freePort());
         server = new GatewayServer(loop, HOST, address.port(), gateway);
         gateway.updateView(
@@ -86,6 +88,16 @@
         return address;
     }
 
+    /** Returns the bytes of all requests and answers in memory. */
+    long bufferedBytes() {
+        return ((Number) metrics.getGauges().get("buffered_bytes").getValue()).longValue();
+    }
+
+    /** Returns the metrics that count work that failed within the gateway, by their causes. */
+    Set<String> failures() {
+        return metrics.getCounters((name, metric) -> name.startsWith("work_failed")).keySet();
+    }
+
     @Override
     public void close() {
         server.close();
