--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpClient.java
@@ -95,6 +95,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+        FairReading.enable(bootstrap);
         pools =
                 new AbstractChannelPoolMap<>() {
                     @Override
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpServer.java
@@ -69,7 +69,7 @@
         this.security = Objects.requireNonNull(security, "security");
         this.handler = Objects.requireNonNull(handler, "handler");
         this.limits = Objects.requireNonNull(limits, "limits");
-        listener = ServerSockets.bind(bootstrap(loops), host, port);
+        listener = ServerSockets.bind(FairReading.enable(bootstrap(loops)), host, port);
     }
 
     private ServerBootstrap bootstrap(NettyLoops loops) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/PeerClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/PeerClient.java
@@ -66,6 +66,7 @@
                                         true,
                                         security,
                                         new MetricRegistry()));
+        FairReading.enable(bootstrap);
         connect();
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/PeerServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/PeerServer.java
@@ -72,7 +72,7 @@
                         .channel(NioServerSocketChannel.class)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(new LinkLimiter(limits.maxLinks(), pipeline));
-        listener = ServerSockets.bind(bootstrap, host, port);
+        listener = ServerSockets.bind(FairReading.enable(bootstrap), host, port);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -1,6 +1,5 @@
 package io.pollenpath.transport.serving;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
@@ -20,6 +19,7 @@
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.util.GuardedSteps;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +57,10 @@
     private boolean ended;
     private ScheduledFuture<?> endWait;
     private final CarriedRequests carried = new CarriedRequests();
+
+    /** The bytes of the body that came in this turn and were not passed on yet. */
+    private final ByteArrayOutputStream pieces = new ByteArrayOutputStream();
+
     private boolean keepAlive;
     private boolean endsWithConnection;
     private String error = "";
@@ -101,6 +105,7 @@
         interimAnswers = 0;
         inAnswer = false;
         ended = false;
+        pieces.reset();
         carried.add(newRequestId);
         if (!channel.isActive()) {
             request.release();
@@ -244,11 +249,14 @@
         if (listener == null) {
             return;
         }
-        ByteBuf bytes = content.content();
-        if (!ignoringResponse && bytes.isReadable()) {
-            listener.onData(ByteBufUtil.getBytes(bytes));
+        if (!ignoringResponse) {
+            pieces.writeBytes(ByteBufUtil.getBytes(content.content()));
+        }
+        if (!(content instanceof LastHttpContent)) {
+            return;
         }
-        if (!(content instanceof LastHttpContent) || listener == null) {
+        passOnPieces();
+        if (listener == null) {
             return;
         }
         if (ignoringResponse) {
@@ -259,9 +267,22 @@
         }
     }
 
+    /** Passes on what has come in one turn, however small the parts are in which it came. */
+    private void passOnPieces() {
+        if (pieces.size() == 0) {
+            return;
+        }
+        byte[] bytes = pieces.toByteArray();
+        pieces.reset();
+        if (listener != null) {
+            listener.onData(bytes);
+        }
+    }
+
     /** Ends the answer once all that has come with its last bytes is there. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        passOnPieces();
         if (listener == null && codec.bytesBehind().length > 0) {
             close();
         } else if (listener != null && ended) {
@@ -321,6 +342,7 @@
     }
 
     private void fail(SendOutcome outcome, String cause) {
+        passOnPieces();
         BackendListener completed = listener;
         listener = null;
         if (completed != null) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnectionPool.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.transport.FairReading;
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.transport.TcpKeepAlive;
 import java.util.ArrayDeque;
@@ -56,6 +57,7 @@
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
         TcpKeepAlive.enable(bootstrap);
+        FairReading.enable(bootstrap);
     }
 
     /**
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.OptionalLong;
 
 /**
@@ -71,18 +73,26 @@
         return caller.isWritable();
     }
 
-    /** Forwards an event, unless the caller has it; returns whether it was forwarded. */
-    boolean writeEvent(EventSplitter.Event event) {
-        if (event.isUpTo(lastEventId)) {
-            return false;
+    /**
+     * Forwards events that came together, in one write, except for those that the caller has.
+     *
+     * @return the number of events that were forwarded
+     */
+    int writeEvents(List<EventSplitter.Event> newEvents) {
+        ByteArrayOutputStream chunk = new ByteArrayOutputStream();
+        int before = events;
+        for (EventSplitter.Event event : newEvents) {
+            if (!event.isUpTo(lastEventId)) {
+                chunk.writeBytes(event.bytes());
+                events++;
+                lastEventId = event.id().isPresent() ? event.id() : lastEventId;
+            }
         }
-        begin();
-        caller.writeChunk(event.bytes());
-        events++;
-        if (event.id().isPresent()) {
-            lastEventId = event.id();
+        if (chunk.size() > 0) {
+            begin();
+            caller.writeChunk(chunk.toByteArray());
         }
-        return true;
+        return events - before;
     }
 
     private void begin() {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -63,7 +63,8 @@
 
     /**
      * Appends bytes and returns the events that they complete. Each byte is looked at once, however
-     * the bytes are cut into pieces.
+     * the bytes are cut into pieces. Empty lines that follow an event belong to it, if they come
+     * with it.
      *
      * @param bytes the next bytes of the stream, not null
      * @return the events; after an event that is {@linkplain #isTooLong too long} nothing is added
@@ -75,22 +76,34 @@
         append(bytes);
         List<Event> events = new ArrayList<>();
         int start = 0;
+        int end = 0;
         for (int i = scanned; i < length; i++) {
             if (pending[i] != '\n') {
                 continue;
             }
-            if (isEmptyLine(lineStart, i)) {
-                byte[] event = Arrays.copyOfRange(pending, start, i + 1);
-                events.add(new Event(event, idOf(event)));
-                start = i + 1;
+            boolean emptyLine = isEmptyLine(lineStart, i);
+            if (!emptyLine && end > start) {
+                events.add(eventAt(start, end));
+                start = end;
+            }
+            if (emptyLine) {
+                end = i + 1;
             }
             lineStart = i + 1;
         }
-        discard(start);
+        if (end > start) {
+            events.add(eventAt(start, end));
+        }
+        discard(end);
         scanned = length;
         return events;
     }
 
+    private Event eventAt(int start, int end) {
+        byte[] event = Arrays.copyOfRange(pending, start, end);
+        return new Event(event, idOf(event));
+    }
+
     /** Returns whether bytes of an incomplete event are buffered. */
     boolean hasPartialEvent() {
         return length > 0;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -262,14 +262,10 @@
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
         long nowNanos = System.nanoTime();
-        for (EventSplitter.Event event : completeEvents) {
-            progress.onProgress(nowNanos);
-            if (answer.countEvent()) {
-                gateway.onAnswerGoesOn(this);
-            }
-            if (!reply.writeEvent(event)) {
-                continue;
-            }
+        for (int i = 0; i < completeEvents.size(); i++) {
+            countEvent(nowNanos);
+        }
+        if (reply.writeEvents(completeEvents) > 0) {
             long gapNanos = progress.onEvent(nowNanos);
             if (gapNanos > 0) {
                 gateway.onEventGap(this, gapNanos, nowNanos);
@@ -278,6 +274,13 @@
         reading.setCallerTakes(reply.isWritable());
     }
 
+    private void countEvent(long nowNanos) {
+        progress.onProgress(nowNanos);
+        if (answer.countEvent()) {
+            gateway.onAnswerGoesOn(this);
+        }
+    }
+
     /** Returns what decides whether the answer is read on. */
     AnswerReading reading() {
         return reading;
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.pollenpath.transport.FairReading;
 import io.pollenpath.transport.ServerSockets;
 
 /** Accepts the HTTP connections of callers for a gateway. */
@@ -47,7 +48,7 @@
                                         addHandlers(channel, gateway);
                                     }
                                 });
-        listener = ServerSockets.bind(bootstrap, host, port);
+        listener = ServerSockets.bind(FairReading.enable(bootstrap), host, port);
     }
 
     private static void addHandlers(SocketChannel channel, Gateway gateway) {
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EventSplitterTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EventSplitterTest.java
@@ -85,4 +85,16 @@
         assertThat(splitter.isTooLong()).isTrue();
         assertThat(splitter.add(bytes("\n\n"))).isEmpty();
     }
+
+    /** Guards against an event, and work, for each of many empty lines (review/7). */
+    @Test
+    void emptyLinesBelongToTheEventBefore() {
+        EventSplitter splitter = new EventSplitter();
+        List<EventSplitter.Event> events = splitter.add(bytes("data: a\n\n\n\r\n\nid: 2\n\n"));
+        assertThat(events).hasSize(2);
+        assertThat(events.get(0).bytes()).isEqualTo(bytes("data: a\n\n\n\r\n\n"));
+        assertThat(events.get(1).bytes()).isEqualTo(bytes("id: 2\n\n"));
+        assertThat(splitter.add(bytes("\n".repeat(10_000)))).hasSize(1);
+        assertThat(splitter.hasPartialEvent()).isFalse();
+    }
 }
