--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
@@ -58,7 +58,7 @@
         caller.abort();
     }
 
-    /** Returns the number of events that were forwarded. */
+    /** Returns the number of events that were forwarded and say something. */
     int events() {
         return events;
     }
@@ -76,7 +76,7 @@
     /**
      * Forwards events that came together, in one write, except for those that the caller has.
      *
-     * @return the number of events that were forwarded
+     * @return the number of events that were forwarded and say something
      */
     int writeEvents(List<EventSplitter.Event> newEvents) {
         ByteArrayOutputStream chunk = new ByteArrayOutputStream();
@@ -84,7 +84,7 @@
         for (EventSplitter.Event event : newEvents) {
             if (!event.isUpTo(lastEventId)) {
                 chunk.writeBytes(event.bytes());
-                events++;
+                events += event.hasFields() ? 1 : 0;
                 lastEventId = event.id().isPresent() ? event.id() : lastEventId;
             }
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -22,6 +22,7 @@
     private static final int KEPT_BYTES = 16_384;
 
     private static final String ID_FIELD = "id:";
+    private static final byte COMMENT = ':';
 
     private byte[] pending = new byte[INITIAL_BYTES];
     private int length;
@@ -36,6 +37,19 @@
      */
     record Event(byte[] bytes, OptionalLong id) {
 
+        /** Returns whether there is a field; empty lines and comments say nothing. */
+        boolean hasFields() {
+            boolean atLineStart = true;
+            for (byte next : bytes) {
+                boolean endsLine = next == '\n' || next == '\r';
+                if (atLineStart && !endsLine && next != COMMENT) {
+                    return true;
+                }
+                atLineStart = endsLine;
+            }
+            return false;
+        }
+
         /**
          * Returns whether this event comes no later than another one; false if an ID is missing.
          */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -262,8 +262,8 @@
 
     private void forwardEvents(List<EventSplitter.Event> completeEvents) {
         long nowNanos = System.nanoTime();
-        for (int i = 0; i < completeEvents.size(); i++) {
-            countEvent(nowNanos);
+        for (EventSplitter.Event event : completeEvents) {
+            countEvent(event, nowNanos);
         }
         if (reply.writeEvents(completeEvents) > 0) {
             long gapNanos = progress.onEvent(nowNanos);
@@ -274,7 +274,10 @@
         reading.setCallerTakes(reply.isWritable());
     }
 
-    private void countEvent(long nowNanos) {
+    private void countEvent(EventSplitter.Event event, long nowNanos) {
+        if (!event.hasFields()) {
+            return;
+        }
         progress.onProgress(nowNanos);
         if (answer.countEvent()) {
             gateway.onAnswerGoesOn(this);
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EventSplitterTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EventSplitterTest.java
@@ -97,4 +97,15 @@
         assertThat(splitter.add(bytes("\n".repeat(10_000)))).hasSize(1);
         assertThat(splitter.hasPartialEvent()).isFalse();
     }
+
+    /** Guards against a server that counts as going on while it says nothing. */
+    @Test
+    void emptyLinesAndCommentsSayNothing() {
+        EventSplitter splitter = new EventSplitter();
+        List<EventSplitter.Event> events =
+                splitter.add(bytes("\r\n: comment\n:\r\n\nid: 1\n\n: comment\ndata\n\n"));
+        assertThat(events.stream().map(EventSplitter.Event::hasFields))
+                .containsExactly(false, false, true, true)
+                .inOrder();
+    }
 }
