serving: RequestIntake takes requests, Gateway joins the parts

Change: how a request is taken or refused is in RequestIntake, unchanged; the pieces of a connection keep no buffer between turns.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -59,7 +59,7 @@
     private final CarriedRequests carried = new CarriedRequests();
 
     /** The bytes of the body that came in this turn and were not passed on yet. */
-    private final ByteArrayOutputStream pieces = new ByteArrayOutputStream();
+    private ByteArrayOutputStream pieces = new ByteArrayOutputStream();
 
     private boolean keepAlive;
     private boolean endsWithConnection;
@@ -273,7 +273,7 @@
             return;
         }
         byte[] bytes = pieces.toByteArray();
-        pieces.reset();
+        pieces = new ByteArrayOutputStream();
         if (listener != null) {
             listener.onData(bytes);
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -2,18 +2,13 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.pollenpath.coordination.serving.EntryCatchUp;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.coordination.serving.ServerLimits;
 import io.pollenpath.coordination.serving.ServerSelector;
 import io.pollenpath.coordination.serving.ServerSlowdowns;
-import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.CallerLimits;
-import io.pollenpath.state.serving.ClientAccount;
-import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingConfig;
 import io.pollenpath.state.serving.ServingView;
@@ -27,15 +22,14 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Accepts callers' requests, resolves their route and account, and passes them to the dispatcher.
- * Runs on one event loop; the public methods may be called from other threads.
+ * Joins the parts of an entry that serve callers, and runs their timers. Runs on one event loop;
+ * the public methods may be called from other threads.
  */
 public final class Gateway {
 
     private static final long TICK_MS = 20;
     private static final long HOUSEKEEPING_MS = 500;
     private static final long STATE_LOG_INTERVAL_MS = 1_000;
-    private static final long NOT_READY_RETRY_AFTER_MS = 500;
 
     private final EventLoop loop;
     private final WireDialect dialect;
@@ -45,13 +39,12 @@
     private final ServerSignals signals;
     private final String ownName;
     private final Dispatcher dispatcher;
+    private final RequestIntake intake;
     private final BackendConnectionPool backends;
     private final BackendServers servers;
     private final CrashGuard crashGuard;
     private final EntryCatchUp catchUp = new EntryCatchUp(System.nanoTime());
-    private final RandomGenerator random;
     private final CallerConnections connections = new CallerConnections();
-    private final ReturningCallers returning = new ReturningCallers();
     private volatile ServingView view = ServingView.EMPTY;
     private volatile boolean stopping;
     private boolean refusing;
@@ -75,7 +68,6 @@
             RandomGenerator random) {
         this.loop = loop;
         this.dialect = dialect;
-        this.random = random;
         log = new RequestLog(metrics);
         failures = new FailureLog(metrics);
         memory = new EntryMemory(settings.bufferBytes(), dialect, metrics, random);
@@ -100,6 +92,7 @@
                         catchUp,
                         random,
                         this::onFailure);
+        intake = new RequestIntake(this, dispatcher, random);
         RepeatedTask.start(loop, TICK_MS, this::tick, this::onFailure);
         RepeatedTask.start(loop, HOUSEKEEPING_MS, this::housekeep, this::onFailure);
         RepeatedTask.start(loop, STATE_LOG_INTERVAL_MS, dispatcher::logState, this::onFailure);
@@ -310,79 +303,7 @@
 
     /** Accepts a complete request; returns null if it is already answered. */
     ForwardedRequest accept(CallerRequest request, CallerAnswer caller) {
-        HttpRequest head = request.head();
-        CallerHeaders callerHeaders = dialect.readCallerHeaders(head.headers());
-        Optional<ServingConfig> config = view.config();
-        if (config.isEmpty() || refusing) {
-            String code = refusing ? "stopping" : "no_configuration";
-            reject(
-                    head,
-                    caller,
-                    callerHeaders,
-                    GatewayProblems.notExecuted(
-                            code,
-                            "another entry serves this request; retry later",
-                            retryAfterMs()));
-            return null;
-        }
-        if (request.problem().isPresent()) {
-            reject(head, caller, callerHeaders, request.problem().get());
-            return null;
-        }
-        String host = head.headers().get(HttpHeaderNames.HOST, "");
-        Optional<Route> route = config.get().route(host, Uris.pathOf(head.uri()));
-        if (route.isEmpty()) {
-            reject(head, caller, callerHeaders, GatewayProblems.noRoute());
-            return null;
-        }
-        Optional<ClientAccount> account = callerHeaders.key().flatMap(config.get()::account);
-        if (account.isEmpty() && config.get().needsKey(route.get())) {
-            reject(head, caller, callerHeaders, GatewayProblems.unknownKey());
-            return null;
-        }
-        return forward(request, caller, callerHeaders, config.get(), route.get(), account);
-    }
-
-    private long retryAfterMs() {
-        return refusing ? 1 : NOT_READY_RETRY_AFTER_MS;
-    }
-
-    private ForwardedRequest forward(
-            CallerRequest request,
-            CallerAnswer caller,
-            CallerHeaders callerHeaders,
-            ServingConfig config,
-            Route route,
-            Optional<ClientAccount> account) {
-        long nowNanos = System.nanoTime();
-        long callerTimeoutMs = callerHeaders.callerTimeoutMs().orElse(route.timeoutMs());
-        long timeoutMs = Math.min(callerTimeoutMs, route.timeoutMs());
-        RequestContext context =
-                new RequestContext(
-                        request.head().method().name(),
-                        request.head().uri(),
-                        HopByHopHeaders.withoutHopByHop(request.head().headers()),
-                        request.body(),
-                        callerHeaders,
-                        route,
-                        route.serviceFor(random.nextDouble()),
-                        account,
-                        config.version(),
-                        nowNanos,
-                        nowNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMs));
-        ForwardedRequest forwarded = new ForwardedRequest(this, caller, context);
-        boolean retried = returning.isRetry(route, callerTimeoutMs);
-        forwarded.guard(() -> dispatcher.submit(forwarded, retried, nowNanos));
-        return forwarded.isDone() ? null : forwarded;
-    }
-
-    private void reject(
-            HttpRequest head, CallerAnswer caller, CallerHeaders callerHeaders, Problem problem) {
-        long version = view.config().map(ServingConfig::version).orElse(0L);
-        String host = head.headers().get(HttpHeaderNames.HOST, "");
-        log.rejected(callerHeaders, host, head.uri(), version, problem.status());
-        HttpHeaders headers = GatewayProblems.headers(problem);
-        caller.writeFull(problem.status(), headers, problem.toJson(callerHeaders.requestId()));
+        return intake.accept(request, caller, refusing);
     }
 
     /** Hears that an answer went on after its first event. */
