serving: three classes out of Dispatcher and ForwardedRequest

Change: AnswerListener hears an answer and guards each step, EventForwarder passes events on, TrafficByService holds the traffic of each service. No behaviour is meant to change.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.pollenpath.protocol.Problem;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.OptionalLong;
@@ -16,7 +17,10 @@
     private int status;
     private HttpHeaders head = EmptyHttpHeaders.INSTANCE;
     private boolean begun;
+
+    /** Whether the end of the answer was written, or the answer was broken off. */
     private boolean ended;
+
     private OptionalLong lastEventId;
     private int events;
 
@@ -47,9 +51,12 @@
         return begun;
     }
 
-    /** Returns whether the end of the answer was written, or the answer was broken off. */
-    boolean isEnded() {
-        return ended;
+    /** Writes an error of this entry unless the end of the answer was written already. */
+    void endWith(Problem problem, String requestId) {
+        if (!ended) {
+            onProblem(problem.status());
+            writeProblem(GatewayProblems.headers(problem), problem.toJson(requestId));
+        }
     }
 
     /** Closes the caller's connection, whatever was written. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -67,7 +67,7 @@
                 "{}",
                 LogLine.event("suspect_sent")
                         .with("request", request.context().callerHeaders().requestId())
-                        .with("fingerprint", request.fingerprint())
+                        .with("fingerprint", request.suspects().request())
                         .with("suspect", suspect)
                         .with("shared", suspect.isShared())
                         .with("server", request.server().incarnationId())
@@ -100,7 +100,7 @@
                 "{}",
                 LogLine.event("suspect_trial")
                         .with("request", request.context().callerHeaders().requestId())
-                        .with("fingerprint", request.fingerprint())
+                        .with("fingerprint", request.suspects().request())
                         .with("suspect", suspect)
                         .with("shared", suspect.isShared())
                         .with("crashes", suspicion.crashes())
@@ -116,7 +116,7 @@
                 "{}",
                 LogLine.event("suspect_trial_recorded")
                         .with("request", request.context().callerHeaders().requestId())
-                        .with("fingerprint", request.fingerprint())
+                        .with("fingerprint", request.suspects().request())
                         .with("majority_knows", known)
                         .with("runs", runs));
     }
@@ -138,7 +138,7 @@
                 "{}",
                 LogLine.event("suspect_blocked")
                         .with("request", request.context().callerHeaders().requestId())
-                        .with("fingerprint", request.fingerprint())
+                        .with("fingerprint", request.suspects().request())
                         .with("suspect", suspect)
                         .with("shared", suspect.isShared())
                         .with("crashes", suspicion.crashes())
@@ -158,7 +158,7 @@
                 "{}",
                 LogLine.event("suspect_cleared")
                         .with("request", request.context().callerHeaders().requestId())
-                        .with("fingerprint", request.fingerprint())
+                        .with("fingerprint", request.suspects().request())
                         .with("suspect", suspect)
                         .with("shared", suspect.isShared()));
     }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Dispatcher.java
@@ -4,7 +4,6 @@
 import io.pollenpath.coordination.serving.QueueTimeouts;
 import io.pollenpath.coordination.serving.ResendPolicy;
 import io.pollenpath.coordination.serving.SendOutcome;
-import io.pollenpath.coordination.serving.SharedRetryBudget;
 import io.pollenpath.coordination.serving.StopPolicy;
 import io.pollenpath.coordination.serving.WaitingRequests.QueuedRequest;
 import io.pollenpath.state.serving.ServerInstance;
@@ -18,7 +17,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -42,11 +40,8 @@
     private final ProblemAnswers problems;
     private final Consumer<Throwable> onFailure;
     private final BackendServers servers;
-    private final Map<String, ServiceTraffic> traffic = new HashMap<>();
-
-    /** The requests that are at a server or on their way to it, with that server. */
+    private final TrafficByService traffic;
     private final Map<ForwardedRequest, ServerInstance> inFlight = new HashMap<>();
-
     private final RetryReservations retries = new RetryReservations();
     private final StopPolicy stopPolicy = new StopPolicy();
 
@@ -68,6 +63,7 @@
         this.crashGuard = crashGuard;
         this.catchUp = catchUp;
         this.onFailure = onFailure;
+        traffic = new TrafficByService(settings);
         problems = new ProblemAnswers(view, servers, log, crashGuard, random);
     }
 
@@ -77,7 +73,7 @@
      * @param retried whether the caller was refused before, so that its answer is late already
      */
     void submit(ForwardedRequest request, boolean retried, long nowNanos) {
-        ServiceTraffic service = traffic(request.context().service());
+        ServiceTraffic service = traffic.of(request.context().service());
         service.retryBudget().onRequest(nowNanos);
         if (problems.refuseIfBlocked(request, nowNanos)) {
             return;
@@ -102,24 +98,11 @@
                 request.context().arrivedNanos()
                         + TimeUnit.MILLISECONDS.toNanos(
                                 QueueTimeouts.onTimeQueueMs(request.route()));
-        traffic(request.context().service())
+        traffic.of(request.context().service())
                 .queue()
                 .add(priority, retried, lateNanos, giveUpNanos, request);
     }
 
-    private ServiceTraffic traffic(String service) {
-        return traffic.computeIfAbsent(
-                service,
-                name ->
-                        new ServiceTraffic(
-                                name,
-                                new SharedRetryBudget(
-                                        settings.startNanos(),
-                                        settings.retryRatio(),
-                                        settings.retryAllowance(),
-                                        settings.retryWindowMs())));
-    }
-
     /**
      * Sends queued requests of a service while there is free capacity. No other request is held up
      * by a resend that finds no server other than those it was sent to, or by a request that must
@@ -129,7 +112,7 @@
         if (catchUp.isBehind(nowNanos)) {
             return;
         }
-        ServiceTraffic service = traffic(name);
+        ServiceTraffic service = traffic.of(name);
         Optional<QueuedRequest<ForwardedRequest>> next = service.queue().first();
         while (next.isPresent()) {
             QueuedRequest<ForwardedRequest> current = next.get();
@@ -149,7 +132,7 @@
         ForwardedRequest request = queued.request();
         try {
             boolean mayBePassed =
-                    awaitsServers(service, queued, nowNanos)
+                    service.awaitsServers(queued, nowNanos)
                             || request.sends() > 0
                             || crashGuard.awaitsPermit(request, nowNanos);
             return trySend(name, service, queued, nowNanos) || mayBePassed;
@@ -159,13 +142,6 @@
         }
     }
 
-    /** Returns whether a request with its last chance waits for servers that run requests again. */
-    private static boolean awaitsServers(
-            ServiceTraffic service, QueuedRequest<ForwardedRequest> queued, long nowNanos) {
-        boolean returned = queued.retried() && queued.request().sends() == 0;
-        return returned && service.progress().shouldLastChanceWait(nowNanos);
-    }
-
     private boolean trySend(
             String name,
             ServiceTraffic service,
@@ -176,8 +152,7 @@
         if (problems.refuseIfBlocked(request, nowNanos)) {
             return true;
         }
-        if (crashGuard.awaitsPermit(request, nowNanos)
-                || awaitsServers(service, queued, nowNanos)) {
+        if (crashGuard.awaitsPermit(request, nowNanos) || service.awaitsServers(queued, nowNanos)) {
             return false;
         }
         boolean resend = request.sends() > 0;
@@ -200,7 +175,7 @@
     /** Records the time between two events of a stream. */
     void onEventGap(ForwardedRequest request, long gapNanos, long nowNanos) {
         String name = request.context().service();
-        ServiceTraffic service = traffic(name);
+        ServiceTraffic service = traffic.of(name);
         service.progress().onProgress(nowNanos);
         boolean onOneServer = nowNanos - gapNanos - request.sentNanos() >= 0;
         if (onOneServer && request.server() != null) {
@@ -233,7 +208,7 @@
                     .onSendFailed(request, server, outcome, inFlight.keySet(), nowNanos);
         }
         releaseServer(request, nowNanos);
-        ServiceTraffic service = traffic(request.context().service());
+        ServiceTraffic service = traffic.of(request.context().service());
         if (outcome == SendOutcome.NOT_RUN) {
             service.progress().onRefused(nowNanos);
         }
@@ -270,25 +245,25 @@
     private void releaseServer(ForwardedRequest request, long nowNanos) {
         ServerInstance server = inFlight.remove(request);
         if (server != null) {
-            traffic(request.context().service()).onEnded(nowNanos);
+            traffic.of(request.context().service()).onEnded(nowNanos);
             servers.onEnded(server);
         }
     }
 
     /** Answers a request that is not sent again: as its last server did, or else with an error. */
     private void answerWithProblem(ForwardedRequest request, String reason, long nowNanos) {
-        if (request.answer().isKept() && !request.headForwarded()) {
+        if (request.answer().isKept() && !request.reply().isBegun()) {
             request.forwardLastAnswer();
         } else {
-            problems.answer(request, traffic(request.context().service()), reason, nowNanos);
+            problems.answer(request, traffic.of(request.context().service()), reason, nowNanos);
         }
     }
 
     /** Removes a request that has its final answer or whose caller has disconnected. */
     void onDone(ForwardedRequest request, boolean answered, long nowNanos) {
         String name = request.context().service();
-        traffic(name).queue().remove(request);
-        retries.release(request, traffic(name).retryBudget());
+        traffic.of(name).queue().remove(request);
+        retries.release(request, traffic.of(name).retryBudget());
         ServerInstance server = request.server();
         if (server != null) {
             if (answered) {
@@ -297,7 +272,7 @@
                 servers.onAnswered(server);
                 long timeMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.sentNanos());
                 stopPolicy.onAnswered(request.route(), timeMs);
-                traffic(name).progress().onProgress(nowNanos);
+                traffic.of(name).progress().onProgress(nowNanos);
             } else {
                 crashGuard.detector().onAbandoned(request, server, nowNanos);
             }
@@ -308,7 +283,7 @@
 
     /** Gives back all that a request still holds of which a step has failed. */
     void abandon(ForwardedRequest request, long nowNanos) {
-        ServiceTraffic service = traffic(request.context().service());
+        ServiceTraffic service = traffic.of(request.context().service());
         service.queue().remove(request);
         retries.release(request, service.retryBudget());
         releaseServer(request, nowNanos);
@@ -318,18 +293,22 @@
      * Refuses requests with an expired queue timeout, ends those past their deadline, sends others.
      */
     void tick(long nowNanos) {
-        GuardedSteps.forEach(traffic.keySet(), service -> tickQueue(service, nowNanos), onFailure);
+        GuardedSteps.forEach(
+                traffic.services(), service -> tickQueue(service, nowNanos), onFailure);
         for (ForwardedRequest request : Set.copyOf(inFlight.keySet())) {
             request.guard(() -> checkTimeouts(request, nowNanos));
         }
     }
 
     private void tickQueue(String name, long nowNanos) {
-        ServiceTraffic service = traffic(name);
+        ServiceTraffic service = traffic.of(name);
         service.retryBudget().onEntries(view.get().liveEntries(), nowNanos);
         service.queue().demoteLate(nowNanos);
         answerAll(service.queue().removeExpired(nowNanos), "no_free_server", nowNanos);
-        refuse(service, request -> stopPolicy.isTooLate(request.route(), nowNanos), nowNanos);
+        List<QueuedRequest<ForwardedRequest>> tooLate =
+                service.queue()
+                        .removeIf(request -> stopPolicy.isTooLate(request.route(), nowNanos));
+        answerAll(tooLate, ProblemAnswers.STOPPING, nowNanos);
         sendQueued(name, nowNanos);
     }
 
@@ -341,12 +320,6 @@
         }
     }
 
-    /** Answers the queued requests of a service to which a condition applies. */
-    private void refuse(
-            ServiceTraffic service, Predicate<ForwardedRequest> condition, long nowNanos) {
-        answerAll(service.queue().removeIf(condition), ProblemAnswers.STOPPING, nowNanos);
-    }
-
     /** Hears that the process stops, and when it cuts what is still in progress. */
     void onStop(long endNanos) {
         stopPolicy.onStop(endNanos);
@@ -354,7 +327,12 @@
 
     /** Answers all requests that have no answer, since the process ends. */
     void endAll(long nowNanos) {
-        traffic.values().forEach(service -> refuse(service, request -> true, nowNanos));
+        for (String name : traffic.services()) {
+            answerAll(
+                    traffic.of(name).queue().removeIf(r -> true),
+                    ProblemAnswers.STOPPING,
+                    nowNanos);
+        }
         for (ForwardedRequest request : Set.copyOf(inFlight.keySet())) {
             request.guard(() -> endSent(request, ProblemAnswers.STOPPING, nowNanos));
         }
@@ -397,19 +375,14 @@
         }
         ServingView current = view.get();
         String name = request.context().service();
-        return traffic(name).retryBudget().isAllowed(current.liveEntries(), nowNanos)
+        return traffic.of(name).retryBudget().isAllowed(current.liveEntries(), nowNanos)
                 && mayResend(request, SendOutcome.UNKNOWN, true, nowNanos)
                 && servers.choose(current, name, request, nowNanos).isPresent();
     }
 
     /** Logs the load of each service that has requests. */
     void logState() {
-        traffic.forEach(
-                (name, service) -> {
-                    if (service.inFlight() > 0 || service.queue().size() > 0) {
-                        log.serviceState(name, service, view.get().serversOf(name).size());
-                    }
-                });
+        traffic.logState(log, view.get());
     }
 
     /** Removes the state of all servers except the given ones and those with requests in flight. */
@@ -422,10 +395,6 @@
 
     /** Returns the number of queued requests and requests in flight. */
     int openRequests() {
-        int waiting = 0;
-        for (ServiceTraffic service : traffic.values()) {
-            waiting += service.queue().size();
-        }
-        return waiting + inFlight.size();
+        return traffic.waiting() + inFlight.size();
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.coordination.serving.SendOutcome;
-import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
@@ -17,7 +16,7 @@
  * answers are buffered until they are complete. Events of a stream are forwarded one by one, and an
  * interrupted stream is resumed on another server after the last event that was forwarded.
  */
-final class ForwardedRequest implements BackendListener {
+final class ForwardedRequest {
 
     private static final byte[] NOTHING = {};
     private static final int STATUS_OK = 200;
@@ -38,6 +37,7 @@
     private final SendProgress progress = new SendProgress();
     private final AnswerReading reading;
     private final CallerReply reply;
+    private final EventForwarder events;
     private ServerAnswer answer;
 
     ForwardedRequest(Gateway gateway, CallerAnswer caller, RequestContext context) {
@@ -49,6 +49,7 @@
                 new AnswerReading(
                         gateway.memory(), progress, () -> guard(() -> breakOff("memory is short")));
         reply = new CallerReply(caller, context.callerHeaders().lastEventId());
+        events = new EventForwarder(gateway, this, progress, reading, reply);
     }
 
     RequestContext context() {
@@ -59,11 +60,6 @@
         return context.route();
     }
 
-    /** Returns what identifies all attempts of this request. */
-    CrashSuspect fingerprint() {
-        return suspects.request();
-    }
-
     /** Returns what may crash the servers that work on this request. */
     RequestSuspects suspects() {
         return suspects;
@@ -96,21 +92,12 @@
         mayHaveRun = true;
     }
 
-    boolean headForwarded() {
-        return reply.isBegun();
-    }
-
     boolean isDone() {
         return done;
     }
 
-    /** Returns the status of the latest answer. */
-    int status() {
-        return reply.status();
-    }
-
-    int events() {
-        return reply.events();
+    CallerReply reply() {
+        return reply;
     }
 
     ServerAnswer answer() {
@@ -209,15 +196,11 @@
         opened.send(
                 context.toHttpRequest(gateway.dialect(), target, timeLeftMs, reply.lastEventId()),
                 context.callerHeaders().requestId(),
-                this);
-    }
-
-    @Override
-    public void onHead(int newStatus, HttpHeaders headers) {
-        guard(() -> readHead(newStatus, headers));
+                new AnswerListener(this));
     }
 
-    private void readHead(int newStatus, HttpHeaders headers) {
+    /** Reads the status and headers of an answer. */
+    void readHead(int newStatus, HttpHeaders headers) {
         progress.onProgress(System.nanoTime());
         WireDialect.ReplyKind replyKind = gateway.dialect().classify(newStatus, headers);
         answer.onHead(replyKind, headers, context.route().streaming() && newStatus == STATUS_OK);
@@ -237,14 +220,10 @@
         }
     }
 
-    @Override
-    public void onData(byte[] bytes) {
-        guard(() -> readData(bytes));
-    }
-
-    private void readData(byte[] bytes) {
+    /** Reads a part of the body of an answer. */
+    void readData(byte[] bytes) {
         if (answer.isForwardedStream()) {
-            forwardEvents(answer.addEvents(bytes, gateway.dialect()));
+            events.forward(answer, answer.addEvents(bytes, gateway.dialect()));
             reading.onEvents(answer.bufferedBytes());
         } else {
             progress.onProgress(System.nanoTime());
@@ -260,67 +239,25 @@
         endSend(SendOutcome.UNKNOWN, cause);
     }
 
-    private void forwardEvents(List<EventSplitter.Event> completeEvents) {
-        long nowNanos = System.nanoTime();
-        for (EventSplitter.Event event : completeEvents) {
-            countEvent(event, nowNanos);
-        }
-        if (reply.writeEvents(completeEvents) > 0) {
-            long gapNanos = progress.onEvent(nowNanos);
-            if (gapNanos > 0) {
-                gateway.onEventGap(this, gapNanos, nowNanos);
-            }
-        }
-        reading.setCallerTakes(reply.isWritable());
-    }
-
-    private void countEvent(EventSplitter.Event event, long nowNanos) {
-        if (!event.hasFields()) {
-            return;
-        }
-        progress.onProgress(nowNanos);
-        if (answer.countEvent()) {
-            gateway.onAnswerGoesOn(this);
-        }
-    }
-
     /** Returns what decides whether the answer is read on. */
     AnswerReading reading() {
         return reading;
     }
 
-    @Override
-    public void onEnd(byte[] behind) {
-        guard(() -> readEnd(behind));
-    }
-
-    private void readEnd(byte[] behind) {
+    /** Reads the end of a complete answer. */
+    void readEnd(byte[] behind) {
         gateway.log().ended(this, server, behind);
         endAnswer(behind);
     }
 
-    @Override
-    public AnswerEnd judgeEnd(byte[] behind) {
-        return answer.end(behind);
-    }
-
-    @Override
-    public long maxEndWaitMs() {
-        return Math.max(0, timeLeftMs(System.nanoTime()) / 2);
-    }
-
     private void endAnswer(byte[] behind) {
         endReading();
         answer.failureAtEnd(behind, reply.status())
                 .ifPresentOrElse(f -> failSend(f.outcome(), f.cause()), this::onCompleteAnswer);
     }
 
-    @Override
-    public void onEndByClose() {
-        guard(this::readEndByClose);
-    }
-
-    private void readEndByClose() {
+    /** Reads the end of an answer that only the end of its connection marks. */
+    void readEndByClose() {
         if (answer.kindAtEnd(NOTHING) != WireDialect.ReplyKind.ANSWER) {
             readEnd(NOTHING);
             return;
@@ -345,7 +282,7 @@
 
     private void onCompleteAnswer() {
         if (answer.isForwardedStream()) {
-            forwardEvents(answer.takeHeldEvents());
+            events.forward(answer, answer.takeHeldEvents());
             finish("answered");
             reply.finishStream();
             return;
@@ -362,12 +299,8 @@
         }
     }
 
-    @Override
-    public void onFailed(SendOutcome outcome, String cause) {
-        guard(() -> endSend(outcome, cause));
-    }
-
-    private void endSend(SendOutcome outcome, String cause) {
+    /** Ends a send that has failed. */
+    void endSend(SendOutcome outcome, String cause) {
         endReading();
         failSend(outcome, cause);
     }
@@ -435,24 +368,16 @@
                 () -> gateway.abandon(this, wasDone));
         server = null;
         GuardedSteps.run(
-                this::answerFailedStep,
+                () ->
+                        reply.endWith(
+                                GatewayProblems.internalError(sends > 0 || mayHaveRun),
+                                context.callerHeaders().requestId()),
                 failure -> {
                     reply.abort();
                     gateway.onFailure(failure);
                 });
     }
 
-    private void answerFailedStep() {
-        if (reply.isEnded()) {
-            return;
-        }
-        Problem problem = GatewayProblems.internalError(sends > 0 || mayHaveRun);
-        reply.onProblem(problem.status());
-        reply.writeProblem(
-                GatewayProblems.headers(problem),
-                problem.toJson(context.callerHeaders().requestId()));
-    }
-
     private void cancelSend() {
         BackendConnection cancelled = connection;
         if (cancelled != null) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -285,7 +285,7 @@
         long nowNanos = System.nanoTime();
         dispatcher.abandon(request, nowNanos);
         if (!wasDone) {
-            log.done(request, request.status(), GatewayProblems.INTERNAL_ERROR, nowNanos);
+            log.done(request, request.reply().status(), GatewayProblems.INTERNAL_ERROR, nowNanos);
         }
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -52,7 +52,7 @@
                         .with("server", request.server() == null ? "" : request.server().id())
                         .with("waited_ms", queuedMs)
                         .with("total_ms", totalMs)
-                        .with("events", request.events())
+                        .with("events", request.reply().events())
                         .with("first_event_ms", request.progress().firstEventMs(arrivedNanos))
                         .with("longest_gap_ms", request.progress().longestGapMs())
                         .with("framing", request.answer().framing()));
@@ -116,7 +116,7 @@
                 "{}",
                 LogLine.event("send_failed")
                         .with("request", request.context().callerHeaders().requestId())
-                        .with("fingerprint", request.fingerprint())
+                        .with("fingerprint", request.suspects().request())
                         .with("content", request.suspects().content())
                         .with("server", server == null ? "" : server.id())
                         .with("send", request.sends())
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServiceTraffic.java
@@ -61,6 +61,12 @@
         return progress;
     }
 
+    /** Returns whether a request with its last chance waits for servers that run requests again. */
+    boolean awaitsServers(WaitingRequests.QueuedRequest<ForwardedRequest> queued, long nowNanos) {
+        boolean returned = queued.retried() && queued.request().sends() == 0;
+        return returned && progress.shouldLastChanceWait(nowNanos);
+    }
+
     /** Estimates the queue time of a request that is queued now. */
     double expectedWaitMs() {
         return meanCompletionIntervalMs * queue.size();
