--- a/pollenpath/src/main/java/io/pollenpath/transport/RepeatedTask.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/RepeatedTask.java
@@ -8,7 +8,8 @@
 
 /**
  * Runs a task again and again, also after a run that failed. An executor ends a periodic task whose
- * run throws, and tells nobody.
+ * run throws, and tells nobody. Runs that were missed while the process stood still are not made up
+ * for.
  */
 public final class RepeatedTask {
 
@@ -18,17 +19,17 @@
      * Starts a task.
      *
      * @param executor runs the task, not null
-     * @param periodMs the time between two runs and before the first, in milliseconds, above 0
+     * @param pauseMs the time between two runs and before the first, in milliseconds, above 0
      * @param task the task, not null
      * @param onFailure hears of each failed run, not null
      * @return ends the task when it is cancelled
      */
     public static ScheduledFuture<?> start(
             ScheduledExecutorService executor,
-            long periodMs,
+            long pauseMs,
             Runnable task,
             Consumer<Throwable> onFailure) {
-        return executor.scheduleAtFixedRate(
-                () -> GuardedSteps.run(task, onFailure), periodMs, periodMs, TimeUnit.MILLISECONDS);
+        return executor.scheduleWithFixedDelay(
+                () -> GuardedSteps.run(task, onFailure), pauseMs, pauseMs, TimeUnit.MILLISECONDS);
     }
 }
