--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerReply.java
@@ -112,14 +112,23 @@
     /** Ends a complete stream. */
     void finishStream() {
         begin();
+        end(caller::finishStream);
+    }
+
+    /** Writes the end; if that fails, the caller must not wait for it or take the next for it. */
+    private void end(Runnable write) {
         ended = true;
-        caller.finishStream();
+        try {
+            write.run();
+        } catch (RuntimeException | Error e) {
+            caller.abort();
+            throw e;
+        }
     }
 
     /** Writes a server's answer that was buffered as a whole. */
     void writeFull(byte[] body) {
-        ended = true;
-        caller.writeFull(status, head, body);
+        end(() -> caller.writeFull(status, head, body));
     }
 
     /** Takes the status of an error of this entry, if the caller can still get it. */
@@ -129,11 +138,10 @@
 
     /** Writes an error of this entry, or breaks off an answer that has begun. */
     void writeProblem(HttpHeaders headers, byte[] problem) {
-        ended = true;
         if (begun) {
-            caller.abort();
+            abort();
         } else {
-            caller.writeFull(status, headers, problem);
+            end(() -> caller.writeFull(status, headers, problem));
         }
     }
 }
