--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.coordination.serving.SendOutcome;
+import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.serving.CrashSuspect;
 import io.pollenpath.state.serving.Route;
 import io.pollenpath.state.serving.ServerInstance;
@@ -360,6 +361,8 @@
     void onStepFailed(Throwable cause) {
         boolean wasDone = done;
         done = true;
+        Problem problem = GatewayProblems.internalError(sends > 0 || mayHaveRun);
+        reply.onProblem(problem.status());
         gateway.onFailure(cause, this);
         GuardedSteps.runAll(
                 gateway::onFailure,
@@ -368,10 +371,7 @@
                 () -> gateway.abandon(this, wasDone));
         server = null;
         GuardedSteps.run(
-                () ->
-                        reply.endWith(
-                                GatewayProblems.internalError(sends > 0 || mayHaveRun),
-                                context.callerHeaders().requestId()),
+                () -> reply.endWith(problem, context.callerHeaders().requestId()),
                 failure -> {
                     reply.abort();
                     gateway.onFailure(failure);
--- a/standins/src/test/java/io/pollenpath/platform/FailedStepTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/FailedStepTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.pollenpath.transport.NettyLoops;
 import io.pollenpath.util.Pause;
 import java.io.IOException;
@@ -14,10 +17,12 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.slf4j.LoggerFactory;
 
 /** Tests requests whose handling fails within the entry, and the requests behind them. */
 class FailedStepTest {
 
+    private static final String REQUEST_LOG = "io.pollenpath.transport.serving.RequestLog";
     private static final int FAILING = 20;
     private static final int OTHERS = 100;
     private static final double MIN_SERVED = 0.99;
@@ -72,6 +77,28 @@
         assertThat(gateway.bufferedBytes()).isEqualTo(0);
     }
 
+    /** Guards against a log that tells another status than the caller has got. */
+    @ParameterizedTest
+    @ValueSource(strings = {"setForwardHeaders", "classify"})
+    void isLoggedWithTheStatusThatItsCallerGets(String method) throws IOException {
+        Logger logger = (Logger) LoggerFactory.getLogger(REQUEST_LOG);
+        ListAppender<ILoggingEvent> lines = new ListAppender<>();
+        lines.start();
+        logger.addAppender(lines);
+        int status = call("logged", FailingDialect.FIELD + ": " + method);
+        logger.detachAppender(lines);
+        assertThat(status).isAnyOf(502, 503);
+        assertThat(doneLine(lines)).contains("status=" + status + " reason=internal_error");
+    }
+
+    private static String doneLine(ListAppender<ILoggingEvent> lines) {
+        return lines.list.stream()
+                .map(ILoggingEvent::getFormattedMessage)
+                .filter(line -> line.contains("request_done") && line.contains("logged"))
+                .findFirst()
+                .orElse("");
+    }
+
     private void checkEndsAtOnce(String id, String field) {
         long sentNanos = System.nanoTime();
         int status;
