--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashGuard.java
@@ -133,8 +133,8 @@
             return;
         }
         voters.ask(claim)
-                .thenAccept(agreed -> onPermitResult(claim, agreed))
-                .exceptionally(log::trialFailed);
+                .exceptionally(log::trialFailed)
+                .thenAccept(agreed -> onPermitResult(claim, agreed));
     }
 
     private void onPermitResult(TrialClaim claim, boolean agreed) {
@@ -184,8 +184,9 @@
         List<CrashSuspect> onTrial = suspectsOnTrial(request, nowNanos);
         recordTrial(request, onTrial, nowNanos);
         voters.tell()
-                .thenAccept(known -> result.accept(mayRunTrial(request, onTrial, known, nowNanos)))
-                .exceptionally(log::trialFailed);
+                .thenApply(known -> mayRunTrial(request, onTrial, known, nowNanos))
+                .exceptionally(log::trialFailed)
+                .thenAccept(result);
     }
 
     private boolean mayRunTrial(
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashLog.java
@@ -121,10 +121,10 @@
                         .with("runs", runs));
     }
 
-    /** Logs an unexpected error while a trial was prepared; its request waits until its timeout. */
-    Void trialFailed(Throwable failure) {
+    /** Logs an unexpected error while a trial was prepared, which does not run; returns false. */
+    boolean trialFailed(Throwable failure) {
         LOG.error("{}", LogLine.event("suspect_trial_failed").with("cause", failure));
-        return null;
+        return false;
     }
 
     /** Logs the refusal of a blocked request. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EntryPeers.java
@@ -117,12 +117,14 @@
         long sentVersion = version;
         onCompletion(
                 send(peer, message(Optional.empty(), false)),
-                (answer, failure) -> onReply(peer, sentVersion, answer, failure));
+                (answer, failure) -> onReply(peer, sentVersion, failure));
     }
 
+    /** Merges the answer to a call; one that can't be merged counts as one that did not come. */
     private void onCompletion(
             CompletableFuture<EntryMessage> call, BiConsumer<EntryMessage, Throwable> handler) {
-        call.handleAsync(
+        call.thenApplyAsync(this::merged, loop)
+                .handleAsync(
                         (answer, failure) -> {
                             handler.accept(answer, failure);
                             return null;
@@ -131,6 +133,16 @@
                 .exceptionally(EntryPeers::logUnexpected);
     }
 
+    private EntryMessage merged(EntryMessage answer) {
+        try {
+            merge(answer);
+            return answer;
+        } catch (RuntimeException | Error e) {
+            logUnexpected(e);
+            throw e;
+        }
+    }
+
     private static Object logUnexpected(Throwable failure) {
         LOG.error("{}", LogLine.event("entry_reply_failed").with("cause", failure));
         return null;
@@ -152,11 +164,8 @@
         return EntryMessages.decode(reply.body());
     }
 
-    private void onReply(Peer peer, long sentVersion, EntryMessage answer, Throwable failure) {
+    private void onReply(Peer peer, long sentVersion, Throwable failure) {
         peer.inProgress = false;
-        if (failure == null) {
-            merge(answer);
-        }
         onCalled(peer, failure == null);
         if (failure != null) {
             logFailure(peer, failure);
@@ -217,22 +226,12 @@
         byte[] body = message(Optional.empty(), false);
         MajorityVote told = new MajorityVote(peers.size());
         for (Peer peer : peers.values()) {
-            onCompletion(send(peer, body), (answer, failure) -> onTold(told, answer, failure));
+            onCompletion(send(peer, body), (answer, failure) -> told.onVote(failure == null));
         }
         return told.result();
     }
 
-    private void onTold(MajorityVote told, EntryMessage answer, Throwable failure) {
-        if (failure == null) {
-            merge(answer);
-        }
-        told.onVote(failure == null);
-    }
-
     private void onVote(MajorityVote vote, EntryMessage answer, Throwable failure) {
-        if (failure == null) {
-            merge(answer);
-        }
         vote.onVote(failure == null && answer.agreed());
     }
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/Gateway.java
@@ -315,13 +315,18 @@
         dispatcher.onEventGap(request, gapNanos, nowNanos);
     }
 
-    /** Decides on a request that is about to be written to its server. */
+    /** Decides on a request that is about to be written to its server; if that fails, not now. */
     void authorizeSend(ForwardedRequest request, Consumer<Boolean> result) {
         long nowNanos = System.nanoTime();
         if (catchUp.isBehind(nowNanos)) {
             result.accept(false);
         } else {
-            crashGuard.authorizeSend(request, nowNanos, result);
+            GuardedSteps.run(
+                    () -> crashGuard.authorizeSend(request, nowNanos, result),
+                    cause -> {
+                        onFailure(cause, request);
+                        result.accept(false);
+                    });
         }
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -27,6 +27,8 @@
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -66,6 +68,7 @@
                     new EntryKnowledge(guard, servers),
                     new EntryCatchUp(System.nanoTime()));
     private volatile int status = 200;
+    private volatile byte[] body = new byte[0];
     private final HttpServer other =
             new HttpServer(
                     loops,
@@ -74,7 +77,7 @@
                     HttpLimits.DEFAULT,
                     (call, exchange) -> {
                         calls.incrementAndGet();
-                        exchange.respond(status, EntryServer.MEDIA_TYPE, Map.of(), new byte[0]);
+                        exchange.respond(status, EntryServer.MEDIA_TYPE, Map.of(), body);
                     });
 
     @AfterEach
@@ -152,27 +155,58 @@
     void believesNothingOfABrokenAnswerAndAsksAgain(String broken) throws Exception {
         AtomicInteger learned = new AtomicInteger();
         guard.setOnLearned(learned::incrementAndGet);
-        byte[] body = messageWithACrash();
+        byte[] message = messageWithACrash();
         try (ServerSocket entry = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Set<String> addresses = Set.of("127.0.0.1:" + entry.getLocalPort());
             loop.submit(() -> peers.setAddresses(addresses)).sync();
-            answer(entry, broken, body);
+            answer(entry, broken, message);
             assertThat(learned.get()).isEqualTo(0);
-            answer(entry, "200 OK\r\n", body);
+            answer(entry, "200 OK\r\n", message);
             Thread.sleep(SETTLE_MS / 3);
             assertThat(learned.get()).isEqualTo(1);
         }
     }
 
+    /** Guards against an entry that is not asked again because its answer could not be used. */
+    @Test
+    void asksAnEntryAgainWhoseAnswerCanNotBeMerged() throws Exception {
+        body = messageWithACrash();
+        guard.setOnLearned(
+                () -> {
+                    throw new IllegalStateException("asked to fail");
+                });
+        Set<String> addresses = Set.of("127.0.0.1:" + other.port());
+        loop.submit(() -> peers.setAddresses(addresses)).sync();
+        Thread.sleep(SETTLE_MS);
+        assertThat(calls.get()).isEqualTo(2);
+    }
+
+    /** Guards against a trial that waits for a vote that is never counted. */
+    @Test
+    void anAnswerThatCanNotBeMergedIsNoVote() throws Exception {
+        try (ServerSocket entry = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Set<String> addresses = Set.of("127.0.0.1:" + entry.getLocalPort());
+            loop.submit(() -> peers.setAddresses(addresses)).sync();
+            answer(entry, "200 OK\r\n", new byte[0]);
+            guard.setOnLearned(
+                    () -> {
+                        throw new IllegalStateException("asked to fail");
+                    });
+            CompletableFuture<Boolean> told = loop.submit(peers::tell).get();
+            answer(entry, "200 OK\r\n", messageWithACrash());
+            assertThat(told.get(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isFalse();
+        }
+    }
+
     /** Answers the next call, and returns once the caller has closed the connection or waits. */
-    private static void answer(ServerSocket entry, String head, byte[] body) throws Exception {
+    private static void answer(ServerSocket entry, String head, byte[] content) throws Exception {
         entry.setSoTimeout(CALL_TIMEOUT_MS);
         try (Socket socket = entry.accept()) {
             socket.setSoTimeout(SETTLE_MS / 6);
             OutputStream out = socket.getOutputStream();
-            String length = "Content-Length: " + body.length + "\r\n\r\n";
+            String length = "Content-Length: " + content.length + "\r\n\r\n";
             out.write(("HTTP/1.1 " + head + length).getBytes(StandardCharsets.ISO_8859_1));
-            out.write(body);
+            out.write(content);
             socket.getInputStream().readAllBytes();
         } catch (SocketTimeoutException e) {
             // The caller keeps the connection for its next call.
