--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -56,6 +56,10 @@
     private MemoryBudget.Share requestMemory;
     private boolean busy;
     private boolean keepAlive;
+
+    /** Whether the latest answer is the last one of the connection. */
+    private boolean ending;
+
     private boolean streaming;
     private boolean bodyAwaited;
     private int unsentAnswers;
@@ -93,8 +97,9 @@
         serveNext();
     }
 
+    /** Serves the next request, if no answer before it is the last one. */
     private void serveNext() {
-        if (busy || !context.channel().isActive()) {
+        if (busy || ending || !context.channel().isActive()) {
             return;
         }
         CallerRequest request = pipelined.poll();
@@ -205,6 +210,7 @@
         }
         current = null;
         busy = false;
+        ending = !keepAlive;
         releaseRequest();
         unsentAnswers++;
         MemoryBudget.Share untaken = gateway.memory().open(UNTAKEN_ANSWER);
@@ -212,9 +218,8 @@
         ChannelFuture sent = context.writeAndFlush(last);
         closeOnFailure(sent);
         sent.addListener(future -> onAnswerSent(untaken));
-        if (!keepAlive) {
+        if (ending) {
             sent.addListener(ChannelFutureListener.CLOSE);
-            return;
         }
         serveNext();
     }
@@ -267,7 +272,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (current != null) {
-            current.reading().setCallerTakes(ctx.channel().isWritable());
+            current.reading().setCallerTakes(isWritable());
         }
         ctx.fireChannelWritabilityChanged();
     }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
@@ -8,6 +8,8 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.pollenpath.coordination.serving.MemoryBudget;
@@ -57,8 +59,10 @@
     }
 
     private void answerOneRequest() {
-        DefaultHttpRequest head =
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/");
+        receive(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/"));
+    }
+
+    private void receive(DefaultHttpRequest head) {
         MemoryBudget.Share memory = gateway.memory().open(new CallerRequestReader(gateway));
         channel.writeInbound(CallerRequest.whole(head, new byte[0], memory));
     }
@@ -84,4 +88,17 @@
         connection.closeIfIdle(System.nanoTime() + 40 * SECOND, SECOND);
         assertThat(channel.isOpen()).isFalse();
     }
+
+    /** Guards against a request that runs though its answer can't follow the last one. */
+    @Test
+    void servesNothingBehindTheLastAnswerOfAConnection() {
+        DefaultHttpRequest last =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/");
+        last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        receive(last);
+        answerOneRequest();
+        assertThat(caller.waiting).hasSize(1);
+        caller.takeAll();
+        assertThat(channel.isOpen()).isFalse();
+    }
 }
