--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -97,9 +97,9 @@
         serveNext();
     }
 
-    /** Serves the next request, if no answer before it is the last one. */
+    /** Serves the next request, if the caller takes the answers before it and none is the last. */
     private void serveNext() {
-        if (busy || ending || !context.channel().isActive()) {
+        if (busy || ending || !context.channel().isActive() || !isWritable()) {
             return;
         }
         CallerRequest request = pipelined.poll();
@@ -259,10 +259,10 @@
 
     /**
      * Closes the connection if it has had no request for at least the given time. A caller that is
-     * slow to take its answer gets longer, though not for ever.
+     * slow to take its answer gets longer, though not for ever, whatever requests wait behind it.
      */
     void closeIfIdle(long nowNanos, long limitNanos) {
-        boolean inUse = busy || !pipelined.isEmpty();
+        boolean inUse = busy || (!pipelined.isEmpty() && !hasUnsentAnswer());
         long takeNanos = hasUnsentAnswer() ? MAX_TAKE_NANOS : 0;
         if (!inUse && nowNanos - idleSinceNanos >= Math.max(limitNanos, takeNanos)) {
             context.close();
@@ -274,6 +274,7 @@
         if (current != null) {
             current.reading().setCallerTakes(isWritable());
         }
+        serveNext();
         ctx.fireChannelWritabilityChanged();
     }
 
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CallerConnectionTest.java
@@ -89,6 +89,27 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    /** Guards against answers without a bound that wait for a caller which takes none of them. */
+    @Test
+    void requestsBehindAnswersThatAreNotTakenWait() {
+        setTaken(false);
+        answerOneRequest();
+        assertThat(caller.waiting).isEmpty();
+        setTaken(true);
+        assertThat(caller.waiting).hasSize(1);
+    }
+
+    @Test
+    void aCallerThatNeverTakesItsAnswerIsClosedThoughItSendsMore() {
+        answerOneRequest();
+        setTaken(false);
+        answerOneRequest();
+        connection.closeIfIdle(System.nanoTime() + 20 * SECOND, SECOND);
+        assertThat(channel.isOpen()).isTrue();
+        connection.closeIfIdle(System.nanoTime() + 40 * SECOND, SECOND);
+        assertThat(channel.isOpen()).isFalse();
+    }
+
     /** Guards against a request that runs though its answer can't follow the last one. */
     @Test
     void servesNothingBehindTheLastAnswerOfAConnection() {
@@ -97,8 +118,16 @@
         last.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         receive(last);
         answerOneRequest();
+        setTaken(false);
+        setTaken(true);
         assertThat(caller.waiting).hasSize(1);
         caller.takeAll();
         assertThat(channel.isOpen()).isFalse();
     }
+
+    /** Sets whether the caller reads what is written to it. */
+    private void setTaken(boolean taken) {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, taken);
+        channel.runPendingTasks();
+    }
 }
