--- a/standins/src/test/java/io/pollenpath/platform/PipelinedRequestsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/PipelinedRequestsTest.java
@@ -1,11 +1,9 @@
 package io.pollenpath.platform;
 
 import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.pollenpath.standin.platform.PlatformFixtures;
 import io.pollenpath.standin.platform.PlatformStoreStandin;
-import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -13,7 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,14 +26,6 @@
     private static final long OBSERVED_MS = 10_000;
     private static final long SHORT_OBSERVED_MS = 3_000;
 
-    /** What an answer at a timeout may take. */
-    private static final long MAX_WAIT_MS = 500;
-
-    /** The bytes of 10 ms on a link of 14 Mbit/s. */
-    private static final int BURST_BYTES = 17_500;
-
-    private static final long BURST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-
     private final ExecutorService callers = Executors.newCachedThreadPool();
     private final PlatformStoreStandin store = new PlatformStoreStandin(100);
     private SmallPiecesEngine engine;
@@ -88,7 +77,8 @@
         for (int i = 0; i < CONNECTIONS; i++) {
             callers.execute(() -> sendWithoutEnd(request, false));
         }
-        checkOthers(OBSERVED_MS);
+        OtherCaller.check(entry.callerAddress(), OBSERVED_MS);
+        assertThat(entry.isAlive()).isTrue();
     }
 
     /** Guards against an event loop that is taken by the work for each small request or field. */
@@ -98,13 +88,11 @@
         for (int i = 0; i < CONNECTIONS; i++) {
             callers.execute(() -> sendWithoutEnd(sent.text, true));
         }
-        checkOthers(SHORT_OBSERVED_MS);
+        OtherCaller.check(entry.callerAddress(), SHORT_OBSERVED_MS);
     }
 
     /** Sends until the test is over, again on a new connection if the entry closes the one. */
     private void sendWithoutEnd(String text, boolean reading) {
-        byte[] burst =
-                text.repeat(BURST_BYTES / text.length()).getBytes(StandardCharsets.ISO_8859_1);
         String begin = text.startsWith("GET") ? "" : "GET /none HTTP/1.1\r\n";
         while (!Thread.interrupted()) {
             try (Socket socket =
@@ -114,23 +102,13 @@
                 }
                 OutputStream out = socket.getOutputStream();
                 out.write(begin.getBytes(StandardCharsets.ISO_8859_1));
-                sendBursts(out, burst);
+                PacedWriter.write(out, text);
             } catch (IOException e) {
                 // The entry has closed the connection, or the test is over.
             }
         }
     }
 
-    private static void sendBursts(OutputStream out, byte[] burst) throws IOException {
-        long nextNanos = System.nanoTime();
-        while (!Thread.currentThread().isInterrupted()) {
-            out.write(burst);
-            nextNanos += BURST_NANOS;
-            long waitMs = TimeUnit.NANOSECONDS.toMillis(nextNanos - System.nanoTime());
-            Pause.forMs(Math.max(0, waitMs));
-        }
-    }
-
     private static void readAll(Socket socket) {
         try (InputStream in = socket.getInputStream()) {
             in.transferTo(OutputStream.nullOutputStream());
@@ -138,29 +116,4 @@
             // The connection has ended.
         }
     }
-
-    private void checkOthers(long observedMs) throws IOException {
-        long startNanos = System.nanoTime();
-        long longestMs = 0;
-        while (elapsedMs(startNanos) < observedMs) {
-            longestMs = Math.max(longestMs, callOther());
-        }
-        assertWithMessage("longest wait of others, in ms").that(longestMs).isAtMost(MAX_WAIT_MS);
-        assertThat(entry.isAlive()).isTrue();
-    }
-
-    /** Returns the time to an answer. */
-    private long callOther() throws IOException {
-        long sentNanos = System.nanoTime();
-        try (RawCaller caller = new RawCaller(entry.callerAddress())) {
-            caller.send(RawCaller.request("other", "/plain/other", "{}"));
-            assertThat(caller.read().status()).isEqualTo(200);
-        }
-        Pause.forMs(10);
-        return elapsedMs(sentNanos);
-    }
-
-    private static long elapsedMs(long startNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-    }
 }
--- a/standins/src/test/java/io/pollenpath/platform/SmallPiecesEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/SmallPiecesEngine.java
@@ -4,7 +4,6 @@
 import io.pollenpath.standin.platform.PlatformFixtures;
 import io.pollenpath.standin.platform.PlatformStoreStandin;
 import io.pollenpath.standin.platform.RequestReader;
-import io.pollenpath.util.Pause;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -13,7 +12,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 
 /**
  * An engine that answers paths with the name of a kind with small pieces without end, at the rate
@@ -23,10 +21,6 @@
 
     private static final int BACKLOG = 64;
 
-    /** The bytes of 10 ms on a link of 14 Mbit/s. */
-    private static final int BURST_BYTES = 17_500;
-
-    private static final long BURST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final String STREAM = "/stream-final/";
     private static final String PLAIN = "/once/";
     private static final String BLOCK = "4000\r\n";
@@ -93,14 +87,7 @@
         if (kind.route.equals(STREAM)) {
             write(out, "11\r\nid: 1\ndata: one\n\n\r\n");
         }
-        byte[] piece = kind.piece.getBytes(StandardCharsets.ISO_8859_1);
-        long nextNanos = System.nanoTime();
-        while (true) {
-            out.write(piece);
-            nextNanos += BURST_NANOS * piece.length / BURST_BYTES;
-            long waitNanos = nextNanos - System.nanoTime();
-            Pause.forMs(Math.max(0, TimeUnit.NANOSECONDS.toMillis(waitNanos)));
-        }
+        PacedWriter.write(out, kind.piece);
     }
 
     private static void write(OutputStream out, String text) throws IOException {
--- a/standins/src/test/java/io/pollenpath/platform/SmallPiecesTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/SmallPiecesTest.java
@@ -1,8 +1,5 @@
 package io.pollenpath.platform;
 
-import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
-
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pollenpath.standin.platform.PlatformFixtures;
 import io.pollenpath.standin.platform.PlatformStoreStandin;
@@ -12,7 +9,6 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,9 +28,6 @@
     private static final long BEGIN_MS = 300;
     private static final long OBSERVED_MS = 2_500;
 
-    /** What an answer at a timeout may take. */
-    private static final long MAX_WAIT_MS = 500;
-
     private static final int BODY_BYTES = 4_000_000;
 
     private final ExecutorService callers = Executors.newCachedThreadPool();
@@ -76,7 +69,7 @@
             callers.execute(() -> sendAndRead(request));
         }
         Pause.forMs(BEGIN_MS);
-        checkOthers();
+        OtherCaller.check(entry.callerAddress(), OBSERVED_MS);
     }
 
     /** Guards against the same by the bodies of callers. */
@@ -87,7 +80,7 @@
             String request = RawCaller.chunkedRequest("small-" + i, "/once/small", body, 1);
             callers.execute(() -> sendAndRead(request));
         }
-        checkOthers();
+        OtherCaller.check(entry.callerAddress(), OBSERVED_MS);
     }
 
     private void sendAndRead(String request) {
@@ -98,28 +91,4 @@
             // The entry has ended the answer, or the test is over.
         }
     }
-
-    private void checkOthers() throws IOException {
-        long startNanos = System.nanoTime();
-        long longestMs = 0;
-        while (elapsedMs(startNanos) < OBSERVED_MS) {
-            longestMs = Math.max(longestMs, callOther());
-        }
-        assertWithMessage("longest wait of others, in ms").that(longestMs).isAtMost(MAX_WAIT_MS);
-    }
-
-    /** Returns the time to an answer. */
-    private long callOther() throws IOException {
-        long sentNanos = System.nanoTime();
-        try (RawCaller caller = new RawCaller(entry.callerAddress())) {
-            caller.send(RawCaller.request("other", "/plain/other", "{}"));
-            assertThat(caller.read().status()).isEqualTo(200);
-        }
-        Pause.forMs(10);
-        return elapsedMs(sentNanos);
-    }
-
-    private static long elapsedMs(long startNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-    }
 }
