--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/EntryPeersTest.java
@@ -177,6 +177,10 @@
                 });
         Set<String> addresses = Set.of("127.0.0.1:" + other.port());
         loop.submit(() -> peers.setAddresses(addresses)).sync();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MS);
+        while (calls.get() < 2 && System.nanoTime() < endNanos) {
+            Thread.sleep(SETTLE_MS / 30);
+        }
         Thread.sleep(SETTLE_MS);
         assertThat(calls.get()).isEqualTo(2);
     }
