--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -34,6 +34,10 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerAnswer {
 
     private static final int MAX_PIPELINED = 16;
+
+    /** The requests that are served before other connections have their turn. */
+    private static final int MAX_SERVED_PER_TURN = 16;
+
     private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
     /** The time in which a caller must take an answer that is complete. */
@@ -62,6 +66,7 @@
 
     private boolean streaming;
     private boolean bodyAwaited;
+    private int servedInTurn;
     private int unsentAnswers;
     private long idleSinceNanos;
 
@@ -97,9 +102,24 @@
         serveNext();
     }
 
-    /** Serves the next request, if the caller takes the answers before it and none is the last. */
+    /** Hears that all that was read in one turn has come, and goes on in the next one. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (pipelined.isEmpty()) {
+            servedInTurn = 0;
+        } else {
+            ctx.executor().execute(this::beginTurn);
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void beginTurn() {
+        servedInTurn = 0;
+        serveNext();
+    }
+
     private void serveNext() {
-        if (busy || ending || !context.channel().isActive() || !isWritable()) {
+        if (busy || !mayServe()) {
             return;
         }
         CallerRequest request = pipelined.poll();
@@ -108,12 +128,21 @@
             return;
         }
         busy = true;
+        servedInTurn++;
         requestMemory = request.memory();
         keepAlive = request.isKeepAlive();
         streaming = false;
         GuardedSteps.run(() -> serve(request), this::onNotAccepted);
     }
 
+    /** Returns whether the caller takes answers, none was the last, and it is this one's turn. */
+    private boolean mayServe() {
+        return context.channel().isActive()
+                && isWritable()
+                && !ending
+                && servedInTurn < MAX_SERVED_PER_TURN;
+    }
+
     private void serve(CallerRequest request) {
         ForwardedRequest accepted = gateway.accept(request, this);
         // If the request was answered at once, the next one may already have started.
--- a/standins/src/test/java/io/pollenpath/platform/PipelinedRequestsTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/PipelinedRequestsTest.java
@@ -4,6 +4,7 @@
 
 import io.pollenpath.standin.platform.PlatformFixtures;
 import io.pollenpath.standin.platform.PlatformStoreStandin;
+import io.pollenpath.util.Pause;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -106,6 +107,7 @@
             } catch (IOException e) {
                 // The entry has closed the connection, or the test is over.
             }
+            Pause.forMs(PacedWriter.BURST_MS);
         }
     }
 
--- a/standins/src/test/java/io/pollenpath/platform/SmallMessagesTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/SmallMessagesTest.java
@@ -92,6 +92,7 @@
             } catch (IOException e) {
                 // The entry has closed the connection.
             }
+            Pause.forMs(PacedWriter.BURST_MS);
         }
     }
 }
