--- a/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadRules.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadRules.java
@@ -1,12 +1,7 @@
 package io.pollenpath.transport;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import java.util.List;
 import java.util.Optional;
 
 /**
@@ -31,20 +26,9 @@
         if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             return Optional.of("the server speaks another protocol");
         }
-        if (!isFramedOnce(head)) {
+        if (!FramingRules.isFramedOnce(head)) {
             return Optional.of("the head doesn't tell by one field how the body ends");
         }
         return Optional.empty();
     }
-
-    /** Returns whether a body comes in chunks or not, and has no length if it does. */
-    private static boolean isFramedOnce(HttpResponse head) {
-        HttpHeaders headers = head.headers();
-        List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        return codings.isEmpty()
-                || (codings.size() == 1
-                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))
-                        && head.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                        && !headers.contains(HttpHeaderNames.CONTENT_LENGTH));
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/AnswerHeadSyntax.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HeadSyntax.java
@@ -5,34 +5,22 @@
 import io.netty.util.AsciiString;
 
 /**
- * Judges the head or the trailers of an answer by the bytes that were sent, as they come: a status
+ * Judges the head or the trailers of a message by the bytes that were sent, as they come: a first
  * line, the lines of fields, and an empty line (RFC 9112, sections 2 to 5). The decoder reads more
  * than this grammar knows, and what it makes of a line no longer shows what stood there: it stops a
  * status at any blank, takes "+200" and "0200" for 200, cuts a name at its first blank, joins a
  * line that begins with a blank to the value before it, and keeps one of several lengths.
  *
- * <p>A line may end with a line feed alone, and the blank before a missing reason may be missing
- * too (RFC 9112, sections 2.2 and 4).
+ * <p>A line may end with a line feed alone (RFC 9112, section 2.2).
  */
-final class AnswerHeadSyntax {
-
-    /** The begin of a status line: x stands for the minor version, nnn for the status. */
-    private static final String STATUS_LINE = "HTTP/1.x nnn";
-
-    /** The bytes besides letters and digits that may stand in the name of a field. */
-    private static final String NAME_MARKS = "!#$%&'*+-.^_`|~";
+final class HeadSyntax {
 
     private static final AsciiString CONTENT_LENGTH = HttpHeaderNames.CONTENT_LENGTH;
-    private static final int MINOR_VERSION_AT = STATUS_LINE.indexOf('x');
-    private static final int STATUS_AT = STATUS_LINE.indexOf('n');
-    private static final int DELETE = 0x7f;
     private static final int OCTET = 0xff;
 
     /** The parts of a head, and how a message names them. */
     private enum Part {
-        STATUS("version or status"),
-        STATUS_END("status"),
-        REASON("reason"),
+        FIRST_LINE("first line"),
         LINE_END("line end"),
         LINE_BEGIN("begin of a field"),
         NAME("name of a field"),
@@ -50,24 +38,30 @@
     /** The name of the current field, as far as it tells whether the field is a length. */
     private final StringBuilder name = new StringBuilder();
 
+    private final FirstLineSyntax firstLine;
     private Part part;
-    private int statusBytes;
     private boolean hasLength;
     private boolean secondLength;
     private boolean flawed;
 
-    private AnswerHeadSyntax(Part first) {
+    private HeadSyntax(FirstLineSyntax firstLine, Part first) {
+        this.firstLine = firstLine;
         part = first;
     }
 
-    /** Returns the syntax of a head, of which no byte has come yet. */
-    static AnswerHeadSyntax ofHead() {
-        return new AnswerHeadSyntax(Part.STATUS);
+    /** Returns the syntax of the head of an answer, of which no byte has come yet. */
+    static HeadSyntax ofAnswer() {
+        return new HeadSyntax(new StatusLineSyntax(), Part.FIRST_LINE);
+    }
+
+    /** Returns the syntax of the head of a request, of which no byte has come yet. */
+    static HeadSyntax ofRequest() {
+        return new HeadSyntax(new RequestLineSyntax(), Part.FIRST_LINE);
     }
 
     /** Returns the syntax of the fields behind the last chunk, up to the empty line. */
-    static AnswerHeadSyntax ofTrailers() {
-        return new AnswerHeadSyntax(Part.LINE_BEGIN);
+    static HeadSyntax ofTrailers() {
+        return new HeadSyntax(null, Part.LINE_BEGIN);
     }
 
     /**
@@ -94,16 +88,17 @@
 
     /** Returns what is wrong with the bytes so far, if they are not sound. */
     String flaw() {
-        return secondLength
-                ? "a second " + CONTENT_LENGTH
-                : "a byte that must not stand in the " + part.text;
+        if (secondLength) {
+            return "a second " + CONTENT_LENGTH;
+        }
+        String place = part == Part.FIRST_LINE ? firstLine.place() : part.text;
+        return "a byte that must not stand in the " + place;
     }
 
     private void read(int octet) {
         switch (part) {
-            case STATUS -> readStatus(octet);
-            case STATUS_END -> readStatusEnd(octet);
-            case REASON, VALUE -> readText(octet);
+            case FIRST_LINE -> readFirstLine(octet);
+            case VALUE -> readText(octet);
             case LINE_END -> readLineFeed(octet, Part.LINE_BEGIN);
             case LINE_BEGIN -> readLineBegin(octet);
             case NAME -> readName(octet);
@@ -112,37 +107,17 @@
         }
     }
 
-    private void readStatus(int octet) {
-        flawed = !mayStandInStatus(octet, statusBytes);
-        statusBytes++;
-        if (statusBytes == STATUS_LINE.length() && !flawed) {
-            part = Part.STATUS_END;
-        }
-    }
-
-    /**
-     * Returns whether a byte may stand at an offset of the status line; statuses are 100 to 599.
-     */
-    private static boolean mayStandInStatus(int octet, int offset) {
-        if (offset == MINOR_VERSION_AT) {
-            return octet == '0' || octet == '1';
-        }
-        if (offset == STATUS_AT) {
-            return octet >= '1' && octet <= '5';
-        }
-        return offset > STATUS_AT ? isDigit(octet) : octet == STATUS_LINE.charAt(offset);
-    }
-
-    private void readStatusEnd(int octet) {
-        if (octet == ' ') {
-            part = Part.REASON;
-        } else if (!endsLine(octet)) {
-            flawed = true;
+    private void readFirstLine(int octet) {
+        switch (firstLine.read(octet)) {
+            case GOES_ON -> {}
+            case CARRIAGE_RETURN -> part = Part.LINE_END;
+            case ENDED -> part = Part.LINE_BEGIN;
+            case FLAWED -> flawed = true;
         }
     }
 
     private void readText(int octet) {
-        flawed = !endsLine(octet) && !isText(octet);
+        flawed = !endsLine(octet) && !Octets.isText(octet);
     }
 
     private boolean endsLine(int octet) {
@@ -185,7 +160,7 @@
     }
 
     private void readNameByte(int octet) {
-        flawed = !isNameByte(octet);
+        flawed = !Octets.isTokenByte(octet);
         if (name.length() <= CONTENT_LENGTH.length()) {
             name.append((char) octet);
         }
@@ -198,22 +173,4 @@
             hasLength = true;
         }
     }
-
-    /** Returns whether a byte may stand in the name of a field (RFC 9110, section 5.6.2). */
-    private static boolean isNameByte(int octet) {
-        return isDigit(octet) || isLetter(octet) || NAME_MARKS.indexOf(octet) >= 0;
-    }
-
-    private static boolean isLetter(int octet) {
-        return (octet >= 'a' && octet <= 'z') || (octet >= 'A' && octet <= 'Z');
-    }
-
-    private static boolean isDigit(int octet) {
-        return octet >= '0' && octet <= '9';
-    }
-
-    /** Returns whether a byte may stand in a reason or a value; those above 0x7f may. */
-    private static boolean isText(int octet) {
-        return octet == '\t' || (octet >= ' ' && octet != DELETE);
-    }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
@@ -16,11 +16,10 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Encodes the requests and decodes the answers on a connection that carries one request at a time.
@@ -75,11 +74,7 @@
         private final ByteArrayOutputStream behind = new ByteArrayOutputStream();
         private HttpMethod method = HttpMethod.GET;
         private boolean ended = true;
-        private ChunkFraming chunks;
-        private AnswerHeadSyntax head = AnswerHeadSyntax.ofHead();
-
-        /** The number of bytes that were judged as part of a head and are not decoded yet. */
-        private int judgedBytes;
+        private final MessageSyntax syntax = new MessageSyntax(HeadSyntax::ofAnswer);
 
         private Decoder(HttpDecoderConfig config) {
             super(config);
@@ -88,12 +83,7 @@
         private void begin(HttpMethod newMethod) {
             method = newMethod;
             ended = false;
-            expect(AnswerHeadSyntax.ofHead());
-        }
-
-        private void expect(AnswerHeadSyntax next) {
-            head = next;
-            judgedBytes = 0;
+            syntax.expectMessage();
         }
 
         @Override
@@ -109,19 +99,16 @@
         private void decodeStrictly(ChannelHandlerContext context, ByteBuf in, List<Object> out)
                 throws Exception {
             int start = in.readerIndex();
-            int judgedTo = head.follow(in, start + judgedBytes, in.writerIndex());
-            if (!head.isSound()) {
-                refuse(out, head.flaw());
+            Optional<String> flaw = syntax.flawOfHead(in);
+            if (flaw.isPresent()) {
+                refuse(out, flaw.get());
                 keep(in);
                 return;
             }
             super.decode(context, in, out);
-            judgedBytes = Math.max(0, judgedTo - in.readerIndex());
-            if (chunks != null) {
-                followChunks(in, start, out);
-            }
+            syntax.flawOfChunks(in, start).ifPresent(found -> refuse(out, found));
             refuseFlawedHead(out);
-            out.forEach(this::onDecoded);
+            out.forEach(syntax::onDecoded);
         }
 
         private void refuseFlawedHead(List<Object> out) {
@@ -137,25 +124,6 @@
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage answer) {}
 
-        private void followChunks(ByteBuf in, int start, List<Object> out) {
-            boolean inTrailers = chunks.isAtTrailers();
-            if (!chunks.follow(in, start, in.readerIndex())) {
-                refuse(out, "bytes that frame no chunk");
-            } else if (!inTrailers && chunks.isAtTrailers()) {
-                expect(AnswerHeadSyntax.ofTrailers());
-            }
-        }
-
-        private void onDecoded(Object decoded) {
-            if (decoded instanceof HttpResponse head) {
-                chunks = HttpUtil.isTransferEncodingChunked(head) ? new ChunkFraming() : null;
-            }
-            if (decoded instanceof LastHttpContent) {
-                chunks = null;
-                expect(AnswerHeadSyntax.ofHead());
-            }
-        }
-
         private void refuse(List<Object> out, String flaw) {
             out.forEach(ReferenceCountUtil::release);
             out.clear();
--- a/pollenpath/src/test/java/io/pollenpath/transport/AnswerHeadSyntaxTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/HeadSyntaxTest.java
@@ -11,20 +11,20 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which heads are sound, each byte by itself and all bytes at once. */
-class AnswerHeadSyntaxTest {
+class HeadSyntaxTest {
 
     private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
 
     /** Returns whether a head is sound, in one piece as in pieces of one byte. */
     private static boolean isSound(String text) {
-        return isSound(AnswerHeadSyntax::ofHead, text);
+        return isSound(HeadSyntax::ofAnswer, text);
     }
 
-    private static boolean isSound(Supplier<AnswerHeadSyntax> judge, String text) {
+    private static boolean isSound(Supplier<HeadSyntax> judge, String text) {
         ByteBuf bytes = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
-        AnswerHeadSyntax whole = judge.get();
+        HeadSyntax whole = judge.get();
         whole.follow(bytes, 0, bytes.writerIndex());
-        AnswerHeadSyntax pieces = judge.get();
+        HeadSyntax pieces = judge.get();
         for (int at = 0; at < bytes.writerIndex(); at++) {
             pieces.follow(bytes, at, at + 1);
         }
@@ -139,10 +139,10 @@
 
     @Test
     void trailersAreFieldsUpToAnEmptyLine() {
-        assertThat(isSound(AnswerHeadSyntax::ofTrailers, "\r\n")).isTrue();
-        assertThat(isSound(AnswerHeadSyntax::ofTrailers, "X: a\r\nY:\n\n rest")).isTrue();
-        assertThat(isSound(AnswerHeadSyntax::ofTrailers, "X Y: a\r\n")).isFalse();
-        assertThat(isSound(AnswerHeadSyntax::ofTrailers, STATUS_LINE)).isFalse();
+        assertThat(isSound(HeadSyntax::ofTrailers, "\r\n")).isTrue();
+        assertThat(isSound(HeadSyntax::ofTrailers, "X: a\r\nY:\n\n rest")).isTrue();
+        assertThat(isSound(HeadSyntax::ofTrailers, "X Y: a\r\n")).isFalse();
+        assertThat(isSound(HeadSyntax::ofTrailers, STATUS_LINE)).isFalse();
     }
 
     @Test
