--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpProblems.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpProblems.java
@@ -29,8 +29,8 @@
             return Problem.rejected(
                     STATUS_HEADERS_TOO_LARGE, "headers_too_large", "send fewer or shorter headers");
         }
-        return Problem.rejected(
-                STATUS_BAD_REQUEST, "malformed_request", "send a valid HTTP/1.1 request");
+        int status = cause instanceof FlawedRequestException f ? f.status() : STATUS_BAD_REQUEST;
+        return Problem.rejected(status, "malformed_request", "send a valid HTTP/1.1 request");
     }
 
     static Problem bodyTooLarge(int maxBodyBytes) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpServer.java
@@ -8,8 +8,8 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
@@ -100,12 +100,18 @@
                 .addLast(
                         new IdleStateHandler(limits.idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS),
                         timer,
-                        new HttpServerCodec(
-                                MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES),
+                        new HttpRequestCodec(decoderConfig()),
                         new BoundedAggregator(limits.maxBodyBytes()),
                         new HttpServerHandler(handler, limits, timer, () -> stopping));
     }
 
+    private HttpDecoderConfig decoderConfig() {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(limits.maxHeaderBytes())
+                .setMaxChunkSize(MAX_CHUNK_BYTES);
+    }
+
     /**
      * Answers that the connection limit is reached. The number of connections that wait for this
      * answer is limited as well; beyond it, connections are closed without one.
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CallerConnection.java
@@ -15,12 +15,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.pollenpath.coordination.serving.MemoryBudget;
+import io.pollenpath.transport.HttpRequestCodec;
 import io.pollenpath.util.GuardedSteps;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -181,7 +181,7 @@
      */
     private void writeContinue() {
         ByteBuf answer = Unpooled.copiedBuffer(CONTINUE, StandardCharsets.US_ASCII);
-        context.pipeline().context(HttpServerCodec.class).writeAndFlush(answer);
+        context.pipeline().context(HttpRequestCodec.class).writeAndFlush(answer);
     }
 
     @Override
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayProblems.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayProblems.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.pollenpath.protocol.Problem;
 import io.pollenpath.state.Executed;
+import io.pollenpath.transport.FlawedRequestException;
 import java.util.Locale;
 
 /** Creates the error answers that the entry produces itself. */
@@ -40,8 +41,9 @@
     }
 
     static Problem malformed(Throwable cause) {
+        int status = cause instanceof FlawedRequestException f ? f.status() : BAD_REQUEST;
         return Problem.rejected(
-                BAD_REQUEST, "malformed", "the request is not valid HTTP: " + cause.getMessage());
+                status, "malformed", "the request is not valid HTTP: " + cause.getMessage());
     }
 
     static Problem headTooLarge(int maxBytes) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/GatewayServer.java
@@ -8,8 +8,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.pollenpath.transport.FairReading;
+import io.pollenpath.transport.HttpRequestCodec;
 import io.pollenpath.transport.ServerSockets;
 
 /** Accepts the HTTP connections of callers for a gateway. */
@@ -55,11 +56,18 @@
         int maxHeaderBytes = Math.max(gateway.limits().maxHeaderBytes(), MAX_HEADER_BYTES);
         channel.pipeline()
                 .addLast(
-                        new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES),
+                        new HttpRequestCodec(decoderConfig(maxHeaderBytes)),
                         new CallerRequestReader(gateway),
                         new CallerConnection(gateway));
     }
 
+    private static HttpDecoderConfig decoderConfig(int maxHeaderBytes) {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(maxHeaderBytes)
+                .setMaxChunkSize(MAX_CHUNK_BYTES);
+    }
+
     @Override
     public void close() {
         listener.close().syncUninterruptibly();
--- a/pollenpath/src/test/java/io/pollenpath/transport/HttpServerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/HttpServerTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class HttpServerTest {
 
@@ -128,4 +130,17 @@
             assertThat(readUntil(socket.getInputStream(), "}")).contains("internal_error");
         }
     }
+
+    /** Guards against a body that is read as the next request of the connection. */
+    @ParameterizedTest
+    @CsvSource({"501,1.1,Transfer-Encoding: xchunked", "505,9.9,X-Odd: a", "400,1.1,X Odd: a"})
+    void refusesARequestThatHttpDoesNotKnow(int status, String version, String field)
+            throws Exception {
+        try (Socket socket = connect()) {
+            String head = "POST / HTTP/" + version + "\r\nHost: x\r\n" + field + "\r\n\r\n";
+            send(socket, head + REQUEST);
+            assertThat(readAll(socket)).startsWith("HTTP/1.1 " + status + " ");
+        }
+        assertThat(exchanges).isEmpty();
+    }
 }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CutCallerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CutCallerAnswerTest.java
@@ -11,8 +11,9 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.ReferenceCountUtil;
+import io.pollenpath.transport.HttpRequestCodec;
 import io.pollenpath.transport.NettyLoops;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -44,7 +45,7 @@
     private final CallerConnection connection = new CallerConnection(gateway);
     private final EmbeddedChannel channel =
             new EmbeddedChannel(
-                    new HttpServerCodec(),
+                    new HttpRequestCodec(new HttpDecoderConfig()),
                     memory,
                     new CallerRequestReader(gateway),
                     queue,
