--- a/review/common-3/Processes.java
+++ b/review/common-3/Processes.java
@@ -22,6 +22,7 @@
     public Processes(Path root, Path logs) {
         this.root = root;
         this.logs = logs;
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     /** Starts a role with the words of its {@code run} line in the deploy file. */
