Show that a removed engine gets requests for longer than DrainMs

Case 15, from KNOWN-RED.txt: a waiting watch is cut off, and a second later the entry of an engine is removed.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-3
 mkdir -p target/review-3
-javac -nowarn -d target/review-3 review/common-3/*.java $(find review/1[1-5] -name '*.java')
+javac --release 17 -nowarn -d target/review-3 review/common-3/*.java $(find review/1[1-5] -name '*.java')
--- a/review/common-3/Store.java
+++ b/review/common-3/Store.java
@@ -41,8 +41,15 @@
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final Map<String, TreeMap<String, Stored>> kinds = new HashMap<>();
     private final List<Change> history = new ArrayList<>();
+    private final Map<String, Integer> cuts = new HashMap<>();
     private long revision = 100;
 
+    /** Ends a waiting watch, whose channel is then closed without an answer. */
+    private static final class WatchCutException extends IOException {
+
+        private static final long serialVersionUID = 1;
+    }
+
     public Store(int port) throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName(Ports.HOST), port), 0);
         server.createContext(ROOT, this::handle);
@@ -71,6 +78,12 @@
         }
     }
 
+    /** Cuts off the watches of a kind that are waiting now. */
+    public synchronized void cutWatches(String kind) {
+        cuts.merge(kind, 1, Integer::sum);
+        notifyAll();
+    }
+
     private void record(String kind, boolean deleted, Stored object) {
         if (deleted) {
             kinds.get(kind).remove(object.name());
@@ -99,6 +112,8 @@
                 case "DELETE" -> delete(exchange, path[0], path[1]);
                 default -> respond(exchange, 400, "{}");
             }
+        } catch (WatchCutException e) {
+            // Closed without an answer.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -142,11 +157,15 @@
     }
 
     private synchronized String watch(String kind, long after, long waitMs)
-            throws InterruptedException {
+            throws InterruptedException, WatchCutException {
+        int cutsBefore = cuts.getOrDefault(kind, 0);
         long endNanos = System.nanoTime() + waitMs * 1_000_000;
         List<String> events = events(kind, after);
         while (events.isEmpty() && System.nanoTime() < endNanos) {
             wait(Math.max(1, (endNanos - System.nanoTime()) / 1_000_000));
+            if (cuts.getOrDefault(kind, 0) != cutsBefore) {
+                throw new WatchCutException();
+            }
             events = events(kind, after);
         }
         return "{\"events\":[%s],\"CurrentRev\":%d}".formatted(String.join(",", events), revision);
