--- a/review/12/Case12.java
+++ b/review/12/Case12.java
@@ -5,34 +5,40 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/**
- * An entry gets SIGTERM while a stream is under way whose engine then pauses for longer than the
- * entry waits for an event. The engine would end the stream well within the grace period.
- */
+/** Engines stop within answers and go on with bytes that are no response. */
 public final class Case12 {
 
     private static final String MANIFEST =
             """
             {"Version":7,"Routes":[\
-            {"Name":"draft","Host":"notes.example","PathPrefix":"/draft/","Kind":"streaming","TimeoutMs":8000,"SloMs":1000,"Priority":1,"Service":"llm","Attempts":2,"Public":false,"Sticky":true,"Resumable":true,"GapTargetMs":120}],\
-            "Services":[{"Name":"llm","HealthPath":"/health","MaxConns":348,"Protocol":"h1","Tls":false}],\
+            {"Name":"alert","Host":"notes.example","PathPrefix":"/alert/","Kind":"non_idempotent","TimeoutMs":1000,"SloMs":300,"Priority":1,"Service":"alerts","Attempts":1,"Public":false}],\
+            "Services":[{"Name":"alerts","HealthPath":"/health","MaxConns":100,"Protocol":"h1","Tls":false}],\
             "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},\
             "Tenants":[{"Name":"crew","ApiKeys":["key-of-crew"],"Priority":1}]}""";
 
-    private static final int ENGINES = 3;
+    private static final int ENGINES = 5;
 
-    /** Longer than the window in which a process that has started sends nothing twice. */
-    private static final long CALM_MS = 11_000;
+    /** The dose of the site's file: share 0.6 of the servers, x 0.03, for 5 s. */
+    private static final int SPOILING_ENGINES = 3;
 
-    private static final long TERM_MS = 300;
+    private static final double SPOILT_SHARE = 0.03;
+    private static final long TROUBLE_MS = 5_000;
+    private static final long CALM_MS = 4_000;
+    private static final long PERIOD_MS = 10;
 
     private final Record record;
     private final boolean trouble;
     private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final Map<String, String> bodies = new ConcurrentHashMap<>();
+    private final AtomicInteger successes = new AtomicInteger();
+    private final AtomicInteger mixed = new AtomicInteger();
     private int front;
 
     private Case12(Record record, boolean trouble) {
@@ -59,66 +65,54 @@
         try (Processes processes = new Processes(Path.of("").toAbsolutePath(), folder);
                 Store store = new Store(storePort)) {
             store.put("config", "main", MANIFEST);
+            List<StutteringEngine> engines = new ArrayList<>();
             for (int number = 1; number <= ENGINES; number++) {
-                new PausingEngine("i-7f3a91c" + number, store, record);
+                engines.add(new StutteringEngine("i-7f3a91c" + number, store, bodies, record));
             }
             Path settings =
                     Settings.entry(folder, "edge-a-1", front, ready, Ports.range(16), storePort);
-            Process entry = processes.role("entry", "entry", settings);
+            processes.role("entry", "entry", settings);
             if (!Client.awaitReady(ready, 20_000)) {
                 record.line("the entry is not ready");
                 return 2;
             }
             Thread.sleep(CALM_MS);
-            if (!usualStreams()) {
-                return 2;
-            }
-            CompletableFuture<Boolean> whole = send("stream", true);
-            Thread.sleep(TERM_MS);
-            if (trouble) {
-                Processes.signal(entry, "TERM");
-                record.line("the entry gets SIGTERM");
+            double share = trouble ? SPOILT_SHARE : 0;
+            engines.subList(0, SPOILING_ENGINES).forEach(engine -> engine.setSpoiltShare(share));
+            List<CompletableFuture<Void>> requests = new ArrayList<>();
+            for (int number = 0; number < TROUBLE_MS / PERIOD_MS; number++) {
+                String id = "9c41d07be2a3" + number;
+                requests.add(CompletableFuture.runAsync(() -> send(id), threads));
+                Thread.sleep(PERIOD_MS);
             }
-            boolean broken = !whole.get();
-            record.line(broken ? "LOST is broken" : "LOST holds");
-            return broken ? 1 : 0;
+            requests.forEach(CompletableFuture::join);
+            record.line(
+                    "%d requests, %d successes, %d of them with a body that is not the engine's"
+                            .formatted(requests.size(), successes.get(), mixed.get()));
+            record.line(mixed.get() > 0 ? "MIXED is broken" : "MIXED holds");
+            return mixed.get() > 0 ? 1 : 0;
         }
     }
 
-    private boolean usualStreams() {
-        List<CompletableFuture<Boolean>> streams = new ArrayList<>();
-        for (int number = 1; number <= ENGINES; number++) {
-            streams.add(send("usual-" + number, false));
+    private void send(String id) {
+        String request =
+                "POST /alert/2f HTTP/1.1\r\nHost: notes.example\r\nRequest-Id: %s\r\nDeadline-Ms: 1009\r\nAuthorization: Bearer key-of-crew\r\nContent-Length: 4\r\n\r\nweld"
+                        .formatted(id);
+        Client.Answer answer = Client.send(front, request, 3_000);
+        boolean success = answer.complete() && answer.status() == 200;
+        successes.addAndGet(success ? 1 : 0);
+        if (!success) {
+            record.line("client of " + id + " got status " + answer.status());
+        } else if (!answer.body().equals(bodies.get(id))) {
+            mixed.incrementAndGet();
+            record.line(
+                    "client of %s got 200 with receipt '%s' and a body that ends in: %s"
+                            .formatted(id, answer.signature(), end(answer.body())));
         }
-        return streams.stream().allMatch(CompletableFuture::join);
     }
 
-    /** Sends a request; returns whether its answer is whole. */
-    private CompletableFuture<Boolean> send(String name, boolean large) {
-        String id = "9c41d07be2a35f68-" + name;
-        String part = large ? PausingEngine.LARGE_PART : "e4402b7d";
-        String request =
-                "POST /draft/2f HTTP/1.1\r\nHost: notes.example\r\nRequest-Id: %s\r\nModel: m\r\nToken-Usage: 100,40\r\nPrompt-Prefix: 5c1e07a2:40,%s:30,f%s:30\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer key-of-crew\r\nContent-Length: 4\r\n\r\nweld"
-                        .formatted(id, part, name);
-        int events = large ? PausingEngine.SHORT_EVENTS : PausingEngine.LONG_EVENTS;
-        StringBuilder whole = new StringBuilder();
-        for (int number = 1; number <= events; number++) {
-            whole.append(PausingEngine.event(number));
-        }
-        record.line("client sends " + id);
-        return CompletableFuture.supplyAsync(
-                () -> {
-                    Client.Answer answer = Client.send(front, request, 4_000);
-                    record.line(
-                            "client of %s got status %d, %s, %d of %d bytes"
-                                    .formatted(
-                                            id,
-                                            answer.status(),
-                                            answer.complete() ? "complete" : "broken off",
-                                            answer.body().length(),
-                                            whole.length()));
-                    return answer.complete() && answer.body().contentEquals(whole);
-                },
-                threads);
+    private static String end(String body) {
+        String end = body.substring(body.lastIndexOf("HTTP/"));
+        return end.substring(0, Math.min(60, end.length())).replace("\r\n", "|");
     }
 }
--- a/review/14/Case14.java
+++ b/review/14/Case14.java
@@ -5,14 +5,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicInteger;
 
-/** Engines stop within answers and go on with bytes that are no response. */
+/**
+ * A waiting watch of the entries of engines is cut off, and a second later the entry of an engine
+ * is removed, which goes on serving for {@code DrainMs} and a little longer.
+ */
 public final class Case14 {
 
     private static final String MANIFEST =
@@ -23,22 +23,22 @@
             "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},\
             "Tenants":[{"Name":"crew","ApiKeys":["key-of-crew"],"Priority":1}]}""";
 
-    private static final int ENGINES = 5;
-
-    /** The dose of the site's file: share 0.6 of the servers, x 0.03, for 5 s. */
-    private static final int SPOILING_ENGINES = 3;
-
-    private static final double SPOILT_SHARE = 0.03;
-    private static final long TROUBLE_MS = 5_000;
+    private static final int ENGINES = 3;
     private static final long CALM_MS = 4_000;
+    private static final long BEFORE_CUT_MS = 3_000;
+    private static final long CUT_TO_REMOVAL_MS = 1_000;
+    private static final long DRAIN_MS = 2_000;
+    private static final long EXIT_MS = 2_120;
+    private static final long AFTER_EXIT_MS = 1_000;
     private static final long PERIOD_MS = 10;
 
     private final Record record;
     private final boolean trouble;
     private final ExecutorService threads = Executors.newCachedThreadPool();
-    private final Map<String, String> bodies = new ConcurrentHashMap<>();
-    private final AtomicInteger successes = new AtomicInteger();
-    private final AtomicInteger mixed = new AtomicInteger();
+    private volatile long removedNanos;
+    private volatile boolean ended;
+    private int late;
+    private int lostLate;
     private int front;
 
     private Case14(Record record, boolean trouble) {
@@ -65,9 +65,9 @@
         try (Processes processes = new Processes(Path.of("").toAbsolutePath(), folder);
                 Store store = new Store(storePort)) {
             store.put("config", "main", MANIFEST);
-            List<StutteringEngine> engines = new ArrayList<>();
+            List<LeavingEngine> engines = new ArrayList<>();
             for (int number = 1; number <= ENGINES; number++) {
-                engines.add(new StutteringEngine("i-7f3a91c" + number, store, bodies, record));
+                engines.add(new LeavingEngine("i-7f3a91c" + number, store, new EngineWork()));
             }
             Path settings =
                     Settings.entry(folder, "edge-a-1", front, ready, Ports.range(16), storePort);
@@ -77,20 +77,42 @@
                 return 2;
             }
             Thread.sleep(CALM_MS);
-            double share = trouble ? SPOILT_SHARE : 0;
-            engines.subList(0, SPOILING_ENGINES).forEach(engine -> engine.setSpoiltShare(share));
+            CompletableFuture<Void> traffic = CompletableFuture.runAsync(this::traffic, threads);
+            Thread.sleep(BEFORE_CUT_MS);
+            if (trouble) {
+                store.cutWatches("servers");
+                record.line("a waiting watch is cut off");
+            }
+            Thread.sleep(CUT_TO_REMOVAL_MS);
+            leave(store, engines.get(0));
+            traffic.join();
+            return judge();
+        }
+    }
+
+    private void leave(Store store, LeavingEngine engine) throws Exception {
+        store.remove("servers", engine.id());
+        removedNanos = System.nanoTime();
+        record.line("the entry of engine " + engine.id() + " is removed");
+        Thread.sleep(EXIT_MS);
+        engine.exit();
+        record.line("engine " + engine.id() + " exits");
+        Thread.sleep(AFTER_EXIT_MS);
+        ended = true;
+    }
+
+    private void traffic() {
+        try {
             List<CompletableFuture<Void>> requests = new ArrayList<>();
-            for (int number = 0; number < TROUBLE_MS / PERIOD_MS; number++) {
+            for (int number = 0; !ended; number++) {
                 String id = "9c41d07be2a3" + number;
                 requests.add(CompletableFuture.runAsync(() -> send(id), threads));
                 Thread.sleep(PERIOD_MS);
             }
             requests.forEach(CompletableFuture::join);
-            record.line(
-                    "%d requests, %d successes, %d of them with a body that is not the engine's"
-                            .formatted(requests.size(), successes.get(), mixed.get()));
-            record.line(mixed.get() > 0 ? "MIXED is broken" : "MIXED holds");
-            return mixed.get() > 0 ? 1 : 0;
+            record.line(requests.size() + " requests");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -99,20 +121,40 @@
                 "POST /alert/2f HTTP/1.1\r\nHost: notes.example\r\nRequest-Id: %s\r\nDeadline-Ms: 1009\r\nAuthorization: Bearer key-of-crew\r\nContent-Length: 4\r\n\r\nweld"
                         .formatted(id);
         Client.Answer answer = Client.send(front, request, 3_000);
-        boolean success = answer.complete() && answer.status() == 200;
-        successes.addAndGet(success ? 1 : 0);
-        if (!success) {
+        if (answer.status() != 200) {
             record.line("client of " + id + " got status " + answer.status());
-        } else if (!answer.body().equals(bodies.get(id))) {
-            mixed.incrementAndGet();
-            record.line(
-                    "client of %s got 200 with receipt '%s' and a body that ends in: %s"
-                            .formatted(id, answer.signature(), end(answer.body())));
         }
     }
 
-    private static String end(String body) {
-        String end = body.substring(body.lastIndexOf("HTTP/"));
-        return end.substring(0, Math.min(60, end.length())).replace("\r\n", "|");
+    private synchronized int judge() {
+        record.line(
+                "%d requests reached the engine later than DrainMs after its removal; its exit ended %d of them"
+                        .formatted(late, lostLate));
+        record.line(late > 0 ? "DRAIN is broken" : "DRAIN holds");
+        return late > 0 ? 1 : 0;
+    }
+
+    private final class EngineWork implements LeavingEngine.Listener {
+
+        @Override
+        public void onRun(String engine, String requestId) {
+            long afterMs = (System.nanoTime() - removedNanos) / 1_000_000;
+            if (removedNanos != 0 && engine.endsWith("1") && afterMs > DRAIN_MS) {
+                record.line(
+                        "engine %s runs %s %d ms after its entry was removed"
+                                .formatted(engine, requestId, afterMs));
+                synchronized (Case14.this) {
+                    late++;
+                }
+            }
+        }
+
+        @Override
+        public void onLost(String engine, String requestId) {
+            record.line("the exit of engine " + engine + " ends " + requestId);
+            synchronized (Case14.this) {
+                lostLate++;
+            }
+        }
     }
 }
