--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/ResendPolicy.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/ResendPolicy.java
@@ -32,7 +32,7 @@
      */
     public static Decision decide(
             Route route, SendOutcome outcome, int sends, boolean mayHaveRun, long timeLeftMs) {
-        boolean safe = !mayHaveRun || route.mayRunAgain();
+        boolean safe = (!mayHaveRun || route.mayRunAgain()) && outcome != SendOutcome.SPOILT;
         boolean attemptsLeft = outcome == SendOutcome.NOT_SENT || sends < route.maxAttempts();
         if (safe && attemptsLeft && timeLeftMs >= MIN_TIME_LEFT_MS) {
             return Decision.RESEND;
--- a/pollenpath/src/main/java/io/pollenpath/coordination/serving/SendOutcome.java
+++ b/pollenpath/src/main/java/io/pollenpath/coordination/serving/SendOutcome.java
@@ -20,6 +20,12 @@
     /** The server ran the request; the end of its answer may be the begin of a second answer. */
     DOUBTFUL,
 
+    /**
+     * Events of a stream were passed on, and other bytes that came on the connection show that some
+     * of them may not be the server's.
+     */
+    SPOILT,
+
     /** The connection broke or carried no valid answer; the request may have run. */
     UNKNOWN;
 
--- a/pollenpath/src/main/java/io/pollenpath/transport/ChunkFraming.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/ChunkFraming.java
@@ -7,8 +7,8 @@
 /**
  * Checks the framing of a body in chunks more strictly than the decoder does. The decoder ignores
  * what stands behind a control character or a blank in the line of a size, and all bytes up to the
- * next line feed behind a chunk. Where a server stops within its framing and answers once more,
- * this would hide the status line of the second answer.
+ * next line feed behind a chunk; it takes any line end there. Where a server stops within its
+ * framing and answers once more, this would hide the status line of the second answer.
  */
 final class ChunkFraming {
 
@@ -28,6 +28,12 @@
     private final StringBuilder line = new StringBuilder();
     private Part part = Part.SIZE_LINE;
     private long dataLeft;
+    private long incompleteBytes;
+
+    /**
+     * What stands before the line feed behind the data of a chunk: that of the line of its size.
+     */
+    private String lineEnd = "";
 
     /**
      * Follows the next bytes of the body.
@@ -55,9 +61,15 @@
         return part == Part.TRAILERS;
     }
 
+    /** Returns how many bytes of data have come of a chunk that is not whole, or not sound. */
+    long incompleteBytes() {
+        return incompleteBytes;
+    }
+
     private int skipData(int available) {
         int count = (int) Math.min(dataLeft, available);
         dataLeft -= count;
+        incompleteBytes += count;
         if (dataLeft == 0) {
             part = Part.LINE_END;
         }
@@ -77,11 +89,12 @@
     }
 
     private void readLineEnd(boolean ended) {
-        boolean sound = line.isEmpty() || line.toString().equals("\r");
-        if (!sound) {
+        String read = line.toString();
+        if (!lineEnd.startsWith(read) || (ended && !lineEnd.equals(read))) {
             part = Part.FLAWED;
         } else if (ended) {
             part = Part.SIZE_LINE;
+            incompleteBytes = 0;
             line.setLength(0);
         }
     }
@@ -92,6 +105,7 @@
             part = Part.FLAWED;
             return;
         }
+        lineEnd = line.charAt(line.length() - 1) == '\r' ? "\r" : "";
         dataLeft = Long.parseLong(matcher.group(1), HEXADECIMAL);
         part = dataLeft == 0 ? Part.TRAILERS : Part.DATA;
         line.setLength(0);
--- a/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HttpAnswerCodec.java
@@ -64,6 +64,16 @@
         return inboundHandler().behind.toByteArray();
     }
 
+    /**
+     * Returns how much of a chunk has come that is not whole. Until then it may be filled up with
+     * bytes that belong to no answer.
+     *
+     * @return the number of bytes of its data; 0 within no chunk
+     */
+    public long incompleteChunkBytes() {
+        return inboundHandler().syntax.incompleteChunkBytes();
+    }
+
     /**
      * Decodes answers, and keeps what comes behind one. Heads and the framing of chunks are judged
      * by the bytes that were sent, before or as they are decoded; an answer with a flaw there ends
@@ -108,7 +118,9 @@
             super.decode(context, in, out);
             syntax.flawOfChunks(in, start).ifPresent(found -> refuse(out, found));
             refuseFlawedHead(out);
-            out.forEach(syntax::onDecoded);
+            if (!ended) {
+                out.forEach(syntax::onDecoded);
+            }
         }
 
         private void refuseFlawedHead(List<Object> out) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/MessageSyntax.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/MessageSyntax.java
@@ -77,6 +77,11 @@
         return Optional.empty();
     }
 
+    /** Returns how many bytes of data have come of a chunk that is not whole; 0 without chunks. */
+    long incompleteChunkBytes() {
+        return chunks == null ? 0 : chunks.incompleteBytes();
+    }
+
     /** Hears what was decoded, a head or a part of a body. */
     void onDecoded(Object decoded) {
         if (decoded instanceof HttpMessage message) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -1,49 +1,72 @@
 package io.pollenpath.transport.serving;
 
-import java.io.ByteArrayOutputStream;
+import io.pollenpath.transport.AnswerBegin;
 import java.util.List;
 
 /** What the end of a buffered answer tells about its bytes. */
 enum AnswerEnd {
     /** The bytes are those of this answer, as far as can be told. */
     OWN,
+    /** The server has paused within the answer, so what comes next may tell that they are not. */
+    PAUSED,
     /** They may end within a second answer; what comes next on the connection will tell. */
     UNCLEAR,
     /** Some of them are those of a second answer. */
     FILLED;
 
+    /** Returns whether nothing tells that some of the bytes are those of something else. */
+    boolean isOwn() {
+        return this == OWN || this == PAUSED;
+    }
+
     /**
-     * Judges an answer by its last bytes and what came behind them. The bytes behind a sound answer
-     * begin with a status line, if there are any. If a second answer has filled up the first one,
-     * the end is somewhere within the second, which goes on behind it. In chunks only a whole head
-     * fits in, since what comes behind a chunk is checked by itself.
+     * Judges a whole answer by what came behind it, and by its last bytes. Behind a sound answer
+     * comes nothing, or a second answer. Other bytes belong to no request: the server is out of
+     * step, and a named length tells no longer which bytes are those of the answer. In chunks only
+     * a whole head fits in, since what comes behind a chunk is checked by itself.
      *
      * @param framing how the answer marks its end, not null
      * @param body the body, not null
      * @param heads the heads within the body, not null
      * @param behind the bytes that came behind the answer, not null
      */
-    static AnswerEnd of(
-            AnswerFraming framing, BodyBuffer body, EmbeddedHead.Finding heads, byte[] behind) {
-        if (heads.named()) {
+    static AnswerEnd of(AnswerFraming framing, BodyBuffer body, BodyHeads heads, byte[] behind) {
+        EmbeddedHead.Finding known = heads.known();
+        if (known.named()) {
             return FILLED;
         }
-        if (framing == AnswerFraming.CLOSE) {
-            return ofClosed(body, heads);
+        boolean mayBeFilled = framing == AnswerFraming.LENGTH ? body.length() > 0 : known.whole();
+        if (mayBeFilled && isOutOfStep(behind)) {
+            return FILLED;
         }
-        boolean counted = framing == AnswerFraming.LENGTH;
-        AnswerEnd last = counted ? ofCounted(body, heads, behind) : OWN;
-        boolean outOfStep = heads.whole() && isOutOfStep(behind);
-        return last == OWN && outOfStep ? FILLED : last;
+        return switch (framing) {
+            case CLOSE -> ofClosed(body, heads);
+            case LENGTH -> ofCounted(body, heads, behind);
+            default -> OWN;
+        };
     }
 
     /**
-     * Judges a stream that ends like an interim answer, which another head would follow.
+     * Judges the end of a stream whose events were passed on as they came.
      *
      * @param framing how the stream marks its end, not null
+     * @param endsWithInterim whether it ends like an interim answer, which another head would
+     *     follow
      * @param behind the bytes that came behind the stream, not null
      */
-    static AnswerEnd ofInterim(AnswerFraming framing, byte[] behind) {
+    static AnswerEnd ofStream(AnswerFraming framing, boolean endsWithInterim, byte[] behind) {
+        AnswerEnd counted = framing == AnswerFraming.LENGTH ? ofBehind(behind) : OWN;
+        return endsWithInterim ? worst(counted, ofInterim(framing, behind)) : counted;
+    }
+
+    private static AnswerEnd ofBehind(byte[] behind) {
+        if (isOutOfStep(behind)) {
+            return FILLED;
+        }
+        return isBegun(behind) ? UNCLEAR : OWN;
+    }
+
+    private static AnswerEnd ofInterim(AnswerFraming framing, byte[] behind) {
         if (framing == AnswerFraming.CLOSE) {
             return FILLED;
         }
@@ -54,23 +77,28 @@
     }
 
     /** Judges an answer behind which nothing can come; a second one may be cut anywhere. */
-    private static AnswerEnd ofClosed(BodyBuffer body, EmbeddedHead.Finding heads) {
+    private static AnswerEnd ofClosed(BodyBuffer body, BodyHeads heads) {
+        EmbeddedHead.Finding known = heads.known();
         List<byte[]> lateHeads = lateHeads(body);
         boolean shown = lateHeads.stream().anyMatch(EmbeddedHead::hasVersion);
-        if (heads.whole() || heads.statusOpen() || shown) {
+        if (known.whole() || known.statusOpen() || shown) {
             return FILLED;
         }
-        return lateHeads.isEmpty() ? OWN : UNCLEAR;
+        return lateHeads.isEmpty() && !heads.mayEndWithBrokenAnswer() ? OWN : UNCLEAR;
     }
 
-    /** Judges an answer whose end was found by counting its bytes. */
-    private static AnswerEnd ofCounted(BodyBuffer body, EmbeddedHead.Finding heads, byte[] behind) {
-        AnswerEnd worst = OWN;
+    /** Judges an answer whose end was found by counting its bytes, and that is not out of step. */
+    private static AnswerEnd ofCounted(BodyBuffer body, BodyHeads heads, byte[] behind) {
+        if (body.length() == 0) {
+            return OWN;
+        }
+        boolean broken = behind.length == 0 && heads.mayEndWithBrokenAnswer();
+        AnswerEnd worst = broken || isBegun(behind) ? UNCLEAR : OWN;
         for (byte[] late : lateHeads(body)) {
-            worst = worst(worst, behind.length == 0 ? UNCLEAR : ofJoined(late, behind));
+            worst = worst(worst, behind.length == 0 ? UNCLEAR : ofHead(late, behind));
         }
-        if (heads.isOpen()) {
-            worst = worst(worst, ofOpenHead(body, heads, behind));
+        if (heads.known().isOpen()) {
+            worst = worst(worst, ofOpenHead(body, heads.known(), behind));
         }
         return worst;
     }
@@ -80,7 +108,15 @@
         if (behind.length == 0) {
             return heads.statusOpen() ? UNCLEAR : OWN;
         }
-        return ofJoined(body.from(heads.openAt()), behind);
+        return ofHead(body.from(heads.openAt()), behind);
+    }
+
+    /** Judges a body that ends within or with a head, behind which an answer seems to begin. */
+    private static AnswerEnd ofHead(byte[] head, byte[] behind) {
+        if (EmbeddedHead.isInterim(head)) {
+            return FILLED;
+        }
+        return EmbeddedHead.hasVersion(behind) ? OWN : UNCLEAR;
     }
 
     /** Returns the ends of a body that came as pieces of their own and begin like an answer. */
@@ -88,29 +124,20 @@
         return body.latePieces().stream().filter(EmbeddedHead::isBegun).toList();
     }
 
-    private static AnswerEnd worst(AnswerEnd one, AnswerEnd other) {
+    /** Returns the one of two ends that tells less, or worse, of the bytes. */
+    static AnswerEnd worst(AnswerEnd one, AnswerEnd other) {
         return one.compareTo(other) > 0 ? one : other;
     }
 
-    /** Judges the end of a body that begins like a head, by whether it goes on behind the body. */
-    private static AnswerEnd ofJoined(byte[] tail, byte[] behind) {
-        if (EmbeddedHead.isInterim(tail)) {
-            return EmbeddedHead.mayBegin(behind) ? FILLED : OWN;
-        }
-        if (!isOutOfStep(behind)) {
-            return EmbeddedHead.hasVersion(behind) ? OWN : UNCLEAR;
-        }
-        ByteArrayOutputStream joined = new ByteArrayOutputStream();
-        joined.writeBytes(tail);
-        joined.writeBytes(behind);
-        return switch (EmbeddedHead.around(joined.toByteArray(), tail.length)) {
-            case HEAD -> FILLED;
-            case SHORT -> UNCLEAR;
-            case OTHER -> OWN;
-        };
+    /** Returns whether bytes may become the version of an answer, but are none yet. */
+    private static boolean isBegun(byte[] behind) {
+        return behind.length > 0
+                && EmbeddedHead.mayBegin(behind)
+                && !EmbeddedHead.hasVersion(behind);
     }
 
+    /** Returns whether bytes came behind an answer that are not the begin of another one. */
     private static boolean isOutOfStep(byte[] behind) {
-        return behind.length > 0 && !EmbeddedHead.mayBegin(behind);
+        return behind.length > 0 && !AnswerBegin.isSound(behind);
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerFraming.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerFraming.java
@@ -15,6 +15,11 @@
     /** It ends with its connection, so the end of the server looks like the end of the answer. */
     CLOSE;
 
+    /** Returns whether a part that has come is shown to be whole before the answer ends. */
+    boolean provesParts() {
+        return this == CHUNKS;
+    }
+
     static AnswerFraming of(HttpHeaders headers) {
         if (headers.containsValue(
                 HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerListener.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerListener.java
@@ -36,8 +36,14 @@
     }
 
     @Override
-    public long maxEndWaitMs() {
-        return Math.max(0, request.timeLeftMs(System.nanoTime()) / 2);
+    public boolean takesWholeChunks() {
+        return request.answer().isForwardedStream();
+    }
+
+    @Override
+    public long endWaitMs(AnswerEnd end) {
+        long maxMs = Math.max(0, request.timeLeftMs(System.nanoTime()) / 2);
+        return Math.min(maxMs, request.answer().endWaitMs(end));
     }
 
     @Override
@@ -52,6 +58,6 @@
 
     @Override
     public void onFailed(SendOutcome outcome, String cause) {
-        request.guard(() -> request.endSend(outcome, cause));
+        request.guard(() -> request.endSend(request.answer().outcomeOfFailure(outcome), cause));
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerReading.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerReading.java
@@ -53,9 +53,19 @@
         return there;
     }
 
-    /** Counts the bytes of an answer that is buffered as a whole. */
-    void onBody(long bytes) {
-        awaitMemory(share.cover(bytes));
+    /**
+     * Adds bytes of a body to an answer that is buffered as a whole.
+     *
+     * @param answer the answer, not null
+     * @param bytes what came at once, not null
+     * @param nowNanos the current time, in nanoseconds
+     */
+    void addBody(ServerAnswer answer, byte[] bytes, long nowNanos) {
+        answer.addBody(bytes, nowNanos);
+        awaitMemory(share.cover(answer.bufferedBytes()));
+        if (awaitsMemory) {
+            answer.onReadingStopped();
+        }
     }
 
     /** Counts the bytes of a stream that are buffered now. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendConnection.java
@@ -19,7 +19,6 @@
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.transport.HttpAnswerCodec;
 import io.pollenpath.util.GuardedSteps;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -40,9 +39,6 @@
 
     private static final double KEEP_ALIVE_FRACTION = 0.7;
 
-    /** How long an answer waits for the bytes that tell whether its end is its own. */
-    private static final long END_WAIT_MS = 250;
-
     private final BackendConnectionPool pool;
     private final String serverId;
     private final WireDialect dialect;
@@ -58,9 +54,7 @@
     private ScheduledFuture<?> endWait;
     private final CarriedRequests carried = new CarriedRequests();
 
-    /** The bytes of the body that came in this turn and were not passed on yet. */
-    private ByteArrayOutputStream pieces = new ByteArrayOutputStream();
-
+    private final BodyPieces pieces = new BodyPieces();
     private boolean keepAlive;
     private boolean endsWithConnection;
     private String error = "";
@@ -105,7 +99,7 @@
         interimAnswers = 0;
         inAnswer = false;
         ended = false;
-        pieces.reset();
+        pieces.clear();
         carried.add(newRequestId);
         if (!channel.isActive()) {
             request.release();
@@ -182,7 +176,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(SendOutcome.UNKNOWN, "invalid HTTP response: " + message.decoderResult().cause());
+            fail(outcomeOfFlaw(), "invalid HTTP response: " + message.decoderResult().cause());
             close();
             return;
         }
@@ -194,6 +188,15 @@
         }
     }
 
+    /**
+     * Returns the outcome of bytes that HTTP does not know. Behind a chunk they show that it was
+     * filled up, up to bytes like its line end; within one, that is all that was.
+     */
+    private SendOutcome outcomeOfFlaw() {
+        boolean behindChunk = inAnswer && codec.incompleteChunkBytes() == 0;
+        return behindChunk ? SendOutcome.SPOILT : SendOutcome.UNKNOWN;
+    }
+
     private void onHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             onInterimAnswer();
@@ -250,7 +253,7 @@
             return;
         }
         if (!ignoringResponse) {
-            pieces.writeBytes(ByteBufUtil.getBytes(content.content()));
+            pieces.add(ByteBufUtil.getBytes(content.content()));
         }
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -267,14 +270,16 @@
         }
     }
 
-    /** Passes on what has come in one turn, however small the parts are in which it came. */
+    /**
+     * Passes on what has come in one turn, however small the parts are in which it came. What is
+     * held back of a chunk that never gets whole is not passed on.
+     */
     private void passOnPieces() {
-        if (pieces.size() == 0) {
+        if (listener == null) {
             return;
         }
-        byte[] bytes = pieces.toByteArray();
-        pieces = new ByteArrayOutputStream();
-        if (listener != null) {
+        byte[] bytes = pieces.take(listener.takesWholeChunks() ? codec.incompleteChunkBytes() : 0);
+        if (bytes.length > 0) {
             listener.onData(bytes);
         }
     }
@@ -292,18 +297,15 @@
     }
 
     private void completeOrWait() {
-        AnswerEnd end = listener.judgeEnd(codec.bytesBehind());
-        if (!channel.isActive() || end != AnswerEnd.UNCLEAR) {
+        long waitMs = listener.endWaitMs(listener.judgeEnd(codec.bytesBehind()));
+        if (!channel.isActive() || waitMs == 0) {
             complete();
         } else if (endWait == null) {
             setReading(true);
             BackendListener waiting = listener;
             endWait =
                     channel.eventLoop()
-                            .schedule(
-                                    () -> onEndWaitOver(waiting),
-                                    Math.min(END_WAIT_MS, listener.maxEndWaitMs()),
-                                    TimeUnit.MILLISECONDS);
+                            .schedule(() -> onEndWaitOver(waiting), waitMs, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -316,7 +318,7 @@
     private void complete() {
         endWait = null;
         byte[] behind = codec.bytesBehind();
-        boolean own = listener.judgeEnd(behind) == AnswerEnd.OWN;
+        boolean own = listener.judgeEnd(behind).isOwn();
         BackendListener completed = listener;
         listener = null;
         boolean endedByClose = endsWithConnection && !channel.isActive();
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendListener.java
@@ -12,6 +12,11 @@
     /** Receives a part of the body. */
     void onData(byte[] bytes);
 
+    /** Returns whether a part of a chunk is held back until the chunk is whole. */
+    default boolean takesWholeChunks() {
+        return false;
+    }
+
     /**
      * Judges the end of a complete answer. One that is unclear is judged again when more bytes have
      * come.
@@ -20,8 +25,13 @@
      */
     AnswerEnd judgeEnd(byte[] behind);
 
-    /** Returns how long a complete answer may wait for the bytes that make its end clear. */
-    long maxEndWaitMs();
+    /**
+     * Returns how long a complete answer waits for the bytes that make its end clear.
+     *
+     * @param end what its end tells so far, not null
+     * @return the time, in milliseconds; 0 if it does not wait
+     */
+    long endWaitMs(AnswerEnd end);
 
     /**
      * Handles the end of a complete answer.
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BackendServers.java
@@ -126,7 +126,8 @@
     void onFailed(ServerInstance server, SendOutcome outcome, long nowNanos) {
         ServerHealth serverHealth = healthOf(server.id());
         switch (outcome) {
-            case NOT_SENT, UNKNOWN, OTHER_SERVER -> serverHealth.onConnectionFailure(nowNanos);
+            case NOT_SENT, UNKNOWN, SPOILT, OTHER_SERVER ->
+                    serverHealth.onConnectionFailure(nowNanos);
             case NOT_RUN, RUN_AND_FAILED -> serverHealth.onFailure(nowNanos);
             case DOUBTFUL -> serverHealth.onSuccess();
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashDetector.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/CrashDetector.java
@@ -80,7 +80,7 @@
             Collection<ForwardedRequest> inFlight,
             long nowNanos) {
         switch (outcome) {
-            case UNKNOWN -> onConnectionBroken(failed, server, inFlight, nowNanos);
+            case UNKNOWN, SPOILT -> onConnectionBroken(failed, server, inFlight, nowNanos);
             case NOT_SENT -> onConnectFailed(server, nowNanos);
             case OTHER_SERVER -> onReplaced(server, nowNanos);
             case NOT_RUN, RUN_AND_FAILED, DOUBTFUL -> onAnswered(server, failed.sentNanos());
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -16,20 +16,11 @@
 final class EmbeddedHead {
 
     private static final String VERSION = StatusLine.VERSION;
-
-    /** A status line up to the first digit of its status. */
-    private static final Pattern STATUS_BEGIN = Pattern.compile("HTTP/1\\.\\d \\d");
-
-    /** The words of a status are few and plain; text that goes on otherwise only names one. */
-    private static final Pattern STATUS_AT_END =
-            Pattern.compile("HTTP/1\\.\\d \\d{1,3}( [A-Za-z0-9 '()./-]{0,64})?");
-
-    private static final Pattern FIELD_BEGIN = Pattern.compile("[!-9;-~]*");
-    private static final Pattern VERSION_AT_END = Pattern.compile("HTTP/1\\.\\d ?");
     private static final Pattern INTERIM = Pattern.compile("HTTP/1\\.\\d 1\\d\\d\\s");
     private static final Pattern EMPTY_LINE = Pattern.compile("\n\r?\n");
     private static final int NOWHERE = -1;
 
+    private final HeadForm form;
     private final Predicate<String> isKnownId;
     private boolean whole;
     private boolean named;
@@ -60,17 +51,8 @@
         }
     }
 
-    /** What bytes are that begin like a head. */
-    enum Begin {
-        /** A head, or its begin with the whole status. */
-        HEAD,
-        /** So few bytes that they may become a head. */
-        SHORT,
-        /** No head. */
-        OTHER
-    }
-
-    private EmbeddedHead(Predicate<String> isKnownId) {
+    private EmbeddedHead(HeadForm form, Predicate<String> isKnownId) {
+        this.form = form;
         this.isKnownId = isKnownId;
     }
 
@@ -81,54 +63,48 @@
      * @param isKnownId whether an ID is that of a request, not null
      */
     static Finding find(byte[] body, Predicate<String> isKnownId) {
+        return find(HeadForm.HTTP_1, body, isKnownId);
+    }
+
+    /** Finds the heads of a form in a body, which may end before the last head does. */
+    static Finding find(HeadForm form, byte[] body, Predicate<String> isKnownId) {
         String text = new String(body, StandardCharsets.ISO_8859_1);
-        EmbeddedHead head = new EmbeddedHead(isKnownId);
-        if (text.contains(VERSION)) {
+        EmbeddedHead head = new EmbeddedHead(form, isKnownId);
+        if (text.contains(form.version())) {
             head.readLines(text);
         } else {
-            head.openAt = beginOfVersion(text);
+            head.openAt = head.beginOfVersion(text);
         }
         return new Finding(head.whole, head.named, head.openAt, head.statusOpen);
     }
 
-    /**
-     * Tells what the head is within which an offset lies. Another head may begin before the offset
-     * in the same lines, and whole heads may come before it.
-     */
-    static Begin around(byte[] bytes, int offset) {
+    /** Returns whether bytes look like a head that may go on, or like whole heads and then one. */
+    static boolean isBegun(byte[] bytes) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
-        int start = lastEmptyLineBefore(text, offset);
-        Matcher emptyLine = EMPTY_LINE.matcher(text).region(start, text.length());
-        String head = text.substring(start, emptyLine.find() ? emptyLine.start() : text.length());
-        int openAt = find(head.getBytes(StandardCharsets.ISO_8859_1), id -> false).openAt();
-        if (openAt < 0 || start + openAt >= offset) {
-            return Begin.OTHER;
-        }
-        String status = head.substring(openAt).lines().findFirst().orElse("");
-        return StatusLine.PATTERN.matcher(status).lookingAt() ? Begin.HEAD : Begin.SHORT;
+        String last = text.substring(lastEmptyLineIn(text));
+        return isFirstLineBegun(text) && isFirstLineBegun(last);
     }
 
-    /** Returns whether bytes are a head that may go on behind them, or whole heads and then one. */
-    static boolean isBegun(byte[] bytes) {
-        String text = new String(bytes, StandardCharsets.ISO_8859_1);
-        String last = text.substring(lastEmptyLineBefore(text, text.length()));
-        byte[] lastBytes = last.getBytes(StandardCharsets.ISO_8859_1);
-        return mayBegin(bytes) && find(lastBytes, id -> false).openAt() == 0;
+    private static boolean isFirstLineBegun(String text) {
+        String line = text.lines().findFirst().orElse("");
+        return !line.isEmpty()
+                && (isVersionBegin(HeadForm.LIKE_HTTP, line)
+                        || HeadForm.LIKE_HTTP.statusBegin().matcher(line).lookingAt());
     }
 
-    /** Returns where the last empty line ends that ends before an offset; 0 if there is none. */
-    private static int lastEmptyLineBefore(String text, int offset) {
+    /** Returns where the last empty line ends behind which there is text; 0 if there is none. */
+    private static int lastEmptyLineIn(String text) {
         Matcher emptyLine = EMPTY_LINE.matcher(text);
         int start = 0;
-        while (emptyLine.find() && emptyLine.end() < offset) {
+        while (emptyLine.find() && emptyLine.end() < text.length()) {
             start = emptyLine.end();
         }
         return start;
     }
 
-    /** Returns whether a line holds the version of an answer. */
+    /** Returns whether a line holds what may be the version of an answer. */
     static boolean holdsVersion(String line) {
-        return line.contains(VERSION);
+        return line.contains(HeadForm.LIKE_HTTP.version());
     }
 
     /** Returns whether bytes begin as an answer does, as far as they go. */
@@ -174,7 +150,7 @@
             openAt = NOWHERE;
             return;
         }
-        int status = lastMatch(StatusLine.PATTERN, withoutReturn(line));
+        int status = lastMatch(form.status(), withoutReturn(line));
         if (status != NOWHERE) {
             open(start + status);
         } else {
@@ -193,21 +169,21 @@
     }
 
     private void readLastLine(String line, int start) {
-        int status = lastMatch(STATUS_BEGIN, withoutReturn(line));
+        int status = lastMatch(form.statusBegin(), withoutReturn(line));
         if (status != NOWHERE) {
             open(start + status);
             statusOpen = isStatusAtEnd(line.substring(status));
         } else if (openAt != NOWHERE && line.indexOf(':') > 0) {
             readField(line);
-        } else if (openAt == NOWHERE || !FIELD_BEGIN.matcher(withoutReturn(line)).matches()) {
+        } else if (openAt == NOWHERE || !form.fieldBegin().matcher(withoutReturn(line)).matches()) {
             int begin = beginOfVersion(line);
             openAt = begin == NOWHERE ? NOWHERE : start + begin;
             statusOpen = false;
         }
     }
 
-    private static boolean isStatusAtEnd(String text) {
-        return STATUS_AT_END.matcher(withoutReturn(text)).matches();
+    private boolean isStatusAtEnd(String text) {
+        return form.statusAtEnd().matcher(withoutReturn(text)).matches();
     }
 
     private void open(int at) {
@@ -220,8 +196,8 @@
         return line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
     }
 
-    private static int lastMatch(Pattern pattern, String line) {
-        if (!line.contains(VERSION)) {
+    private int lastMatch(Pattern pattern, String line) {
+        if (!line.contains(form.version())) {
             return NOWHERE;
         }
         Matcher matcher = pattern.matcher(line);
@@ -233,12 +209,12 @@
     }
 
     /** Returns where the begin of a version stands at the end of a text; -1 if there is none. */
-    private static int beginOfVersion(String text) {
+    private int beginOfVersion(String text) {
         int at = text.lastIndexOf('H');
-        return at >= 0 && isVersionBegin(text.substring(at)) ? at : NOWHERE;
+        return at >= 0 && isVersionBegin(form, text.substring(at)) ? at : NOWHERE;
     }
 
-    private static boolean isVersionBegin(String text) {
-        return VERSION.startsWith(text) || VERSION_AT_END.matcher(text).matches();
+    private static boolean isVersionBegin(HeadForm form, String text) {
+        return form.version().startsWith(text) || form.versionAtEnd().matcher(text).matches();
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EventSplitter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 
 /**
  * Splits a stream of server-sent events into complete events, and buffers the bytes of an
@@ -23,6 +24,7 @@
 
     private static final String ID_FIELD = "id:";
     private static final byte COMMENT = ':';
+    private static final Pattern NAMED_FIELD = Pattern.compile("[A-Za-z][A-Za-z0-9_-]*:");
 
     private byte[] pending = new byte[INITIAL_BYTES];
     private int length;
@@ -69,6 +71,21 @@
                     .allMatch(name -> name.isEmpty() || isField.test(name));
         }
 
+        /**
+         * Returns whether each line is a field or a comment. Names that are not known may stand in
+         * a stream, but only before a colon: a word without one is text of something else.
+         */
+        boolean hasOnlyFields(Predicate<String> isField) {
+            return new String(bytes, StandardCharsets.ISO_8859_1)
+                    .lines()
+                    .allMatch(
+                            line ->
+                                    line.isEmpty()
+                                            || line.charAt(0) == COMMENT
+                                            || isField.test(line)
+                                            || NAMED_FIELD.matcher(line).lookingAt());
+        }
+
         private static String fieldName(String line) {
             int colon = line.indexOf(':');
             return colon < 0 ? line : line.substring(0, colon);
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ForwardedRequest.java
@@ -223,13 +223,13 @@
 
     /** Reads a part of the body of an answer. */
     void readData(byte[] bytes) {
+        long nowNanos = System.nanoTime();
         if (answer.isForwardedStream()) {
-            events.forward(answer, answer.addEvents(bytes, gateway.dialect()));
+            events.forward(answer, answer.addEvents(bytes, gateway.dialect(), nowNanos));
             reading.onEvents(answer.bufferedBytes());
         } else {
-            progress.onProgress(System.nanoTime());
-            answer.addBody(bytes);
-            reading.onBody(answer.bufferedBytes());
+            progress.onProgress(nowNanos);
+            reading.addBody(answer, bytes, nowNanos);
         }
         answer.flaw().filter(flaw -> !done).ifPresent(this::breakOff);
     }
@@ -237,7 +237,7 @@
     /** Fails the send to a server whose answer cannot be forwarded any further. */
     private void breakOff(String cause) {
         cancelSend();
-        endSend(SendOutcome.UNKNOWN, cause);
+        endSend(answer.outcomeOfFlaw(), cause);
     }
 
     /** Returns what decides whether the answer is read on. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/RequestLog.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.pollenpath.coordination.serving.SendOutcome;
 import io.pollenpath.state.serving.ServerInstance;
+import io.pollenpath.transport.AnswerBegin;
 import io.pollenpath.transport.MetricNames;
 import io.pollenpath.util.LogLine;
 import java.nio.charset.StandardCharsets;
@@ -147,7 +148,7 @@
      */
     void ended(ForwardedRequest request, ServerInstance server, byte[] behind) {
         AnswerEnd end = request.answer().end(behind);
-        if (behind.length == 0 && end == AnswerEnd.OWN) {
+        if (behind.length == 0 && end.isOwn()) {
             return;
         }
         MetricNames.count(metrics, "answers_end_shown_total", "end", end.name());
@@ -160,7 +161,7 @@
                         .with("framing", request.answer().framing())
                         .with("end", end)
                         .with("bytes_behind", behind.length)
-                        .with("in_step", EmbeddedHead.mayBegin(behind)));
+                        .with("in_step", AnswerBegin.isSound(behind)));
         LOG.debug(
                 "{}",
                 LogLine.event("answer_end_bytes")
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -16,12 +16,16 @@
     private static final String TOO_LARGE = "answer is too large to be buffered";
     private static final int MAX_BODY_BYTES = 8_388_608;
 
+    /** How long an answer that ends like a head waits for the bytes that tell more. */
+    private static final long END_WAIT_MS = 250;
+
     /** The number of events from which the server has worked on the whole prompt. */
     private static final int EVENTS_IF_IT_GOES_ON = 2;
 
     private EventSplitter splitter = new EventSplitter();
     private List<EventSplitter.Event> heldEvents = List.of();
     private final Predicate<String> isKnownId;
+    private final BodyPauses pauses = new BodyPauses();
     private BodyBuffer body = new BodyBuffer();
     private Optional<String> flaw = Optional.empty();
     private WireDialect.ReplyKind kind;
@@ -32,7 +36,7 @@
     private boolean kept;
 
     /** Found once, since an end is judged again whenever bytes come behind it. */
-    private Optional<EmbeddedHead.Finding> heads = Optional.empty();
+    private Optional<BodyHeads> heads = Optional.empty();
 
     /**
      * Creates an answer of which nothing has arrived.
@@ -114,7 +118,7 @@
                             "server refused the request with status " + status);
             case OTHER_SERVER ->
                     failure(SendOutcome.OTHER_SERVER, "address belongs to another server");
-            case UNPROVEN -> failure(SendOutcome.UNKNOWN, "answer could not be verified");
+            case UNPROVEN -> failure(outcomeOfFlaw(), "answer could not be verified");
             case ANSWER -> failureOfAnswer(behind);
         };
     }
@@ -149,11 +153,16 @@
         if (kind != WireDialect.ReplyKind.ANSWER) {
             return AnswerEnd.OWN;
         }
+        boolean mayGoOn = framing == AnswerFraming.LENGTH && behind.length == 0 && pauses.areAny();
+        return AnswerEnd.worst(mayGoOn ? AnswerEnd.PAUSED : AnswerEnd.OWN, endOfBytes(behind));
+    }
+
+    private AnswerEnd endOfBytes(byte[] behind) {
         if (isForwardedStream()) {
-            return heldEvents.isEmpty() ? AnswerEnd.OWN : AnswerEnd.ofInterim(framing, behind);
+            return AnswerEnd.ofStream(framing, !heldEvents.isEmpty(), behind);
         }
         if (heads.isEmpty()) {
-            heads = Optional.of(EmbeddedHead.find(body.toByteArray(), isKnownId));
+            heads = Optional.of(BodyHeads.in(body.toByteArray(), isKnownId));
         }
         return AnswerEnd.of(framing, body, heads.get(), behind);
     }
@@ -162,17 +171,22 @@
      * Appends bytes of a stream and returns the events that they complete, up to the first bytes
      * that are no event. An event that ends with the head of an interim answer is held until the
      * next one shows whether it is a quotation: a second answer would go on with another head.
+     *
+     * @param bytes what came at once, not null
+     * @param dialect knows the fields of an event, not null
+     * @param nowNanos the current time, in nanoseconds
      */
-    List<EventSplitter.Event> addEvents(byte[] bytes, WireDialect dialect) {
+    List<EventSplitter.Event> addEvents(byte[] bytes, WireDialect dialect, long nowNanos) {
+        pauses.onPiece(nowNanos);
         List<EventSplitter.Event> events = new ArrayList<>();
         for (EventSplitter.Event event : splitter.add(bytes)) {
-            EmbeddedHead.Finding found = EmbeddedHead.find(event.bytes(), isKnownId);
-            if (!mayContain(event, found, dialect)) {
+            BodyHeads found = BodyHeads.in(event.bytes(), isKnownId);
+            if (!mayContain(event, found, dialect) || !isSound(event, dialect)) {
                 flaw = Optional.of("bytes that are no event");
                 return events;
             }
             events.addAll(takeHeldEvents());
-            if (found.endsWithInterim(event.bytes())) {
+            if (found.known().endsWithInterim(event.bytes())) {
                 heldEvents = List.of(event);
             } else {
                 events.add(event);
@@ -197,9 +211,27 @@
      * stream. Text that names a status is no head while each line is a field of an event.
      */
     private static boolean mayContain(
-            EventSplitter.Event event, EmbeddedHead.Finding found, WireDialect dialect) {
-        boolean holdsHead = found.whole() || found.named() || found.isOpen();
-        return !holdsHead || event.hasOnlyFieldsFromHead(dialect::isEventField);
+            EventSplitter.Event event, BodyHeads found, WireDialect dialect) {
+        return !found.isAny() || event.hasOnlyFieldsFromHead(dialect::isEventField);
+    }
+
+    /** Returns whether an event is one by its lines, if nothing else shows whose bytes it holds. */
+    private boolean isSound(EventSplitter.Event event, WireDialect dialect) {
+        return framing.provesParts() || event.hasOnlyFields(dialect::isEventField);
+    }
+
+    /**
+     * Returns the outcome of the send if the answer has a flaw. Of events that were passed on, just
+     * chunks have shown that they are the server's.
+     */
+    SendOutcome outcomeOfFlaw() {
+        return outcomeOfFailure(framing.provesParts() ? SendOutcome.UNKNOWN : SendOutcome.SPOILT);
+    }
+
+    /** Returns the outcome of the send for a failure; what was not passed on spoils nothing. */
+    SendOutcome outcomeOfFailure(SendOutcome outcome) {
+        boolean passedOn = isForwardedStream() && events > 0;
+        return outcome == SendOutcome.SPOILT && !passedOn ? SendOutcome.UNKNOWN : outcome;
     }
 
     /** Returns why no more of the answer can be forwarded; empty if it can. */
@@ -223,15 +255,35 @@
         return events >= EVENTS_IF_IT_GOES_ON;
     }
 
-    /** Appends bytes of a body. */
-    void addBody(byte[] bytes) {
+    /**
+     * Appends bytes of a body.
+     *
+     * @param bytes what came at once, not null
+     * @param nowNanos the current time, in nanoseconds
+     */
+    void addBody(byte[] bytes, long nowNanos) {
         body.append(bytes);
+        pauses.onPiece(nowNanos);
         heads = Optional.empty();
         if (body.length() > MAX_BODY_BYTES) {
             flaw = Optional.of(TOO_LARGE);
         }
     }
 
+    /** Records that the answer is not read for now. */
+    void onReadingStopped() {
+        pauses.onReadingStopped();
+    }
+
+    /** Returns how long a whole answer with such an end waits for what tells more of it. */
+    long endWaitMs(AnswerEnd end) {
+        return switch (end) {
+            case OWN, FILLED -> 0;
+            case PAUSED -> pauses.endWaitMs();
+            case UNCLEAR -> Math.max(END_WAIT_MS, pauses.endWaitMs());
+        };
+    }
+
     /** Returns the end of a buffered body as text. */
     String lastText(int maxBytes) {
         byte[] last = body.from(Math.max(0, body.length() - maxBytes));
--- a/pollenpath/src/test/java/io/pollenpath/coordination/serving/ResendPolicyTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/coordination/serving/ResendPolicyTest.java
@@ -45,6 +45,7 @@
                 new Row("no time", ONCE, SendOutcome.NOT_RUN, 1, false, 5, Decision.REFUSE),
                 new Row("late", IDEMPOTENT, SendOutcome.UNKNOWN, 1, true, 5, Decision.FAIL),
                 new Row("resume", RESUMABLE, SendOutcome.UNKNOWN, 1, true, 5_000, Decision.RESEND),
+                new Row("spoilt", RESUMABLE, SendOutcome.SPOILT, 1, true, 5_000, Decision.FAIL),
                 new Row("cut", FINAL_STREAM, SendOutcome.UNKNOWN, 1, true, 5_000, Decision.FAIL),
                 new Row("ran before", ONCE, SendOutcome.NOT_RUN, 1, true, 500, Decision.FAIL));
     }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -28,7 +29,7 @@
         BodyBuffer body = new BodyBuffer();
         body.append(bytes(first));
         body.append(bytes(second));
-        EmbeddedHead.Finding heads = EmbeddedHead.find(body.toByteArray(), "carried"::equals);
+        BodyHeads heads = BodyHeads.in(body.toByteArray(), "carried"::equals);
         return AnswerEnd.of(framing, body, heads, bytes(behind));
     }
 
@@ -191,11 +192,38 @@
         assertThat(endOf(AnswerFraming.CHUNKS, body, "")).isEqualTo(AnswerEnd.OWN);
     }
 
-    /** Guards against a sound answer that is refused since other bytes came behind it. */
+    /** Guards against an answer that bytes of no answer have filled up, whatever they are. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "oops",
+                "HTTP/2.0 200 OK",
+                "HTTP/1.1 2000 OK",
+                "<html>",
+                "\0\0",
+                "\r\n",
+                "x"
+            })
+    void bytesThatAreNoAnswerShowThatALengthProvesNothing(String behind) {
+        for (String text : List.of("", "PATH", "HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody")) {
+            assertThat(endOf(AnswerFraming.LENGTH, LETTER + text, behind))
+                    .isEqualTo(AnswerEnd.FILLED);
+        }
+    }
+
+    /** Guards against a sound answer that is refused though its end is shown otherwise. */
+    @ParameterizedTest
+    @ValueSource(strings = {"oops", "HTTP/2.0 200 OK", "\0\0\0"})
+    void bytesThatAreNoAnswerMayComeBehindAnEndThatIsShown(String behind) {
+        assertThat(endOf(AnswerFraming.CHUNKS, LETTER, behind)).isEqualTo(AnswerEnd.OWN);
+        assertThat(endOf(AnswerFraming.LENGTH, "", behind)).isEqualTo(AnswerEnd.OWN);
+    }
+
+    /** Guards against an answer that is passed on though what is behind it may be anything yet. */
     @Test
-    void bytesThatAreNoAnswerMayComeBehind() {
-        assertThat(endOf(AnswerFraming.LENGTH, LETTER, "oops")).isEqualTo(AnswerEnd.OWN);
-        assertThat(endOf(AnswerFraming.LENGTH, LETTER + "PATH", "oops")).isEqualTo(AnswerEnd.OWN);
+    void theBeginOfAVersionBehindAnAnswerIsUnclear() {
+        assertThat(endOf(AnswerFraming.LENGTH, LETTER, "HTTP/")).isEqualTo(AnswerEnd.UNCLEAR);
+        assertThat(endOf(AnswerFraming.LENGTH, LETTER, "HTTP/1.")).isEqualTo(AnswerEnd.OWN);
     }
 
     /** Guards against a quoted head that hides the begin of a second answer. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/BackendConnectionTest.java
@@ -49,12 +49,12 @@
 
         @Override
         public void onData(byte[] bytes) {
-            answer.addBody(bytes);
+            answer.addBody(bytes, 0);
         }
 
         @Override
-        public long maxEndWaitMs() {
-            return Long.MAX_VALUE;
+        public long endWaitMs(AnswerEnd end) {
+            return answer.endWaitMs(end);
         }
 
         @Override
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/CutHeadTest.java
@@ -49,8 +49,8 @@
         }
 
         @Override
-        public long maxEndWaitMs() {
-            return Long.MAX_VALUE;
+        public long endWaitMs(AnswerEnd end) {
+            return 0;
         }
 
         @Override
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/PlayedConnection.java
@@ -26,20 +26,28 @@
     private static final String EARLIER_ANSWER =
             "HTTP/1.1 200 OK\r\nRequest-Id: before\r\nContent-Length: 0\r\n\r\n";
     private static final int PAUSE_MS = 2;
-    private static final int LONG_PAUSE_MS = 1_000;
+    private static final int LONG_PAUSE_MS = 1_100;
     private static final TestDialect DIALECT = new TestDialect();
     private static final EventLoop LOOP = new EmbeddedChannel().eventLoop();
 
+    /** The time that has been played. */
+    private static final class PlayedClock {
+        private long nanos;
+    }
+
     /** What a request heard of its answer, as the entry judges it. */
     static final class Heard implements BackendListener {
         private final ServerAnswer answer;
+        private final PlayedClock clock;
         private final ByteArrayOutputStream events = new ByteArrayOutputStream();
         private final List<String> failures = new ArrayList<>();
         private String proof = "";
         private int successes;
         private boolean waited;
+        private boolean spoilt;
 
-        private Heard(BackendConnection connection) {
+        private Heard(BackendConnection connection, PlayedClock clock) {
+            this.clock = clock;
             answer = new ServerAnswer(connection::hasCarried);
         }
 
@@ -52,26 +60,32 @@
         @Override
         public void onData(byte[] bytes) {
             if (!answer.isForwardedStream()) {
-                answer.addBody(bytes);
+                answer.addBody(bytes, clock.nanos);
             } else if (answer.flaw().isEmpty()) {
-                forward(answer.addEvents(bytes, DIALECT));
+                forward(answer.addEvents(bytes, DIALECT, clock.nanos));
             }
         }
 
+        @Override
+        public boolean takesWholeChunks() {
+            return answer.isForwardedStream();
+        }
+
         private void forward(List<EventSplitter.Event> complete) {
             complete.forEach(event -> events.writeBytes(event.bytes()));
+            complete.forEach(event -> answer.countEvent());
         }
 
         @Override
-        public long maxEndWaitMs() {
-            return Long.MAX_VALUE;
+        public long endWaitMs(AnswerEnd end) {
+            long waitMs = answer.endWaitMs(end);
+            waited |= waitMs > 0;
+            return waitMs;
         }
 
         @Override
         public AnswerEnd judgeEnd(byte[] behind) {
-            AnswerEnd end = answer.end(behind);
-            waited |= end == AnswerEnd.UNCLEAR;
-            return end;
+            return answer.end(behind);
         }
 
         @Override
@@ -93,6 +107,7 @@
         @Override
         public void onFailed(SendOutcome outcome, String cause) {
             failures.add(cause);
+            spoilt = answer.outcomeOfFailure(outcome) == SendOutcome.SPOILT;
         }
 
         boolean isSuccess() {
@@ -113,6 +128,11 @@
             return new String(bytes, StandardCharsets.ISO_8859_1);
         }
 
+        /** Returns whether no other run may go on with what the caller got. */
+        boolean isSpoilt() {
+            return spoilt;
+        }
+
         /** Returns whether the caller got the whole body, or no more than it can tell as cut. */
         boolean isTrueTo(String body) {
             if (isSuccess()) {
@@ -131,15 +151,27 @@
 
     /** Plays writes of a server that has answered a request of another method before. */
     static Heard playAfter(HttpMethod methodBefore, HttpMethod method, List<String> writes) {
+        return play(methodBefore, method, writes, PAUSE_MS);
+    }
+
+    /** Plays writes of a server that pauses before each of them. */
+    static Heard playWithPauses(HttpMethod method, List<String> writes, int pauseMs) {
+        return play(HttpMethod.GET, method, writes, pauseMs);
+    }
+
+    private static Heard play(
+            HttpMethod methodBefore, HttpMethod method, List<String> writes, int pauseMs) {
         BackendConnectionPool pool = new BackendConnectionPool(LOOP, DIALECT, cause -> {});
         BackendConnection connection = new BackendConnection(pool, "server", DIALECT);
         EmbeddedChannel channel = new EmbeddedChannel(BackendConnectionPool.codec(), connection);
-        send(connection, methodBefore, EARLIER_REQUEST, new Heard(connection));
+        PlayedClock clock = new PlayedClock();
+        send(connection, methodBefore, EARLIER_REQUEST, new Heard(connection, clock));
         write(channel, EARLIER_ANSWER);
-        Heard heard = new Heard(connection);
+        Heard heard = new Heard(connection, clock);
         send(connection, method, REQUEST, heard);
         for (String bytes : writes) {
-            pause(channel, PAUSE_MS);
+            clock.nanos += TimeUnit.MILLISECONDS.toNanos(pauseMs);
+            pause(channel, pauseMs);
             if (channel.isActive()) {
                 write(channel, bytes);
             }
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.function.IntFunction;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -181,6 +182,141 @@
         }
     }
 
+    /** Returns the answers that are buffered and whose head tells where they end. */
+    private static List<First> buffered() {
+        return firsts().stream()
+                .filter(first -> first.body().equals(TEXT) && !first.name().equals("no length"))
+                .toList();
+    }
+
+    /** Guards against an answer that is filled up by bytes of any kind, at once or later. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "The server has failed. ",
+                "<html>\n<body>\n<p>It failed.</p>\n\n</body>\n</html>\n",
+                "RTSP/1.0 200 OK\r\nCSeq: 2\r\n\r\n",
+                "\0",
+                "id: 7\ndata: other\n\n"
+            })
+    void bytesThatAreNoAnswerAreNoPartOfTheFirst(String text) {
+        String bytes = text.repeat(1 + 1_000 / text.length());
+        for (First first : buffered()) {
+            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
+                String begin = first.bytes().substring(0, cut);
+                assertTrueTo(first, List.of(begin + bytes), 2);
+                assertTrueTo(first, List.of(begin, bytes), 20);
+            }
+        }
+    }
+
+    private static List<First> streams(String framing) {
+        return firsts().stream()
+                .filter(first -> first.name().matches("events, .*, " + framing))
+                .toList();
+    }
+
+    /** Guards against a stream of which a chunk, or what its length names, is filled up. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "The server has failed. ",
+                "<html>\n<body>\n<p>It failed.</p>\n\n</body>\n</html>\n",
+                "\0",
+                "id: 7\ndata: other\n\n"
+            })
+    void bytesThatAreNoAnswerAreNoPartOfAStream(String text) {
+        String bytes = text.repeat(1 + 1_000 / text.length());
+        for (First first : streams("chunks")) {
+            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
+                String begin = first.bytes().substring(0, cut);
+                assertTrueTo(first, List.of(begin + bytes), 2);
+                assertTrueTo(first, List.of(begin, bytes), 20);
+            }
+        }
+        for (First first : streams("length")) {
+            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
+                String begin = first.bytes().substring(0, cut);
+                Heard heard = PlayedConnection.play(first.method(), List.of(begin, bytes));
+                assertWithMessage(first + ", cut at " + cut).that(heard.isSuccess()).isFalse();
+                List<String> writes = new ArrayList<>(List.of(begin));
+                bytes.chars().forEach(letter -> writes.add(String.valueOf((char) letter)));
+                Heard paused = PlayedConnection.playWithPauses(first.method(), writes, 20);
+                assertWithMessage(first + ", cut at " + cut).that(paused.isSuccess()).isFalse();
+            }
+        }
+    }
+
+    /** Guards against a stream that another run goes on with though its last chunk is spoilt. */
+    @Test
+    void aChunkThatIsFilledUpToALineEndSpoilsItsStream() {
+        String bytes = "data: other\r\n\r\n".repeat(80);
+        int spoilt = 0;
+        for (First first : streams("chunks")) {
+            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
+                String begin = first.bytes().substring(0, cut);
+                Heard heard = PlayedConnection.play(first.method(), List.of(begin, bytes));
+                boolean kept = heard.isTrueTo(first.body()) || heard.isSpoilt();
+                assertWithMessage(first + ", cut at " + cut).that(kept).isTrue();
+                spoilt += heard.isTrueTo(first.body()) ? 0 : 1;
+            }
+        }
+        assertThat(spoilt).isGreaterThan(0);
+    }
+
+    /** Guards against a stream without a length that goes on with a page of text. */
+    @Test
+    void aPageOfTextIsNoPartOfAStream() {
+        String page = "<html>\n<body>\n<p>It failed.</p>\n\n</body>\n</html>\n\n";
+        for (First first : streams("no length")) {
+            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
+                String begin = first.bytes().substring(0, cut);
+                assertTrueTo(first, List.of(begin, page), 2);
+            }
+        }
+    }
+
+    /** Guards against an answer that is filled up in pieces, of which one ends where it ends. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 30})
+    void piecesWithPausesAreNoPartOfTheFirst(int pieceBytes) {
+        String bytes = "The server has failed. ".repeat(30);
+        for (First first : buffered()) {
+            for (int missing = 1; missing <= 2 * pieceBytes; missing++) {
+                int cut = first.bytes().length() - missing;
+                List<String> writes = new ArrayList<>();
+                writes.add(first.bytes().substring(0, cut));
+                for (int at = 0; at + pieceBytes <= bytes.length(); at += pieceBytes) {
+                    writes.add(bytes.substring(at, at + pieceBytes));
+                }
+                for (int pauseMs : List.of(20, 280, 480)) {
+                    assertTrueTo(first, writes, pauseMs);
+                }
+            }
+        }
+    }
+
+    private static void assertTrueTo(First first, List<String> writes, int pauseMs) {
+        Heard heard = PlayedConnection.playWithPauses(first.method(), writes, pauseMs);
+        assertWithMessage(first + ", pauses of " + pauseMs + " ms: " + writes)
+                .that(heard.isTrueTo(first.body()))
+                .isTrue();
+    }
+
+    /** Guards against a sound answer that is refused, or held for long, since its server pauses. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 280, 2_000})
+    void aSoundAnswerMayPause(int pauseMs) {
+        for (First first : buffered()) {
+            int middle = (first.head().length() + first.bytes().length()) / 2;
+            List<String> writes =
+                    List.of(first.bytes().substring(0, middle), first.bytes().substring(middle));
+            Heard heard = PlayedConnection.playWithPauses(first.method(), writes, pauseMs);
+            assertWithMessage(first + ": " + heard.failures()).that(heard.isSuccess()).isTrue();
+            assertThat(heard.body()).isEqualTo(first.body());
+        }
+    }
+
     /** Plays an answer that stops anywhere, and second answers behind it, by the offset. */
     private static void assertNoPartOf(First first, IntFunction<List<String>> seconds) {
         List<String> wrong = new ArrayList<>();
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.pollenpath.coordination.serving.SendOutcome;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -17,7 +18,7 @@
     private List<EventSplitter.Event> add(String text) {
         HttpHeaders headers = new DefaultHttpHeaders().set("Content-Type", "text/event-stream");
         answer.onHead(WireDialect.ReplyKind.ANSWER, headers, true);
-        return answer.addEvents(text.getBytes(StandardCharsets.UTF_8), new TestDialect());
+        return answer.addEvents(text.getBytes(StandardCharsets.UTF_8), new TestDialect(), 0);
     }
 
     /** Guards against a sound stream that is cut because of a field that is not known here. */
@@ -34,6 +35,28 @@
         assertThat(answer.flaw().isPresent()).isFalse();
     }
 
+    /** Guards against a stream that another run goes on with though its last event is spoilt. */
+    @Test
+    void eventsBeforeOtherBytesAreOnlyProvenByChunks() {
+        assertThat(add("id: 1\ndata: aThe server has failed.\n\n")).hasSize(1);
+        assertThat(answer.outcomeOfFlaw()).isEqualTo(SendOutcome.UNKNOWN);
+        answer.countEvent();
+        assertThat(answer.outcomeOfFlaw()).isEqualTo(SendOutcome.SPOILT);
+        HttpHeaders chunks = new DefaultHttpHeaders().set("Transfer-Encoding", "chunked");
+        answer.onHead(
+                WireDialect.ReplyKind.ANSWER,
+                chunks.set("Content-Type", "text/event-stream"),
+                true);
+        assertThat(answer.outcomeOfFlaw()).isEqualTo(SendOutcome.UNKNOWN);
+    }
+
+    /** Guards against text that is passed on as an event if nothing else shows whose it is. */
+    @Test
+    void aLineThatIsNoFieldIsNoEvent() {
+        assertThat(add("id: 1\ndata: a\n\noops\n\n")).hasSize(1);
+        assertThat(answer.flaw().isPresent()).isTrue();
+    }
+
     @Test
     void endsBeforeAHeadAlsoWithinAnEvent() {
         String head = "HTTP/1.1 500 Status\r\nRequest-Id: a\r\n\r\n";
@@ -44,7 +67,7 @@
     private WireDialect.ReplyKind kindAtEnd(String body) {
         HttpHeaders headers = new DefaultHttpHeaders().set("Content-Length", body.length());
         answer.onHead(WireDialect.ReplyKind.ANSWER, headers, false);
-        answer.addBody(body.getBytes(StandardCharsets.UTF_8));
+        answer.addBody(body.getBytes(StandardCharsets.UTF_8), 0);
         return answer.kindAtEnd(new byte[0]);
     }
 
@@ -70,10 +93,13 @@
         String body = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nHTTP/1.1 5";
         HttpHeaders headers = new DefaultHttpHeaders().set("Content-Length", body.length());
         searched.onHead(WireDialect.ReplyKind.ANSWER, headers, false);
-        searched.addBody(body.getBytes(StandardCharsets.UTF_8));
+        searched.addBody(body.getBytes(StandardCharsets.UTF_8), 0);
         assertThat(searched.end(new byte[0])).isEqualTo(AnswerEnd.UNCLEAR);
-        assertThat(searched.end(new byte[] {'0'})).isEqualTo(AnswerEnd.UNCLEAR);
-        assertThat(fields.get()).isEqualTo(1);
+        int fieldsOfAllForms = fields.get();
+        assertThat(searched.end(new byte[] {'H'})).isEqualTo(AnswerEnd.UNCLEAR);
+        assertThat(searched.end(new byte[] {'0'})).isEqualTo(AnswerEnd.FILLED);
+        assertThat(fields.get()).isEqualTo(fieldsOfAllForms);
+        assertThat(fieldsOfAllForms).isEqualTo(2);
     }
 
     /** Guards against an interim answer that is passed on since it came with other bytes. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/UnnamedAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/UnnamedAnswerTest.java
@@ -51,8 +51,8 @@
         public void onData(byte[] bytes) {}
 
         @Override
-        public long maxEndWaitMs() {
-            return Long.MAX_VALUE;
+        public long endWaitMs(AnswerEnd end) {
+            return 0;
         }
 
         @Override
--- a/standins/src/test/java/io/pollenpath/platform/SecondAnswer.java
+++ b/standins/src/test/java/io/pollenpath/platform/SecondAnswer.java
@@ -10,6 +10,8 @@
     OF_TWO_REQUESTS_BEFORE(2),
     /** It stops within its answer, and then answers the same request two times more. */
     TWICE_MORE(0),
+    /** It stops within its answer, and then sends more bytes than are missing, of no answer. */
+    NO_ANSWER(0),
     /** Its answer names no end; a second one follows, which is cut by the end of the connection. */
     BEHIND_NO_LENGTH(0),
     /** There is none: each answer is sound, and comes in many small pieces. */
--- a/standins/src/test/java/io/pollenpath/platform/TwiceAnsweringEngine.java
+++ b/standins/src/test/java/io/pollenpath/platform/TwiceAnsweringEngine.java
@@ -139,11 +139,28 @@
         int most = random.nextBoolean() ? FEW_BYTES : body.length();
         int missing = 1 + random.nextInt(most);
         write(out, head + size + body.substring(0, body.length() - missing));
+        if (fault == SecondAnswer.NO_ANSWER) {
+            writeSecond(out, bytesOfNoAnswer(missing + 1 + random.nextInt(FEW_BYTES)));
+            return;
+        }
         String again = request.equals(next) ? answerAgain(request) : wholeAnswer(next, framing());
         String last = fault == SecondAnswer.TWICE_MORE ? answerAgain(request) : "";
         writeSecond(out, again + last);
     }
 
+    /** Returns bytes that do not begin like an answer where the body ends. */
+    private String bytesOfNoAnswer(int count) {
+        List<String> kinds =
+                List.of(
+                        "HTTP/1.1 2000 OK\r\nRequest-Id: other\r\n\r\noops",
+                        "HTTP/2.0 200 OK\r\nUpstream-Signature: other\r\n\r\noops",
+                        "The server has failed. ",
+                        "<html>\n<body>\n<p>It failed.</p>\n</body>\n</html>\n",
+                        "\0",
+                        "id: 9\ndata: other\n\n");
+        return kinds.get(random.nextInt(kinds.size())).repeat(count).substring(0, count);
+    }
+
     /** Answers without naming an end, and then a second time, up to any byte of that answer. */
     private void answerWithoutLength(
             OutputStream out,
