A removed server is not used because a watch was cut off

Cause: a watch took the time since its last answer for an outage of the store, and a long poll waits, so one that was cut off counted as an outage of up to its whole wait; the first call after it was a long poll again, so the next change ended the "outage". Then what is missing stayed in use for 2,000 ms, looked at after 2,100 ms: longer than DrainMs.

Evidence: on the entry logs store_regained away_ms=1886 in the moment of the removal, 1.0 s after the cut, and no servers_changed; a store that answered all other calls.

Change: StoreContact hears of all calls of the process; an outage begins with a call that fails and ends with the next answer. A missing server is kept only after an outage in which registrations can lapse (1.5 HeartbeatMs), counted from the store's return, and for less than DrainMs; the view changes at just that time.

--- a/pollenpath/src/main/java/io/pollenpath/cli/explain/RequestTimeline.java
+++ b/pollenpath/src/main/java/io/pollenpath/cli/explain/RequestTimeline.java
@@ -35,6 +35,8 @@
                     "servers_changed",
                     "store_lost",
                     "store_regained",
+                    "watch_failed",
+                    "watch_goes_on",
                     "settings_kept",
                     "settings_reloaded",
                     "started",
--- a/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
@@ -25,6 +25,10 @@
     private static final int STATUS_GONE = 410;
 
     private static final long CALL_TIMEOUT_MS = 1_000;
+
+    /** How long the store waits for a change when it is to be found out whether it answers. */
+    private static final long PROBE_WAIT_MS = 1;
+
     private static final long MIN_RETRY_MS = 100;
     private static final long MAX_RETRY_MS = 800;
 
@@ -43,8 +47,7 @@
     private long revision;
     private boolean initialListDone;
     private long retryMs = MIN_RETRY_MS;
-    private long lastContactNanos;
-    private boolean unreachable;
+    private boolean failing;
     private boolean stopped;
     private boolean olderCopy;
 
@@ -92,7 +95,6 @@
 
     /** Starts watching. */
     void start() {
-        lastContactNanos = System.nanoTime();
         store.era().onChange(() -> control.execute(this::onEraChange));
         control.execute(() -> list(""));
     }
@@ -172,7 +174,8 @@
             return;
         }
         int current = generation;
-        store.watch(kind, revision, longPollMs, longPollMs + CALL_TIMEOUT_MS / 2)
+        long waitMs = failing ? PROBE_WAIT_MS : longPollMs;
+        store.watch(kind, revision, waitMs, waitMs + CALL_TIMEOUT_MS / 2)
                 .whenCompleteAsync(
                         (response, failure) ->
                                 onAnswered(current, failure, () -> onEvents(response)),
@@ -223,22 +226,15 @@
     }
 
     private void onSuccess(boolean changed) {
-        long nowNanos = System.nanoTime();
-        long outageMs =
-                unreachable ? TimeUnit.NANOSECONDS.toMillis(nowNanos - lastContactNanos) : 0;
-        if (unreachable) {
+        if (failing) {
             LOG.info(
                     "{}",
-                    LogLine.event("store_regained")
-                            .with("kind", kind)
-                            .with("revision", revision)
-                            .with("away_ms", outageMs));
+                    LogLine.event("watch_goes_on").with("kind", kind).with("revision", revision));
         }
-        unreachable = false;
+        failing = false;
         retryMs = MIN_RETRY_MS;
-        lastContactNanos = nowNanos;
         if (changed) {
-            StoreGap gap = new StoreGap(outageMs, olderCopy);
+            StoreGap gap = new StoreGap(store.contact().latestOutage(), olderCopy);
             olderCopy = false;
             notifyListener(gap);
         }
@@ -255,10 +251,10 @@
 
     private void onFailure(Throwable failure) {
         boolean historyExpired = StoreException.hasStatus(failure, STATUS_GONE);
-        if (!unreachable) {
+        if (!failing) {
             LOG.warn(
                     "{}",
-                    LogLine.event(historyExpired ? "store_history_gone" : "store_lost")
+                    LogLine.event(historyExpired ? "store_history_gone" : "watch_failed")
                             .with("kind", kind)
                             .with("revision", revision)
                             .with("cause", StoreException.causeOf(failure)));
@@ -267,7 +263,7 @@
             list("");
             return;
         }
-        unreachable = true;
+        failing = true;
         long delayMs = retryMs;
         retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
         boolean listNext = !initialListDone || olderCopy;
--- a/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/ServingViewPublisher.java
@@ -1,7 +1,6 @@
 package io.pollenpath.platform;
 
 import io.pollenpath.coordination.serving.ActiveServers;
-import io.pollenpath.state.serving.ServerInstance;
 import io.pollenpath.state.serving.ServingConfig;
 import io.pollenpath.state.serving.ServingView;
 import io.pollenpath.util.LogLine;
@@ -20,9 +19,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(ServingViewPublisher.class);
     private static final long MAX_LONG_POLL_MS = 1_500;
 
-    /** Longer than the grace period of {@link ActiveServers}, so that the check finds it over. */
-    private static final long GRACE_CHECK_MS = 2_100;
-
     private static final long TIMER_MARGIN_MS = 100;
 
     /** Delay that combines the changes of many servers that start or stop at the same time. */
@@ -30,7 +26,7 @@
 
     private final Consumer<ServingView> subscriber;
     private final ServerRegistrations registrations = new ServerRegistrations();
-    private final ActiveServers activeServers = new ActiveServers();
+    private final ActiveServers activeServers;
     private final ScheduledExecutorService control;
     private final List<KindWatch> watches;
     private ServingView view = ServingView.EMPTY;
@@ -42,6 +38,8 @@
             Consumer<ServingView> subscriber) {
         this.subscriber = subscriber;
         this.control = control;
+        activeServers =
+                new ActiveServers(settings.bounds().heartbeatMs(), settings.bounds().drainMs());
         // At most half the stable window, so that a stalled watch is detected before time limits
         // apply to this VM again.
         long longPollMs = Math.min(MAX_LONG_POLL_MS, settings.bounds().stableWindowMs() / 2);
@@ -99,12 +97,17 @@
                 view.withServers(
                         activeServers.update(
                                 registrations.decode(objects),
-                                gap.outageMs(),
+                                gap.outage(),
                                 gap.olderCopy(),
                                 nowNanos)));
-        if (activeServers.isInGracePeriod()) {
-            control.schedule(this::checkGraceEnd, GRACE_CHECK_MS, TimeUnit.MILLISECONDS);
-        }
+        activeServers
+                .nextEndNanos()
+                .ifPresent(
+                        endNanos ->
+                                control.schedule(
+                                        this::publishServers,
+                                        endNanos - nowNanos,
+                                        TimeUnit.NANOSECONDS));
         if (gap.olderCopy()) {
             control.schedule(
                     this::publishServers,
@@ -120,14 +123,6 @@
         }
     }
 
-    private void checkGraceEnd() {
-        boolean wasInGrace = activeServers.isInGracePeriod();
-        List<ServerInstance> servers = activeServers.current(System.nanoTime());
-        if (wasInGrace && !activeServers.isInGracePeriod()) {
-            publish(view.withServers(servers));
-        }
-    }
-
     private void publishServers() {
         publish(view.withServers(activeServers.current(System.nanoTime())));
     }
--- a/pollenpath/src/main/java/io/pollenpath/platform/SettingsFile.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/SettingsFile.java
@@ -16,6 +16,8 @@
     private static final double DEFAULT_GRACE_S = 8;
     private static final double DEFAULT_HISTORY_S = 20;
     private static final long DEFAULT_STABLE_WINDOW_MS = 3_000;
+    private static final long DEFAULT_DRAIN_MS = 2_000;
+    private static final long DEFAULT_HEARTBEAT_MS = 1_000;
     private static final long DEFAULT_CONFIG_APPLY_MS = 2_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final double DEFAULT_RETRY_WINDOW_S = 10;
@@ -58,7 +60,7 @@
                 address(root.path("app")),
                 Optional.ofNullable(root.path("Service").asText(null)),
                 capacity(root.path("Limits")),
-                bounds(root.path("Bounds")));
+                bounds(root.path("Bounds"), root.path("HeartbeatMs")));
     }
 
     private static VmCapacity capacity(JsonNode limits) {
@@ -68,10 +70,12 @@
                 linkMbps * BITS_PER_MEGABIT / Byte.SIZE);
     }
 
-    private static DeploymentBounds bounds(JsonNode bounds) {
+    private static DeploymentBounds bounds(JsonNode bounds, JsonNode heartbeatMs) {
         return new DeploymentBounds(
                 ms(bounds.path("GraceS").asDouble(DEFAULT_GRACE_S)),
                 bounds.path("StableWindowMs").asLong(DEFAULT_STABLE_WINDOW_MS),
+                bounds.path("DrainMs").asLong(DEFAULT_DRAIN_MS),
+                heartbeatMs.asLong(DEFAULT_HEARTBEAT_MS),
                 bounds.path("ConfigApplyMs").asLong(DEFAULT_CONFIG_APPLY_MS),
                 bounds.path("RetryBudgetRatio").asDouble(DEFAULT_RETRY_RATIO),
                 ms(bounds.path("BudgetWindowS").asDouble(DEFAULT_RETRY_WINDOW_S)),
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreClient.java
@@ -22,11 +22,14 @@
     private static final byte[] NO_BODY = new byte[0];
     private static final int STATUS_OK = 200;
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
+    private static final int STATUS_TOO_MANY_CALLS = 429;
+    private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
     private static final String ERA = "Store-Era";
 
     private final HttpClient http;
     private final StoreEra era = new StoreEra();
+    private final StoreContact contact = new StoreContact(System.nanoTime());
     private volatile HttpAddress address;
 
     /**
@@ -45,6 +48,11 @@
         return era;
     }
 
+    /** Returns what the calls tell of whether the store answers. */
+    StoreContact contact() {
+        return contact;
+    }
+
     /** Changes the address to which later calls are sent. */
     void setAddress(HttpAddress newAddress) {
         address = newAddress;
@@ -149,10 +157,29 @@
             String method, String path, byte[] body, long timeoutMs) {
         Map<String, String> headers =
                 body.length == 0 ? Map.of() : Map.of("Content-Type", "application/json");
+        String call = method + " " + path;
+        long begunNanos = System.nanoTime();
         CompletableFuture<HttpReply> reply =
                 http.send(new HttpClient.Request(address, method, path, headers, body));
         return reply.orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
-                .thenApply(response -> decode(response, method + " " + path));
+                .whenComplete((response, failure) -> record(call, begunNanos, response, failure))
+                .thenApply(response -> decode(response, call));
+    }
+
+    /** Records what a call tells of the store; one that refuses calls is away for this process. */
+    private void record(String call, long begunNanos, HttpReply response, Throwable failure) {
+        long nowNanos = System.nanoTime();
+        if (failure != null) {
+            contact.onFailure(begunNanos, failure, nowNanos);
+        } else if (isRefusal(response.status())) {
+            contact.onFailure(begunNanos, new StoreException(response.status(), call), nowNanos);
+        } else {
+            contact.onAnswer(nowNanos);
+        }
+    }
+
+    private static boolean isRefusal(int status) {
+        return status == STATUS_TOO_MANY_CALLS || status >= FIRST_SERVER_ERROR_STATUS;
     }
 
     private JsonNode decode(HttpReply reply, String call) {
--- a/pollenpath/src/main/java/io/pollenpath/platform/StoreGap.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/StoreGap.java
@@ -1,11 +1,12 @@
 package io.pollenpath.platform;
 
+import io.pollenpath.coordination.serving.StoreOutage;
+
 /**
- * What happened to the store since the listener of a watch was last notified.
+ * What happened to the store before the listener of a watch is notified.
  *
- * @param outageMs how long the store was unreachable immediately before, in milliseconds; 0 if it
- *     was not
- * @param olderCopy whether the store has come back from an older copy, so that the objects may lack
- *     changes that were seen before
+ * @param outage the latest outage of the store, of which the listener may have heard before
+ * @param olderCopy whether the store has come back from an older copy since the listener was last
+ *     notified, so that the objects may lack changes that were seen before
  */
-record StoreGap(long outageMs, boolean olderCopy) {}
+record StoreGap(StoreOutage outage, boolean olderCopy) {}
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformStoreStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformStoreStandin.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Serves the platform's store over HTTP, with faults that tests can inject. */
@@ -32,6 +33,7 @@
     private final AtomicLong callCount = new AtomicLong();
     private volatile StoreFault fault = StoreFault.NONE;
     private volatile String forcedEra = "";
+    private final AtomicInteger watchCuts = new AtomicInteger();
 
     /**
      * Starts listening on the loopback address.
@@ -80,6 +82,11 @@
         fault = newFault;
     }
 
+    /** Cuts off all watches that are waiting; other calls are not touched. */
+    public void cutWatches() {
+        watchCuts.incrementAndGet();
+    }
+
     /** Drops the history of changes, so that watches from an earlier revision fail with 410. */
     public void dropHistory() {
         store.dropHistory();
@@ -158,7 +165,8 @@
         boolean isRead = call.method().equals("GET");
         if (isRead && !call.parameter("Watch").isEmpty()) {
             long waitMs = Long.parseLong(call.parameter("WaitMs"));
-            watch(exchange, kind, Long.parseLong(call.parameter("Watch")), waitMs);
+            long revision = Long.parseLong(call.parameter("Watch"));
+            watch(exchange, kind, revision, waitMs, watchCuts.get());
         } else if (isRead && name.isEmpty()) {
             respond(exchange, STATUS_OK, store.list(kind, call.parameter("SinceRev")));
         } else if (isRead) {
@@ -168,7 +176,12 @@
         }
     }
 
-    private void watch(HttpExchange exchange, String kind, long afterRevision, long remainingMs) {
+    private void watch(
+            HttpExchange exchange, String kind, long afterRevision, long remainingMs, int cuts) {
+        if (cuts != watchCuts.get()) {
+            exchange.abort();
+            return;
+        }
         Optional<ObjectNode> changes = store.changes(kind, afterRevision);
         if (changes.isEmpty()) {
             respond(exchange, STATUS_GONE, Json.object());
@@ -177,7 +190,13 @@
         } else {
             exchange.loop()
                     .schedule(
-                            () -> watch(exchange, kind, afterRevision, remainingMs - WATCH_POLL_MS),
+                            () ->
+                                    watch(
+                                            exchange,
+                                            kind,
+                                            afterRevision,
+                                            remainingMs - WATCH_POLL_MS,
+                                            cuts),
                             WATCH_POLL_MS,
                             TimeUnit.MILLISECONDS);
         }
--- a/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
+++ b/standins/src/test/java/io/pollenpath/platform/EntryFleet.java
@@ -40,7 +40,7 @@
     private static final int ANSWER_TIMEOUT_MS = 5_000;
     private static final long READY_TIMEOUT_MS = 5_000;
     private static final DeploymentBounds BOUNDS =
-            new DeploymentBounds(8_000, 3_000, 2_000, 0.2, 10_000, 90, 1_500, true);
+            new DeploymentBounds(8_000, 3_000, 2_000, 1_200, 2_000, 0.2, 10_000, 90, 1_500, true);
 
     private final NettyLoops loops = new NettyLoops(1);
     private final HttpClient client = new HttpClient(loops);
--- a/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
@@ -59,7 +59,7 @@
                         throw new IllegalStateException("the listener fails");
                     }
                     objectNames = new TreeSet<>(objects.keySet());
-                    maxOutageMs.accumulateAndGet(gap.outageMs(), Math::max);
+                    maxOutageMs.accumulateAndGet(gap.outage().awayMs(), Math::max);
                 });
     }
 
