A quoted head does not hide the begin of an answer that fills up a body

Cause: where nothing has come behind an end yet, it waits only for an open status line; the one that was found was the quoted head before it, and the second begin came in the same write, so that no pause and no piece of its own showed it.

Change: an end like a version and a blank, or like a begun version right behind a status, waits for what comes next (AWAITED), and is passed on if nothing does. AnswerEndTest#textMayShowAnAnswer, which says what must not wait, stays as it was.

--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -7,8 +7,8 @@
 enum AnswerEnd {
     /** The bytes are those of this answer, as far as can be told. */
     OWN,
-    /** The server has paused within the answer, so what comes next may tell that they are not. */
-    PAUSED,
+    /** So they are if nothing comes next; other bytes may tell that they are not. */
+    AWAITED,
     /** They may end within a second answer; what comes next on the connection will tell. */
     UNCLEAR,
     /** Some of them are those of a second answer. */
@@ -16,7 +16,7 @@
 
     /** Returns whether nothing tells that some of the bytes are those of something else. */
     boolean isOwn() {
-        return this == OWN || this == PAUSED;
+        return this == OWN || this == AWAITED;
     }
 
     /**
@@ -94,6 +94,9 @@
         }
         boolean broken = behind.length == 0 && heads.mayEndWithBrokenAnswer();
         AnswerEnd worst = broken || isBegun(behind) ? UNCLEAR : OWN;
+        if (behind.length == 0 && heads.endsWithVersion()) {
+            worst = worst(worst, AWAITED);
+        }
         for (byte[] late : lateHeads(body)) {
             worst = worst(worst, behind.length == 0 ? UNCLEAR : ofHead(late, behind));
         }
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyHeads.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/BodyHeads.java
@@ -7,8 +7,9 @@
  *
  * @param known those that HTTP/1 knows
  * @param alike those that look like one, whether HTTP/1 knows them or not
+ * @param endsWithVersion whether the body ends like the begin of one, before its status
  */
-record BodyHeads(EmbeddedHead.Finding known, EmbeddedHead.Finding alike) {
+record BodyHeads(EmbeddedHead.Finding known, EmbeddedHead.Finding alike, boolean endsWithVersion) {
 
     /**
      * Finds the heads in a body, which may end before the last head does.
@@ -19,7 +20,8 @@
     static BodyHeads in(byte[] body, Predicate<String> isKnownId) {
         return new BodyHeads(
                 EmbeddedHead.find(HeadForm.HTTP_1, body, isKnownId),
-                EmbeddedHead.find(HeadForm.LIKE_HTTP, body, isKnownId));
+                EmbeddedHead.find(HeadForm.LIKE_HTTP, body, isKnownId),
+                EmbeddedHead.endsWithVersion(body));
     }
 
     /** Returns whether the body holds a head, or the begin of one, of either form. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/EmbeddedHead.java
@@ -20,6 +20,11 @@
     private static final Pattern EMPTY_LINE = Pattern.compile("\n\r?\n");
     private static final int NOWHERE = -1;
 
+    private static final Pattern STATUS_AT_END = Pattern.compile("HTTP/[0-9.]+ [+-]?\\d+ ?$");
+
+    /** A status and a version that are longer are none that a server writes. */
+    private static final int MAX_SHOWN_BYTES = 64;
+
     private final HeadForm form;
     private final Predicate<String> isKnownId;
     private boolean whole;
@@ -85,6 +90,22 @@
         return isFirstLineBegun(text) && isFirstLineBegun(last);
     }
 
+    /**
+     * Returns whether bytes end with a version and a blank, or with more than one letter of a
+     * version right behind a status. Text that speaks of a version ends otherwise.
+     */
+    static boolean endsWithVersion(byte[] bytes) {
+        int start = Math.max(0, bytes.length - MAX_SHOWN_BYTES);
+        String text = new String(bytes, start, bytes.length - start, StandardCharsets.ISO_8859_1);
+        int at = text.lastIndexOf(VERSION.charAt(0));
+        if (at < 0 || !isVersionBegin(HeadForm.LIKE_HTTP, text.substring(at))) {
+            return false;
+        }
+        boolean hasBlank = text.indexOf(' ', at) >= 0;
+        boolean isLetter = at == text.length() - 1;
+        return hasBlank || (!isLetter && STATUS_AT_END.matcher(text.substring(0, at)).find());
+    }
+
     private static boolean isFirstLineBegun(String text) {
         String line = text.lines().findFirst().orElse("");
         return !line.isEmpty()
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -154,7 +154,7 @@
             return AnswerEnd.OWN;
         }
         boolean mayGoOn = framing == AnswerFraming.LENGTH && behind.length == 0 && pauses.areAny();
-        return AnswerEnd.worst(mayGoOn ? AnswerEnd.PAUSED : AnswerEnd.OWN, endOfBytes(behind));
+        return AnswerEnd.worst(mayGoOn ? AnswerEnd.AWAITED : AnswerEnd.OWN, endOfBytes(behind));
     }
 
     private AnswerEnd endOfBytes(byte[] behind) {
@@ -279,11 +279,15 @@
     long endWaitMs(AnswerEnd end) {
         return switch (end) {
             case OWN, FILLED -> 0;
-            case PAUSED -> pauses.endWaitMs();
+            case AWAITED -> Math.max(pauses.endWaitMs(), endsWithVersion() ? END_WAIT_MS : 0);
             case UNCLEAR -> Math.max(END_WAIT_MS, pauses.endWaitMs());
         };
     }
 
+    private boolean endsWithVersion() {
+        return heads.filter(BodyHeads::endsWithVersion).isPresent();
+    }
+
     /** Returns the end of a buffered body as text. */
     String lastText(int maxBytes) {
         byte[] last = body.from(Math.max(0, body.length() - maxBytes));
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -211,6 +211,23 @@
         }
     }
 
+    /** Guards against a quoted head that hides the begin of an answer which fills up the body. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "It was answered HTTP/1.1 200HT",
+                "It was answered HTTP/1.1 200HTTP",
+                "It was answered HTTP/1.1 200HTTP/1.1",
+                "It was answered HTTP/1.1 200HTTP/1.1 ",
+                "It was answered HTTP/1.1 ",
+                "It was answered HTTP/2.0 "
+            })
+    void theBeginOfAnAnswerAtTheEndIsAwaited(String body) {
+        assertThat(endOf(AnswerFraming.LENGTH, body, "")).isEqualTo(AnswerEnd.AWAITED);
+        assertThat(endOf(AnswerFraming.LENGTH, body, "500 Status\r\n")).isEqualTo(AnswerEnd.FILLED);
+        assertThat(AnswerEnd.AWAITED.isOwn()).isTrue();
+    }
+
     /** Guards against a sound answer that is refused though its end is shown otherwise. */
     @ParameterizedTest
     @ValueSource(strings = {"oops", "HTTP/2.0 200 OK", "\0\0\0"})
