--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -63,7 +63,7 @@
         if (isOutOfStep(behind)) {
             return FILLED;
         }
-        return isBegun(behind) ? UNCLEAR : OWN;
+        return isVersionBegun(behind) ? UNCLEAR : OWN;
     }
 
     private static AnswerEnd ofInterim(AnswerFraming framing, byte[] behind) {
@@ -93,7 +93,7 @@
             return OWN;
         }
         boolean broken = behind.length == 0 && heads.mayEndWithBrokenAnswer();
-        AnswerEnd worst = broken || isBegun(behind) ? UNCLEAR : OWN;
+        AnswerEnd worst = broken || isVersionBegun(behind) ? UNCLEAR : OWN;
         if (behind.length == 0 && heads.endsWithVersion()) {
             worst = worst(worst, AWAITED);
         }
@@ -133,7 +133,7 @@
     }
 
     /** Returns whether bytes may become the version of an answer, but are none yet. */
-    private static boolean isBegun(byte[] behind) {
+    private static boolean isVersionBegun(byte[] behind) {
         return behind.length > 0
                 && EmbeddedHead.mayBegin(behind)
                 && !EmbeddedHead.hasVersion(behind);
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/SecondAnswerFramingTest.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.function.IntFunction;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -19,80 +18,11 @@
 /** Tests answers that stop anywhere and go on with a second one, for each way to mark an end. */
 class SecondAnswerFramingTest {
 
-    private static final String STATUS = "HTTP/1.1 200 OK\r\n";
-    private static final String LENGTH = "Content-Length: %d\r\n";
-    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
-    private static final String STREAM = "Content-Type: text/event-stream\r\n";
     private static final String INTERIM = "HTTP/1.1 100 Continue\r\n\r\n";
     private static final int MAX_SINGLE_BYTES = 260;
-    private static final String TEXT =
-            "The letter that was asked for has many lines, and this is one of them.\n".repeat(6);
-    private static final String EVENTS =
-            "id: 1\ndata: a\n\nid: 2\ndata: bc\n\n" + "id: 3\ndata: def\ndata: g\n\n".repeat(8);
 
-    /**
-     * An answer that a server begins.
-     *
-     * @param name what it shows
-     * @param method the method of its request
-     * @param head its head
-     * @param rest the bytes behind its head
-     * @param body the body that these bytes hold
-     */
-    private record First(String name, HttpMethod method, String head, String rest, String body) {
-
-        static First of(String name, String fields, String rest, String body) {
-            return new First(name, HttpMethod.GET, headWith(fields), rest, body);
-        }
-
-        String bytes() {
-            return head + rest;
-        }
-
-        @Override
-        public String toString() {
-            return name;
-        }
-    }
-
-    private static String headWith(String fields) {
-        String own = "Request-Id: r\r\nUpstream-Signature: " + PlayedConnection.PROOF + "\r\n";
-        return STATUS + own + fields + "\r\n";
-    }
-
-    private static String chunk(String extension, String data) {
-        return Integer.toHexString(data.length()) + extension + "\r\n" + data + "\r\n";
-    }
-
-    private static String chunks(String extension, String body) {
-        int half = body.length() / 8;
-        String first = chunk(extension, body.substring(0, half));
-        return first + chunk(extension, body.substring(half)) + "0" + extension + "\r\n";
-    }
-
-    private static First withLength(String name, String type, String body) {
-        return First.of(name, type + LENGTH.formatted(body.length()), body, body);
-    }
-
-    static List<First> firsts() {
-        List<First> firsts = new ArrayList<>();
-        firsts.add(withLength("length", "", TEXT));
-        firsts.add(withLength("length, closed", "Connection: close\r\n", TEXT));
-        firsts.add(First.of("no length", "", TEXT, TEXT));
-        firsts.add(First.of("chunks", CHUNKED, chunks("", TEXT) + "\r\n", TEXT));
-        firsts.add(First.of("extensions", CHUNKED, chunks(";a=b", TEXT) + "\r\n", TEXT));
-        firsts.add(First.of("blanks", CHUNKED, chunks("  ", TEXT) + "\r\n", TEXT));
-        String trailers = chunks("", TEXT) + "Check: a1b2\r\nMore: x\r\n\r\n";
-        firsts.add(First.of("trailers", CHUNKED, trailers, TEXT));
-        for (String line : List.of("\n", "\r\n")) {
-            String events = EVENTS.replace("\n", line);
-            String name = line.equals("\n") ? "events, LF" : "events, CRLF";
-            firsts.add(withLength(name + ", length", STREAM, events));
-            String inChunks = chunks("", events) + "\r\n";
-            firsts.add(First.of(name + ", chunks", STREAM + CHUNKED, inChunks, events));
-            firsts.add(First.of(name + ", no length", STREAM, events, events));
-        }
-        return firsts;
+    static List<PlayedAnswer> answers() {
+        return PlayedAnswer.all();
     }
 
     /** Returns what a server may send where its first answer stops. */
@@ -116,13 +46,13 @@
         fields.add("Date: Sat, 05 Dec 2026 19:00:00 GMT");
         String rest = body;
         if (framing.equals("length")) {
-            fields.add(LENGTH.formatted(body.length()).trim());
+            fields.add(PlayedAnswer.LENGTH.formatted(body.length()).trim());
         } else if (framing.equals("chunks")) {
-            fields.add(CHUNKED.trim());
-            rest = chunks("", body) + "\r\n";
+            fields.add(PlayedAnswer.CHUNKED.trim());
+            rest = PlayedAnswer.chunks("", body) + "\r\n";
         }
         Collections.shuffle(fields, random);
-        String status = random.nextBoolean() ? STATUS : "HTTP/1.1 500 Status\r\n";
+        String status = random.nextBoolean() ? PlayedAnswer.STATUS : "HTTP/1.1 500 Status\r\n";
         return status + String.join("\r\n", fields) + "\r\n\r\n" + rest;
     }
 
@@ -147,8 +77,8 @@
 
     /** Guards against an answer that is taken for whole though a second one has gone on with it. */
     @ParameterizedTest
-    @MethodSource("firsts")
-    void aSecondAnswerIsNoPartOfTheFirst(First first) {
+    @MethodSource("answers")
+    void aSecondAnswerIsNoPartOfTheFirst(PlayedAnswer first) {
         assertNoPartOf(first, SecondAnswerFramingTest::seconds);
     }
 
@@ -163,8 +93,8 @@
     }
 
     @ParameterizedTest
-    @MethodSource("firsts")
-    void aSecondAnswerWithStatus000IsNoPartOfTheFirst(First first) {
+    @MethodSource("answers")
+    void aSecondAnswerWithStatus000IsNoPartOfTheFirst(PlayedAnswer first) {
         assertNoPartOf(first, seed -> secondsThatBegin("HTTP/1.1 000 Status", seed));
     }
 
@@ -177,148 +107,13 @@
                 "HTTP/1.1 200 OK\r\nX-Odd Name : a"
             })
     void aSecondAnswerWithABrokenHeadIsNoPartOfTheFirst(String begin) {
-        for (First first : firsts()) {
+        for (PlayedAnswer first : PlayedAnswer.all()) {
             assertNoPartOf(first, seed -> secondsThatBegin(begin, seed));
         }
     }
 
-    /** Returns the answers that are buffered and whose head tells where they end. */
-    private static List<First> buffered() {
-        return firsts().stream()
-                .filter(first -> first.body().equals(TEXT) && !first.name().equals("no length"))
-                .toList();
-    }
-
-    /** Guards against an answer that is filled up by bytes of any kind, at once or later. */
-    @ParameterizedTest
-    @ValueSource(
-            strings = {
-                "The server has failed. ",
-                "<html>\n<body>\n<p>It failed.</p>\n\n</body>\n</html>\n",
-                "RTSP/1.0 200 OK\r\nCSeq: 2\r\n\r\n",
-                "\0",
-                "id: 7\ndata: other\n\n"
-            })
-    void bytesThatAreNoAnswerAreNoPartOfTheFirst(String text) {
-        String bytes = text.repeat(1 + 1_000 / text.length());
-        for (First first : buffered()) {
-            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
-                String begin = first.bytes().substring(0, cut);
-                assertTrueTo(first, List.of(begin + bytes), 2);
-                assertTrueTo(first, List.of(begin, bytes), 20);
-            }
-        }
-    }
-
-    private static List<First> streams(String framing) {
-        return firsts().stream()
-                .filter(first -> first.name().matches("events, .*, " + framing))
-                .toList();
-    }
-
-    /** Guards against a stream of which a chunk, or what its length names, is filled up. */
-    @ParameterizedTest
-    @ValueSource(
-            strings = {
-                "The server has failed. ",
-                "<html>\n<body>\n<p>It failed.</p>\n\n</body>\n</html>\n",
-                "\0",
-                "id: 7\ndata: other\n\n"
-            })
-    void bytesThatAreNoAnswerAreNoPartOfAStream(String text) {
-        String bytes = text.repeat(1 + 1_000 / text.length());
-        for (First first : streams("chunks")) {
-            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
-                String begin = first.bytes().substring(0, cut);
-                assertTrueTo(first, List.of(begin + bytes), 2);
-                assertTrueTo(first, List.of(begin, bytes), 20);
-            }
-        }
-        for (First first : streams("length")) {
-            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
-                String begin = first.bytes().substring(0, cut);
-                Heard heard = PlayedConnection.play(first.method(), List.of(begin, bytes));
-                assertWithMessage(first + ", cut at " + cut).that(heard.isSuccess()).isFalse();
-                List<String> writes = new ArrayList<>(List.of(begin));
-                bytes.chars().forEach(letter -> writes.add(String.valueOf((char) letter)));
-                Heard paused = PlayedConnection.playWithPauses(first.method(), writes, 20);
-                assertWithMessage(first + ", cut at " + cut).that(paused.isSuccess()).isFalse();
-            }
-        }
-    }
-
-    /** Guards against a stream that another run goes on with though its last chunk is spoilt. */
-    @Test
-    void aChunkThatIsFilledUpToALineEndSpoilsItsStream() {
-        String bytes = "data: other\r\n\r\n".repeat(80);
-        int spoilt = 0;
-        for (First first : streams("chunks")) {
-            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
-                String begin = first.bytes().substring(0, cut);
-                Heard heard = PlayedConnection.play(first.method(), List.of(begin, bytes));
-                boolean kept = heard.isTrueTo(first.body()) || heard.isSpoilt();
-                assertWithMessage(first + ", cut at " + cut).that(kept).isTrue();
-                spoilt += heard.isTrueTo(first.body()) ? 0 : 1;
-            }
-        }
-        assertThat(spoilt).isGreaterThan(0);
-    }
-
-    /** Guards against a stream without a length that goes on with a page of text. */
-    @Test
-    void aPageOfTextIsNoPartOfAStream() {
-        String page = "<html>\n<body>\n<p>It failed.</p>\n\n</body>\n</html>\n\n";
-        for (First first : streams("no length")) {
-            for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
-                String begin = first.bytes().substring(0, cut);
-                assertTrueTo(first, List.of(begin, page), 2);
-            }
-        }
-    }
-
-    /** Guards against an answer that is filled up in pieces, of which one ends where it ends. */
-    @ParameterizedTest
-    @ValueSource(ints = {1, 3, 30})
-    void piecesWithPausesAreNoPartOfTheFirst(int pieceBytes) {
-        String bytes = "The server has failed. ".repeat(30);
-        for (First first : buffered()) {
-            for (int missing = 1; missing <= 2 * pieceBytes; missing++) {
-                int cut = first.bytes().length() - missing;
-                List<String> writes = new ArrayList<>();
-                writes.add(first.bytes().substring(0, cut));
-                for (int at = 0; at + pieceBytes <= bytes.length(); at += pieceBytes) {
-                    writes.add(bytes.substring(at, at + pieceBytes));
-                }
-                for (int pauseMs : List.of(20, 280, 480)) {
-                    assertTrueTo(first, writes, pauseMs);
-                }
-            }
-        }
-    }
-
-    private static void assertTrueTo(First first, List<String> writes, int pauseMs) {
-        Heard heard = PlayedConnection.playWithPauses(first.method(), writes, pauseMs);
-        assertWithMessage(first + ", pauses of " + pauseMs + " ms: " + writes)
-                .that(heard.isTrueTo(first.body()))
-                .isTrue();
-    }
-
-    /** Guards against a sound answer that is refused, or held for long, since its server pauses. */
-    @ParameterizedTest
-    @ValueSource(ints = {20, 280, 2_000})
-    void aSoundAnswerMayPause(int pauseMs) {
-        for (First first : buffered()) {
-            int middle = (first.head().length() + first.bytes().length()) / 2;
-            List<String> writes =
-                    List.of(first.bytes().substring(0, middle), first.bytes().substring(middle));
-            Heard heard = PlayedConnection.playWithPauses(first.method(), writes, pauseMs);
-            assertWithMessage(first + ": " + heard.failures()).that(heard.isSuccess()).isTrue();
-            assertThat(heard.body()).isEqualTo(first.body());
-        }
-    }
-
     /** Plays an answer that stops anywhere, and second answers behind it, by the offset. */
-    private static void assertNoPartOf(First first, IntFunction<List<String>> seconds) {
+    private static void assertNoPartOf(PlayedAnswer first, IntFunction<List<String>> seconds) {
         List<String> wrong = new ArrayList<>();
         int plays = 0;
         for (int cut = first.head().length(); cut < first.bytes().length(); cut++) {
@@ -354,29 +149,38 @@
                 .replace("\n", "\\n");
     }
 
-    static Stream<First> soundAnswers() {
+    static Stream<PlayedAnswer> soundAnswers() {
         String quoted = "We got HTTP/1.1 500 Status\r\nRequest-Id: x\r\n\r\noops, then\r\n\r\n";
         String log = "HTTP/1.1 200 OK\nDate: today\n\n" + quoted + "H HT HTTP/1.1 done.";
         String event = "id: 1\ndata: " + "HTTP/1.1 500 Status\ndata: A: b\n\nid: 2\ndata: H\n\n";
         String interim = "id: 1\r\ndata: " + INTERIM + "id: 2\r\ndata: H\r\n\r\n";
         return Stream.concat(
-                firsts().stream(),
+                PlayedAnswer.all().stream(),
                 Stream.of(
-                        withLength("a log, length", "", log),
-                        First.of("a log, chunks", CHUNKED, chunks("", log) + "\r\n", log),
-                        withLength("shown, length", STREAM, event),
-                        First.of("shown, no length", STREAM, event, event),
-                        First.of("shown", STREAM + CHUNKED, chunks("", event) + "\r\n", event),
-                        withLength("interim, length", STREAM, interim),
-                        First.of("interim, no length", STREAM, interim, interim),
-                        First.of("204", "", "", ""),
-                        withLength("HEAD", "", "")));
+                        PlayedAnswer.withLength("a log, length", "", log),
+                        PlayedAnswer.of(
+                                "a log, chunks",
+                                PlayedAnswer.CHUNKED,
+                                PlayedAnswer.chunks("", log) + "\r\n",
+                                log),
+                        PlayedAnswer.withLength("shown, length", PlayedAnswer.STREAM, event),
+                        PlayedAnswer.of("shown, no length", PlayedAnswer.STREAM, event, event),
+                        PlayedAnswer.of(
+                                "shown",
+                                PlayedAnswer.STREAM + PlayedAnswer.CHUNKED,
+                                PlayedAnswer.chunks("", event) + "\r\n",
+                                event),
+                        PlayedAnswer.withLength("interim, length", PlayedAnswer.STREAM, interim),
+                        PlayedAnswer.of(
+                                "interim, no length", PlayedAnswer.STREAM, interim, interim),
+                        PlayedAnswer.of("204", "", "", ""),
+                        PlayedAnswer.withLength("HEAD", "", "")));
     }
 
     /** Guards against a sound answer that is refused or waits, in many small pieces or few. */
     @ParameterizedTest
     @MethodSource("soundAnswers")
-    void aSoundAnswerCostsNothing(First first) {
+    void aSoundAnswerCostsNothing(PlayedAnswer first) {
         for (int size = 1; size <= first.bytes().length(); size += 1 + size / 4) {
             List<String> writes = new ArrayList<>();
             for (int start = 0; start < first.bytes().length(); start += size) {
@@ -393,11 +197,11 @@
 
     /** Guards against a late answer that is taken for that to a HEAD, or the other way round. */
     @ParameterizedTest
-    @MethodSource("firsts")
-    void aLateAnswerIsNotThatToAnotherMethod(First first) {
+    @MethodSource("answers")
+    void aLateAnswerIsNotThatToAnotherMethod(PlayedAnswer first) {
         String late = "HTTP/1.1 200 OK\r\nRequest-Id: before\r\n";
         for (int length = 0; length < 2 * first.bytes().length(); length++) {
-            String head = late + LENGTH.formatted(length) + "\r\n";
+            String head = late + PlayedAnswer.LENGTH.formatted(length) + "\r\n";
             List<String> afterHead = List.of(head, first.bytes() + second("length", new Random(1)));
             Heard toGet = PlayedConnection.playAfter(HttpMethod.HEAD, HttpMethod.GET, afterHead);
             assertWithMessage("GET, late length " + length)
@@ -416,7 +220,10 @@
         for (int seed = 0; seed < 12; seed++) {
             String second = second("chunks", new Random(seed));
             for (int size = 1; size < second.length(); size++) {
-                String begin = headWith(CHUNKED) + Integer.toHexString(size) + stopped;
+                String begin =
+                        PlayedAnswer.headWith(PlayedAnswer.CHUNKED)
+                                + Integer.toHexString(size)
+                                + stopped;
                 Heard heard = PlayedConnection.play(HttpMethod.GET, List.of(begin, second));
                 assertWithMessage(size + stopped + second).that(heard.isSuccess()).isFalse();
             }
@@ -431,8 +238,8 @@
     @ParameterizedTest
     @MethodSource("answersWithoutBody")
     void anAnswerWithoutABodyHasNone(String status) {
-        for (String framing : List.of("", LENGTH.formatted(4), CHUNKED)) {
-            String head = headWith(framing).replace(STATUS, status);
+        for (String framing : List.of("", PlayedAnswer.LENGTH.formatted(4), PlayedAnswer.CHUNKED)) {
+            String head = PlayedAnswer.headWith(framing).replace(PlayedAnswer.STATUS, status);
             for (int seed = 0; seed < 30; seed++) {
                 for (String second : seconds(seed)) {
                     for (List<String> writes : writes(head, second, seed)) {
