A head shows where other bytes begin; a cut head behind an answer is none

A stream that only the close ends and in which a second answer's head follows was broken off, where it had been resumed at another server: GatewayFaultsTest#returnsCompleteAnswerOrAccurateFailure failed in 2 of 65 (rows "stream" with NO_LENGTH_AND_EXTRA_ANSWER and FAILS_IN_EVENT, 0 instead of 200). The head shows where the other bytes begin, so the events before it are the server's. Only a line that is no field, and a length that was filled up, spoil what was passed on (ServerAnswerTest#eventsBeforeAHeadAreTheServers).

Now the head behind an answer must be whole: it is waited for as other begins are, and without it the answer is refused (AnswerEndTest#theBeginOfAHeadBehindAnAnswerIsUnclear, which fails before from "HTTP/1." on).

--- a/pollenpath/src/main/java/io/pollenpath/transport/AnswerBegin.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/AnswerBegin.java
@@ -16,9 +16,23 @@
      * @return true if none of them must not stand in the head of an answer
      */
     public static boolean isSound(byte[] bytes) {
+        return headOf(bytes).isSound();
+    }
+
+    /**
+     * Returns whether bytes begin with the whole head of an answer.
+     *
+     * @param bytes the bytes, not null; not changed
+     * @return true if an empty line ends the head
+     */
+    public static boolean isWhole(byte[] bytes) {
+        return headOf(bytes).isWhole();
+    }
+
+    private static HeadSyntax headOf(byte[] bytes) {
         ByteBuf wrapped = Unpooled.wrappedBuffer(bytes);
         HeadSyntax head = HeadSyntax.ofAnswer();
         head.follow(wrapped, 0, bytes.length);
-        return head.isSound();
+        return head;
     }
 }
--- a/pollenpath/src/main/java/io/pollenpath/transport/HeadSyntax.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/HeadSyntax.java
@@ -86,6 +86,11 @@
         return !flawed;
     }
 
+    /** Returns whether the head or the trailers have ended, with an empty line. */
+    boolean isWhole() {
+        return part == Part.ENDED && !flawed;
+    }
+
     /** Returns what is wrong with the bytes so far, if they are not sound. */
     String flaw() {
         if (secondLength) {
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -21,9 +21,9 @@
 
     /**
      * Judges a whole answer by what came behind it, and by its last bytes. Behind a sound answer
-     * comes nothing, or a second answer. Other bytes belong to no request: the server is out of
-     * step, and a named length tells no longer which bytes are those of the answer. In chunks only
-     * a whole head fits in, since what comes behind a chunk is checked by itself.
+     * comes nothing, or the head of a second answer. Other bytes belong to no request: the server
+     * is out of step, and a named length tells no longer which bytes are those of the answer. In
+     * chunks only a whole head fits in, since what comes behind a chunk is checked by itself.
      *
      * @param framing how the answer marks its end, not null
      * @param body the body, not null
@@ -63,7 +63,7 @@
         if (isOutOfStep(behind)) {
             return FILLED;
         }
-        return isVersionBegun(behind) ? UNCLEAR : OWN;
+        return isHeadBegun(behind) ? UNCLEAR : OWN;
     }
 
     private static AnswerEnd ofInterim(AnswerFraming framing, byte[] behind) {
@@ -93,12 +93,12 @@
             return OWN;
         }
         boolean broken = behind.length == 0 && heads.mayEndWithBrokenAnswer();
-        AnswerEnd worst = broken || isVersionBegun(behind) ? UNCLEAR : OWN;
+        AnswerEnd worst = broken || isHeadBegun(behind) ? UNCLEAR : OWN;
         if (behind.length == 0 && heads.endsWithVersion()) {
             worst = worst(worst, AWAITED);
         }
         for (byte[] late : lateHeads(body)) {
-            worst = worst(worst, behind.length == 0 ? UNCLEAR : ofHead(late, behind));
+            worst = worst(worst, behind.length == 0 ? UNCLEAR : ofHead(late));
         }
         if (heads.known().isOpen()) {
             worst = worst(worst, ofOpenHead(body, heads.known(), behind));
@@ -111,15 +111,12 @@
         if (behind.length == 0) {
             return heads.statusOpen() ? UNCLEAR : OWN;
         }
-        return ofHead(body.from(heads.openAt()), behind);
+        return ofHead(body.from(heads.openAt()));
     }
 
-    /** Judges a body that ends within or with a head, behind which an answer seems to begin. */
-    private static AnswerEnd ofHead(byte[] head, byte[] behind) {
-        if (EmbeddedHead.isInterim(head)) {
-            return FILLED;
-        }
-        return EmbeddedHead.hasVersion(behind) ? OWN : UNCLEAR;
+    /** Judges a body that ends within or with a head, behind which an answer begins. */
+    private static AnswerEnd ofHead(byte[] head) {
+        return EmbeddedHead.isInterim(head) ? FILLED : OWN;
     }
 
     /** Returns the ends of a body that came as pieces of their own and begin like an answer. */
@@ -132,11 +129,9 @@
         return one.compareTo(other) > 0 ? one : other;
     }
 
-    /** Returns whether bytes may become the version of an answer, but are none yet. */
-    private static boolean isVersionBegun(byte[] behind) {
-        return behind.length > 0
-                && EmbeddedHead.mayBegin(behind)
-                && !EmbeddedHead.hasVersion(behind);
+    /** Returns whether bytes may become the head of an answer, but are none yet. */
+    private static boolean isHeadBegun(byte[] behind) {
+        return behind.length > 0 && AnswerBegin.isSound(behind) && !AnswerBegin.isWhole(behind);
     }
 
     /** Returns whether bytes came behind an answer that are not the begin of another one. */
--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/ServerAnswer.java
@@ -34,6 +34,7 @@
     private int events;
     private boolean checkingEnd;
     private boolean kept;
+    private boolean spoilt;
 
     /** Found once, since an end is judged again whenever bytes come behind it. */
     private Optional<BodyHeads> heads = Optional.empty();
@@ -118,11 +119,16 @@
                             "server refused the request with status " + status);
             case OTHER_SERVER ->
                     failure(SendOutcome.OTHER_SERVER, "address belongs to another server");
-            case UNPROVEN -> failure(outcomeOfFlaw(), "answer could not be verified");
+            case UNPROVEN -> failure(outcomeIfFilled(), "answer could not be verified");
             case ANSWER -> failureOfAnswer(behind);
         };
     }
 
+    private SendOutcome outcomeIfFilled() {
+        boolean counted = framing == AnswerFraming.LENGTH;
+        return outcomeOfFailure(counted ? SendOutcome.SPOILT : SendOutcome.UNKNOWN);
+    }
+
     private Optional<SendFailure> failureOfAnswer(byte[] behind) {
         if (!isForwardedStream() && end(behind) == AnswerEnd.UNCLEAR) {
             return failure(SendOutcome.DOUBTFUL, "the answer ends like the begin of another one");
@@ -181,10 +187,15 @@
         List<EventSplitter.Event> events = new ArrayList<>();
         for (EventSplitter.Event event : splitter.add(bytes)) {
             BodyHeads found = BodyHeads.in(event.bytes(), isKnownId);
-            if (!mayContain(event, found, dialect) || !isSound(event, dialect)) {
+            if (!mayContain(event, found, dialect)) {
                 flaw = Optional.of("bytes that are no event");
                 return events;
             }
+            if (!isSound(event, dialect)) {
+                flaw = Optional.of("a line that is no field of an event");
+                spoilt = true;
+                return events;
+            }
             events.addAll(takeHeldEvents());
             if (found.known().endsWithInterim(event.bytes())) {
                 heldEvents = List.of(event);
@@ -221,11 +232,11 @@
     }
 
     /**
-     * Returns the outcome of the send if the answer has a flaw. Of events that were passed on, just
-     * chunks have shown that they are the server's.
+     * Returns the outcome of the send if the answer has a flaw. A head shows where other bytes
+     * begin; without one they may have begun in an event that was passed on.
      */
     SendOutcome outcomeOfFlaw() {
-        return outcomeOfFailure(framing.provesParts() ? SendOutcome.UNKNOWN : SendOutcome.SPOILT);
+        return outcomeOfFailure(spoilt ? SendOutcome.SPOILT : SendOutcome.UNKNOWN);
     }
 
     /** Returns the outcome of the send for a failure; what was not passed on spoils nothing. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/AnswerEndTest.java
@@ -238,9 +238,13 @@
 
     /** Guards against an answer that is passed on though what is behind it may be anything yet. */
     @Test
-    void theBeginOfAVersionBehindAnAnswerIsUnclear() {
-        assertThat(endOf(AnswerFraming.LENGTH, LETTER, "HTTP/")).isEqualTo(AnswerEnd.UNCLEAR);
-        assertThat(endOf(AnswerFraming.LENGTH, LETTER, "HTTP/1.")).isEqualTo(AnswerEnd.OWN);
+    void theBeginOfAHeadBehindAnAnswerIsUnclear() {
+        for (int length = 1; length < HEAD_BYTES; length++) {
+            assertThat(endOf(AnswerFraming.LENGTH, LETTER, SECOND.substring(0, length)))
+                    .isEqualTo(AnswerEnd.UNCLEAR);
+        }
+        String head = SECOND.substring(0, HEAD_BYTES);
+        assertThat(endOf(AnswerFraming.LENGTH, LETTER, head)).isEqualTo(AnswerEnd.OWN);
     }
 
     /** Guards against a quoted head that hides the begin of a second answer. */
--- a/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
+++ b/pollenpath/src/test/java/io/pollenpath/transport/serving/ServerAnswerTest.java
@@ -37,16 +37,19 @@
 
     /** Guards against a stream that another run goes on with though its last event is spoilt. */
     @Test
-    void eventsBeforeOtherBytesAreOnlyProvenByChunks() {
-        assertThat(add("id: 1\ndata: aThe server has failed.\n\n")).hasSize(1);
+    void eventsBeforeOtherBytesMayHoldSomeOfThem() {
+        assertThat(add("id: 1\ndata: aThe server has failed.\n\n<p>\n\n")).hasSize(1);
         assertThat(answer.outcomeOfFlaw()).isEqualTo(SendOutcome.UNKNOWN);
         answer.countEvent();
         assertThat(answer.outcomeOfFlaw()).isEqualTo(SendOutcome.SPOILT);
-        HttpHeaders chunks = new DefaultHttpHeaders().set("Transfer-Encoding", "chunked");
-        answer.onHead(
-                WireDialect.ReplyKind.ANSWER,
-                chunks.set("Content-Type", "text/event-stream"),
-                true);
+    }
+
+    /** Guards against a stream that is broken off though a head shows where other bytes begin. */
+    @Test
+    void eventsBeforeAHeadAreTheServers() {
+        String head = "HTTP/1.1 500 Status\r\nRequest-Id: a\r\n\r\n";
+        assertThat(add("id: 1\ndata: a\n\nid: 2\ndata: b" + head)).hasSize(1);
+        answer.countEvent();
         assertThat(answer.outcomeOfFlaw()).isEqualTo(SendOutcome.UNKNOWN);
     }
 
