--- a/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
+++ b/pollenpath/src/main/java/io/pollenpath/transport/serving/AnswerEnd.java
@@ -21,9 +21,10 @@
 
     /**
      * Judges a whole answer by what came behind it, and by its last bytes. Behind a sound answer
-     * comes nothing, or the head of a second answer. Other bytes belong to no request: the server
-     * is out of step, and a named length tells no longer which bytes are those of the answer. In
-     * chunks only a whole head fits in, since what comes behind a chunk is checked by itself.
+     * comes nothing, or the version of a second answer. Other bytes belong to no request: the
+     * server is out of step, and a named length tells no longer which bytes are those of the
+     * answer. In chunks only a whole head fits in, since what comes behind a chunk is checked by
+     * itself.
      *
      * @param framing how the answer marks its end, not null
      * @param body the body, not null
@@ -55,15 +56,15 @@
      * @param behind the bytes that came behind the stream, not null
      */
     static AnswerEnd ofStream(AnswerFraming framing, boolean endsWithInterim, byte[] behind) {
-        AnswerEnd counted = framing == AnswerFraming.LENGTH ? ofBehind(behind) : OWN;
+        AnswerEnd counted = framing == AnswerFraming.LENGTH ? ofBytesBehindStream(behind) : OWN;
         return endsWithInterim ? worst(counted, ofInterim(framing, behind)) : counted;
     }
 
-    private static AnswerEnd ofBehind(byte[] behind) {
+    private static AnswerEnd ofBytesBehindStream(byte[] behind) {
         if (isOutOfStep(behind)) {
             return FILLED;
         }
-        return isHeadBegun(behind) ? UNCLEAR : OWN;
+        return behind.length == 0 || EmbeddedHead.hasVersion(behind) ? OWN : UNCLEAR;
     }
 
     private static AnswerEnd ofInterim(AnswerFraming framing, byte[] behind) {
@@ -93,7 +94,7 @@
             return OWN;
         }
         boolean broken = behind.length == 0 && heads.mayEndWithBrokenAnswer();
-        AnswerEnd worst = broken || isHeadBegun(behind) ? UNCLEAR : OWN;
+        AnswerEnd worst = worst(broken ? UNCLEAR : OWN, ofBehind(heads, behind));
         if (behind.length == 0 && heads.endsWithVersion()) {
             worst = worst(worst, AWAITED);
         }
@@ -129,13 +130,25 @@
         return one.compareTo(other) > 0 ? one : other;
     }
 
-    /** Returns whether bytes may become the head of an answer, but are none yet. */
-    private static boolean isHeadBegun(byte[] behind) {
-        return behind.length > 0 && AnswerBegin.isSound(behind) && !AnswerBegin.isWhole(behind);
+    /**
+     * Judges the bytes behind an answer by the head with which they begin. One that is broken or
+     * cut follows sound answers too, but a body that holds such heads may be filled up by them.
+     */
+    private static AnswerEnd ofBehind(BodyHeads heads, byte[] behind) {
+        if (behind.length == 0) {
+            return OWN;
+        }
+        if (!heads.isAny()) {
+            return EmbeddedHead.hasVersion(behind) ? OWN : UNCLEAR;
+        }
+        if (!AnswerBegin.isSound(behind)) {
+            return FILLED;
+        }
+        return AnswerBegin.isWhole(behind) ? OWN : UNCLEAR;
     }
 
-    /** Returns whether bytes came behind an answer that are not the begin of another one. */
+    /** Returns whether bytes came behind an answer that do not begin like another one. */
     private static boolean isOutOfStep(byte[] behind) {
-        return behind.length > 0 && !AnswerBegin.isSound(behind);
+        return behind.length > 0 && !EmbeddedHead.mayBegin(behind);
     }
 }
