A watch that asks again gives a slow store the time of any call

Cause: since a watch that has failed asks with a wait of 1 ms, and gave that call half a second, where the long poll before had two. A store that answers each call after more than 500 ms would have kept it failed.

Change: such a call has the second that lists have. KindWatchTest#goesOnWhenTheStoreIsSlow (700 ms for each call) guards it.

--- a/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
+++ b/pollenpath/src/main/java/io/pollenpath/platform/KindWatch.java
@@ -175,7 +175,8 @@
         }
         int current = generation;
         long waitMs = failing ? PROBE_WAIT_MS : longPollMs;
-        store.watch(kind, revision, waitMs, waitMs + CALL_TIMEOUT_MS / 2)
+        long timeoutMs = failing ? CALL_TIMEOUT_MS : longPollMs + CALL_TIMEOUT_MS / 2;
+        store.watch(kind, revision, waitMs, timeoutMs)
                 .whenCompleteAsync(
                         (response, failure) ->
                                 onAnswered(current, failure, () -> onEvents(response)),
--- a/standins/src/main/java/io/pollenpath/standin/platform/PlatformStoreStandin.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/PlatformStoreStandin.java
@@ -19,6 +19,7 @@
 
     private static final String PREFIX = "/api/objects/";
     private static final long WATCH_POLL_MS = 10;
+    private static final long SLOW_CALL_MS = 700;
     private static final int STATUS_OK = 200;
     private static final int STATUS_NOT_FOUND = 404;
     private static final int STATUS_CONFLICT = 409;
@@ -152,6 +153,12 @@
             case SILENT -> {
                 // No answer: the caller waits until its own timeout.
             }
+            case SLOW ->
+                    exchange.loop()
+                            .schedule(
+                                    () -> serve(call, exchange),
+                                    SLOW_CALL_MS,
+                                    TimeUnit.MILLISECONDS);
             case UNAVAILABLE -> respond(exchange, STATUS_UNAVAILABLE, Json.object());
             case TOO_MANY_CALLS -> respond(exchange, STATUS_TOO_MANY_REQUESTS, Json.object());
             default -> serve(call, exchange);
--- a/standins/src/main/java/io/pollenpath/standin/platform/StoreFault.java
+++ b/standins/src/main/java/io/pollenpath/standin/platform/StoreFault.java
@@ -15,6 +15,9 @@
     /** No call is executed or answered. */
     SILENT,
 
+    /** Every call is executed and answered, but only after 700 ms. */
+    SLOW,
+
     /** Writes are executed but not answered; reads work. */
     ANSWERS_LOST
 }
--- a/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
+++ b/standins/src/test/java/io/pollenpath/platform/KindWatchTest.java
@@ -172,6 +172,19 @@
         assertThat(maxOutageMs.get()).isGreaterThan(LONG_POLL_MS);
     }
 
+    /** Guards against a watch that stays failed since the store answers, but slowly. */
+    @Test
+    void goesOnWhenTheStoreIsSlow() throws InterruptedException {
+        put("a");
+        watch.start();
+        awaitObjectNames("a");
+        store.setFault(StoreFault.UNAVAILABLE);
+        Thread.sleep(2 * LONG_POLL_MS);
+        put("b");
+        store.setFault(StoreFault.SLOW);
+        awaitObjectNames("a", "b");
+    }
+
     @Test
     void startsWhileStoreIsUnavailable() throws InterruptedException {
         put("a");
